--- /dev/null
+++ b/cuminward-config/src/lib.rs
@@ -0,0 +1,4 @@
+//! The fold of the configuration log.
+
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
