feat: cuminward-node: checked settings

Cause: a node has no settings. Change: YAML settings; all faults of a file are shown with line and expectation. Conclusion: the daemon can check its settings before it starts.

--- a/cuminward-node/src/lib.rs
+++ b/cuminward-node/src/lib.rs
@@ -2,3 +2,5 @@
 
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+pub mod settings;
--- /dev/null
+++ b/cuminward-node/src/settings.rs
@@ -0,0 +1,140 @@
+//! Settings of a node: read from a YAML file and checked whole before anything starts.
+
+mod check;
+pub mod file;
+pub mod load;
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use cuminward_core::id;
+
+/// Checked settings of a node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Name of the node.
+    pub node: id::Node,
+    /// Failure domain of the node.
+    pub domain: id::Domain,
+    /// Addresses that the node listens at.
+    pub listen: Listen,
+    /// Addresses of the platform's services, as IP address and port.
+    pub platform: Platform,
+    /// Secret that the nodes share.
+    pub secret: Secret,
+    /// Operators who may call the node.
+    pub operators: Vec<Operator>,
+    /// Bounds of the requests.
+    pub limits: Limits,
+    /// Intervals and bounds of the control work.
+    pub timing: Timing,
+}
+
+/// Addresses that a node listens at.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listen {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Operators' remote procedure calls.
+    pub operators: SocketAddr,
+    /// Calls between nodes.
+    pub peers: SocketAddr,
+}
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Platform {
+    /// The log.
+    pub log: String,
+    /// The host list.
+    pub hosts: String,
+    /// The weight store.
+    pub weights: String,
+}
+
+/// A text that never shows up in logs.
+#[derive(Clone, PartialEq)]
+pub struct Secret(String);
+
+/// An operator who may call the node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Operator {
+    /// Name of the operator.
+    pub name: String,
+    /// BLAKE3 hash of the operator's token, in hexadecimal.
+    pub token_hash: String,
+    /// What the operator may do.
+    pub role: file::Role,
+}
+
+/// Bounds of the requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Time within which a body has to arrive.
+    pub body_timeout: Duration,
+    /// Longest time between two tokens before a connection counts as silent.
+    pub token_timeout: Duration,
+    /// Time that a request may wait for capacity if its caller set no deadline.
+    pub queue_timeout: Duration,
+    /// Time that a shutdown waits for requests under way.
+    pub shutdown_grace: Duration,
+}
+
+/// Intervals and bounds of the control work.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Timing {
+    /// Interval of the probes of one host.
+    pub probe: Duration,
+    /// Age beyond which a host's report doesn't count.
+    pub freshness: Duration,
+    /// Interval at which the host list is read.
+    pub listing: Duration,
+    /// Length of the steward's lease.
+    pub lease: Duration,
+}
+
+/// Life cycle
+impl Secret {
+    /// Wraps a text.
+    pub fn new(text: impl Into<String>) -> Secret {
+        Secret(text.into())
+    }
+}
+
+/// Access
+impl Secret {
+    /// The text itself.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            body_bytes: 4 * 1024 * 1024,
+            body_timeout: Duration::from_secs(10),
+            token_timeout: Duration::from_secs(2),
+            queue_timeout: Duration::from_secs(10),
+            shutdown_grace: Duration::from_secs(60),
+        }
+    }
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            probe: Duration::from_millis(300),
+            freshness: Duration::from_millis(1_500),
+            listing: Duration::from_millis(500),
+            lease: Duration::from_secs(3),
+        }
+    }
+}
--- /dev/null
+++ b/cuminward-node/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the node's composition.
+
+mod settings;
