--- /dev/null
+++ b/cuminward-caller/tests/all/fake.rs
@@ -0,0 +1,71 @@
+//! A backend that counts what reaches it.
+
+use std::{
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use cuminward_caller::backend;
+use cuminward_core::{id, outcome::Refusal};
+use futures::{Stream, stream};
+use http::{HeaderMap, StatusCode};
+
+/// Key of the only team.
+pub(crate) const KEY: &str = "kites";
+
+/// Answers every generation with the same tokens and every call with its own body.
+#[derive(Clone, Default)]
+pub(crate) struct Backend {
+    pub(crate) reached: Arc<AtomicU32>,
+    pub(crate) broken: bool,
+}
+
+impl backend::Backend for Backend {
+    type Tokens = Pin<Box<dyn Stream<Item = backend::Event> + Send>>;
+
+    fn authenticate(&self, key: &str) -> Option<id::Team> {
+        (key == KEY).then(|| "committee".to_owned())
+    }
+
+    fn models(&self, _team: &str) -> Vec<id::Model> {
+        vec!["pattern".to_owned()]
+    }
+
+    async fn generate(&self, _request: backend::Generation) -> Result<Self::Tokens, Refusal> {
+        self.reached.fetch_add(1, Ordering::Relaxed);
+        let mut events = vec![token("red "), token("kite")];
+        if !self.broken {
+            events.push(backend::Event::Finish(backend::Finish {
+                reason: "stop".to_owned(),
+                prompt_tokens: 3,
+                cached_tokens: 1,
+                tokens: 2,
+            }));
+        }
+        Ok(Box::pin(stream::iter(events)))
+    }
+
+    async fn call(&self, call: backend::Call) -> Result<backend::Answer, Refusal> {
+        self.reached.fetch_add(1, Ordering::Relaxed);
+        let mut headers = HeaderMap::new();
+        headers.insert("x-path", call.path.parse().expect("a path is a valid header"));
+        let seen = call.headers.contains_key("authorization") || call.headers.contains_key("x-hop");
+        headers.insert("x-leaked", seen.to_string().parse().expect("a bool is a valid header"));
+        Ok(backend::Answer { status: StatusCode::CREATED, headers, body: call.body })
+    }
+
+    fn ready(&self) -> Result<(), String> {
+        Ok(())
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+}
+
+fn token(text: &str) -> backend::Event {
+    backend::Event::Token(text.to_owned())
+}
--- /dev/null
+++ b/cuminward-caller/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the routes towards callers.
+
+mod fake;
+mod router;
