feat: cuminward-group: assembly, orders, steward by term, first-fit placement

Cause: nothing decided yet which hosts form which replica. Conclusion: two stewards over fake hosts form what is declared in four cases (enforcing, ignoring, mixed, too few hosts), and one of them holds the term.

--- /dev/null
+++ b/cuminward-group/src/assembly.rs
@@ -0,0 +1,153 @@
+//! Assembly of whole replicas from what the hosts report about themselves.
+//!
+//! A replica is whole if every member reported the same formation, with the same list of members, and
+//! is ready, within the freshness bound. Only the newest report of a host counts, so a host is never
+//! part of two replicas.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use cuminward_core::{catalog, host, id, replica};
+use cuminward_derive::{record, value};
+
+/// What the assembly looks at.
+#[derive(Debug, Clone, Copy)]
+pub struct Input<'a> {
+    /// Newest observation of each host.
+    pub observations: &'a BTreeMap<id::Host, host::Observation>,
+    /// The platform's host list.
+    pub hosts: &'a [host::Entry],
+    /// What operators declared.
+    pub catalog: &'a catalog::Catalog,
+    /// Time since the start of the process.
+    pub now: Duration,
+    /// Largest age of an observation that still confirms a member.
+    pub freshness: Duration,
+}
+
+/// The whole replicas.
+#[record]
+#[derive(Default)]
+pub struct Outcome {
+    /// Replicas that may receive new work.
+    pub routable: Vec<replica::Replica>,
+    /// Replicas that finish the work they have and receive no more.
+    pub draining: Vec<Draining>,
+}
+
+/// A whole replica that receives no new work.
+#[record]
+pub struct Draining {
+    /// The replica.
+    pub replica: replica::Replica,
+    /// Why it receives no new work.
+    pub cause: Cause,
+}
+
+/// Why a whole replica receives no new work.
+#[value]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    /// The failure domain is taken out or isn't declared.
+    DomainTakenOut,
+    /// The platform lists a member as leaving.
+    HostLeaving,
+    /// Operators drain a member.
+    HostDrained,
+}
+
+/// Finds the whole replicas and tells which of them may receive new work.
+pub fn assemble(input: &Input<'_>) -> Outcome {
+    let entries = engines(input.hosts);
+    let mut outcome = Outcome::default();
+    for (head, observation) in input.observations {
+        let Some(replica) = whole(input, &entries, head, observation) else { continue };
+        match cause(input.catalog, &entries, &replica) {
+            None => outcome.routable.push(replica),
+            Some(cause) => outcome.draining.push(Draining { replica, cause }),
+        }
+    }
+    outcome
+}
+
+/// Engines of the host list by name.
+type Engines<'a> = BTreeMap<&'a str, &'a host::Entry>;
+
+fn engines(hosts: &[host::Entry]) -> Engines<'_> {
+    let engines = hosts.iter().filter(|it| it.role == host::Role::Engine);
+    engines.map(|it| (it.host.as_str(), it)).collect()
+}
+
+/// Returns the replica whose head reported `observation`, if it is whole.
+fn whole(
+    input: &Input<'_>,
+    entries: &Engines<'_>,
+    head: &str,
+    observation: &host::Observation,
+) -> Option<replica::Replica> {
+    let formation = observation.report.membership.as_ref()?;
+    if formation.members.first().map(String::as_str) != Some(head) || repeats(&formation.members) {
+        return None;
+    }
+    let domain = &entries.get(head)?.domain;
+    let mut confirmed = observation.at;
+    for member in &formation.members {
+        let seen = input.observations.get(member)?;
+        let entry = entries.get(member.as_str())?;
+        if entry.domain != *domain || !confirms(input, formation, member, seen) {
+            return None;
+        }
+        confirmed = confirmed.min(seen.at);
+    }
+    Some(replica::Replica {
+        group: formation.group.clone(),
+        generation: formation.generation,
+        service: formation.service.clone(),
+        model: formation.model.clone(),
+        version: formation.version.clone(),
+        members: formation.members.clone(),
+        address: entries.get(head)?.address.clone(),
+        incarnation: observation.report.incarnation,
+        confirmed,
+    })
+}
+
+fn repeats(members: &[id::Host]) -> bool {
+    members.iter().collect::<BTreeSet<_>>().len() != members.len()
+}
+
+/// Tells whether a member's own report confirms the head's formation, freshly and ready.
+fn confirms(
+    input: &Input<'_>,
+    formation: &host::Membership,
+    member: &str,
+    seen: &host::Observation,
+) -> bool {
+    let fresh = input.now.saturating_sub(seen.at) <= input.freshness;
+    let ready = formation.phase == host::Phase::Ready;
+    fresh
+        && ready
+        && seen.report.host == member
+        && seen.report.membership.as_ref() == Some(formation)
+}
+
+/// Why a whole replica receives no new work, if it doesn't.
+fn cause(
+    catalog: &catalog::Catalog,
+    entries: &Engines<'_>,
+    replica: &replica::Replica,
+) -> Option<Cause> {
+    let members = || replica.members.iter().filter_map(|it| entries.get(it.as_str()));
+    if members().any(|it| !catalog.in_service(&it.domain)) {
+        return Some(Cause::DomainTakenOut);
+    }
+    if members().any(|it| it.state == host::State::Leaving) {
+        return Some(Cause::HostLeaving);
+    }
+    if members().any(|it| catalog.drained.contains(&it.host)) {
+        return Some(Cause::HostDrained);
+    }
+    None
+}
--- /dev/null
+++ b/cuminward-group/src/steward/reports.rs
@@ -0,0 +1,175 @@
+//! Learning what hosts do: readings, answers to orders, lost answers.
+
+use std::time::Duration;
+
+use cuminward_core::{host, id};
+
+use super::{Answer, Input, Output, Steward, event, hosts};
+use crate::order;
+
+/// Readings
+impl Steward {
+    /// Takes in what this node read from a host.
+    pub(super) fn on_observed(
+        &mut self,
+        now: Duration,
+        observation: host::Observation,
+        asked: Duration,
+    ) {
+        let name = observation.report.host.clone();
+        let Some(known) = self.hosts.get(&name) else { return };
+        if asked < known.valid_from || known.open.is_some() {
+            return self.on_answering(&name);
+        }
+        self.learn(now, observation.report, asked);
+    }
+
+    /// Takes in what another node read; asks the host itself if that says something new.
+    pub(super) fn on_heard(&mut self, now: Duration, observation: &host::Observation) {
+        let name = &observation.report.host;
+        self.on_answering(name);
+        if self.lease.held().is_none() {
+            return;
+        }
+        let retry = self.options.retry_after;
+        let Some(known) = self.hosts.get_mut(name) else { return };
+        let same = known.report.as_ref().is_some_and(|it| {
+            it.incarnation == observation.report.incarnation
+                && it.membership == observation.report.membership
+        });
+        let soon = known.asked.is_some_and(|it| now < it + retry);
+        if same || soon || known.open.is_some() {
+            return;
+        }
+        known.asked = Some(now);
+        let address = known.address.clone();
+        self.out.push(Output::Read { host: name.clone(), address });
+    }
+
+    /// Notes that a host doesn't answer.
+    pub(super) fn on_unreachable(&mut self, now: Duration, name: &str) {
+        let Some(known) = self.hosts.get_mut(name) else { return };
+        known.down_since.get_or_insert(now);
+    }
+
+    /// Notes that a host answers.
+    fn on_answering(&mut self, name: &str) {
+        let Some(known) = self.hosts.get_mut(name) else { return };
+        known.down_since = None;
+        if std::mem::take(&mut known.lost) {
+            known.confirmed = false;
+            self.event(event::Event::HostBack { host: name.to_owned() });
+        }
+    }
+
+    /// Takes in a report that was asked for at `asked`, with no order under way.
+    fn learn(&mut self, now: Duration, report: host::Report, asked: Duration) {
+        let name = report.host.clone();
+        self.on_answering(&name);
+        if self.superseded(&name, report.fence) {
+            return;
+        }
+        let confirms = self.confirms(now, &name, report.fence, asked);
+        let Some(known) = self.hosts.get_mut(&name) else { return };
+        let incarnation = report.incarnation;
+        let membership = report.membership.clone();
+        let restarted = known.learn(report);
+        let first = confirms && !known.confirmed;
+        known.confirmed = confirms;
+        if restarted {
+            self.event(event::Event::HostRestarted { host: name.clone(), incarnation });
+        }
+        if first {
+            self.event(event::Event::HostConfirmed { host: name, membership });
+        }
+    }
+
+    /// Tells whether a report confirms a host's state under the present term.
+    fn confirms(&self, now: Duration, name: &str, fence: id::Fence, asked: Duration) -> bool {
+        let (Some(held), Some(known)) = (self.lease.held(), self.hosts.get(name)) else {
+            return false;
+        };
+        if known.enforces {
+            return fence == held.fence;
+        }
+        self.allowed(now, false) && asked >= self.lease.quiet_from(&self.options)
+    }
+
+    /// Ends the term if a host that enforces fencing has seen a larger number.
+    fn superseded(&mut self, name: &str, fence: id::Fence) -> bool {
+        let enforces = self.hosts.get(name).is_some_and(|it| it.enforces);
+        let larger = self.lease.held().is_some_and(|it| fence > it.fence);
+        if !(enforces && larger) {
+            return false;
+        }
+        let changes = self.lease.end(event::End::Fenced);
+        self.on_changes(changes);
+        true
+    }
+}
+
+/// Answers to orders
+impl Steward {
+    /// Takes in what became of an order.
+    pub(super) fn on_answer(&mut self, now: Duration, name: &str, order: &str, outcome: Answer) {
+        let Some(known) = self.hosts.get_mut(name) else { return };
+        let Some(open) = known.open.take_if(|it| it.order == order) else { return };
+        match outcome {
+            Answer::Accepted(report) => {
+                known.valid_from = now;
+                self.learn(now, report, open.sent);
+            }
+            Answer::Stale { fence } => {
+                known.valid_from = now;
+                known.confirmed = false;
+                self.superseded(name, fence);
+            }
+            Answer::Refused { code } => self.on_refused(now, name, code),
+            Answer::Unknown => self.on_unknown(name, open),
+        }
+    }
+
+    fn on_refused(&mut self, now: Duration, name: &str, code: String) {
+        let retry = self.options.retry_after;
+        let Some(known) = self.hosts.get_mut(name) else { return };
+        known.valid_from = now;
+        known.confirmed = false;
+        known.next = now + retry;
+        self.event(event::Event::OrderRefused { host: name.to_owned(), code });
+    }
+
+    /// Keeps the order open until it can't take effect any more.
+    fn on_unknown(&mut self, name: &str, open: hosts::Open) {
+        let Some(known) = self.hosts.get_mut(name) else { return };
+        known.open = Some(open);
+        known.confirmed = false;
+        self.event(event::Event::OrderUnknown { host: name.to_owned() });
+    }
+
+    /// Closes orders that can't take effect any more, and counts silent hosts as lost.
+    pub(super) fn expire(&mut self, now: Duration) {
+        let (bound, dead) = (self.options.order_bound, self.options.dead_after);
+        let mut lost = Vec::new();
+        for (name, known) in &mut self.hosts {
+            if known.open.as_ref().is_some_and(|it| now >= it.sent + bound) {
+                known.open = None;
+                known.confirmed = false;
+                known.valid_from = now;
+            }
+            if !known.lost && known.down_since.is_some_and(|it| now >= it + dead) {
+                known.lost = true;
+                known.confirmed = false;
+                lost.push(name.clone());
+            }
+        }
+        for host in lost {
+            self.event(event::Event::HostLost { host });
+        }
+    }
+}
+
+/// Makes the input that reports an order as not sent.
+pub fn expired(host: id::Host, order: order::Id) -> Input {
+    let code = super::EXPIRED.to_owned();
+    Input::Ordered { host, order, outcome: Answer::Refused { code } }
+}
--- /dev/null
+++ b/cuminward-group/src/steward/survey.rs
@@ -0,0 +1,115 @@
+//! What placement sees of what the steward knows.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cuminward_core::{catalog, host, id};
+
+use super::hosts::{Effect, Host, Hosts};
+use crate::placement;
+
+/// Makes the input of a plan; `allowed` tells whether a host may get orders now.
+pub(super) fn survey(
+    now: Duration,
+    hosts: &Hosts,
+    catalog: &catalog::Catalog,
+    domain: &str,
+    limits: &placement::Limits,
+    allowed: impl Fn(&Host) -> bool,
+) -> placement::Input {
+    let views = hosts.iter().map(|(name, it)| placement::Host {
+        host: name.clone(),
+        fabric: it.fabric.clone(),
+        state: it.state(allowed(it)),
+        weights: it.weights.clone(),
+        leaving: it.leaving,
+    });
+    placement::Input {
+        now,
+        hosts: views.collect(),
+        groups: groups(hosts),
+        demands: demands(catalog, domain),
+        limits: limits.clone(),
+    }
+}
+
+/// Replicas that operators declared for a failure domain.
+fn demands(catalog: &catalog::Catalog, domain: &str) -> Vec<placement::Demand> {
+    let mut demands = Vec::new();
+    for model in catalog.models.values() {
+        let count = model.replicas.get(domain).copied().unwrap_or_default() as usize;
+        for version in &model.versions {
+            demands.push(placement::Demand {
+                service: model.name.clone(),
+                weights: placement::Weights {
+                    model: model.model.clone(),
+                    version: version.clone(),
+                },
+                size: model.hosts_per_replica as usize,
+                count,
+            });
+        }
+    }
+    demands
+}
+
+/// Formations that at least one host reports, in the order of their generations.
+fn groups(hosts: &Hosts) -> Vec<placement::Group> {
+    let mut formations: BTreeMap<(id::Generation, &id::Group), &host::Membership> = BTreeMap::new();
+    for known in hosts.values().filter(|it| !it.lost) {
+        if let Some(it) = known.formation() {
+            formations.entry((it.generation, &it.group)).or_insert(it);
+        }
+    }
+    formations.into_values().map(|it| group(hosts, it)).collect()
+}
+
+fn group(hosts: &Hosts, formation: &host::Membership) -> placement::Group {
+    let health = formation.members.iter().map(|it| member(hosts.get(it), formation)).max();
+    placement::Group {
+        group: formation.group.clone(),
+        generation: formation.generation,
+        service: formation.service.clone(),
+        weights: placement::Weights {
+            model: formation.model.clone(),
+            version: formation.version.clone(),
+        },
+        members: formation.members.clone(),
+        health: health.unwrap_or(placement::Health::Broken),
+    }
+}
+
+/// What one member means for its group's health; the worst of all members decides.
+fn member(known: Option<&Host>, formation: &host::Membership) -> placement::Health {
+    let Some(known) = known else { return placement::Health::Broken };
+    if known.lost {
+        return placement::Health::Broken;
+    }
+    if known.open.is_some() || known.down_since.is_some() || !known.confirmed {
+        return pending(known, formation);
+    }
+    match known.membership() {
+        Some(it) if !same(it, formation) => placement::Health::Broken,
+        Some(it) => match it.phase {
+            host::Phase::Ready => placement::Health::Whole,
+            host::Phase::Loading => placement::Health::Loading,
+            host::Phase::Broken => placement::Health::Broken,
+        },
+        None => placement::Health::Broken,
+    }
+}
+
+/// What a member means whose state isn't certain.
+fn pending(known: &Host, formation: &host::Membership) -> placement::Health {
+    match known.open.as_ref().map(|it| &it.effect) {
+        Some(Effect::Release) => placement::Health::Broken,
+        Some(Effect::Form(it)) if same(it, formation) => placement::Health::Loading,
+        Some(Effect::Form(_)) => placement::Health::Broken,
+        Some(Effect::Fence) | None => placement::Health::Unsure,
+    }
+}
+
+fn same(left: &host::Membership, right: &host::Membership) -> bool {
+    left.group == right.group
+        && left.generation == right.generation
+        && left.members == right.members
+}
--- /dev/null
+++ b/cuminward-group/src/steward/term.rs
@@ -0,0 +1,79 @@
+//! The present term, as a fold of the stream of claims.
+//!
+//! The last claim holds the term. Records of other writers neither extend nor end it. Every reader
+//! folds the same records in the same order, so all agree on the holder; they differ only in when they
+//! read a record, and a later reading makes a lease look longer, never shorter.
+
+use std::time::Duration;
+
+use cuminward_core::id;
+
+use super::claim::{Claim, Kind};
+
+/// The present term and when the earlier ones ended.
+#[derive(Debug, Clone, Default)]
+pub struct Term {
+    holder: Option<Holder>,
+    earlier: Duration,
+}
+
+/// Who holds the present term.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// Node that wrote the claim.
+    pub node: id::Node,
+    /// Start of the node that wrote the claim.
+    pub incarnation: id::Incarnation,
+    /// Fencing number of the term.
+    pub fence: id::Fence,
+    /// When the lease lapses by the reader's clock, counted from the reading of the last record.
+    pub until: Duration,
+}
+
+/// Access
+impl Term {
+    /// Who holds the present term, lapsed or not.
+    pub fn holder(&self) -> Option<&Holder> {
+        self.holder.as_ref()
+    }
+
+    /// When the leases of all terms before the present one have lapsed by the reader's clock.
+    pub fn earlier(&self) -> Duration {
+        self.earlier
+    }
+
+    /// When the present lease lapses by the reader's clock; zero without one.
+    pub fn until(&self) -> Duration {
+        self.holder.as_ref().map_or(self.earlier, |it| it.until)
+    }
+}
+
+/// Mutation
+impl Term {
+    /// Takes in the record at `offset`, read at `now`; tells whether it counts.
+    pub fn apply(&mut self, now: Duration, offset: id::Offset, claim: &Claim) -> bool {
+        match claim.kind {
+            Kind::Claim => self.start(now, offset, claim),
+            Kind::Renew => self.extend(claim, now + claim.lease),
+            Kind::Resign => self.extend(claim, now),
+        }
+    }
+
+    fn start(&mut self, now: Duration, offset: id::Offset, claim: &Claim) -> bool {
+        self.earlier = self.earlier.max(self.until());
+        self.holder = Some(Holder {
+            node: claim.node.clone(),
+            incarnation: claim.incarnation,
+            fence: offset,
+            until: now + claim.lease,
+        });
+        true
+    }
+
+    fn extend(&mut self, claim: &Claim, until: Duration) -> bool {
+        let own = |it: &&mut Holder| it.node == claim.node && it.incarnation == claim.incarnation;
+        let Some(holder) = self.holder.as_mut().filter(own) else { return false };
+        holder.until = until;
+        true
+    }
+}
--- /dev/null
+++ b/cuminward-group/tests/all/fixture.rs
@@ -0,0 +1,245 @@
+//! Fake hosts and a driver that connects stewards to them and to a list of claims.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use cuminward_core::{catalog, host, id};
+use cuminward_group::{order, steward};
+
+/// A fake engine's host.
+#[derive(Debug, Clone)]
+pub(crate) struct Host {
+    pub(crate) report: host::Report,
+    pub(crate) enforces: bool,
+    pub(crate) up: bool,
+}
+
+impl Host {
+    /// Follows an order as the protocol page says.
+    pub(crate) fn order(&mut self, order: &order::Order) -> steward::Answer {
+        if self.enforces && order.fence < self.report.fence {
+            return steward::Answer::Stale { fence: self.report.fence };
+        }
+        self.report.fence = self.report.fence.max(order.fence);
+        let refused = |code: &str| steward::Answer::Refused { code: code.to_owned() };
+        let present = self.report.membership.as_ref().map(|it| (&it.group, it.generation));
+        match &order.action {
+            order::Action::Fence => {}
+            order::Action::Form(it) => match present {
+                None => self.report.membership = Some(membership(it)),
+                Some(key) if key == (&it.group, it.generation) => {}
+                Some(_) => return refused("in-group"),
+            },
+            order::Action::Release(it) if present == Some((&it.group, it.generation)) => {
+                self.report.membership = None;
+            }
+            order::Action::Release(_) => return refused("other-group"),
+        }
+        steward::Answer::Accepted(self.report.clone())
+    }
+}
+
+fn membership(form: &order::Form) -> host::Membership {
+    host::Membership {
+        group: form.group.clone(),
+        generation: form.generation,
+        service: form.service.clone(),
+        model: form.model.clone(),
+        version: form.version.clone(),
+        members: form.members.iter().map(|it| it.host.clone()).collect(),
+        phase: host::Phase::Loading,
+    }
+}
+
+/// Fake hosts of one failure domain and the stream of claims.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct World {
+    pub(crate) hosts: BTreeMap<id::Host, Host>,
+    pub(crate) claims: Vec<steward::claim::Claim>,
+}
+
+pub(crate) const DOMAIN: &str = "mercado";
+
+impl World {
+    /// Makes `fabrics` fabric domains of `size` hosts; every `ignoring`th host ignores fencing.
+    pub(crate) fn new(fabrics: usize, size: usize, ignoring: usize) -> World {
+        let mut world = World::default();
+        for number in 0..fabrics * size {
+            let name = format!("f{}-h{}", number / size, number % size);
+            let enforces = ignoring == 0 || number % ignoring != 0;
+            let report = host::Report {
+                host: name.clone(),
+                incarnation: 1,
+                fence: 0,
+                membership: None,
+                load: None,
+            };
+            world.hosts.insert(name, Host { report, enforces, up: true });
+        }
+        world
+    }
+
+    pub(crate) fn entries(&self) -> Vec<host::Entry> {
+        let entry = |name: &id::Host| host::Entry {
+            host: name.clone(),
+            domain: DOMAIN.to_owned(),
+            fabric: name.split('-').next().unwrap_or_default().to_owned(),
+            address: format!("{name}:1"),
+            role: host::Role::Engine,
+            service: String::new(),
+            state: host::State::Live,
+        };
+        self.hosts.keys().map(entry).collect()
+    }
+
+    pub(crate) fn catalog(&self, services: &[(&str, u32, u32)]) -> Arc<catalog::Catalog> {
+        let mut catalog = catalog::Catalog::default();
+        for (name, it) in &self.hosts {
+            let fencing =
+                if it.enforces { catalog::Fencing::Enforced } else { catalog::Fencing::Ignored };
+            let traits = catalog::Traits { host: name.clone(), fencing, fabric: None };
+            catalog.hosts.insert(name.clone(), traits);
+        }
+        catalog.domains.insert(DOMAIN.to_owned(), domain());
+        for (name, size, count) in services {
+            catalog.models.insert((*name).to_owned(), model(name, *size, *count));
+        }
+        Arc::new(catalog)
+    }
+
+    pub(crate) fn observations(&self, at: Duration) -> BTreeMap<id::Host, host::Observation> {
+        let up = self.hosts.iter().filter(|it| it.1.up);
+        let seen = |it: &Host| host::Observation { report: it.report.clone(), at };
+        up.map(|(name, it)| (name.clone(), seen(it))).collect()
+    }
+
+    /// Members of complete formations turn ready, members of incomplete ready ones turn broken.
+    pub(crate) fn advance(&mut self) {
+        let before = self.hosts.clone();
+        for it in self.hosts.values_mut() {
+            let Some(own) = &mut it.report.membership else { continue };
+            let inside = |name: &id::Host| {
+                let other = before.get(name).filter(|it| it.up);
+                let other = other.and_then(|it| it.report.membership.as_ref());
+                other.is_some_and(|it| (&it.group, it.generation) == (&own.group, own.generation))
+            };
+            let whole = own.members.iter().all(inside);
+            own.phase = match (own.phase, whole) {
+                (host::Phase::Loading, true) => host::Phase::Ready,
+                (host::Phase::Ready, false) => host::Phase::Broken,
+                (phase, _) => phase,
+            };
+        }
+    }
+}
+
+fn domain() -> catalog::Domain {
+    catalog::Domain {
+        name: DOMAIN.to_owned(),
+        region: "sacatepequez".to_owned(),
+        service: catalog::Service::InService,
+    }
+}
+
+pub(crate) fn model(name: &str, size: u32, count: u32) -> catalog::Model {
+    catalog::Model {
+        name: name.to_owned(),
+        model: name.to_owned(),
+        versions: vec!["v1".to_owned()],
+        hosts_per_replica: size,
+        replicas: [(DOMAIN.to_owned(), count)].into(),
+        teams: Default::default(),
+        slots: 8,
+        cold_slots: 1,
+        warm_up: Duration::from_secs(30),
+    }
+}
+
+/// A steward with its place in the stream of claims.
+pub(crate) struct Node {
+    pub(crate) steward: steward::Steward,
+    pub(crate) read: usize,
+    pub(crate) events: Vec<steward::event::Event>,
+}
+
+impl Node {
+    pub(crate) fn new(name: &str, world: &World, services: &[(&str, u32, u32)]) -> Node {
+        let options = steward::OptionsBuilder::default()
+            .node(name)
+            .incarnation(1)
+            .domain(DOMAIN)
+            .build()
+            .expect("every required setting is given");
+        let mut steward = steward::Steward::new(options);
+        let nodes = vec!["n1".to_owned(), "n2".to_owned()];
+        steward.step(Duration::ZERO, steward::Input::Nodes(nodes));
+        steward.step(Duration::ZERO, steward::Input::Hosts(world.entries()));
+        steward.step(Duration::ZERO, steward::Input::Catalog(world.catalog(services)));
+        Node { steward, read: 0, events: Vec::new() }
+    }
+
+    /// Runs one tick with everything answered at once.
+    pub(crate) fn tick(&mut self, now: Duration, world: &mut World, log: bool) {
+        let mut inputs = Vec::new();
+        if log {
+            inputs.extend(self.unread(world));
+            inputs.push(steward::Input::LogRead);
+        }
+        inputs.push(steward::Input::Tick);
+        while !inputs.is_empty() {
+            let input = inputs.remove(0);
+            for output in self.steward.step(now, input) {
+                inputs.extend(self.answer(now, output, world, log));
+            }
+        }
+    }
+
+    fn unread(&mut self, world: &World) -> Vec<steward::Input> {
+        let record = |(at, claim): (usize, &steward::claim::Claim)| steward::Input::Record {
+            offset: at as id::Offset,
+            claim: claim.clone(),
+        };
+        let unread = world.claims.iter().enumerate().skip(self.read).map(record).collect();
+        self.read = world.claims.len();
+        unread
+    }
+
+    fn answer(
+        &mut self,
+        now: Duration,
+        output: steward::Output,
+        world: &mut World,
+        log: bool,
+    ) -> Option<steward::Input> {
+        match output {
+            steward::Output::Append(claim) => {
+                let sequence = claim.sequence;
+                let outcome = if log { steward::Append::Done } else { steward::Append::Failed };
+                if log {
+                    world.claims.push(claim);
+                }
+                Some(steward::Input::Appended { sequence, outcome })
+            }
+            steward::Output::Send(it) => {
+                let host = world.hosts.get_mut(&it.host).filter(|it| it.up);
+                let outcome = host.map_or(steward::Answer::Unknown, |host| host.order(&it.order));
+                Some(steward::Input::Ordered { host: it.host, order: it.order.order, outcome })
+            }
+            steward::Output::Read { host, .. } => Some(read(now, host, world)),
+            steward::Output::Event(event) => {
+                self.events.push(event);
+                None
+            }
+        }
+    }
+}
+
+/// Reads a host's state.
+pub(crate) fn read(now: Duration, name: id::Host, world: &World) -> steward::Input {
+    match world.hosts.get(&name).filter(|it| it.up) {
+        None => steward::Input::Unreachable(name),
+        Some(it) => {
+            let observation = host::Observation { report: it.report.clone(), at: now };
+            steward::Input::Observed { observation, asked: now }
+        }
+    }
+}
--- /dev/null
+++ b/cuminward-group/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the group decisions.
+
+mod fixture;
+mod steward;
