feat: cuminward-upstream: engine and plain service client with classified failures

Cause: the request path needs to know of every failed call whether it can have run. Change: pooled connections over hyper (HTTP/1.1, or HTTP/2 with pings), a bound between bytes, error classes with their outcome, token streams that cancel when dropped, plain calls that stream both bodies. Conclusion: first cut; every class has a case against a scripted upstream over loopback.

--- /dev/null
+++ b/cuminward-upstream/src/body.rs
@@ -0,0 +1,126 @@
+//! Bodies of replies, with a bound on the time between bytes.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::{
+    runtime,
+    time::{self, Instant, Sleep},
+};
+
+use crate::{connection::Payload, error::Error, pool::Lease};
+
+/// Time to read the end of a body after its last useful part.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Body of a reply. The connection goes back to its pool at the end, and is given up when the body
+/// is dropped before its end, breaks or goes silent.
+pub struct Body<B> {
+    incoming: Incoming,
+    lease: Lease<B>,
+    silence: Duration,
+    deadline: Pin<Box<Sleep>>,
+    ended: bool,
+}
+
+/// Life cycle
+impl<B> Body<B> {
+    pub(crate) fn new(incoming: Incoming, mut lease: Lease<B>, silence: Duration) -> Body<B> {
+        let ended = http_body::Body::is_end_stream(&incoming);
+        if ended {
+            lease.give_back();
+        }
+        Body { incoming, lease, silence, deadline: Box::pin(time::sleep(silence)), ended }
+    }
+}
+
+/// Mutation
+impl<B: Payload> Body<B> {
+    /// Reads what is left in the background, for a short time, so that the connection can go back
+    /// to its pool.
+    pub(crate) fn drain(mut self) {
+        let Ok(runtime) = runtime::Handle::try_current() else { return };
+        runtime.spawn(time::timeout(DRAIN_TIMEOUT, async move {
+            while let Some(Ok(_)) = self.frame().await {}
+        }));
+    }
+}
+
+impl<B> Body<B> {
+    /// Changes the bound on the time between bytes.
+    pub fn set_silence(&mut self, silence: Duration) {
+        self.silence = silence;
+        self.deadline.as_mut().reset(Instant::now() + silence);
+    }
+
+    fn end(&mut self) {
+        self.ended = true;
+        self.lease.give_back();
+    }
+}
+
+// The request's body type is never part of a reply's body.
+impl<B> Unpin for Body<B> {}
+
+impl<B> http_body::Body for Body<B> {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        let this = self.get_mut();
+        if this.ended {
+            return Poll::Ready(None);
+        }
+        let incoming = Pin::new(&mut this.incoming);
+        if let Poll::Ready(frame) = http_body::Body::poll_frame(incoming, cx) {
+            return Poll::Ready(this.pass(frame));
+        }
+        ready!(this.deadline.as_mut().poll(cx));
+        this.ended = true;
+        this.lease.give_up_silent();
+        Poll::Ready(Some(Err(Error::Silent { tokens: 0, bound: this.silence })))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
+impl<B> Body<B> {
+    fn pass(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+    ) -> Option<Result<Frame<Bytes>, Error>> {
+        match frame {
+            None => {
+                self.end();
+                None
+            }
+            Some(Ok(frame)) => {
+                self.deadline.as_mut().reset(Instant::now() + self.silence);
+                if http_body::Body::is_end_stream(&self.incoming) {
+                    self.end();
+                }
+                Some(Ok(frame))
+            }
+            Some(Err(error)) => {
+                self.ended = true;
+                Some(Err(Error::Broken { tokens: 0, message: error.to_string() }))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cuminward-upstream/src/connection.rs
@@ -0,0 +1,194 @@
+//! One connection to an upstream.
+
+use std::{
+    error,
+    time::{Duration, Instant},
+};
+
+use http::{Request, Response, Uri, header};
+use http_body::Body;
+use hyper::{
+    body::Incoming,
+    client::conn::{TrySendError, http1, http2},
+};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::{net::TcpStream, task, time};
+
+use crate::pool;
+
+/// Time that a connection from the pool may take to become ready.
+const READY_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Cause of a failed connection attempt, for people.
+pub(crate) type Cause = String;
+
+/// Body of requests that a connection can send.
+pub trait Payload:
+    Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + Unpin + 'static
+{
+}
+
+impl<T> Payload for T where
+    T: Body<Data: Send, Error: Into<Box<dyn error::Error + Send + Sync>>> + Send + Unpin + 'static
+{
+}
+
+/// HTTP version towards an upstream.
+#[cuminward_derive::value]
+#[serde(rename_all = "lowercase")]
+pub enum Protocol {
+    /// HTTP/1.1: one request at a time on a connection.
+    Http1,
+    /// HTTP/2 with prior knowledge: requests share a connection, which is probed with pings.
+    Http2,
+}
+
+/// An open connection.
+pub(crate) struct Connection<B> {
+    sender: Sender<B>,
+    /// Task that drives the connection.
+    task: task::AbortHandle,
+    /// Number of the connection within its pool.
+    pub(crate) number: u64,
+    /// When the connection was last given back.
+    pub(crate) used: Instant,
+    /// Whether the connection carried a request before.
+    pub(crate) reused: bool,
+}
+
+enum Sender<B> {
+    Http1(http1::SendRequest<B>),
+    Http2(http2::SendRequest<B>),
+}
+
+/// Life cycle
+impl<B: Payload> Connection<B> {
+    /// Connects to an address.
+    pub(crate) async fn open(
+        address: &str,
+        options: &pool::Options,
+        number: u64,
+    ) -> Result<Connection<B>, Cause> {
+        let opening = Connection::handshake(address, options);
+        let (sender, task) = time::timeout(options.connect, opening)
+            .await
+            .map_err(|_| format!("no connection within {} ms", options.connect.as_millis()))??;
+        Ok(Connection { sender, task, number, used: Instant::now(), reused: false })
+    }
+
+    async fn handshake(
+        address: &str,
+        options: &pool::Options,
+    ) -> Result<(Sender<B>, task::AbortHandle), Cause> {
+        let stream = TcpStream::connect(address).await.map_err(|it| it.to_string())?;
+        stream.set_nodelay(true).map_err(|it| it.to_string())?;
+        let io = TokioIo::new(stream);
+        match options.protocol {
+            Protocol::Http1 => {
+                let (sender, connection) =
+                    http1::handshake(io).await.map_err(|it| it.to_string())?;
+                Ok((Sender::Http1(sender), tokio::spawn(connection).abort_handle()))
+            }
+            Protocol::Http2 => {
+                let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+                    .timer(TokioTimer::new())
+                    .keep_alive_interval(options.ping_interval)
+                    .keep_alive_timeout(options.ping_timeout)
+                    .keep_alive_while_idle(true)
+                    .handshake(io)
+                    .await
+                    .map_err(|it| it.to_string())?;
+                Ok((Sender::Http2(sender), tokio::spawn(connection).abort_handle()))
+            }
+        }
+    }
+
+    /// A handle that shares the connection, if its protocol allows that.
+    pub(crate) fn share(&self) -> Option<Connection<B>> {
+        match &self.sender {
+            Sender::Http1(_) => None,
+            Sender::Http2(sender) => Some(Connection {
+                sender: Sender::Http2(sender.clone()),
+                task: self.task.clone(),
+                number: self.number,
+                used: Instant::now(),
+                reused: true,
+            }),
+        }
+    }
+}
+
+/// Access
+impl<B> Connection<B> {
+    /// Tells whether the connection serves several requests at once.
+    pub(crate) fn is_shared(&self) -> bool {
+        matches!(self.sender, Sender::Http2(_))
+    }
+
+    /// Tells whether the connection is known to be closed.
+    pub(crate) fn is_closed(&self) -> bool {
+        match &self.sender {
+            Sender::Http1(it) => it.is_closed(),
+            Sender::Http2(it) => it.is_closed(),
+        }
+    }
+
+    /// Closes the connection at once.
+    pub(crate) fn abort(&self) {
+        self.task.abort();
+    }
+}
+
+/// Mutation
+impl<B: Payload> Connection<B> {
+    /// Waits until the connection takes a request; false if it doesn't.
+    pub(crate) async fn ready(&mut self) -> bool {
+        let ready = async {
+            match &mut self.sender {
+                Sender::Http1(it) => it.ready().await,
+                Sender::Http2(it) => it.ready().await,
+            }
+        };
+        matches!(time::timeout(READY_TIMEOUT, ready).await, Ok(Ok(())))
+    }
+
+    /// Sends a request and waits for the head of the answer. The error holds the request if no byte
+    /// of it was written.
+    pub(crate) async fn send(
+        &mut self,
+        address: &str,
+        mut request: Request<B>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<B>>> {
+        match &mut self.sender {
+            Sender::Http1(it) => {
+                address_http1(&mut request, address);
+                it.try_send_request(request).await
+            }
+            Sender::Http2(it) => {
+                address_http2(&mut request, address);
+                it.try_send_request(request).await
+            }
+        }
+    }
+}
+
+/// Puts the path alone into the request line and the address into the `host` header.
+fn address_http1<B>(request: &mut Request<B>, address: &str) {
+    let path = request.uri().path_and_query().map_or("/", |it| it.as_str()).to_owned();
+    *request.uri_mut() = path.parse().expect("the path comes from a valid URI");
+    if let Ok(host) = header::HeaderValue::from_str(address) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    *request.version_mut() = http::Version::HTTP_11;
+}
+
+/// Puts the address into the request's URI.
+fn address_http2<B>(request: &mut Request<B>, address: &str) {
+    let path = request.uri().path_and_query().map_or("/", |it| it.as_str()).to_owned();
+    let uri = Uri::builder().scheme("http").authority(address).path_and_query(path).build();
+    if let Ok(uri) = uri {
+        *request.uri_mut() = uri;
+    }
+    request.headers_mut().remove(header::HOST);
+    *request.version_mut() = http::Version::HTTP_2;
+}
--- /dev/null
+++ b/cuminward-upstream/tests/all/engine.rs
@@ -0,0 +1,224 @@
+//! Tests of `engine` and `generate`.
+
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use cuminward_core::outcome::Outcome;
+use cuminward_upstream::{engine, error::Error, generate, pool};
+use futures::StreamExt;
+use googletest::prelude::*;
+use tokio::{net::TcpListener, time};
+
+use crate::fake::{self, End, Upstream};
+
+/// Bound between bytes in these tests.
+const SILENCE: Duration = Duration::from_millis(150);
+
+/// Time within which a background cancellation arrives.
+const CANCEL_WAIT: Duration = Duration::from_secs(5);
+
+fn client() -> engine::Client {
+    let pool = pool::Options { silence: SILENCE, ..pool::Options::default() };
+    engine::Client::new(engine::Options { pool, max_line: 1000, ..engine::Options::default() })
+}
+
+fn request() -> generate::Request {
+    generate::Request {
+        request: String::from("r1"),
+        group: String::from("g"),
+        generation: 1,
+        version: String::from("v"),
+        prompt: String::from("a kite"),
+        max_tokens: 3,
+        priority: 0,
+        resume_at: 0,
+        fingerprint: String::from("00"),
+    }
+}
+
+/// Runs a request to its end: the texts of its tokens, and the failure if there was one.
+async fn run(client: &engine::Client, address: &str) -> (Vec<String>, Option<Error>) {
+    let mut texts = Vec::new();
+    let mut chunks = match client.generate(address, &request(), SILENCE).await {
+        Ok(it) => it,
+        Err(error) => return (texts, Some(error)),
+    };
+    while let Some(chunk) = chunks.next().await {
+        match chunk {
+            Ok(generate::Chunk::Token(it)) => texts.push(it.text),
+            Ok(generate::Chunk::Finish(_)) => return (texts, None),
+            Err(error) => return (texts, Some(error)),
+        }
+    }
+    (texts, None)
+}
+
+#[derive(Debug, PartialEq)]
+enum Kind {
+    Whole,
+    Connect,
+    Refused,
+    Answer,
+    Failed,
+    Broken,
+    Silent,
+    Malformed,
+}
+
+fn kind(error: Option<&Error>) -> Kind {
+    match error {
+        None => Kind::Whole,
+        Some(Error::Connect { .. }) => Kind::Connect,
+        Some(Error::Refused(_)) => Kind::Refused,
+        Some(Error::Answer(_)) => Kind::Answer,
+        Some(Error::Failed { .. }) => Kind::Failed,
+        Some(Error::Broken { .. }) => Kind::Broken,
+        Some(Error::Silent { .. }) => Kind::Silent,
+        Some(Error::Malformed { .. }) => Kind::Malformed,
+    }
+}
+
+struct Case {
+    name: &'static str,
+    reply: String,
+    end: End,
+    kind: Kind,
+    outcome: Outcome,
+    tokens: u64,
+}
+
+const FINISH: &str = r#"{"finish":"stop","prompt_tokens":2,"cached_tokens":0,"tokens":1}"#;
+
+fn cases() -> Vec<Case> {
+    let case = |name, reply, end, kind, tokens| {
+        let not_run = matches!(kind, Kind::Connect | Kind::Refused);
+        let outcome = match kind {
+            Kind::Whole => Outcome::Complete,
+            _ if not_run => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        };
+        Case { name, reply, end, kind, outcome, tokens }
+    };
+    let token = |n: u64| format!(r#"{{"token":{n},"text":"t{n}"}}"#);
+    let error = |code: &str| format!(r#"{{"error":{{"code":"{code}","message":"m"}}}}"#);
+    let long = format!(r#"{{"token":0,"text":"{}"}}"#, "x".repeat(2000));
+    vec![
+        case("whole", fake::lines(&[&token(0), FINISH], true), End::Keep, Kind::Whole, 1),
+        case("group not whole", fake::json(409, &error("not-whole")), End::Keep, Kind::Refused, 0),
+        case("overloaded", fake::json(429, &error("overloaded")), End::Keep, Kind::Refused, 0),
+        case("starting", fake::json(503, &error("starting")), End::Keep, Kind::Refused, 0),
+        case("503 of a proxy", fake::json(503, "down"), End::Keep, Kind::Answer, 0),
+        case("500", fake::json(500, &error("bug")), End::Keep, Kind::Answer, 0),
+        case("closed before an answer", String::new(), End::Close, Kind::Failed, 0),
+        case("half a head", String::from("HTTP/1.1 200"), End::Close, Kind::Failed, 0),
+        case("not HTTP", String::from("hello\r\n\r\n"), End::Close, Kind::Failed, 0),
+        case("silent before an answer", String::new(), End::Stall, Kind::Silent, 0),
+        case("silent after the head", fake::lines(&[], false), End::Stall, Kind::Silent, 0),
+        case("silent in a stream", fake::lines(&[&token(0)], false), End::Stall, Kind::Silent, 1),
+        case("cut off", fake::lines(&[&token(0), &token(1)], false), End::Close, Kind::Broken, 2),
+        case("no finish", fake::lines(&[&token(0)], true), End::Keep, Kind::Broken, 1),
+        case("gap", fake::lines(&[&token(0), &token(2)], true), End::Keep, Kind::Malformed, 1),
+        case("twice", fake::lines(&[&token(0), &token(0)], true), End::Keep, Kind::Malformed, 1),
+        case("not JSON", fake::lines(&["{"], true), End::Keep, Kind::Malformed, 0),
+        case("other object", fake::lines(&["{}"], true), End::Keep, Kind::Malformed, 0),
+        case("long line", fake::lines(&[&long], true), End::Keep, Kind::Malformed, 0),
+        case("error", fake::lines(&[&token(0), &error("oom")], true), End::Keep, Kind::Answer, 1),
+    ]
+}
+
+#[gtest]
+#[tokio::test]
+async fn failures_are_classified() {
+    for case in cases() {
+        let upstream = Upstream::start(&case.reply, case.end).await;
+        let (texts, error) = run(&client(), &upstream.address).await;
+        expect_that!(kind(error.as_ref()), eq(&case.kind), "{}: {error:?}", case.name);
+        let outcome = error.as_ref().map_or(Outcome::Complete, Error::outcome);
+        expect_that!(outcome, eq(case.outcome), "{}", case.name);
+        expect_that!(texts.len() as u64, eq(case.tokens), "{}", case.name);
+        let tokens = error.as_ref().map_or(case.tokens, Error::tokens);
+        expect_that!(tokens, eq(case.tokens), "{}", case.name);
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn closed_port_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+    let address = listener.local_addr().expect("the listener is bound").to_string();
+    drop(listener);
+    let (_, error) = run(&client(), &address).await;
+    expect_that!(kind(error.as_ref()), eq(&Kind::Connect));
+}
+
+#[gtest]
+#[tokio::test]
+async fn connections_are_reused_after_whole_replies_only() {
+    let client = client();
+    let whole =
+        Upstream::start(&fake::lines(&[r#"{"token":0,"text":"a"}"#, FINISH], true), End::Keep)
+            .await;
+    for _ in 0..10 {
+        let (_, error) = run(&client, &whole.address).await;
+        expect_that!(error, none());
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    expect_that!(whole.connections.load(Ordering::SeqCst), eq(1));
+
+    let silent = Upstream::start("", End::Stall).await;
+    for _ in 0..3 {
+        let (_, error) = run(&client, &silent.address).await;
+        expect_that!(kind(error.as_ref()), eq(&Kind::Silent));
+    }
+    let requests = silent.lines().iter().filter(|it| it.starts_with("POST")).count();
+    expect_that!(requests, eq(3));
+    expect_that!(client.streams().silent(), eq(3));
+}
+
+#[gtest]
+#[tokio::test]
+async fn dropped_stream_is_cancelled() {
+    let client = client();
+    let reply = fake::lines(&[r#"{"token":0,"text":"a"}"#], false);
+    let upstream = Upstream::start(&reply, End::Stall).await;
+    let mut chunks =
+        client.generate(&upstream.address, &request(), SILENCE).await.expect("the head comes");
+    let first = chunks.next().await;
+    expect_that!(first, some(ok(anything())));
+    drop(chunks);
+    let start = Instant::now();
+    let cancel = String::from("DELETE /v1/generate/r1 HTTP/1.1");
+    while !upstream.lines().contains(&cancel) && start.elapsed() < CANCEL_WAIT {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    expect_that!(upstream.lines(), contains(eq(&cancel)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn orders_tell_refusals_from_lost_answers() {
+    struct Case {
+        reply: String,
+        end: End,
+        kind: Kind,
+        fence: Option<u64>,
+    }
+    let report = r#"{"host":"h","incarnation":1,"fence":7,"membership":null,"load":null}"#;
+    let stale = r#"{"error":{"code":"stale-fence","message":"m"},"fence":9}"#;
+    let cases = [
+        Case { reply: fake::json(200, report), end: End::Keep, kind: Kind::Whole, fence: None },
+        Case { reply: fake::json(409, stale), end: End::Keep, kind: Kind::Refused, fence: Some(9) },
+        Case { reply: String::new(), end: End::Close, kind: Kind::Failed, fence: None },
+        Case { reply: fake::json(200, "{}"), end: End::Keep, kind: Kind::Malformed, fence: None },
+    ];
+    for case in cases {
+        let upstream = Upstream::start(&case.reply, case.end).await;
+        let order = serde_json::json!({"fence": 7, "order": "o", "action": "fence"});
+        let answer = client().order(&upstream.address, &order).await;
+        expect_that!(kind(answer.as_ref().err()), eq(&case.kind));
+        let fence = answer.err().and_then(|it| it.answer().and_then(|it| it.fence));
+        expect_that!(fence, eq(case.fence));
+    }
+}
--- /dev/null
+++ b/cuminward-upstream/tests/all/fake.rs
@@ -0,0 +1,119 @@
+//! An upstream that answers every request with the same bytes.
+
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task,
+};
+
+/// What happens after the bytes of an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum End {
+    /// The connection takes the next request.
+    Keep,
+    /// The connection is closed.
+    Close,
+    /// Nothing more comes and the connection stays open.
+    Stall,
+}
+
+/// A running upstream.
+pub(crate) struct Upstream {
+    pub(crate) address: String,
+    /// Connections accepted.
+    pub(crate) connections: Arc<AtomicUsize>,
+    /// First lines of the requests received.
+    pub(crate) requests: Arc<Mutex<Vec<String>>>,
+    task: task::JoinHandle<()>,
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Upstream {
+    /// Starts an upstream that answers `reply` to each request but cancellations.
+    pub(crate) async fn start(reply: &str, end: End) -> Upstream {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+        let address = listener.local_addr().expect("the listener is bound").to_string();
+        let connections = Arc::new(AtomicUsize::new(0));
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let reply = reply.to_owned();
+        let (count, log) = (Arc::clone(&connections), Arc::clone(&requests));
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                count.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(serve(stream, reply.clone(), end, Arc::clone(&log)));
+            }
+        });
+        Upstream { address, connections, requests, task }
+    }
+
+    /// First lines of the requests received so far.
+    pub(crate) fn lines(&self) -> Vec<String> {
+        self.requests.lock().expect("no test panics with the lock").clone()
+    }
+}
+
+async fn serve(mut stream: TcpStream, reply: String, end: End, log: Arc<Mutex<Vec<String>>>) {
+    while let Some(line) = read_request(&mut stream).await {
+        let is_cancel = line.starts_with("DELETE");
+        log.lock().expect("no test panics with the lock").push(line);
+        if is_cancel {
+            let answer = json(200, r#"{"cancelled":true}"#);
+            let _ = stream.write_all(answer.as_bytes()).await;
+            continue;
+        }
+        let _ = stream.write_all(reply.as_bytes()).await;
+        match end {
+            End::Keep => {}
+            End::Close => return,
+            End::Stall => std::future::pending().await,
+        }
+    }
+}
+
+/// Reads one request with its body and returns its first line.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut buffer = Vec::new();
+    loop {
+        if let Some(end) = buffer.windows(4).position(|it| it == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end]).to_lowercase();
+            let length = head
+                .lines()
+                .find_map(|it| it.strip_prefix("content-length: "))
+                .map_or(0, |it| it.parse().expect("the client sends a number"));
+            if buffer.len() >= end + 4 + length {
+                let first = String::from_utf8_lossy(&buffer[..end]);
+                return first.lines().next().map(str::to_owned);
+            }
+        }
+        let mut part = [0; 4096];
+        let read = stream.read(&mut part).await.ok().filter(|it| *it > 0)?;
+        buffer.extend_from_slice(&part[..read]);
+    }
+}
+
+/// A whole answer with a JSON body.
+pub(crate) fn json(status: u16, body: &str) -> String {
+    format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// An answer with a chunked body of the given lines; without the last chunk if `whole` is false.
+pub(crate) fn lines(lines: &[&str], whole: bool) -> String {
+    let mut reply = String::from("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+    for line in lines {
+        reply += &format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+    }
+    if whole {
+        reply += "0\r\n\r\n";
+    }
+    reply
+}
--- /dev/null
+++ b/cuminward-upstream/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of cuminward-upstream over loopback sockets.
+
+mod engine;
+mod fake;
+mod plain;
--- /dev/null
+++ b/cuminward-upstream/tests/all/plain.rs
@@ -0,0 +1,128 @@
+//! Tests of `plain`.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use bytes::Bytes;
+use cuminward_core::outcome::Outcome;
+use cuminward_upstream::{error::Error, plain, pool};
+use googletest::prelude::*;
+use http::{Method, Request, Response};
+use http_body_util::{BodyExt, Full};
+
+use crate::fake::{self, End, Upstream};
+
+const TIMEOUT: Duration = Duration::from_millis(200);
+
+fn client(idle_unsafe: Duration) -> plain::Client<Full<Bytes>> {
+    let silence = TIMEOUT;
+    let options = pool::Options { silence, idle_unsafe, ..pool::Options::default() };
+    plain::Client::new(options)
+}
+
+fn request(method: Method) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method(method)
+        .uri("/reservations?x=1")
+        .header("connection", "x-private")
+        .header("x-private", "1")
+        .body(Full::new(Bytes::from_static(b"{}")))
+        .expect("the parts are valid")
+}
+
+#[gtest]
+#[tokio::test]
+async fn answers_are_passed_or_classified() {
+    struct Case {
+        name: &'static str,
+        reply: String,
+        end: End,
+        /// Status and length of the body, or what is known about the execution.
+        expected: std::result::Result<(u16, usize), Outcome>,
+    }
+    let marked = "HTTP/1.1 503 X\r\ncuminward-not-run: true\r\ncontent-length: 0\r\n\r\n";
+    let cut = "HTTP/1.1 200 X\r\ncontent-length: 10\r\n\r\nabc";
+    let cases = [
+        Case {
+            name: "whole",
+            reply: fake::json(201, "abc"),
+            end: End::Keep,
+            expected: Ok((201, 3)),
+        },
+        Case { name: "404", reply: fake::json(404, ""), end: End::Keep, expected: Ok((404, 0)) },
+        Case { name: "503", reply: fake::json(503, "x"), end: End::Keep, expected: Ok((503, 1)) },
+        Case {
+            name: "marked 503",
+            reply: marked.to_owned(),
+            end: End::Keep,
+            expected: Err(Outcome::NotRun),
+        },
+        Case {
+            name: "closed",
+            reply: String::new(),
+            end: End::Close,
+            expected: Err(Outcome::Unknown),
+        },
+        Case {
+            name: "silent",
+            reply: String::new(),
+            end: End::Stall,
+            expected: Err(Outcome::Unknown),
+        },
+        Case {
+            name: "cut off",
+            reply: cut.to_owned(),
+            end: End::Close,
+            expected: Err(Outcome::Unknown),
+        },
+        Case {
+            name: "silent body",
+            reply: cut.to_owned(),
+            end: End::Stall,
+            expected: Err(Outcome::Unknown),
+        },
+    ];
+    for case in cases {
+        let upstream = Upstream::start(&case.reply, case.end).await;
+        let client = client(TIMEOUT);
+        let outcome = match client.call(&upstream.address, request(Method::POST), TIMEOUT).await {
+            Ok(response) => read(response).await.map_err(|it| it.outcome()),
+            Err(failure) => Err(failure.error.outcome()),
+        };
+        expect_that!(outcome, eq(case.expected), "{}", case.name);
+        expect_that!(upstream.lines(), elements_are![eq("POST /reservations?x=1 HTTP/1.1")]);
+    }
+}
+
+async fn read(
+    response: Response<cuminward_upstream::body::Body<Full<Bytes>>>,
+) -> std::result::Result<(u16, usize), Error> {
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await?;
+    Ok((status, body.to_bytes().len()))
+}
+
+#[gtest]
+#[tokio::test]
+async fn unsent_request_is_given_back() {
+    let failure = client(TIMEOUT)
+        .call("127.0.0.1:1", request(Method::POST), TIMEOUT)
+        .await
+        .err()
+        .expect("nothing listens on port 1");
+    expect_that!(failure.error.outcome(), eq(Outcome::NotRun));
+    expect_that!(failure.request.is_some(), eq(true));
+}
+
+#[gtest]
+#[tokio::test]
+async fn requests_that_may_not_be_repeated_avoid_old_connections() {
+    let upstream = Upstream::start(&fake::json(200, "x"), End::Keep).await;
+    let client = client(Duration::ZERO);
+    let cases = [(Method::GET, 1), (Method::GET, 1), (Method::POST, 2), (Method::GET, 2)];
+    for (method, connections) in cases {
+        let response = client.call(&upstream.address, request(method), TIMEOUT).await;
+        let response = response.map_err(|it| it.error).expect("the upstream answers");
+        expect_that!(read(response).await, ok(eq(&(200, 1))));
+        expect_that!(upstream.connections.load(Ordering::SeqCst), eq(connections));
+    }
+}
