feat: cuminward-operator: schema, server and client

Cause: operators script against one schema, and need the truth about a change whose answer was lost. Change: protobuf schema with committed generated code and a test that it is current; a generic backend trait; bearer tokens with roles, compared in constant time; statuses that say whether a change was applied; a client that resends a change with the same id to several nodes.

--- /dev/null
+++ b/cuminward-operator/tests/all/fake.rs
@@ -0,0 +1,148 @@
+//! A backend over the real fold, with faults, served on a loopback socket.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use cuminward_config::{fold, record};
+use cuminward_core::{catalog, change, id};
+use cuminward_operator::{
+    auth::{self, Operator, Operators, Role},
+    client, proto, server,
+    status::Error,
+};
+use futures::{StreamExt, stream};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tokio_util::sync::CancellationToken;
+
+/// What goes wrong with one call of `apply`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The change is applied, its answer isn't known.
+    LostAnswer,
+    /// The log is away.
+    LogAway,
+}
+
+/// The log's records and their fold, shared by all nodes of a test.
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    pub(crate) fold: Mutex<fold::Fold>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Backend {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) faults: Mutex<Vec<Fault>>,
+}
+
+impl Backend {
+    fn append(&self, record: change::Record) -> Result<server::Applied, Error> {
+        let mut fold = self.shared.fold.lock().expect("no test panics with the lock");
+        let offset = fold.revision();
+        match fold.apply(offset, &record::from_change(record)) {
+            fold::Outcome::Accepted { revision } => {
+                Ok(server::Applied { revision, repeated: false })
+            }
+            fold::Outcome::Repeated { revision, .. } => {
+                Ok(server::Applied { revision, repeated: true })
+            }
+            fold::Outcome::Conflict { with } => Err(Error::Conflict {
+                revision: with.revision,
+                change: with.change,
+                operator: with.operator,
+            }),
+            fold::Outcome::Invalid { reason } => Err(Error::Invalid(reason)),
+            fold::Outcome::Skipped { .. } => Err(Error::Other("skipped".to_owned())),
+        }
+    }
+}
+
+impl server::Backend for Backend {
+    type Events = stream::BoxStream<'static, proto::Event>;
+
+    async fn apply(&self, record: change::Record) -> Result<server::Applied, Error> {
+        let fault = self.faults.lock().expect("no test panics with the lock").pop();
+        if fault == Some(Fault::LogAway) {
+            return Err(Error::Unavailable("the log is away".to_owned()));
+        }
+        let result = self.append(record);
+        match fault {
+            Some(Fault::LostAnswer) => Err(Error::Unknown("the answer is lost".to_owned())),
+            _ => result,
+        }
+    }
+
+    async fn catalog(&self) -> Result<Arc<catalog::Catalog>, Error> {
+        let fold = self.shared.fold.lock().expect("no test panics with the lock");
+        Ok(Arc::new(fold.catalog().clone()))
+    }
+
+    async fn status(&self) -> proto::StatusResponse {
+        proto::StatusResponse { node: "n1".to_owned(), ready: true, ..Default::default() }
+    }
+
+    async fn groups(&self, _service: id::Service) -> Vec<proto::Group> {
+        Vec::new()
+    }
+
+    async fn nodes(&self) -> Vec<proto::Node> {
+        Vec::new()
+    }
+
+    async fn history(&self) -> Vec<proto::HistoryEntry> {
+        vec![proto::HistoryEntry::default(); 3]
+    }
+
+    async fn follow(&self, request: proto::FollowEventsRequest) -> Self::Events {
+        let event = proto::Event { number: 7, request: request.request, ..Default::default() };
+        stream::iter([event]).chain(stream::pending()).boxed()
+    }
+
+    async fn timeline(&self, _request: proto::TimelineRequest) -> proto::TimelineResponse {
+        proto::TimelineResponse::default()
+    }
+}
+
+/// A served backend.
+pub(crate) struct Node {
+    pub(crate) address: SocketAddr,
+    pub(crate) shutdown: CancellationToken,
+    pub(crate) task: tokio::task::JoinHandle<()>,
+}
+
+/// Serves a backend; the operator `ana` writes with the token `w`, `luis` reads with `r`.
+pub(crate) async fn start(shared: &Arc<Shared>, faults: &[Fault]) -> Node {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
+    let address = listener.local_addr().expect("the listener is bound");
+    let faults = Mutex::new(faults.iter().rev().copied().collect());
+    let backend = Arc::new(Backend { shared: shared.clone(), faults });
+    let operators = Operators::new(&[
+        Operator { name: "ana".to_owned(), hash: auth::hash("w"), role: Role::Write },
+        Operator { name: "luis".to_owned(), hash: auth::hash("r"), role: Role::Read },
+    ])
+    .expect("the list is well formed");
+    let shutdown = CancellationToken::new();
+    let until = shutdown.clone();
+    let task = tokio::spawn(async move {
+        let connections = TcpListenerStream::new(listener);
+        server::serve(backend, operators, connections, until)
+            .await
+            .expect("it serves until the end");
+    });
+    Node { address, shutdown, task }
+}
+
+/// A client of some nodes.
+pub(crate) fn connect(addresses: &[SocketAddr], token: &str) -> client::Client {
+    let options = client::OptionsBuilder::default()
+        .endpoints(addresses.iter().map(|it| format!("http://{it}")).collect::<Vec<_>>())
+        .token(token.to_owned())
+        .pause(Duration::from_millis(10))
+        .build()
+        .expect("all settings are given");
+    client::Client::new(options).expect("the settings are well formed")
+}
--- /dev/null
+++ b/cuminward-operator/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the operators' interface.
+
+mod auth;
+mod fake;
+mod generated;
+mod server;
--- /dev/null
+++ b/cuminward-operator/tests/all/server.rs
@@ -0,0 +1,119 @@
+//! Server and client together, over loopback sockets.
+
+use std::sync::Arc;
+
+use cuminward_core::{
+    catalog::{Domain, Service},
+    change::Action,
+};
+use cuminward_operator::{proto, server::Applied, status::Error};
+use futures::StreamExt;
+use googletest::prelude::*;
+
+use crate::fake::{self, Fault, Shared};
+
+fn declare(name: &str) -> Action {
+    let name = name.to_owned();
+    Action::DeclareDomain(Domain { name, region: "r".to_owned(), service: Service::InService })
+}
+
+fn accepted(revision: u64) -> std::result::Result<Applied, Error> {
+    Ok(Applied { revision, repeated: false })
+}
+
+#[gtest]
+#[tokio::test]
+async fn changes_are_judged_and_read_back() -> Result<()> {
+    let node = fake::start(&Arc::default(), &[]).await;
+    let client = fake::connect(&[node.address], "w");
+    let apply = |id: &str, expected, action| client.apply(id.to_owned(), expected, action);
+    expect_that!(apply("c1", None, declare("a")).await, eq(&accepted(1)));
+    expect_that!(apply("c2", Some(1), Action::TakeOut("a".to_owned())).await, eq(&accepted(2)));
+    let conflict =
+        Error::Conflict { revision: 2, change: "c2".to_owned(), operator: "ana".to_owned() };
+    let late = apply("c3", Some(1), Action::BringBack("a".to_owned())).await;
+    expect_that!(late, err(eq(&conflict)));
+    let invalid = apply("c4", None, Action::TakeOut("b".to_owned())).await;
+    expect_that!(invalid, err(eq(&Error::Invalid("domain `b` isn't declared".to_owned()))));
+    let again = apply("c1", None, declare("a")).await;
+    expect_that!(again, ok(eq(&Applied { revision: 1, repeated: true })));
+    let catalog = client.catalog().await?;
+    expect_that!(catalog.in_service("a"), eq(false));
+    expect_that!(client.history(2).await?.len(), eq(2));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_lost_answer_is_resolved_by_the_change_id() {
+    let shared: Arc<Shared> = Arc::default();
+    let first = fake::start(&shared, &[Fault::LostAnswer, Fault::LogAway]).await;
+    let second = fake::start(&shared, &[Fault::LogAway]).await;
+    let client = fake::connect(&[first.address, second.address], "w");
+    let applied = client.apply("c1".to_owned(), None, declare("a")).await;
+    expect_that!(applied, ok(eq(&Applied { revision: 1, repeated: true })));
+}
+
+#[gtest]
+#[tokio::test]
+async fn failures_say_truthfully_what_is_known() -> Result<()> {
+    struct Case {
+        faults: &'static [Fault],
+        token: &'static str,
+        expected: Error,
+    }
+    let away = "the log is away".to_owned();
+    let lost = "the answer is lost".to_owned();
+    let cases = [
+        Case { faults: &[Fault::LogAway; 3], token: "w", expected: Error::Unavailable(away) },
+        Case {
+            faults: &[Fault::LostAnswer, Fault::LogAway, Fault::LogAway],
+            token: "w",
+            expected: Error::Unknown(lost),
+        },
+        Case {
+            faults: &[],
+            token: "r",
+            expected: Error::Forbidden("operator `luis` may only read".to_owned()),
+        },
+        Case {
+            faults: &[],
+            token: "x",
+            expected: Error::Unauthenticated("no operator has this token".to_owned()),
+        },
+    ];
+    for case in cases {
+        let node = fake::start(&Arc::default(), case.faults).await;
+        let client = fake::connect(&[node.address], case.token);
+        let result = client.apply("c1".to_owned(), None, declare("a")).await;
+        expect_that!(result, err(eq(&case.expected)));
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_closed_port_is_unreachable_and_the_next_node_answers() {
+    let closed = "127.0.0.1:1".parse().expect("it is an address");
+    let alone = fake::connect(&[closed], "w").apply("c1".to_owned(), None, declare("a")).await;
+    expect_that!(alone, err(matches_pattern!(Error::Unreachable(_))));
+    let node = fake::start(&Arc::default(), &[]).await;
+    let client = fake::connect(&[closed, node.address], "w");
+    expect_that!(client.apply("c1".to_owned(), None, declare("a")).await, eq(&accepted(1)));
+}
+
+#[gtest]
+#[tokio::test]
+async fn event_streams_end_with_the_server() -> Result<()> {
+    let node = fake::start(&Arc::default(), &[]).await;
+    let client = fake::connect(&[node.address], "r");
+    let request = proto::FollowEventsRequest { request: "q1".to_owned(), from_hlc: 0 };
+    let answer = client.follow(&request).await.pop().expect("there is one node");
+    let mut events = answer.result?;
+    let event = events.next().await.expect("one event is sent")?;
+    expect_that!(event, matches_pattern!(proto::Event { number: eq(&7), request: eq("q1"), .. }));
+    node.shutdown.cancel();
+    expect_that!(events.next().await.is_none(), eq(true));
+    node.task.await?;
+    Ok(())
+}
