feat: cuminward-route: routing, admission, fair shares and attempts

Cause: requests need a replica, a slot that the upstream can bear, a fair turn and one place that decides on repeats. Change: route (table, three policies, remote domains), prefix index, load gauges, admission (owner, holder, ramp, reserves, node), share queue, attempt decisions with a retry budget. Conclusion: a first usable cut.

--- a/cuminward-route/src/lib.rs
+++ b/cuminward-route/src/lib.rs
@@ -1,4 +1,19 @@
 //! Request decisions: routing, admission, fair shares, retries.
+//!
+//! Nothing here does I/O or reads a clock: time comes in as the `Duration` since the process
+//! started, random numbers as arguments.
+//!
+//! - [`route`] chooses a replica, with [`prefix`] for cache affinity and [`load`] for live figures.
+//! - [`admission`] bounds the work that all nodes together send to one upstream.
+//! - [`share`] divides a node's capacity between teams.
+//! - [`attempt`] decides what follows a failed attempt.
 
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
+
+pub mod admission;
+pub mod attempt;
+pub mod load;
+pub mod prefix;
+pub mod route;
+pub mod share;
--- /dev/null
+++ b/cuminward-route/src/route.rs
@@ -0,0 +1,84 @@
+//! Choice of the replica that runs a request.
+//!
+//! A [`Table`] is an immutable snapshot of one failure domain's replicas. [`choose`] selects by
+//! model, version and team and lets a [`policy::Policy`] rank what is left.
+
+pub mod policy;
+pub mod remote;
+mod table;
+
+use cuminward_core::id;
+
+pub use self::table::{Candidate, Excluded, Pool, Registry, Table};
+use crate::prefix;
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Query<'a> {
+    /// Model that the caller asked for.
+    pub model: &'a str,
+    /// Version that the caller asked for; `None` takes the preferred one that has replicas.
+    pub version: Option<&'a str>,
+    /// Team of the caller.
+    pub team: &'a str,
+    /// Ids of the prompt's whole blocks.
+    pub prefixes: &'a [prefix::Id],
+    /// Groups that the request must avoid, such as those that failed it before.
+    pub avoid: &'a [id::Group],
+}
+
+/// Which replica runs a request, or why none does.
+#[derive(Debug)]
+pub enum Choice<'a> {
+    /// The replica to send the request to.
+    Replica(&'a Candidate),
+    /// No such model or version is declared.
+    NotFound,
+    /// The team may not use the model.
+    Forbidden,
+    /// No replica may be used now.
+    Unavailable,
+}
+
+/// Chooses a replica with the default policy; `random` is uniform.
+pub fn choose<'a>(
+    table: &'a Table,
+    query: &Query<'_>,
+    load: &impl policy::Load,
+    random: u64,
+) -> Choice<'a> {
+    choose_with(&policy::Affinity::default(), table, query, load, random)
+}
+
+/// Chooses a replica with the given policy; `random` is uniform.
+pub fn choose_with<'a>(
+    policy: &impl policy::Policy,
+    table: &'a Table,
+    query: &Query<'_>,
+    load: &impl policy::Load,
+    random: u64,
+) -> Choice<'a> {
+    let Some(services) = table.services(query.model) else { return Choice::NotFound };
+    let mut declared = false;
+    let mut allowed = false;
+    for service in services {
+        for pool in service.pools() {
+            if query.version.is_some_and(|it| it != pool.version()) {
+                continue;
+            }
+            declared = true;
+            if !service.allows(query.team) {
+                continue;
+            }
+            allowed = true;
+            if let Some(it) = policy.pick(pool.candidates(), query, load, random) {
+                return Choice::Replica(it);
+            }
+        }
+    }
+    match (declared, allowed) {
+        (false, _) => Choice::NotFound,
+        (true, false) => Choice::Forbidden,
+        (true, true) => Choice::Unavailable,
+    }
+}
--- /dev/null
+++ b/cuminward-route/src/share.rs
@@ -0,0 +1,259 @@
+//! Fair shares of a node's capacity between teams.
+//!
+//! A [`Queue`] holds requests that wait for a slot. Teams are served by start-time fair queueing:
+//! each has a virtual time that advances by cost over weight with each request taken, and the team
+//! with the smallest one goes next. A team that returns from idleness starts at the current virtual
+//! time, so capacity that it did not use has been lent to the others. Within a team larger
+//! priorities go first, then earlier arrivals.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use cuminward_core::{id, outcome};
+
+/// Virtual time of one unit of cost at weight 1.
+const UNIT: u64 = 1 << 20;
+
+/// Weight of the newest interval in the smoothed service interval: one in this many.
+const SMOOTHING: u32 = 8;
+
+/// Intervals longer than this count as idleness and don't change the service rate.
+const MAX_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Longest retry time that a refusal gives, in seconds.
+const MAX_RETRY_SECONDS: u64 = 60;
+
+/// Bounds of a queue.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Requests of all teams that may wait.
+    pub waiting: usize,
+}
+
+/// A request that asks for a place.
+#[derive(Debug, Clone)]
+pub struct Entry<T> {
+    /// Team of the caller.
+    pub team: id::Team,
+    /// Share of the team, relative to others.
+    pub weight: u32,
+    /// Requests that the team may have in flight, waiting ones included.
+    pub limit: u32,
+    /// Larger priorities of the same team go first.
+    pub priority: i32,
+    /// Expected work relative to other requests; at least 1.
+    pub cost: u32,
+    /// When the request has to have begun, since the start of the process.
+    pub deadline: Duration,
+    /// What waits.
+    pub item: T,
+}
+
+/// A request that got no place, with the refusal for its caller.
+#[derive(Debug)]
+pub struct Rejected<T> {
+    /// What was to wait.
+    pub item: T,
+    /// Refusal for the caller; it says that nothing ran.
+    pub refusal: outcome::Refusal,
+}
+
+/// Requests that wait, by team.
+#[derive(Debug)]
+pub struct Queue<T> {
+    options: Options,
+    teams: HashMap<id::Team, Team<T>>,
+    order: BTreeMap<(u64, id::Team), ()>,
+    virtual_time: u64,
+    arrivals: u64,
+    waiting: usize,
+    rate: Rate,
+}
+
+/// Order of a request within its team.
+type Place = (Reverse<i32>, u64);
+
+#[derive(Debug)]
+struct Team<T> {
+    weight: u32,
+    running: u32,
+    start: u64,
+    waiting: BTreeMap<Place, Entry<T>>,
+}
+
+/// Smoothed time between requests taken while others wait.
+#[derive(Debug, Default)]
+struct Rate {
+    last: Option<Duration>,
+    interval: Option<Duration>,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { waiting: 1024 }
+    }
+}
+
+/// Life cycle
+impl<T> Queue<T> {
+    /// Makes an empty queue.
+    pub fn new(options: Options) -> Queue<T> {
+        Queue {
+            options,
+            teams: HashMap::new(),
+            order: BTreeMap::new(),
+            virtual_time: 0,
+            arrivals: 0,
+            waiting: 0,
+            rate: Rate::default(),
+        }
+    }
+}
+
+/// Access
+impl<T> Queue<T> {
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting == 0
+    }
+
+    /// Requests of a team that run or wait.
+    pub fn in_flight(&self, team: &str) -> u32 {
+        self.teams.get(team).map_or(0, |it| it.running + it.waiting.len() as u32)
+    }
+
+    /// Time that a new request of the team would wait, from the recent service rate; `None` while
+    /// the rate isn't known.
+    pub fn estimate(&self, team: &str, weight: u32, priority: i32) -> Option<Duration> {
+        let interval = self.rate.interval?;
+        let weight = u64::from(weight.max(1));
+        let known = self.teams.get(team);
+        let ahead = known.map_or(0, |it| it.waiting.range(..(Reverse(priority), u64::MAX)).count());
+        let others = self.order.keys().filter(|(_, it)| it != team);
+        let others: u64 = others.map(|(_, it)| u64::from(self.teams[it].weight)).sum();
+        let turns = (ahead as u64 + 1) * (weight + others) / weight;
+        let turns = turns.min(self.waiting as u64 + 1);
+        Some(interval.saturating_mul(u32::try_from(turns).unwrap_or(u32::MAX)))
+    }
+}
+
+/// Mutation
+impl<T> Queue<T> {
+    /// Lets a request wait, or refuses it: when its team or the queue has too much in flight, or
+    /// when it would miss its deadline at the recent service rate.
+    pub fn push(&mut self, now: Duration, entry: Entry<T>) -> Result<(), Rejected<T>> {
+        let wait = self.estimate(&entry.team, entry.weight, entry.priority);
+        if self.in_flight(&entry.team) >= entry.limit {
+            return Err(rejected(entry, outcome::Cause::TeamLimit, wait));
+        }
+        let late = now + wait.unwrap_or_default() > entry.deadline;
+        if self.waiting >= self.options.waiting || late {
+            return Err(rejected(entry, outcome::Cause::Overloaded, wait));
+        }
+        self.insert(entry);
+        Ok(())
+    }
+
+    /// Takes the request that goes next; its team counts it as running until
+    /// [`finish`](Queue::finish).
+    pub fn pop(&mut self, now: Duration) -> Option<Entry<T>> {
+        let ((start, name), ()) = self.order.pop_first()?;
+        let team = self.teams.get_mut(&name).expect("a team in the order is known");
+        let (_, entry) = team.waiting.pop_first().expect("a team in the order has a request");
+        self.virtual_time = start;
+        team.running += 1;
+        team.start = start + u64::from(entry.cost.max(1)) * UNIT / u64::from(team.weight);
+        if !team.waiting.is_empty() {
+            self.order.insert((team.start, name), ());
+        }
+        self.waiting -= 1;
+        self.rate.note(now, self.waiting > 0);
+        Some(entry)
+    }
+
+    /// Counts one running request of the team as ended.
+    pub fn finish(&mut self, team: &str) {
+        let Some(it) = self.teams.get_mut(team) else { return };
+        it.running = it.running.saturating_sub(1);
+        let settled = it.start <= self.virtual_time;
+        if it.running == 0 && it.waiting.is_empty() && settled {
+            self.teams.remove(team);
+        }
+    }
+
+    /// Takes all requests whose deadline has passed; they are to be refused as not run.
+    pub fn expire(&mut self, now: Duration) -> Vec<Rejected<T>> {
+        self.take(|it| it.deadline < now)
+            .into_iter()
+            .map(|it| rejected(it, outcome::Cause::Overloaded, Some(Duration::from_secs(1))))
+            .collect()
+    }
+
+    /// Takes all requests that fulfil a condition, such as those whose caller has left.
+    pub fn take(&mut self, mut condition: impl FnMut(&Entry<T>) -> bool) -> Vec<Entry<T>> {
+        let mut taken = Vec::new();
+        for (name, team) in &mut self.teams {
+            if team.waiting.is_empty() {
+                continue;
+            }
+            taken.extend(team.waiting.extract_if(.., |_, it| condition(it)).map(|(_, it)| it));
+            if team.waiting.is_empty() {
+                self.order.remove(&(team.start, name.clone()));
+            }
+        }
+        self.waiting -= taken.len();
+        taken
+    }
+
+    fn insert(&mut self, entry: Entry<T>) {
+        self.arrivals += 1;
+        self.waiting += 1;
+        let place = (Reverse(entry.priority), self.arrivals);
+        let name = entry.team.clone();
+        let team = self.teams.entry(name.clone()).or_insert_with(Team::new);
+        team.weight = entry.weight.max(1);
+        if team.waiting.is_empty() {
+            team.start = team.start.max(self.virtual_time);
+            self.order.insert((team.start, name), ());
+        }
+        team.waiting.insert(place, entry);
+    }
+}
+
+impl<T> Team<T> {
+    fn new() -> Team<T> {
+        Team { weight: 1, running: 0, start: 0, waiting: BTreeMap::new() }
+    }
+}
+
+impl Rate {
+    /// Notes that a request was taken; the time to the next one counts only while others wait.
+    fn note(&mut self, now: Duration, more_waiting: bool) {
+        if let Some(last) = self.last {
+            let newest = now.saturating_sub(last);
+            if newest <= MAX_INTERVAL {
+                let old = self.interval.unwrap_or(newest);
+                self.interval = Some((old * (SMOOTHING - 1) + newest) / SMOOTHING);
+            }
+        }
+        self.last = more_waiting.then_some(now);
+    }
+}
+
+fn rejected<T>(entry: Entry<T>, cause: outcome::Cause, wait: Option<Duration>) -> Rejected<T> {
+    let message = match cause {
+        outcome::Cause::TeamLimit => "the team has too many requests in flight",
+        _ => "there is no capacity before the deadline",
+    };
+    let seconds = wait.unwrap_or_default().as_secs().clamp(1, MAX_RETRY_SECONDS);
+    let refusal = outcome::Refusal::not_run(cause, message).retry_after(seconds as u32);
+    Rejected { item: entry.item, refusal }
+}
--- /dev/null
+++ b/cuminward-route/tests/all/admission.rs
@@ -0,0 +1,330 @@
+//! Tests of admission over many nodes, with faults between them.
+
+use std::time::Duration;
+
+use cuminward_core::id;
+use cuminward_route::admission::{Limits, Node, Options, Slot, message, reserve};
+use googletest::prelude::*;
+use proptest::{prelude::*, test_runner};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const UPSTREAM: &str = "desk-1";
+
+/// Longest delay of a message.
+const MAX_DELAY: Duration = Duration::from_millis(400);
+
+/// Time of one step.
+const STEP: Duration = Duration::from_millis(20);
+
+const LIMITS: Limits = Limits { slots: 48, cold_slots: 6, warm_up: Duration::from_secs(10) };
+
+/// One node with the work that it runs.
+struct Member {
+    name: id::Node,
+    node: Node,
+    running: Vec<(Duration, Slot)>,
+    /// Start of the upstream that the node has connections to.
+    connected: id::Incarnation,
+    side: u32,
+    demand: u32,
+}
+
+/// A failure domain with one upstream.
+struct Domain {
+    random: Pcg64,
+    now: Duration,
+    members: Vec<Member>,
+    messages: Vec<(Duration, usize, message::Batch)>,
+    observations: Vec<(Duration, usize, id::Incarnation, Duration)>,
+    incarnation: id::Incarnation,
+    started: Duration,
+    loss: f64,
+    most: u32,
+    served: u64,
+}
+
+/// What happens in a domain.
+#[derive(Debug, Clone)]
+enum Event {
+    Run(u32),
+    Split(u64),
+    Heal,
+    Restart,
+    Demand(u64),
+    Replace(usize),
+    Loss(bool),
+}
+
+impl Domain {
+    fn new(count: usize, seed: u64) -> Domain {
+        let members = (0..count).map(|it| member(it, 1)).collect();
+        let mut domain = Domain {
+            random: Pcg64::seed_from_u64(seed),
+            now: Duration::ZERO,
+            members,
+            messages: Vec::new(),
+            observations: Vec::new(),
+            incarnation: 1,
+            started: Duration::ZERO,
+            loss: 0.0,
+            most: 0,
+            served: 0,
+        };
+        domain.relist();
+        domain
+    }
+
+    fn bearable(&self) -> u32 {
+        let age = self.now - self.started;
+        if age >= LIMITS.warm_up {
+            return LIMITS.slots;
+        }
+        let rise = f64::from(LIMITS.slots - LIMITS.cold_slots);
+        LIMITS.cold_slots + (rise * age.as_secs_f64() / LIMITS.warm_up.as_secs_f64()) as u32
+    }
+
+    fn running(&self) -> u32 {
+        self.members.iter().map(|it| it.running.len() as u32).sum()
+    }
+
+    /// Tells every node who is listed and who answers it.
+    fn relist(&mut self) {
+        let listed: Vec<id::Node> = self.members.iter().map(|it| it.name.clone()).collect();
+        for index in 0..self.members.len() {
+            let side = self.members[index].side;
+            let live = self.members.iter().filter(|it| it.side == side);
+            let live = live.map(|it| it.name.clone()).collect();
+            let node = &mut self.members[index].node;
+            node.set_nodes(self.now, listed.clone(), live);
+            node.set_upstream(self.now, UPSTREAM, options());
+        }
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match *event {
+            Event::Run(steps) => (0..steps).for_each(|_| self.step()),
+            Event::Split(seed) => self.split(seed),
+            Event::Heal => self.split(0),
+            Event::Restart => self.restart(),
+            Event::Demand(seed) => self.demand(seed),
+            Event::Replace(index) => self.replace(index),
+            Event::Loss(on) => self.loss = if on { 0.3 } else { 0.0 },
+        }
+    }
+
+    fn split(&mut self, seed: u64) {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let sides = if seed == 0 { 1 } else { 3 };
+        for member in &mut self.members {
+            member.side = random.random_range(0..sides);
+        }
+        // Nodes notice a split one after the other.
+        let listed: Vec<id::Node> = self.members.iter().map(|it| it.name.clone()).collect();
+        let sides: Vec<(id::Node, u32)> =
+            self.members.iter().map(|it| (it.name.clone(), it.side)).collect();
+        for index in 0..self.members.len() {
+            let own = self.members[index].side;
+            let live = sides.iter().filter(|it| it.1 == own).map(|it| it.0.clone()).collect();
+            self.members[index].node.set_nodes(self.now, listed.clone(), live);
+            if random.random_bool(0.3) {
+                self.step();
+            }
+        }
+    }
+
+    /// The upstream starts anew without warning; what it ran is lost.
+    fn restart(&mut self) {
+        self.incarnation += 1;
+        self.started = self.now;
+        self.members.iter_mut().for_each(|it| it.running.clear());
+    }
+
+    fn demand(&mut self, seed: u64) {
+        let mut random = Pcg64::seed_from_u64(seed);
+        for member in &mut self.members {
+            member.demand = if random.random_bool(0.5) { 0 } else { random.random_range(0..40) };
+        }
+    }
+
+    /// A node dies and starts anew with the same name.
+    fn replace(&mut self, index: usize) {
+        let index = index % self.members.len();
+        let epoch = 2 + self.now.as_millis() as u32;
+        let (side, demand) = (self.members[index].side, self.members[index].demand);
+        self.members[index] = Member { side, demand, ..member(index, epoch) };
+        self.relist();
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.deliver();
+        for index in 0..self.members.len() {
+            self.work(index);
+            self.members[index].node.tick(self.now);
+            self.post(index);
+        }
+        let running = self.running();
+        self.most = self.most.max(running);
+        assert!(
+            running <= self.bearable(),
+            "{running} run at {:?}, {} are bearable",
+            self.now,
+            self.bearable()
+        );
+    }
+
+    /// Ends and begins requests at a node.
+    fn work(&mut self, index: usize) {
+        let now = self.now;
+        let member = &mut self.members[index];
+        member.running.retain(|it| it.0 > now);
+        let holder = member.node.holder(UPSTREAM).expect("every node knows it").clone();
+        if member.connected != self.incarnation {
+            holder.disconnected();
+            member.connected = self.incarnation;
+        }
+        while (member.running.len() as u32) < member.demand {
+            let Some(slot) = holder.acquire(now) else { break };
+            let end = now + Duration::from_millis(self.random.random_range(50..4_000));
+            member.running.push((end, slot));
+            self.served += 1;
+        }
+        holder.set_waiting(member.demand.saturating_sub(member.running.len() as u32));
+    }
+
+    fn post(&mut self, index: usize) {
+        let work = self.members[index].node.take_work();
+        let asked = self.now;
+        let polled = self.random.random_bool(0.05);
+        if !work.probes.is_empty() || polled {
+            let due = self.now + self.delay();
+            self.observations.push((due, index, self.incarnation, asked));
+        }
+        for (to, batch) in work.batches {
+            let to = self.members.iter().position(|it| it.name == to).expect("it is listed");
+            for _ in 0..1 + u32::from(self.random.random_bool(0.05)) {
+                let lost = self.random.random_bool(self.loss);
+                let due = self.now + self.delay();
+                if !lost && self.members[to].side == self.members[index].side {
+                    self.messages.push((due, to, batch.clone()));
+                }
+            }
+        }
+    }
+
+    fn delay(&mut self) -> Duration {
+        MAX_DELAY.mul_f64(self.random.random_range(0.0..1.0f64).powi(4))
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.messages.extract_if(.., |it| it.0 <= now).collect();
+        for (_, to, batch) in due {
+            self.members[to].node.receive(now, batch);
+        }
+        let due: Vec<_> = self.observations.extract_if(.., |it| it.0 <= now).collect();
+        for (_, to, incarnation, asked) in due {
+            self.members[to].node.observe(now, UPSTREAM, incarnation, None, asked);
+        }
+    }
+}
+
+fn options() -> Options {
+    Options {
+        lease: Duration::from_secs(3),
+        longest: Duration::from_secs(5),
+        ..Options::new(LIMITS)
+    }
+}
+
+fn member(index: usize, epoch: u32) -> Member {
+    let name = format!("node-{index}");
+    let node = Node::new(name.clone(), epoch);
+    Member { name, node, running: Vec::new(), connected: 0, side: 0, demand: 0 }
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => (1..200u32).prop_map(Event::Run),
+        3 => any::<u64>().prop_map(Event::Demand),
+        1 => any::<u64>().prop_map(Event::Split),
+        1 => Just(Event::Heal),
+        1 => Just(Event::Restart),
+        1 => any::<usize>().prop_map(Event::Replace),
+        1 => any::<bool>().prop_map(Event::Loss),
+    ]
+}
+
+fn run(count: usize, cases: u32) {
+    let config = ProptestConfig { cases, failure_persistence: None, ..ProptestConfig::default() };
+    let seed = test_runner::TestRng::deterministic_rng(test_runner::RngAlgorithm::ChaCha);
+    let mut runner = test_runner::TestRunner::new_with_rng(config, seed);
+    let events = prop::collection::vec(event(), 5..40);
+    let result = runner.run(&(any::<u64>(), events), |(seed, events)| {
+        let mut domain = Domain::new(count, seed);
+        domain.demand(seed);
+        events.iter().for_each(|it| domain.apply(it));
+        Ok(())
+    });
+    result.expect("the upstream never runs more than it can bear");
+}
+
+#[gtest]
+fn never_exceeds_what_the_upstream_bears_at_2_nodes() {
+    run(2, 128);
+}
+
+#[gtest]
+fn never_exceeds_what_the_upstream_bears_at_9_nodes() {
+    run(9, 64);
+}
+
+#[gtest]
+fn never_exceeds_what_the_upstream_bears_at_44_nodes() {
+    run(44, 16);
+}
+
+/// Without faults the nodes together reach the limit, and again after a split has healed.
+#[gtest]
+fn uses_the_whole_limit() {
+    for count in [2, 9, 44] {
+        let mut domain = Domain::new(count, 1);
+        domain.members.iter_mut().for_each(|it| it.demand = 48);
+        domain.apply(&Event::Run(1_000));
+        expect_that!(domain.running(), ge(46), "{count} nodes");
+        domain.apply(&Event::Split(5));
+        domain.apply(&Event::Run(300));
+        domain.apply(&Event::Heal);
+        domain.apply(&Event::Run(1_000));
+        expect_that!(domain.running(), ge(46), "{count} nodes, healed");
+    }
+}
+
+#[gtest]
+fn a_busy_node_gets_the_slots_that_others_leave() {
+    let mut domain = Domain::new(9, 2);
+    domain.members.iter_mut().for_each(|it| it.demand = 48);
+    domain.apply(&Event::Run(800));
+    domain.members.iter_mut().skip(1).for_each(|it| it.demand = 0);
+    domain.apply(&Event::Run(500));
+    expect_that!(domain.members[0].running.len(), ge(44));
+}
+
+/// A longer list never raises a share, so that shares from different lists fit together.
+#[gtest]
+fn reserves_fit_into_the_total_for_every_mix_of_lists() {
+    let listed: Vec<id::Node> = (0..44).map(|it| format!("node-{it}")).collect();
+    for total in 0..60 {
+        let core = &listed[..9];
+        let lists = [core, &listed[..20], &listed];
+        let sum: u32 = core
+            .iter()
+            .enumerate()
+            .map(|(index, it)| reserve::share(total, lists[index % 3], UPSTREAM, it))
+            .sum();
+        expect_that!(sum, le(total));
+        let whole: u32 = listed.iter().map(|it| reserve::share(total, &listed, UPSTREAM, it)).sum();
+        expect_that!(whole, eq(total));
+    }
+}
--- /dev/null
+++ b/cuminward-route/tests/all/attempt.rs
@@ -0,0 +1,96 @@
+//! Tests of what follows an attempt.
+
+use std::time::Duration;
+
+use cuminward_core::outcome::Outcome;
+use cuminward_route::attempt::{self, Budget, Next, Report, State, Work};
+use googletest::prelude::*;
+
+struct Case {
+    work: Work,
+    report: Report,
+    attempts: u32,
+    may_have_run: bool,
+    expected: &'static str,
+}
+
+const fn case(
+    work: Work,
+    report: Report,
+    attempts: u32,
+    may_have_run: bool,
+    expected: &'static str,
+) -> Case {
+    Case { work, report, attempts, may_have_run, expected }
+}
+
+const CASES: &[Case] = &[
+    case(Work::Once, Report::Complete, 1, false, "finish"),
+    case(Work::Once, Report::NotRun, 1, false, "repeat"),
+    case(Work::Once, Report::NotRun, 3, false, "not-run"),
+    case(Work::Once, Report::Unknown, 1, false, "unknown"),
+    case(Work::Once, Report::Broken(0), 1, false, "unknown"),
+    case(Work::Once, Report::Broken(4), 1, false, "unknown"),
+    case(Work::Idempotent, Report::Unknown, 1, false, "repeat"),
+    case(Work::Idempotent, Report::NotRun, 3, true, "unknown"),
+    case(Work::Idempotent, Report::Broken(0), 1, false, "repeat"),
+    case(Work::Idempotent, Report::Broken(4), 1, false, "unknown"),
+    case(Work::Generation, Report::Broken(0), 1, false, "repeat"),
+    case(Work::Generation, Report::Broken(7), 2, true, "resume 7"),
+    case(Work::Generation, Report::Broken(7), 3, true, "unknown"),
+    case(Work::Generation, Report::Unknown, 2, false, "repeat"),
+];
+
+fn name(next: Next) -> String {
+    match next {
+        Next::Repeat => "repeat".into(),
+        Next::Resume { at } => format!("resume {at}"),
+        Next::Finish(_) => "finish".into(),
+        Next::Refuse(it) => it.outcome.as_str().into(),
+    }
+}
+
+fn state(case: &Case) -> State {
+    State {
+        work: case.work,
+        attempts: case.attempts,
+        max_attempts: 3,
+        deadline: Duration::from_secs(10),
+        may_have_run: case.may_have_run,
+    }
+}
+
+#[gtest]
+fn decides_by_work_and_report() {
+    for (index, it) in CASES.iter().enumerate() {
+        let budget = Budget::new(100, 10);
+        let next = attempt::decide(&state(it), it.report, &budget, Duration::ZERO);
+        expect_that!(name(next), eq(it.expected), "case {index}");
+    }
+}
+
+#[gtest]
+fn refuses_after_the_deadline_and_without_budget() {
+    let state = state(&CASES[1]);
+    let late = Duration::from_secs(10);
+    let rich = Budget::new(100, 10);
+    let poor = Budget::new(100, 0);
+    for (budget, now) in [(&rich, late), (&poor, Duration::ZERO)] {
+        let next = attempt::decide(&state, Report::NotRun, budget, now);
+        let Next::Refuse(refusal) = next else { panic!("not refused: {next:?}") };
+        expect_that!(refusal.outcome, eq(Outcome::NotRun));
+    }
+    expect_that!(rich.available(), eq(10));
+}
+
+#[gtest]
+fn repeats_never_exceed_their_part() {
+    let budget = Budget::new(100, 5);
+    let mut repeats = 0;
+    for _ in 0..10_000 {
+        budget.deposit();
+        repeats += u32::from(budget.withdraw());
+    }
+    expect_that!(repeats, le(1_005));
+    expect_that!(repeats, ge(990));
+}
--- /dev/null
+++ b/cuminward-route/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the request decisions.
+
+mod admission;
+mod attempt;
+mod prefix;
+mod route;
+mod share;
--- /dev/null
+++ b/cuminward-route/tests/all/share.rs
@@ -0,0 +1,94 @@
+//! Tests of the fair shares.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cuminward_core::outcome::Cause;
+use cuminward_route::share::{Entry, Options, Queue};
+use googletest::prelude::*;
+
+const FAR: Duration = Duration::from_secs(1_000);
+
+fn entry(team: &str, weight: u32, item: u32) -> Entry<u32> {
+    Entry { team: team.into(), weight, limit: 1_000, priority: 0, cost: 1, deadline: FAR, item }
+}
+
+fn millis(it: u64) -> Duration {
+    Duration::from_millis(it)
+}
+
+#[gtest]
+fn serves_by_weight_and_lends_unused_shares() {
+    struct Case {
+        demand: &'static [(&'static str, u32, u32)],
+        pops: u32,
+        expected: &'static [(&'static str, u32)],
+    }
+    let cases = [
+        Case { demand: &[("a", 1, 90), ("b", 2, 90)], pops: 60, expected: &[("a", 20), ("b", 40)] },
+        Case { demand: &[("a", 1, 900), ("b", 1, 9)], pops: 60, expected: &[("a", 51), ("b", 9)] },
+        Case { demand: &[("a", 1, 90)], pops: 60, expected: &[("a", 60)] },
+    ];
+    for case in cases {
+        let mut queue = Queue::new(Options::default());
+        for &(team, weight, count) in case.demand {
+            for it in 0..count {
+                queue.push(Duration::ZERO, entry(team, weight, it)).expect("there is room");
+            }
+        }
+        let mut served = BTreeMap::new();
+        for it in 0..case.pops {
+            let entry = queue.pop(millis(it.into())).expect("something waits");
+            *served.entry(entry.team).or_insert(0) += 1;
+        }
+        let expected: BTreeMap<String, u32> =
+            case.expected.iter().map(|&(team, count)| (team.to_owned(), count)).collect();
+        expect_that!(served, eq(&expected));
+    }
+}
+
+#[gtest]
+fn larger_priorities_of_a_team_go_first() {
+    let mut queue = Queue::new(Options::default());
+    for (item, priority) in [(0, 0), (1, 5), (2, 5), (3, -1)] {
+        let entry = Entry { priority, ..entry("a", 1, item) };
+        queue.push(Duration::ZERO, entry).expect("there is room");
+    }
+    let order: Vec<u32> =
+        std::iter::from_fn(|| queue.pop(Duration::ZERO)).map(|it| it.item).collect();
+    expect_that!(order, eq(&vec![1, 2, 0, 3]));
+}
+
+#[gtest]
+fn refuses_beyond_the_bounds() {
+    let mut queue = Queue::new(Options { waiting: 3 });
+    let limited = |item| Entry { limit: 2, ..entry("a", 1, item) };
+    queue.push(Duration::ZERO, limited(0)).expect("there is room");
+    queue.pop(Duration::ZERO).expect("something waits");
+    queue.push(Duration::ZERO, limited(1)).expect("there is room");
+    let refused = queue.push(Duration::ZERO, limited(2)).expect_err("the team is at its limit");
+    expect_that!(refused.refusal.cause, eq(Cause::TeamLimit));
+    queue.finish("a");
+    queue.push(Duration::ZERO, limited(2)).expect("a request ended");
+    queue.push(Duration::ZERO, entry("b", 1, 3)).expect("there is room");
+    let refused = queue.push(Duration::ZERO, entry("b", 1, 4)).expect_err("the queue is full");
+    expect_that!(refused.refusal.cause, eq(Cause::Overloaded));
+}
+
+#[gtest]
+fn refuses_early_what_would_be_late() {
+    let mut queue = Queue::new(Options::default());
+    for it in 0..100 {
+        queue.push(Duration::ZERO, entry("a", 1, it)).expect("there is room");
+    }
+    for it in 0..50 {
+        queue.pop(millis(it * 100)).expect("something waits");
+    }
+    let now = millis(5_000);
+    let due = |wait| Entry { deadline: now + millis(wait), ..entry("a", 1, 0) };
+    let refused = queue.push(now, due(4_000)).expect_err("50 waiting requests take 5 s");
+    expect_that!(refused.refusal.retry_after_seconds, some(eq(5)));
+    queue.push(now, due(6_000)).expect("5.1 s suffice");
+    let other = Entry { deadline: now + millis(400), ..entry("b", 1, 0) };
+    queue.push(now, other).expect("the other team's turn comes at once");
+    expect_that!(queue.expire(now + millis(500)).len(), eq(1));
+}
