feat: cuminward-node, cuminward: composition of the request, group and configuration work

Cause: the packages' decisions aren't driven by anything. Change: tasks for host list, configuration log, probes, steward and admission; the backends of callers and operators; life cycle; the daemon's run and check. Conclusion: what is missing for a whole path are calls between nodes.

--- a/cuminward-core/src/host.rs
+++ b/cuminward-core/src/host.rs
@@ -49,14 +49,15 @@
     Leaving,
 }
 
-/// What an engine's host reports about itself.
+/// What a host reports about itself.
 #[record]
 pub struct Report {
     /// Name of the host.
     pub host: id::Host,
     /// Tells this start of the host from others.
     pub incarnation: id::Incarnation,
-    /// Largest fencing number that the host has seen.
+    /// Largest fencing number that the host has seen; plain hosts report none.
+    #[serde(default)]
     pub fence: id::Fence,
     /// Group that the host belongs to.
     pub membership: Option<Membership>,
--- /dev/null
+++ b/cuminward-node/src/control.rs
@@ -0,0 +1,9 @@
+//! Control work of a node: one task for each duty.
+
+pub mod admit;
+pub mod configure;
+pub mod list;
+pub mod outage;
+pub mod peer;
+pub mod probe;
+pub mod steward;
--- /dev/null
+++ b/cuminward-node/src/control/list.rs
@@ -0,0 +1,48 @@
+//! Reads the platform's host list again and again.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use cuminward_event::kind::Kind;
+use cuminward_platform::hosts;
+
+use crate::{control::outage, state, view};
+
+/// Reads the list until the node stops; the last list stays in use while the platform is away.
+pub async fn run(state: Arc<state::State>) {
+    let client = hosts::Client::new(&state.settings.platform.hosts);
+    let mut interval = tokio::time::interval(state.settings.timing.listing);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut outage = outage::Outage::default();
+    loop {
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = state.stop.cancelled() => return,
+        }
+        match client.read().await {
+            Ok(list) => {
+                if let Some(after_ms) = outage.answered(state.now()) {
+                    state.events.emit(Kind::HostListBack { after_ms });
+                }
+                store(&state, list);
+            }
+            Err(error) if outage.failed(state.now()) => {
+                state.events.emit(Kind::HostListAway { message: error.to_string() });
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// Keeps a list, unless an older answer comes late.
+fn store(state: &state::State, list: hosts::List) {
+    let known = state.hosts.load();
+    if list.as_of_ms < known.as_of_ms {
+        return;
+    }
+    let changed = list.hosts != known.hosts;
+    state.hosts.store(Arc::new(list));
+    state.listed.store(true, Ordering::Release);
+    if changed {
+        view::refresh(state);
+    }
+}
--- /dev/null
+++ b/cuminward-node/src/measure.rs
@@ -0,0 +1,65 @@
+//! The users' measures of a failure domain's groups, summed up over time.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use cuminward_core::{catalog, host, replica};
+
+/// Longest step that counts, for a process that was paused.
+const MAX_STEP: Duration = Duration::from_secs(5);
+
+/// Sums since the start of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Measures {
+    /// Time that declared replicas were not routable, summed over replicas.
+    pub down: Duration,
+    /// Time that live engines were outside any routable replica, summed over hosts.
+    pub stranded: Duration,
+    last: Option<Duration>,
+}
+
+/// Mutation
+impl Measures {
+    /// Adds the time since the last call, with the state that holds now.
+    pub fn add(
+        &mut self,
+        now: Duration,
+        domain: &str,
+        catalog: &catalog::Catalog,
+        hosts: &[host::Entry],
+        replicas: &[replica::Replica],
+    ) {
+        let step = now.saturating_sub(self.last.unwrap_or(now)).min(MAX_STEP);
+        self.last = Some(now);
+        self.down += step * missing(domain, catalog, replicas);
+        self.stranded += step * stranded(domain, hosts, replicas);
+    }
+}
+
+/// Declared replicas of a domain that aren't routable; none while the domain is out of service.
+fn missing(domain: &str, catalog: &catalog::Catalog, replicas: &[replica::Replica]) -> u32 {
+    if !catalog.in_service(domain) {
+        return 0;
+    }
+    let of_model = |model: &catalog::Model| {
+        let declared = model.replicas.get(domain).copied().unwrap_or(0);
+        let of_version = |version: &String| {
+            let routable =
+                |it: &&replica::Replica| it.service == model.name && it.version == *version;
+            declared.saturating_sub(replicas.iter().filter(routable).count() as u32)
+        };
+        model.versions.iter().map(of_version).sum::<u32>()
+    };
+    catalog.models.values().map(of_model).sum()
+}
+
+/// Live engines of a domain outside any routable replica.
+fn stranded(domain: &str, hosts: &[host::Entry], replicas: &[replica::Replica]) -> u32 {
+    let used: BTreeSet<&String> = replicas.iter().flat_map(|it| &it.members).collect();
+    let idle = |it: &&host::Entry| {
+        it.role == host::Role::Engine
+            && it.domain == domain
+            && it.state == host::State::Live
+            && !used.contains(&it.host)
+    };
+    hosts.iter().filter(idle).count() as u32
+}
--- /dev/null
+++ b/cuminward-node/src/operate.rs
@@ -0,0 +1,237 @@
+//! The node as the backend of the operators' calls.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    pin::Pin,
+    sync::Arc,
+    time::Duration,
+};
+
+use cuminward_config::{fold, history};
+use cuminward_core::{catalog, change, host, id, replica};
+use cuminward_event::{kind, record};
+use cuminward_operator::{convert, proto, server, status};
+use futures::{Stream, StreamExt, stream};
+
+use crate::{control::configure, state};
+
+/// Events of one answer.
+const MAX_EVENTS: usize = 10_000;
+
+/// Time between two looks for new events.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// The node behind the operators' calls.
+pub struct Backend {
+    state: Arc<state::State>,
+}
+
+/// Life cycle
+impl Backend {
+    /// Serves operators with the state of a node.
+    pub fn new(state: Arc<state::State>) -> Backend {
+        Backend { state }
+    }
+}
+
+impl server::Backend for Backend {
+    type Events = Pin<Box<dyn Stream<Item = proto::Event> + Send>>;
+
+    async fn apply(&self, record: change::Record) -> Result<server::Applied, status::Error> {
+        configure::change(&self.state, record).await
+    }
+
+    async fn catalog(&self) -> Result<Arc<catalog::Catalog>, status::Error> {
+        Ok(self.state.catalog.load_full())
+    }
+
+    async fn status(&self) -> proto::StatusResponse {
+        let ready = self.state.ready();
+        proto::StatusResponse {
+            node: self.state.settings.node.clone(),
+            domain: self.state.settings.domain.clone(),
+            revision: *self.state.revision.borrow(),
+            ready: ready.is_ok(),
+            reasons: ready.err().into_iter().collect(),
+            log_reachable: !self.state.log_away.load(std::sync::atomic::Ordering::Acquire),
+            uptime_ms: self.state.now().as_millis() as u64,
+            measures: measures(&self.state),
+            version: env!("CARGO_PKG_VERSION").to_owned(),
+        }
+    }
+
+    async fn groups(&self, service: id::Service) -> Vec<proto::Group> {
+        groups(&self.state, &service)
+    }
+
+    async fn nodes(&self) -> Vec<proto::Node> {
+        nodes(&self.state)
+    }
+
+    async fn history(&self) -> Vec<proto::HistoryEntry> {
+        self.state.config.fold().history().iter().map(entry).collect()
+    }
+
+    async fn follow(&self, request: proto::FollowEventsRequest) -> Self::Events {
+        let follower = Follower {
+            state: Arc::clone(&self.state),
+            next: 0,
+            from_hlc: request.from_hlc,
+            request: Some(request.request).filter(|it| !it.is_empty()),
+        };
+        let batches = stream::unfold(follower, |mut it| async move {
+            let events = it.wait().await;
+            Some((stream::iter(events), it))
+        });
+        Box::pin(batches.flatten())
+    }
+
+    async fn timeline(&self, request: proto::TimelineRequest) -> proto::TimelineResponse {
+        let wanted = Some(request.request.as_str()).filter(|it| !it.is_empty());
+        let limit = match request.limit {
+            0 => MAX_EVENTS,
+            limit => limit as usize,
+        };
+        let to = if request.to_hlc == 0 { u64::MAX } else { request.to_hlc };
+        let held = self.state.events.since(0, usize::MAX, wanted);
+        let span = held.into_iter().filter(|it| request.from_hlc <= it.stamp && it.stamp <= to);
+        let mut events: Vec<proto::Event> = span.map(|it| event(&it)).collect();
+        let truncated = limit < events.len();
+        events.truncate(limit);
+        proto::TimelineResponse { events, truncated }
+    }
+}
+
+/// Gives out events as they happen.
+struct Follower {
+    state: Arc<state::State>,
+    next: kind::Seq,
+    from_hlc: u64,
+    request: Option<id::Request>,
+}
+
+impl Follower {
+    async fn wait(&mut self) -> Vec<proto::Event> {
+        loop {
+            let request = self.request.as_deref();
+            let records = self.state.events.since(self.next, MAX_EVENTS, request);
+            if let Some(last) = records.last() {
+                self.next = last.seq + 1;
+            }
+            let wanted = records.iter().filter(|it| self.from_hlc <= it.stamp);
+            let events: Vec<proto::Event> = wanted.map(event).collect();
+            if !events.is_empty() {
+                return events;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+fn event(record: &record::Record) -> proto::Event {
+    let json = serde_json::to_value(&record.kind).unwrap_or_default();
+    let fields = json.as_object().into_iter().flatten().filter(|(name, _)| *name != "event");
+    let text = |value: &serde_json::Value| match value {
+        serde_json::Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    proto::Event {
+        number: u32::from(record.kind.number()),
+        name: record.kind.name().to_owned(),
+        node: record.node.clone(),
+        hlc: record.stamp,
+        fields: fields.map(|(name, value)| (name.clone(), text(value))).collect(),
+        request: record.request.clone().unwrap_or_default(),
+    }
+}
+
+fn entry(entry: &history::Entry) -> proto::HistoryEntry {
+    let (verdict, reason) = match &entry.outcome {
+        fold::Outcome::Accepted { .. } | fold::Outcome::Repeated { .. } => {
+            (proto::Verdict::Accepted, String::new())
+        }
+        fold::Outcome::Conflict { with } => {
+            (proto::Verdict::Conflict, format!("change {} came first", with.change))
+        }
+        fold::Outcome::Invalid { reason } => (proto::Verdict::Invalid, reason.clone()),
+        fold::Outcome::Skipped { .. } => (proto::Verdict::Unspecified, String::new()),
+    };
+    proto::HistoryEntry {
+        revision: entry.offset + 1,
+        change: entry.change.clone(),
+        operator: entry.operator.clone(),
+        action: entry.action.clone(),
+        target: entry.target.clone(),
+        verdict: verdict.into(),
+        reason,
+    }
+}
+
+/// Groups of the failure domain as their members report them.
+fn groups(state: &state::State, service: &str) -> Vec<proto::Group> {
+    let observations = state.observations();
+    let replicas = state.replicas.load();
+    let heads = observations.values().filter_map(|it| it.report.membership.as_ref());
+    let mut groups: HashMap<(&str, id::Generation), &host::Membership> = HashMap::new();
+    for membership in heads.filter(|it| service.is_empty() || it.service == service) {
+        groups.insert((&membership.group, membership.generation), membership);
+    }
+    let phase = |member: &id::Host, group: &host::Membership| {
+        let found = observations.get(member).and_then(|it| it.report.membership.as_ref());
+        let same = found.filter(|it| it.group == group.group && it.generation == group.generation);
+        convert::from_phase(same.map(|it| it.phase))
+    };
+    let group = |it: &host::Membership| proto::Group {
+        group: it.group.clone(),
+        generation: it.generation,
+        service: it.service.clone(),
+        model: it.model.clone(),
+        version: it.version.clone(),
+        domain: state.settings.domain.clone(),
+        members: it
+            .members
+            .iter()
+            .map(|member| proto::Member { host: member.clone(), phase: phase(member, it).into() })
+            .collect(),
+        routable: is_routable(&replicas.routable, it),
+    };
+    let mut groups: Vec<proto::Group> = groups.into_values().map(group).collect();
+    groups.sort_by(|a, b| (&a.group, a.generation).cmp(&(&b.group, b.generation)));
+    groups
+}
+
+fn is_routable(replicas: &[replica::Replica], group: &host::Membership) -> bool {
+    replicas.iter().any(|it| it.group == group.group && it.generation == group.generation)
+}
+
+/// All listed nodes.
+fn nodes(state: &state::State) -> Vec<proto::Node> {
+    let now = state.now();
+    let hosts = state.hosts.load();
+    let peers = state.peers.known();
+    let listed = hosts.hosts.iter().filter(|it| it.role == host::Role::Node);
+    let node = |it: &host::Entry| {
+        let own = it.host == state.settings.node;
+        let peer = peers.get(&it.host);
+        let word = peer.and_then(|it| it.word.as_ref());
+        proto::Node {
+            node: it.host.clone(),
+            domain: it.domain.clone(),
+            address: it.address.clone(),
+            leaving: it.state == host::State::Leaving,
+            reachable: own || peer.is_some_and(|it| it.is_live(now)),
+            revision: if own { *state.revision.borrow() } else { word.map_or(0, |it| it.revision) },
+        }
+    };
+    listed.map(node).collect()
+}
+
+/// The users' measures, as this node knows them.
+fn measures(state: &state::State) -> BTreeMap<String, f64> {
+    let measures = state.measures();
+    BTreeMap::from([
+        ("group_down_seconds".to_owned(), measures.down.as_secs_f64()),
+        ("accelerators_stranded_seconds".to_owned(), measures.stranded.as_secs_f64()),
+        ("requests_waiting".to_owned(), f64::from(state.desk.waiting())),
+    ])
+}
--- /dev/null
+++ b/cuminward-node/src/request.rs
@@ -0,0 +1,8 @@
+//! Requests: from a caller's wish to an upstream's whole answer.
+
+pub mod backend;
+pub mod call;
+pub mod dispatch;
+pub mod generate;
+pub mod lease;
+pub mod search;
--- /dev/null
+++ b/cuminward-node/src/request/backend.rs
@@ -0,0 +1,86 @@
+//! The node as the backend of the routes towards callers.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use cuminward_caller::backend::{self, Answer, Call, Generation};
+use cuminward_core::{
+    id,
+    outcome::{Cause, Refusal},
+};
+use cuminward_event::kind::Kind;
+
+use crate::{
+    request::{call, generate, lease},
+    state,
+};
+
+/// The node behind the routes.
+#[derive(Clone)]
+pub struct Backend {
+    state: Arc<state::State>,
+}
+
+/// Life cycle
+impl Backend {
+    /// Serves requests with the state of a node.
+    pub fn new(state: Arc<state::State>) -> Backend {
+        Backend { state }
+    }
+}
+
+impl backend::Backend for Backend {
+    type Tokens = generate::Tokens;
+
+    fn authenticate(&self, key: &str) -> Option<id::Team> {
+        self.state.view.load().team(key).cloned()
+    }
+
+    fn models(&self, team: &str) -> Vec<id::Model> {
+        let view = self.state.view.load();
+        let models = view.catalog.models.values().filter(|it| it.teams.contains(team));
+        models.map(|it| it.model.clone()).collect()
+    }
+
+    async fn generate(&self, request: Generation) -> Result<generate::Tokens, Refusal> {
+        let place = self.admit(&request.context, &request.model)?;
+        generate::start(Arc::clone(&self.state), request, place).await
+    }
+
+    async fn call(&self, call: Call) -> Result<Answer, Refusal> {
+        let catalog = Arc::clone(&self.state.view.load().catalog);
+        let service = call::declared(&catalog, &call.service, &call.context.team)?;
+        let place = self.admit(&call.context, &call.service)?;
+        call::run(Arc::clone(&self.state), service, call, place).await
+    }
+
+    fn ready(&self) -> Result<(), String> {
+        self.state.ready()
+    }
+
+    fn metrics(&self) -> String {
+        crate::metrics::render(&self.state)
+    }
+}
+
+impl Backend {
+    /// Takes a request on, if its team hasn't too much in flight.
+    fn admit(&self, context: &backend::Context, service: &str) -> Result<lease::Place, Refusal> {
+        if self.state.draining.load(Ordering::Acquire) {
+            return Err(Refusal::not_run(Cause::ShuttingDown, "the node is shutting down"));
+        }
+        let view = self.state.view.load();
+        let declared = view.catalog.teams.get(&context.team);
+        let counter = view.teams.get(&context.team);
+        let (Some(declared), Some(counter)) = (declared, counter) else {
+            return Err(Refusal::not_run(Cause::Forbidden, "the team is not declared"));
+        };
+        let place = lease::Place::take(counter, declared.in_flight).ok_or_else(|| {
+            let message = "the team has too many requests in flight at this node";
+            Refusal::not_run(Cause::TeamLimit, message).retry_after(1)
+        })?;
+        self.state.budget.deposit();
+        let (team, service) = (context.team.clone(), service.to_owned());
+        self.state.events.emit_for(&context.request, Kind::RequestAdmitted { team, service });
+        Ok(place)
+    }
+}
--- /dev/null
+++ b/cuminward-node/src/request/call.rs
@@ -0,0 +1,237 @@
+//! Runs a call of a plain service: attempts, whole answers, at most once where it can't be repeated.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cuminward_caller::backend;
+use cuminward_core::{
+    catalog,
+    outcome::{Cause, Outcome, Refusal},
+};
+use cuminward_event::kind::Kind;
+use cuminward_route::attempt;
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+
+use crate::{
+    request::{dispatch, lease, search},
+    state, view,
+};
+
+/// Largest answer that is passed on, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// One call on its way.
+struct Job {
+    state: Arc<state::State>,
+    call: backend::Call,
+    work: attempt::Work,
+    timeout: Duration,
+    begun: Duration,
+    deadline: Duration,
+    attempts: u32,
+    may_have_run: bool,
+    _place: lease::Place,
+}
+
+/// A failed attempt.
+struct Failure {
+    report: attempt::Report,
+    reason: String,
+}
+
+/// Runs a call until it is answered or refused.
+///
+/// # Errors
+///
+/// The refusal, which says truthfully whether the call ran.
+pub async fn run(
+    state: Arc<state::State>,
+    service: &catalog::Plain,
+    call: backend::Call,
+    place: lease::Place,
+) -> Result<backend::Answer, Refusal> {
+    let begun = state.now();
+    let limit = state.settings.limits.queue_timeout;
+    let mut job = Job {
+        work: work(&call.method),
+        timeout: service.timeout,
+        begun,
+        deadline: begun + call.context.deadline.unwrap_or(limit),
+        attempts: 0,
+        may_have_run: false,
+        _place: place,
+        state,
+        call,
+    };
+    let answer = job.try_all().await;
+    job.report(&answer);
+    answer
+}
+
+/// Safe methods may be repeated; all others run at most once.
+fn work(method: &Method) -> attempt::Work {
+    if method.is_safe() { attempt::Work::Idempotent } else { attempt::Work::Once }
+}
+
+/// Mutation
+impl Job {
+    async fn try_all(&mut self) -> Result<backend::Answer, Refusal> {
+        let mut avoid = Vec::new();
+        loop {
+            let wish = self.wish(avoid);
+            let granted = dispatch::acquire(&self.state, wish).await;
+            let granted = granted.map_err(|it| self.truthful(it))?;
+            let search::Upstream::Plain(host) = granted.upstream else {
+                unreachable!("a plain service is served by plain hosts");
+            };
+            let failure = match self.attempt(&host).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            avoid = vec![host.host];
+            self.decide(failure)?;
+        }
+    }
+
+    async fn attempt(&mut self, host: &view::Plain) -> Result<backend::Answer, Failure> {
+        self.attempts += 1;
+        self.emit(Kind::RequestRouted {
+            upstream: host.host.clone(),
+            domain: self.state.settings.domain.clone(),
+            attempt: u64::from(self.attempts),
+        });
+        let failure = match self.send(host).await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        self.may_have_run |= failure.report != attempt::Report::NotRun;
+        Err(failure)
+    }
+
+    async fn send(&self, host: &view::Plain) -> Result<backend::Answer, Failure> {
+        let called = self.state.plains.call(&host.address, self.request(), self.timeout).await;
+        let response = called.map_err(|failure| {
+            let report = match failure.error.outcome() {
+                Outcome::NotRun => attempt::Report::NotRun,
+                _ => attempt::Report::Unknown,
+            };
+            Failure { report, reason: failure.error.to_string() }
+        })?;
+        let (parts, body) = response.into_parts();
+        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let body = match tokio::time::timeout(self.timeout, collected).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => return Err(unknown(format!("the answer was cut off: {error}"))),
+            Err(_) => return Err(unknown("the answer took too long".to_owned())),
+        };
+        if self.is_empty_look_up(parts.status, &body) {
+            return Err(unknown("the answer to a look-up was empty".to_owned()));
+        }
+        Ok(backend::Answer { status: parts.status, headers: parts.headers, body })
+    }
+
+    /// Decides whether to go on after a failure.
+    fn decide(&self, failure: Failure) -> Result<(), Refusal> {
+        let state = attempt::State {
+            work: self.work,
+            attempts: self.attempts,
+            max_attempts: attempt::DEFAULT_MAX_ATTEMPTS,
+            deadline: self.deadline,
+            may_have_run: self.may_have_run,
+        };
+        let now = self.state.now();
+        match attempt::decide(&state, failure.report, &self.state.budget, now) {
+            attempt::Next::Refuse(mut refusal) => {
+                refusal.message = format!("{}: {}", refusal.message, failure.reason);
+                Err(refusal)
+            }
+            _ => {
+                let attempt = u64::from(self.attempts);
+                self.emit(Kind::RequestRetried { attempt, reason: failure.reason });
+                Ok(())
+            }
+        }
+    }
+}
+
+/// Access
+impl Job {
+    fn wish(&self, avoid: Vec<String>) -> search::Wish {
+        search::Wish {
+            team: self.call.context.team.clone(),
+            priority: self.call.context.priority,
+            deadline: self.deadline,
+            target: search::Target::Plain(self.call.service.clone()),
+            avoid,
+        }
+    }
+
+    fn request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.call.body.clone()));
+        *request.method_mut() = self.call.method.clone();
+        *request.uri_mut() = self.call.path.parse().unwrap_or_default();
+        *request.headers_mut() = self.call.headers.clone();
+        if let Ok(id) = HeaderValue::from_str(&self.call.context.request) {
+            request.headers_mut().insert(cuminward_caller::header::REQUEST, id);
+        }
+        request
+    }
+
+    /// A successful look-up has content, or says by its status that there is none.
+    fn is_empty_look_up(&self, status: StatusCode, body: &Bytes) -> bool {
+        self.call.method == Method::GET && status == StatusCode::OK && body.is_empty()
+    }
+
+    /// A refusal of a slot says "not run"; that is wrong after an attempt that may have run.
+    fn truthful(&self, mut refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            refusal.outcome = Outcome::Unknown;
+        }
+        refusal
+    }
+
+    fn report(&self, answer: &Result<backend::Answer, Refusal>) {
+        match answer {
+            Ok(_) => {
+                let after_ms = self.state.now().saturating_sub(self.begun).as_millis() as u64;
+                self.emit(Kind::RequestCompleted { tokens: 0, after_ms });
+            }
+            Err(refusal) => {
+                let (cause, message) = (refusal.cause.as_str().to_owned(), refusal.message.clone());
+                match refusal.outcome {
+                    Outcome::NotRun => self.emit(Kind::RequestRefused { cause, message }),
+                    _ => self.emit(Kind::RequestUnknown { cause, message }),
+                }
+            }
+        }
+    }
+
+    fn emit(&self, kind: Kind) {
+        self.state.events.emit_for(&self.call.context.request, kind);
+    }
+}
+
+fn unknown(reason: String) -> Failure {
+    Failure { report: attempt::Report::Unknown, reason }
+}
+
+/// Refuses a call of a service that isn't declared, or that the team may not use.
+///
+/// # Errors
+///
+/// A refusal that says "not run".
+pub fn declared<'a>(
+    catalog: &'a catalog::Catalog,
+    service: &str,
+    team: &str,
+) -> Result<&'a catalog::Plain, Refusal> {
+    let declared = catalog.plains.get(service).ok_or_else(|| {
+        Refusal::not_run(Cause::NotFound, format!("the service `{service}` is not declared"))
+    })?;
+    if !declared.teams.contains(team) {
+        let message = format!("the team may not use `{service}`");
+        return Err(Refusal::not_run(Cause::Forbidden, message));
+    }
+    Ok(declared)
+}
--- /dev/null
+++ b/cuminward-node/src/request/generate.rs
@@ -0,0 +1,324 @@
+//! Runs a generation: attempts, resumption at a token, and the stream to the caller.
+
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use cuminward_caller::backend;
+use cuminward_core::{
+    outcome::{Cause, Outcome, Refusal},
+    replica,
+};
+use cuminward_event::kind::Kind;
+use cuminward_route::{attempt, prefix};
+use cuminward_upstream::{error, generate};
+use futures::{Stream, StreamExt};
+use tokio::sync::mpsc;
+
+use crate::{
+    request::{dispatch, lease, search},
+    state,
+};
+
+/// Tokens that may wait for a slow caller before the engine is held back.
+const BUFFER: usize = 32;
+
+/// Longest time until the head of an engine's answer.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest time that a whole generation may take.
+const LONGEST: Duration = Duration::from_secs(600);
+
+/// Tokens of one generation.
+#[derive(Debug)]
+pub struct Tokens {
+    first: Option<backend::Event>,
+    rest: mpsc::Receiver<backend::Event>,
+}
+
+/// One generation on its way.
+struct Job {
+    state: Arc<state::State>,
+    request: backend::Generation,
+    wish: search::Wish,
+    fingerprint: String,
+    begun: Duration,
+    sink: mpsc::Sender<backend::Event>,
+    attempts: u32,
+    next: u64,
+    may_have_run: bool,
+    _place: lease::Place,
+}
+
+/// How an attempt ended.
+enum End {
+    Complete,
+    CallerLeft,
+    Failed(Failure),
+}
+
+/// A failed attempt.
+struct Failure {
+    report: attempt::Report,
+    reason: String,
+}
+
+impl Stream for Tokens {
+    type Item = backend::Event;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<backend::Event>> {
+        match self.first.take() {
+            Some(event) => Poll::Ready(Some(event)),
+            None => self.rest.poll_recv(cx),
+        }
+    }
+}
+
+/// Starts a generation and waits for its first event.
+///
+/// # Errors
+///
+/// The refusal of a generation that failed before its first token.
+pub async fn start(
+    state: Arc<state::State>,
+    request: backend::Generation,
+    place: lease::Place,
+) -> Result<Tokens, Refusal> {
+    let (sink, mut rest) = mpsc::channel(BUFFER);
+    tokio::spawn(Job::new(state, request, sink, place).run());
+    match rest.recv().await {
+        Some(backend::Event::Failed(refusal)) => Err(refusal),
+        Some(first) => Ok(Tokens { first: Some(first), rest }),
+        None => Err(Refusal::unknown(Cause::UpstreamFailed, "the generation ended early")),
+    }
+}
+
+/// Life cycle
+impl Job {
+    fn new(
+        state: Arc<state::State>,
+        request: backend::Generation,
+        sink: mpsc::Sender<backend::Event>,
+        place: lease::Place,
+    ) -> Job {
+        let begun = state.now();
+        let mut prefixes = Vec::new();
+        prefix::ids(request.prompt.as_bytes(), &mut prefixes);
+        let limit = state.settings.limits.queue_timeout;
+        let wish = search::Wish {
+            team: request.context.team.clone(),
+            priority: request.context.priority,
+            deadline: begun + request.context.deadline.unwrap_or(limit),
+            target: search::Target::Model(search::Model {
+                model: request.model.clone(),
+                version: request.version.clone(),
+                prefixes: Arc::new(prefixes),
+            }),
+            avoid: Vec::new(),
+        };
+        Job {
+            fingerprint: fingerprint(&request),
+            wish,
+            begun,
+            sink,
+            attempts: 0,
+            next: 0,
+            may_have_run: false,
+            _place: place,
+            state,
+            request,
+        }
+    }
+}
+
+/// Mutation
+impl Job {
+    /// Tries until the generation is complete, refused or no longer wanted.
+    async fn run(mut self) {
+        let sink = self.sink.clone();
+        tokio::select! {
+            () = self.try_all() => {}
+            () = sink.closed() => self.emit(Kind::RequestCancelled { tokens: self.next }),
+        }
+    }
+
+    async fn try_all(&mut self) {
+        loop {
+            let granted = match dispatch::acquire(&self.state, self.wish.clone()).await {
+                Ok(granted) => granted,
+                Err(refusal) => return self.refuse(self.truthful(refusal)).await,
+            };
+            let search::Upstream::Replica(replica) = granted.upstream else {
+                unreachable!("a model is served by replicas");
+            };
+            let end = self.attempt(&replica).await;
+            drop(granted.lease);
+            let failure = match end {
+                End::Complete | End::CallerLeft => return,
+                End::Failed(failure) => failure,
+            };
+            self.wish.avoid = vec![replica.group.clone()];
+            if let Some(refusal) = self.decide(&failure) {
+                return self.refuse(refusal).await;
+            }
+        }
+    }
+
+    /// Sends the request to a replica and passes its tokens on.
+    async fn attempt(&mut self, replica: &replica::Replica) -> End {
+        self.attempts += 1;
+        self.emit(Kind::RequestRouted {
+            upstream: replica.group.clone(),
+            domain: self.state.settings.domain.clone(),
+            attempt: u64::from(self.attempts),
+        });
+        let body = self.body(replica);
+        let started = self.state.engines.generate(&replica.address, &body, HEAD_TIMEOUT).await;
+        match started {
+            Ok(chunks) => self.pass(chunks).await,
+            Err(error) => End::Failed(self.failure(&error)),
+        }
+    }
+
+    async fn pass(&mut self, mut chunks: generate::Chunks) -> End {
+        self.may_have_run = true;
+        while let Some(chunk) = chunks.next().await {
+            let event = match chunk {
+                Ok(generate::Chunk::Token(token)) => {
+                    self.note_token(token.index);
+                    backend::Event::Token(token.text)
+                }
+                Ok(generate::Chunk::Finish(finish)) => {
+                    self.emit(Kind::RequestCompleted {
+                        tokens: self.next,
+                        after_ms: self.age_ms(),
+                    });
+                    let event = backend::Event::Finish(self.finish(&finish));
+                    let _ = self.sink.send(event).await;
+                    return End::Complete;
+                }
+                Err(error) => return End::Failed(self.failure(&error)),
+            };
+            if self.sink.send(event).await.is_err() {
+                return End::CallerLeft;
+            }
+        }
+        let reason = "the stream ended without a finish".to_owned();
+        End::Failed(Failure { report: self.broken(), reason })
+    }
+
+    fn note_token(&mut self, index: u64) {
+        if self.next == 0 {
+            self.emit(Kind::RequestFirstToken { after_ms: self.age_ms() });
+        }
+        self.next = index + 1;
+    }
+
+    /// Decides whether to go on after a failure; gives the refusal if not.
+    fn decide(&mut self, failure: &Failure) -> Option<Refusal> {
+        let now = self.state.now();
+        let state = attempt::State {
+            work: attempt::Work::Generation,
+            attempts: self.attempts,
+            max_attempts: attempt::DEFAULT_MAX_ATTEMPTS,
+            deadline: self.begun + LONGEST,
+            may_have_run: self.may_have_run,
+        };
+        let reason = failure.reason.clone();
+        match attempt::decide(&state, failure.report, &self.state.budget, now) {
+            attempt::Next::Repeat => {
+                let attempt = u64::from(self.attempts);
+                self.emit(Kind::RequestRetried { attempt, reason });
+                None
+            }
+            attempt::Next::Resume { at } => {
+                let upstream = self.wish.avoid.concat();
+                self.emit(Kind::RequestResumed { upstream, token: u64::from(at), reason });
+                self.wish.deadline = now + self.state.settings.limits.queue_timeout;
+                None
+            }
+            attempt::Next::Refuse(refusal) => Some(refusal),
+            attempt::Next::Finish(_) => None,
+        }
+    }
+
+    async fn refuse(&self, refusal: Refusal) {
+        let (cause, message) = (refusal.cause.as_str().to_owned(), refusal.message.clone());
+        match refusal.outcome {
+            Outcome::NotRun => self.emit(Kind::RequestRefused { cause, message }),
+            _ => self.emit(Kind::RequestUnknown { cause, message }),
+        }
+        let _ = self.sink.send(backend::Event::Failed(refusal)).await;
+    }
+}
+
+/// Access
+impl Job {
+    fn body(&self, replica: &replica::Replica) -> generate::Request {
+        generate::Request {
+            request: self.request.context.request.clone(),
+            group: replica.group.clone(),
+            generation: replica.generation,
+            version: replica.version.clone(),
+            prompt: self.request.prompt.clone(),
+            max_tokens: u64::from(self.request.max_tokens),
+            priority: i64::from(self.request.context.priority),
+            resume_at: self.next,
+            fingerprint: self.fingerprint.clone(),
+        }
+    }
+
+    fn failure(&self, error: &error::Error) -> Failure {
+        let report = match error.outcome() {
+            Outcome::NotRun if self.next == 0 => attempt::Report::NotRun,
+            _ => self.broken(),
+        };
+        Failure { report, reason: error.to_string() }
+    }
+
+    fn broken(&self) -> attempt::Report {
+        attempt::Report::Broken(u32::try_from(self.next).unwrap_or(u32::MAX))
+    }
+
+    /// A refusal of a slot says "not run"; that is wrong after an attempt that may have run.
+    fn truthful(&self, mut refusal: Refusal) -> Refusal {
+        if self.may_have_run {
+            refusal.outcome = Outcome::Unknown;
+        }
+        refusal
+    }
+
+    fn finish(&self, finish: &generate::Finish) -> backend::Finish {
+        let count = |it: u64| u32::try_from(it).unwrap_or(u32::MAX);
+        let reason = match finish.reason {
+            generate::Reason::Stop => "stop",
+            generate::Reason::Length => "length",
+        };
+        backend::Finish {
+            reason: reason.to_owned(),
+            prompt_tokens: count(finish.prompt_tokens),
+            cached_tokens: count(finish.cached_tokens),
+            tokens: count(self.next),
+        }
+    }
+
+    fn emit(&self, kind: Kind) {
+        self.state.events.emit_for(&self.request.context.request, kind);
+    }
+
+    fn age_ms(&self) -> u64 {
+        self.state.now().saturating_sub(self.begun).as_millis() as u64
+    }
+}
+
+/// Identifies requests with the same content, for the search of those that crash engines.
+fn fingerprint(request: &backend::Generation) -> String {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(request.model.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(request.prompt.as_bytes());
+    hasher.finalize().to_hex()[..32].to_owned()
+}
--- /dev/null
+++ b/cuminward-node/src/request/lease.rs
@@ -0,0 +1,58 @@
+//! What a request holds while it runs.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
+
+use cuminward_route::{admission, load};
+
+use crate::state;
+
+/// A slot of an upstream; dropping it lets a waiting request have it.
+pub struct Lease {
+    state: Arc<state::State>,
+    slot: Option<admission::Slot>,
+    _load: Option<load::Guard>,
+}
+
+/// A request that its team's limit counts.
+#[derive(Debug)]
+pub struct Place {
+    in_flight: Arc<AtomicU32>,
+}
+
+/// Life cycle
+impl Lease {
+    /// Holds a slot and counts as load.
+    pub fn new(
+        state: &Arc<state::State>,
+        slot: admission::Slot,
+        load: Option<load::Guard>,
+    ) -> Lease {
+        Lease { state: Arc::clone(state), slot: Some(slot), _load: load }
+    }
+}
+
+/// Life cycle
+impl Place {
+    /// Counts a request, unless its team has `limit` in flight.
+    pub fn take(in_flight: &Arc<AtomicU32>, limit: u32) -> Option<Place> {
+        let add = |it: u32| (it < limit).then_some(it + 1);
+        in_flight.fetch_update(Ordering::AcqRel, Ordering::Acquire, add).ok()?;
+        Some(Place { in_flight: Arc::clone(in_flight) })
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        drop(self.slot.take());
+        self.state.freed.notify_one();
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/cuminward-node/src/request/search.rs
@@ -0,0 +1,160 @@
+//! Looks for an upstream with a free slot.
+
+use std::{sync::Arc, time::Duration};
+
+use cuminward_core::{
+    id,
+    outcome::{Cause, Refusal},
+    replica,
+};
+use cuminward_route::{
+    prefix,
+    route::{self, Candidate},
+};
+
+use crate::{request::lease, state, view};
+
+/// What a request wants.
+#[derive(Debug, Clone)]
+pub struct Wish {
+    /// Team of the caller.
+    pub team: id::Team,
+    /// Larger priorities of the team go first.
+    pub priority: i32,
+    /// When the request has to have begun, since the start of the process.
+    pub deadline: Duration,
+    /// Kind of upstream.
+    pub target: Target,
+    /// Groups or hosts that failed the request before.
+    pub avoid: Vec<String>,
+}
+
+/// Kind of upstream that a request wants.
+#[derive(Debug, Clone)]
+pub enum Target {
+    /// A replica of a model.
+    Model(Model),
+    /// A host of a plain service.
+    Plain(id::Service),
+}
+
+/// Which replica a request wants.
+#[derive(Debug, Clone)]
+pub struct Model {
+    /// The model.
+    pub model: id::Model,
+    /// The version; `None` takes the preferred one.
+    pub version: Option<id::Version>,
+    /// Ids of the prompt's blocks.
+    pub prefixes: Arc<Vec<prefix::Id>>,
+}
+
+/// An upstream with a slot for the request.
+pub struct Granted {
+    /// The upstream.
+    pub upstream: Upstream,
+    /// The slot; to be kept until the request has ended.
+    pub lease: lease::Lease,
+}
+
+/// An upstream that a request is sent to.
+#[derive(Debug, Clone)]
+pub enum Upstream {
+    /// A replica of a model.
+    Replica(replica::Replica),
+    /// A host of a plain service.
+    Plain(view::Plain),
+}
+
+/// Whether a slot is to be had.
+pub enum Outcome {
+    /// An upstream with a slot.
+    Granted(Granted),
+    /// Nothing is free now.
+    Busy,
+    /// The wish can't be fulfilled, however long the request waits.
+    Refused(Refusal),
+}
+
+/// Access
+impl Target {
+    /// Name of the model or service.
+    pub fn name(&self) -> &str {
+        match self {
+            Target::Model(it) => &it.model,
+            Target::Plain(it) => it,
+        }
+    }
+}
+
+/// Looks for an upstream that fits a wish and has a free slot.
+pub fn run(state: &Arc<state::State>, wish: &Wish) -> Outcome {
+    let view = state.view.load();
+    match &wish.target {
+        Target::Model(model) => replica(state, &view, wish, model),
+        Target::Plain(service) => host(state, &view, service, &wish.avoid),
+    }
+}
+
+fn replica(state: &Arc<state::State>, view: &view::View, wish: &Wish, model: &Model) -> Outcome {
+    let mut avoid = wish.avoid.clone();
+    loop {
+        let query = route::Query {
+            model: &model.model,
+            version: model.version.as_deref(),
+            team: &wish.team,
+            prefixes: &model.prefixes,
+            avoid: &avoid,
+        };
+        let choice = route::choose(&view.table, &query, &route::policy::Live, rand::random());
+        let candidate = match choice {
+            route::Choice::Replica(candidate) => candidate,
+            route::Choice::NotFound => return Outcome::Refused(not_found(&model.model)),
+            route::Choice::Forbidden => return Outcome::Refused(forbidden(&model.model)),
+            route::Choice::Unavailable => return Outcome::Busy,
+        };
+        if let Some(granted) = grant(state, view, candidate, &model.prefixes) {
+            return Outcome::Granted(granted);
+        }
+        avoid.push(candidate.replica.group.clone());
+    }
+}
+
+fn grant(
+    state: &Arc<state::State>,
+    view: &view::View,
+    candidate: &Candidate,
+    prefixes: &[prefix::Id],
+) -> Option<Granted> {
+    let slot = view.slots.get(&candidate.replica.group)?.acquire(state.now())?;
+    candidate.gauge.prefixes().insert_all(prefixes);
+    let lease = lease::Lease::new(state, slot, Some(candidate.gauge.enter()));
+    Some(Granted { upstream: Upstream::Replica(candidate.replica.clone()), lease })
+}
+
+/// Looks among the hosts of a plain service, the least used one first.
+fn host(
+    state: &Arc<state::State>,
+    view: &view::View,
+    service: &str,
+    avoid: &[id::Host],
+) -> Outcome {
+    let hosts = view.plains.get(service).map_or(&[][..], Vec::as_slice);
+    let mut usable: Vec<&view::Plain> =
+        hosts.iter().filter(|it| !avoid.contains(&it.host)).collect();
+    usable.sort_by_key(|it| it.slots.in_use());
+    let granted = usable.into_iter().find_map(|it| {
+        let slot = it.slots.acquire(state.now())?;
+        let lease = lease::Lease::new(state, slot, None);
+        Some(Granted { upstream: Upstream::Plain(it.clone()), lease })
+    });
+    granted.map_or(Outcome::Busy, Outcome::Granted)
+}
+
+fn not_found(model: &str) -> Refusal {
+    Refusal::not_run(Cause::NotFound, format!("the model `{model}` is not declared"))
+}
+
+fn forbidden(model: &str) -> Refusal {
+    Refusal::not_run(Cause::Forbidden, format!("the team may not use `{model}`"))
+}
--- /dev/null
+++ b/cuminward-node/src/state.rs
@@ -0,0 +1,191 @@
+//! What the tasks of a node share.
+//!
+//! Everything that a request reads is a snapshot that is replaced as a whole; requests never wait for
+//! control work.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use cuminward_core::{catalog, hlc, host, id, replica};
+use cuminward_event::sink;
+use cuminward_group::assembly;
+use cuminward_platform::hosts;
+use cuminward_route::{admission, attempt};
+use cuminward_upstream::{engine, plain, pool};
+use http_body_util::Full;
+
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::{control::configure, measure, node, peers, request::dispatch, settings, view};
+
+/// Events that a node keeps in memory.
+const EVENT_CAPACITY: usize = 16_384;
+
+/// Repeats that are allowed for each thousand requests.
+const RETRY_PERMILLE: u32 = 200;
+
+/// Repeats that are allowed beyond that, such as after the loss of a replica.
+const RETRY_RESERVE: u32 = 200;
+
+/// What the tasks of a node share.
+pub struct State {
+    /// Settings of the node.
+    pub settings: settings::Settings,
+    /// Tells this start of the node from others: milliseconds since the Unix epoch.
+    pub incarnation: id::Incarnation,
+    /// Where events go.
+    pub events: sink::Sink,
+    /// Configuration in force.
+    pub catalog: ArcSwap<catalog::Catalog>,
+    /// What requests read.
+    pub view: ArcSwap<view::View>,
+    /// The platform's host list, as it was last read.
+    pub hosts: ArcSwap<hosts::List>,
+    /// Replicas that were whole at the last look.
+    pub replicas: ArcSwap<assembly::Outcome>,
+    /// Other nodes, as they were last heard of.
+    pub peers: peers::Peers,
+    /// Revision of the configuration in force; 0 before there is one.
+    pub revision: watch::Sender<id::Revision>,
+    /// The configuration as this node has folded it.
+    pub config: configure::Config,
+    /// Whether the configuration was ever read.
+    pub configured: AtomicBool,
+    /// Whether the platform's log is away.
+    pub log_away: AtomicBool,
+    /// Where requests ask for slots.
+    pub desk: dispatch::Desk,
+    /// Addresses that the node listens at.
+    pub addresses: node::Addresses,
+    /// Whether the host list was ever read.
+    pub listed: AtomicBool,
+    /// Whether the node takes no new requests.
+    pub draining: AtomicBool,
+    /// Notified when a request may find a free slot.
+    pub freed: Notify,
+    /// Client of the engines.
+    pub engines: engine::Client,
+    /// Client of the plain services.
+    pub plains: plain::Client<Full<Bytes>>,
+    /// Bounds repeats to a part of the requests.
+    pub budget: attempt::Budget,
+    /// Cancelled when the tasks have to end.
+    pub stop: CancellationToken,
+    /// Makes snapshots of what requests read.
+    pub maker: view::Maker,
+    admission: Mutex<admission::Node>,
+    measures: Mutex<measure::Measures>,
+    observations: Mutex<BTreeMap<id::Host, host::Observation>>,
+    started: Instant,
+}
+
+/// Life cycle
+impl State {
+    /// Makes the state of a node that knows nothing yet.
+    pub fn new(settings: settings::Settings, addresses: node::Addresses) -> State {
+        let clock = Arc::new(hlc::Clock::default());
+        let epoch = wall().as_secs() as u32;
+        State {
+            incarnation: wall().as_millis() as u64,
+            admission: Mutex::new(admission::Node::new(settings.node.clone(), epoch)),
+            maker: view::Maker::default(),
+            catalog: ArcSwap::default(),
+            events: sink::Sink::new(settings.node.clone(), clock, EVENT_CAPACITY),
+            view: ArcSwap::default(),
+            hosts: ArcSwap::default(),
+            replicas: ArcSwap::default(),
+            peers: peers::Peers::default(),
+            revision: watch::Sender::new(0),
+            config: configure::Config::default(),
+            configured: AtomicBool::new(false),
+            log_away: AtomicBool::new(false),
+            desk: dispatch::Desk::default(),
+            measures: Mutex::default(),
+            addresses,
+            listed: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            freed: Notify::new(),
+            engines: engine::Client::new(engine_options(&settings)),
+            plains: plain::Client::new(pool::Options::default()),
+            budget: attempt::Budget::new(RETRY_PERMILLE, RETRY_RESERVE),
+            stop: CancellationToken::new(),
+            observations: Mutex::default(),
+            started: Instant::now(),
+            settings,
+        }
+    }
+}
+
+/// Access
+impl State {
+    /// Time since the start of the process.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Newest observation of each host of the failure domain.
+    pub fn observations(&self) -> MutexGuard<'_, BTreeMap<id::Host, host::Observation>> {
+        self.observations.lock().expect("no code panics while it has the lock")
+    }
+
+    /// This node's part of the admission.
+    pub fn admission(&self) -> MutexGuard<'_, admission::Node> {
+        self.admission.lock().expect("no code panics while it has the lock")
+    }
+
+    /// Requests of all teams that are in flight.
+    pub fn in_flight(&self) -> u64 {
+        let view = self.view.load();
+        view.teams.values().map(|it| u64::from(it.load(Ordering::Acquire))).sum()
+    }
+
+    /// The users' measures of the failure domain's groups.
+    pub fn measures(&self) -> measure::Measures {
+        *self.measures.lock().expect("no code panics while it has the lock")
+    }
+
+    /// Adds the time since the last call to the measures.
+    pub fn measure(
+        &self,
+        catalog: &catalog::Catalog,
+        hosts: &[host::Entry],
+        replicas: &[replica::Replica],
+    ) {
+        let mut measures = self.measures.lock().expect("no code panics while it has the lock");
+        measures.add(self.now(), &self.settings.domain, catalog, hosts, replicas);
+    }
+
+    /// Tells whether the node takes requests; the error names what is missing.
+    pub fn ready(&self) -> Result<(), String> {
+        if self.draining.load(Ordering::Acquire) {
+            return Err("the node is shutting down".to_owned());
+        }
+        if !self.configured.load(Ordering::Acquire) {
+            return Err("there is no configuration yet".to_owned());
+        }
+        if !self.listed.load(Ordering::Acquire) {
+            return Err("the host list was not read yet".to_owned());
+        }
+        Ok(())
+    }
+}
+
+/// Time since the Unix epoch.
+pub fn wall() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
+fn engine_options(settings: &settings::Settings) -> engine::Options {
+    let mut options = engine::Options::default();
+    options.pool.idle = settings.limits.token_timeout;
+    options
+}
--- /dev/null
+++ b/cuminward-node/src/view.rs
@@ -0,0 +1,193 @@
+//! The snapshot that requests read: configuration, keys, replicas and plain hosts.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex, atomic::AtomicU32},
+};
+
+use cuminward_core::{catalog, host, id};
+use cuminward_route::{
+    admission, prefix,
+    route::{self, Registry, Table},
+};
+use subtle::ConstantTimeEq;
+
+use crate::state;
+
+/// What requests read; replaced as a whole.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Configuration in force.
+    pub catalog: Arc<catalog::Catalog>,
+    /// Replicas that may be routed to.
+    pub table: Table,
+    /// Slots of each replica, by group.
+    pub slots: HashMap<id::Group, Arc<admission::Holder>>,
+    /// Hosts of each plain service.
+    pub plains: HashMap<id::Service, Vec<Plain>>,
+    /// Requests in flight of each team.
+    pub teams: HashMap<id::Team, Arc<AtomicU32>>,
+    keys: Vec<Key>,
+}
+
+/// A host of a plain service.
+#[derive(Debug, Clone)]
+pub struct Plain {
+    /// Name of the host.
+    pub host: id::Host,
+    /// IP address and port of the host.
+    pub address: String,
+    /// Slots of the host.
+    pub slots: Arc<admission::Holder>,
+}
+
+/// A team's bearer key.
+#[derive(Debug)]
+struct Key {
+    hash: blake3::Hash,
+    team: id::Team,
+}
+
+/// What is kept from one snapshot to the next.
+#[derive(Debug)]
+pub struct Kept {
+    registry: Registry,
+    teams: HashMap<id::Team, Arc<AtomicU32>>,
+    upstreams: HashSet<admission::Upstream>,
+}
+
+/// Makes snapshots, one at a time.
+pub type Maker = Mutex<Kept>;
+
+/// Life cycle
+impl Default for Kept {
+    fn default() -> Kept {
+        Kept {
+            registry: Registry::new(prefix::Options { entries: PREFIXES }),
+            teams: HashMap::new(),
+            upstreams: HashSet::new(),
+        }
+    }
+}
+
+/// Prefixes that are remembered for each replica.
+const PREFIXES: usize = 4_096;
+
+/// Access
+impl View {
+    /// Finds the team of a bearer key; compares with every key, in constant time.
+    pub fn team(&self, key: &str) -> Option<&id::Team> {
+        let hash = blake3::hash(key.as_bytes());
+        let matches = |it: &Key| bool::from(it.hash.as_bytes().ct_eq(hash.as_bytes()));
+        self.keys.iter().fold(None, |found, it| if matches(it) { Some(&it.team) } else { found })
+    }
+}
+
+/// Replaces the snapshot by one of the present configuration, hosts and replicas.
+pub fn refresh(state: &state::State) {
+    let mut kept = state.maker.lock().expect("no code panics while it has the lock");
+    let catalog = state.catalog.load_full();
+    let replicas = state.replicas.load();
+    let hosts = state.hosts.load();
+    let mut used = HashSet::new();
+    let table = Table::build(
+        &state.settings.domain,
+        &replicas.routable,
+        &catalog,
+        &route::Excluded::default(),
+        &mut kept.registry,
+    );
+    kept.registry.retain(&replicas.routable);
+    let slots = table
+        .candidates()
+        .filter_map(|it| {
+            let declared = catalog.models.get(&it.replica.service)?;
+            let upstream = admission::replica(&it.replica.group, it.replica.generation);
+            let limits = admission::Limits::from(declared);
+            Some((it.replica.group.clone(), holder(state, &mut used, upstream, limits)))
+        })
+        .collect();
+    let plains = catalog
+        .plains
+        .values()
+        .map(|it| (it.name.clone(), plain_hosts(state, &mut used, it, &hosts.hosts, &catalog)))
+        .collect();
+    forget(state, &mut kept.upstreams, used);
+    let teams = teams(&catalog, &mut kept.teams);
+    let keys = keys(&catalog);
+    state.view.store(Arc::new(View { catalog, table, slots, plains, teams, keys }));
+    state.freed.notify_one();
+}
+
+/// Live hosts of a plain service in this failure domain.
+fn plain_hosts(
+    state: &state::State,
+    used: &mut HashSet<admission::Upstream>,
+    service: &catalog::Plain,
+    hosts: &[host::Entry],
+    catalog: &catalog::Catalog,
+) -> Vec<Plain> {
+    let domain = &state.settings.domain;
+    if !catalog.in_service(domain) {
+        return Vec::new();
+    }
+    let usable = |it: &&host::Entry| {
+        it.role == host::Role::Plain
+            && it.service == service.name
+            && it.domain == *domain
+            && it.state == host::State::Live
+            && !catalog.drained.contains(&it.host)
+    };
+    let plain = |it: &host::Entry| Plain {
+        host: it.host.clone(),
+        address: it.address.clone(),
+        slots: holder(state, used, it.host.clone(), admission::Limits::from(service)),
+    };
+    hosts.iter().filter(usable).map(plain).collect()
+}
+
+fn holder(
+    state: &state::State,
+    used: &mut HashSet<admission::Upstream>,
+    upstream: admission::Upstream,
+    limits: admission::Limits,
+) -> Arc<admission::Holder> {
+    let options = admission::Options::new(limits);
+    let holder = state.admission().set_upstream(state.now(), &upstream, options);
+    used.insert(upstream);
+    holder
+}
+
+/// Forgets the upstreams that are no longer used.
+fn forget(
+    state: &state::State,
+    known: &mut HashSet<admission::Upstream>,
+    used: HashSet<admission::Upstream>,
+) {
+    let mut admission = state.admission();
+    for upstream in known.difference(&used) {
+        admission.remove_upstream(upstream);
+    }
+    *known = used;
+}
+
+/// Counters of the declared teams; those of known teams are kept.
+fn teams(
+    catalog: &catalog::Catalog,
+    known: &mut HashMap<id::Team, Arc<AtomicU32>>,
+) -> HashMap<id::Team, Arc<AtomicU32>> {
+    known.retain(|it, _| catalog.teams.contains_key(it));
+    for team in catalog.teams.keys() {
+        known.entry(team.clone()).or_default();
+    }
+    known.clone()
+}
+
+fn keys(catalog: &catalog::Catalog) -> Vec<Key> {
+    let of_team = |team: &catalog::Team| {
+        let hashes = team.keys.iter().filter_map(|it| blake3::Hash::from_hex(it).ok());
+        let team = team.name.clone();
+        hashes.map(move |hash| Key { hash, team: team.clone() }).collect::<Vec<_>>()
+    };
+    catalog.teams.values().flat_map(of_team).collect()
+}
--- a/cuminward-route/src/admission.rs
+++ b/cuminward-route/src/admission.rs
@@ -27,7 +27,7 @@
 
 pub use self::{
     holder::{Holder, Slot},
-    node::Node,
+    node::{Node, Work},
     owner::{Input, Output, Owner},
     ramp::Ramp,
 };
