feat: standin: stand-ins of log, host list, weight store, engines and plain services

Cause: the nodes meet outside systems only by the protocols of docs/PROTOCOLS.md, and nothing spoke their other side.

Change: library modules log, hosts, weights, engine, plain, link, world and load, on loopback sockets, with faults and counters by handle and by HTTP; examples standins and load.

Conclusion: the whole path can be built against a World in one process.

--- /dev/null
+++ b/cuminward-standin/examples/load.rs
@@ -0,0 +1,75 @@
+//! Sends load, prints the figures as JSON and writes them with a plot into `out/`.
+
+use std::{io::Write, net::SocketAddr, path::PathBuf, time::Duration};
+
+use clap::Parser;
+use cuminward_standin::load;
+
+/// Open-loop load on chat interfaces, with every reply checked.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Address of a chat interface; may be given several times.
+    #[arg(long = "target", required = true)]
+    targets: Vec<SocketAddr>,
+    /// Team, as NAME, NAME=KEY or NAME=KEY=WEIGHT; may be given several times.
+    #[arg(long = "team", default_values = ["team"])]
+    teams: Vec<String>,
+    /// Model to ask for.
+    #[arg(long, default_value = "m")]
+    model: String,
+    /// Version whose replies are right; may be given several times.
+    #[arg(long = "version-served", default_values = ["v1"])]
+    versions: Vec<String>,
+    /// Requests a second.
+    #[arg(long, default_value_t = 20.0)]
+    rate: f64,
+    /// Time during which requests start, in seconds.
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// Limit of tokens of each reply.
+    #[arg(long, default_value_t = 64)]
+    max_tokens: u64,
+    /// Seed of arrivals and prompts.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Directory for `load.json` and `load.svg`.
+    #[arg(long, default_value = "out")]
+    out: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    env_logger::init();
+    let arguments = Arguments::parse();
+    let report = load::run(&options(&arguments)).await;
+    let json = serde_json::to_string_pretty(&report)?;
+    std::fs::create_dir_all(&arguments.out)?;
+    std::fs::write(arguments.out.join("load.json"), &json)?;
+    let svg = load::plot::svg(&report).map_err(std::io::Error::other)?;
+    std::fs::write(arguments.out.join("load.svg"), svg)?;
+    writeln!(std::io::stdout(), "{json}")
+}
+
+fn options(arguments: &Arguments) -> load::Options {
+    let target = |it: &SocketAddr| load::Target::Chat { address: *it };
+    load::Options {
+        seed: arguments.seed,
+        rate: arguments.rate,
+        duration: Duration::from_secs(arguments.seconds),
+        targets: arguments.targets.iter().map(target).collect(),
+        teams: arguments.teams.iter().map(|it| team(it)).collect(),
+        model: arguments.model.clone(),
+        versions: arguments.versions.clone(),
+        max_tokens: arguments.max_tokens,
+        ..load::Options::default()
+    }
+}
+
+fn team(text: &str) -> load::Team {
+    let mut parts = text.splitn(3, '=');
+    load::Team {
+        name: parts.next().unwrap_or_default().to_owned(),
+        key: parts.next().unwrap_or_default().to_owned(),
+        weight: parts.next().and_then(|it| it.parse().ok()).unwrap_or(1.0),
+    }
+}
--- /dev/null
+++ b/cuminward-standin/examples/standins.rs
@@ -0,0 +1,119 @@
+//! Runs a world of stand-ins until it is told to stop, and prints its addresses.
+
+use std::{collections::BTreeMap, io::Write, time::Duration};
+
+use clap::Parser;
+use cuminward_core::host;
+use cuminward_standin::{engine, world};
+
+/// Stand-ins of everything that surrounds cuminward, on 127.0.0.1.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Failure domain, as NAME or NAME=REGION; may be given several times.
+    #[arg(long = "domain", default_values = ["a=r1", "b=r1", "c=r1"])]
+    domains: Vec<String>,
+    /// Fabric domains in each failure domain.
+    #[arg(long, default_value_t = 2)]
+    fabrics: u32,
+    /// Engine hosts in each fabric domain.
+    #[arg(long, default_value_t = 6)]
+    hosts_per_fabric: u32,
+    /// Failure domain whose engines ignore fencing numbers; may be given several times.
+    #[arg(long = "unfenced")]
+    unfenced: Vec<String>,
+    /// Plain hosts in each failure domain, as SERVICE=COUNT; may be given several times.
+    #[arg(long = "plain", default_values = ["desk=1"])]
+    plains: Vec<String>,
+    /// Node to list, as NAME=DOMAIN=IP:PORT; may be given several times.
+    #[arg(long = "node")]
+    nodes: Vec<String>,
+    /// Log, host list, weights, engine control and plain control listen at the 5 ports after this
+    /// one, plain hosts from 100 on, engine hosts from 200 on; 0 takes free ports.
+    #[arg(long, default_value_t = 7100)]
+    base_port: u16,
+    /// Factor on the engines' times.
+    #[arg(long, default_value_t = 1.0)]
+    time_scale: f64,
+    /// Time before changes of the host list show, in milliseconds.
+    #[arg(long, default_value_t = 500)]
+    list_lag_ms: u64,
+    /// Ends after so many seconds.
+    #[arg(long)]
+    for_seconds: Option<u64>,
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    env_logger::init();
+    let arguments = Arguments::parse();
+    let world = world::World::start(options(&arguments)).await?;
+    for node in &arguments.nodes {
+        let mut parts = node.splitn(3, '=');
+        let (name, domain, address) = (parts.next(), parts.next(), parts.next());
+        let (Some(name), Some(domain), Some(address)) = (name, domain, address) else {
+            return Err(std::io::Error::other(format!("not NAME=DOMAIN=IP:PORT: {node}")));
+        };
+        world.add_node(world::node_entry(name, domain, address));
+    }
+    print(&world)?;
+    wait(arguments.for_seconds).await?;
+    world.stop().await;
+    Ok(())
+}
+
+fn options(arguments: &Arguments) -> world::Options {
+    world::Options {
+        domains: arguments.domains.iter().map(|it| domain(arguments, it)).collect(),
+        engine: engine::Options::default().scale(arguments.time_scale),
+        list_lag: Duration::from_millis(arguments.list_lag_ms),
+        base_port: Some(arguments.base_port).filter(|it| *it != 0),
+        ..world::Options::default()
+    }
+}
+
+fn domain(arguments: &Arguments, text: &str) -> world::Domain {
+    let (name, region) = text.split_once('=').unwrap_or((text, "r1"));
+    let plains = arguments.plains.iter().map(|it| {
+        let (service, count) = it.split_once('=').unwrap_or((it, "1"));
+        (service.to_owned(), count.parse().unwrap_or(1))
+    });
+    world::Domain {
+        name: name.to_owned(),
+        region: region.to_owned(),
+        fabrics: arguments.fabrics,
+        hosts_per_fabric: arguments.hosts_per_fabric,
+        fencing: !arguments.unfenced.iter().any(|it| it == name),
+        plains: plains.collect::<BTreeMap<_, _>>(),
+    }
+}
+
+fn print(world: &world::World) -> std::io::Result<()> {
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "log            {}", world.log_address())?;
+    writeln!(out, "host list      {}", world.hosts_address())?;
+    writeln!(out, "weights        {}", world.weights_address())?;
+    writeln!(out, "engine control {}", world.fleet().control_address())?;
+    writeln!(out, "plain control  {}", world.plain().control_address())?;
+    let entries: Vec<host::Entry> = world.list().entries();
+    for entry in entries {
+        let host::Entry { host, domain, address, role, .. } = entry;
+        writeln!(out, "{role:?} {host} domain={domain} {address}")?;
+    }
+    out.flush()
+}
+
+async fn wait(seconds: Option<u64>) -> std::io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let over = async {
+        match seconds {
+            Some(it) => tokio::time::sleep(Duration::from_secs(it)).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        it = tokio::signal::ctrl_c() => it,
+        () = over => Ok(()),
+    }
+}
--- /dev/null
+++ b/cuminward-standin/src/engine/counter.rs
@@ -0,0 +1,84 @@
+//! Figures of a fleet.
+
+use std::collections::BTreeMap;
+
+use cuminward_core::id;
+use cuminward_derive::record;
+
+use crate::begun;
+
+/// Figures since the start of the fleet.
+#[record]
+#[derive(Default)]
+pub struct Counters {
+    /// Requests begun, by head.
+    pub begun_by_host: BTreeMap<id::Host, u64>,
+    /// Requests begun, by formation as `group@generation`.
+    pub begun_by_replica: BTreeMap<String, u64>,
+    /// Requests begun, by failure domain.
+    pub begun_by_domain: BTreeMap<id::Domain, u64>,
+    /// Requests answered to their end.
+    pub completed: u64,
+    /// Requests that ended before their end, for whatever reason but a cancel.
+    pub cut_off: u64,
+    /// Of the requests cut off, those whose caller closed the stream.
+    pub abandoned: u64,
+    /// Requests cancelled by call.
+    pub cancelled: u64,
+    /// Requests refused because the group wasn't ready in that formation.
+    pub not_whole: u64,
+    /// Requests refused because the queue was full.
+    pub overloaded: u64,
+    /// Requests refused because the replica was starting.
+    pub starting: u64,
+    /// Replies finished while a member was missing.
+    pub partial_answers: u64,
+    /// Most requests in flight in a replica that was still warming up.
+    pub cold_most_in_flight: u32,
+    /// Bound of that replica at that time.
+    pub cold_bound_then: u32,
+    /// Times a replica failed everything because it ran more than it bore.
+    pub cold_overruns: u64,
+    /// Orders that were accepted.
+    pub orders_accepted: u64,
+    /// Orders that were refused.
+    pub orders_refused: u64,
+    /// Orders refused for an old fencing number.
+    pub orders_stale: u64,
+    /// Orders with an old fencing number that a host followed.
+    pub orders_stale_accepted: u64,
+    /// Times a host became a ready member of a group while another ready group listed it.
+    pub host_in_two_groups: u64,
+    /// `form` orders accepted while a live host's unbroken membership in another formation listed
+    /// the host.
+    pub claimed_twice: u64,
+    /// Tokens sent.
+    pub tokens: u64,
+    /// Replicas that became ready.
+    pub formed: u64,
+    /// Replicas that a request crashed.
+    pub crashes: u64,
+    /// Time that live accelerators spent outside any ready group, in seconds, by failure domain.
+    pub stranded_seconds: BTreeMap<id::Domain, f64>,
+    /// Time that expected groups were not ready, in seconds, by failure domain.
+    pub group_down_seconds: BTreeMap<id::Domain, f64>,
+}
+
+/// Counters with the times of the requests.
+#[derive(Debug, Default)]
+pub(super) struct Book {
+    pub(super) counters: Counters,
+    pub(super) begun: begun::Times,
+}
+
+/// Mutation
+impl Book {
+    /// Counts a request that begins.
+    pub(super) fn begin(&mut self, domain: &str, host: &str, replica: &str) {
+        let counters = &mut self.counters;
+        *counters.begun_by_domain.entry(domain.to_owned()).or_default() += 1;
+        *counters.begun_by_host.entry(host.to_owned()).or_default() += 1;
+        *counters.begun_by_replica.entry(replica.to_owned()).or_default() += 1;
+        self.begun.add(domain);
+    }
+}
--- /dev/null
+++ b/cuminward-standin/src/load/client.rs
@@ -0,0 +1,205 @@
+//! One streamed request and the check of its reply.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{Method, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{self, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::{End, Options, Sample, Target, plan::Arrival};
+use crate::engine::token;
+
+/// End of a stream of server-sent events.
+const DONE: &str = "[DONE]";
+
+/// Sends requests.
+#[derive(Clone)]
+pub(super) struct Client {
+    http: legacy::Client<HttpConnector, Full<Bytes>>,
+    options: Arc<Options>,
+}
+
+/// A reply while it is received.
+#[derive(Default)]
+struct Reply {
+    status: u16,
+    detail: String,
+    text: String,
+    times: Vec<Instant>,
+    finished: bool,
+    done: bool,
+}
+
+/// Life cycle
+impl Client {
+    pub(super) fn new(options: &Options) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let http = legacy::Client::builder(TokioExecutor::new()).build(connector);
+        Client { http, options: Arc::new(options.clone()) }
+    }
+}
+
+/// Access
+impl Client {
+    /// Sends a request that was intended to start at `at`, and checks its reply.
+    pub(super) async fn call(&self, target: Target, arrival: Arrival, at: Instant) -> Sample {
+        let mut reply = Reply::default();
+        let exchange = self.exchange(&target, &arrival, &mut reply);
+        let end = tokio::time::timeout_at(at + self.options.timeout, exchange).await;
+        let end = match end {
+            Err(_) => End::TimedOut,
+            Ok(Err(end)) => end,
+            Ok(Ok(())) => self.judge(&target, &arrival, &reply),
+        };
+        sample(&arrival, at, &reply, end)
+    }
+
+    async fn exchange(
+        &self,
+        target: &Target,
+        arrival: &Arrival,
+        reply: &mut Reply,
+    ) -> Result<(), End> {
+        let request = self.request(target, arrival);
+        let response = self.http.request(request).await.map_err(|_| End::Failed)?;
+        reply.status = response.status().as_u16();
+        let outcome = response.headers().get("cuminward-outcome");
+        reply.detail = outcome.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned();
+        if reply.status != 200 {
+            reply.refuse(response).await;
+            return Err(End::Refused);
+        }
+        let mut body = response.into_body();
+        let mut buffer = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| End::CutOff)?.into_data() else { continue };
+            buffer.extend_from_slice(&data);
+            while let Some(end) = buffer.iter().position(|it| *it == b'\n') {
+                let line = buffer.split_to(end + 1);
+                reply.take_line(target, &String::from_utf8_lossy(&line));
+            }
+        }
+        Ok(())
+    }
+
+    fn request(&self, target: &Target, arrival: &Arrival) -> Request<Full<Bytes>> {
+        let (address, path, body) = match target {
+            Target::Chat { address } => (address, "/v1/chat/completions", self.chat_body(arrival)),
+            Target::Engine { address, group, generation, version } => {
+                let body = json!({
+                    "request": format!("load-{}-{}", self.options.seed, arrival.number),
+                    "group": group,
+                    "generation": generation,
+                    "version": version,
+                    "prompt": arrival.prompt,
+                    "max_tokens": self.options.max_tokens,
+                });
+                (address, "/v1/generate", body)
+            }
+        };
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}{path}"))
+            .header(header::CONTENT_TYPE, "application/json");
+        if !arrival.team.key.is_empty() {
+            let bearer = format!("Bearer {}", arrival.team.key);
+            request = request.header(header::AUTHORIZATION, bearer);
+        }
+        request
+            .body(Full::new(Bytes::from(body.to_string())))
+            .expect("address, path and key are valid in a request")
+    }
+
+    fn chat_body(&self, arrival: &Arrival) -> Value {
+        json!({
+            "model": self.options.model,
+            "stream": true,
+            "max_tokens": self.options.max_tokens,
+            "messages": [{"role": "user", "content": arrival.prompt}],
+        })
+    }
+
+    /// Judges a reply whose connection ended regularly.
+    fn judge(&self, target: &Target, arrival: &Arrival, reply: &Reply) -> End {
+        let (prompt, done) = match target {
+            Target::Chat { .. } => (format!("user: {}\n", arrival.prompt), reply.done),
+            Target::Engine { .. } => (arrival.prompt.clone(), true),
+        };
+        if !reply.finished || !done {
+            return End::CutOff;
+        }
+        let limit = self.options.max_tokens;
+        let own = |version: &String| reply.text == token::reply_text(version, &prompt, limit);
+        if self.options.versions.iter().any(own) { End::Complete } else { End::Wrong }
+    }
+}
+
+/// Mutation
+impl Reply {
+    async fn refuse(&mut self, response: Response<Incoming>) {
+        let Ok(body) = response.into_body().collect().await else { return };
+        let body: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+        let code = body["error"]["code"].as_str().unwrap_or_default();
+        self.detail = format!("{} {code}", self.detail).trim().to_owned();
+    }
+
+    fn take_line(&mut self, target: &Target, line: &str) {
+        match target {
+            Target::Chat { .. } => self.take_event(line),
+            Target::Engine { .. } => self.take_chunk(line),
+        }
+    }
+
+    fn take_event(&mut self, line: &str) {
+        let Some(data) = line.strip_prefix("data:").map(str::trim) else { return };
+        if data == DONE {
+            self.done = true;
+            return;
+        }
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        let choice = &event["choices"][0];
+        self.take_text(choice["delta"]["content"].as_str());
+        self.finished |= choice["finish_reason"].is_string();
+        if let Some(code) = event["error"]["code"].as_str() {
+            self.detail = code.to_owned();
+        }
+    }
+
+    fn take_chunk(&mut self, line: &str) {
+        let chunk: Value = serde_json::from_str(line).unwrap_or_default();
+        self.take_text(chunk["text"].as_str());
+        self.finished |= chunk["finish"].is_string();
+        if let Some(code) = chunk["error"]["code"].as_str() {
+            self.detail = code.to_owned();
+        }
+    }
+
+    fn take_text(&mut self, text: Option<&str>) {
+        let Some(text) = text.filter(|it| !it.is_empty()) else { return };
+        self.text.push_str(text);
+        self.times.push(Instant::now());
+    }
+}
+
+fn sample(arrival: &Arrival, at: Instant, reply: &Reply, end: End) -> Sample {
+    let seconds = |time: Duration| time.as_secs_f64();
+    Sample {
+        team: arrival.team.name.clone(),
+        start_seconds: seconds(arrival.after),
+        end,
+        status: reply.status,
+        detail: reply.detail.clone(),
+        first_token_seconds: reply.times.first().map(|it| seconds(*it - at)),
+        gaps_seconds: reply.times.windows(2).map(|it| seconds(it[1] - it[0])).collect(),
+        total_seconds: seconds(at.elapsed()),
+        tokens: reply.times.len() as u64,
+    }
+}
--- /dev/null
+++ b/cuminward-standin/src/load/tally.rs
@@ -0,0 +1,138 @@
+//! Figures of a run.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cuminward_core::id;
+use cuminward_derive::record;
+use hdrhistogram::Histogram;
+
+use super::{End, Sample};
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Figures of a run.
+#[record]
+pub struct Report {
+    /// All requests.
+    pub all: Figures,
+    /// By team.
+    pub teams: BTreeMap<id::Team, Figures>,
+    /// Duration until the last request ended, in seconds.
+    pub seconds: f64,
+    /// Every request, in no special order; left out of the JSON form.
+    #[serde(skip)]
+    pub samples: Vec<Sample>,
+}
+
+/// Figures of some requests.
+#[record]
+#[derive(Default)]
+pub struct Figures {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole and right replies.
+    pub complete: u64,
+    /// Replies that ended before their end.
+    pub cut_off: u64,
+    /// Requests refused with an HTTP error.
+    pub refused: u64,
+    /// Wrong replies.
+    pub wrong: u64,
+    /// Requests whose time was over.
+    pub timed_out: u64,
+    /// Requests without an answer.
+    pub failed: u64,
+    /// Status and detail of all that were not complete, with their number.
+    pub details: BTreeMap<String, u64>,
+    /// Tokens received.
+    pub tokens: u64,
+    /// Time from the intended start to the first token.
+    pub first_token: Quantiles,
+    /// Time between tokens.
+    pub between_tokens: Quantiles,
+    /// Time from the intended start to the end of complete replies.
+    pub total: Quantiles,
+}
+
+/// Quantiles of times, in milliseconds.
+#[record]
+#[derive(Default)]
+pub struct Quantiles {
+    /// Number of times.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 95 in 100 are at most this.
+    pub p95_ms: f64,
+    /// 99 in 100 are at most this.
+    pub p99_ms: f64,
+    /// The largest.
+    pub max_ms: f64,
+}
+
+/// Life cycle
+impl Report {
+    pub(super) fn new(samples: Vec<Sample>, duration: Duration) -> Report {
+        let mut teams: BTreeMap<id::Team, Vec<&Sample>> = BTreeMap::new();
+        for sample in &samples {
+            teams.entry(sample.team.clone()).or_default().push(sample);
+        }
+        Report {
+            all: Figures::new(&samples.iter().collect::<Vec<_>>()),
+            teams: teams.into_iter().map(|(team, it)| (team, Figures::new(&it))).collect(),
+            seconds: duration.as_secs_f64(),
+            samples,
+        }
+    }
+}
+
+/// Life cycle
+impl Figures {
+    fn new(samples: &[&Sample]) -> Figures {
+        let count = |end: End| samples.iter().filter(|it| it.end == end).count() as u64;
+        let complete = samples.iter().filter(|it| it.end == End::Complete);
+        Figures {
+            sent: samples.len() as u64,
+            complete: count(End::Complete),
+            cut_off: count(End::CutOff),
+            refused: count(End::Refused),
+            wrong: count(End::Wrong),
+            timed_out: count(End::TimedOut),
+            failed: count(End::Failed),
+            details: details(samples),
+            tokens: samples.iter().map(|it| it.tokens).sum(),
+            first_token: Quantiles::new(samples.iter().filter_map(|it| it.first_token_seconds)),
+            between_tokens: Quantiles::new(
+                samples.iter().flat_map(|it| it.gaps_seconds.iter().copied()),
+            ),
+            total: Quantiles::new(complete.map(|it| it.total_seconds)),
+        }
+    }
+}
+
+/// Life cycle
+impl Quantiles {
+    fn new(seconds: impl Iterator<Item = f64>) -> Quantiles {
+        let mut histogram: Histogram<u64> =
+            Histogram::new(DIGITS).expect("the number of digits is valid");
+        seconds.for_each(|it| histogram.saturating_record((it * 1e6) as u64));
+        let quantile = |it: f64| histogram.value_at_quantile(it) as f64 / 1e3;
+        Quantiles {
+            count: histogram.len(),
+            p50_ms: quantile(0.5),
+            p95_ms: quantile(0.95),
+            p99_ms: quantile(0.99),
+            max_ms: histogram.max() as f64 / 1e3,
+        }
+    }
+}
+
+fn details(samples: &[&Sample]) -> BTreeMap<String, u64> {
+    let mut details = BTreeMap::new();
+    for sample in samples.iter().filter(|it| it.end != End::Complete) {
+        let detail = format!("{} {}", sample.status, sample.detail).trim().to_owned();
+        *details.entry(detail).or_default() += 1;
+    }
+    details
+}
--- /dev/null
+++ b/cuminward-standin/tests/all/engine.rs
@@ -0,0 +1,248 @@
+use std::time::{Duration, Instant};
+
+use cuminward_core::host;
+use cuminward_standin::{
+    engine::{self, control::Fault, token},
+    weights,
+    world::{Domain, Options, World},
+};
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+use crate::http;
+
+/// A world with one fabric domain of hosts `a-f0-h0` and so on.
+pub(crate) async fn world(hosts: u32, options: engine::Options) -> World {
+    let options = Options {
+        domains: vec![Domain::new("a", "r", hosts)],
+        engine: options,
+        weights: weights::Options { default_bytes: 1000, ..weights::Options::default() },
+        ..Options::default()
+    };
+    World::start(options).await.expect("free ports can be bound")
+}
+
+pub(crate) fn fast() -> engine::Options {
+    engine::Options {
+        warm_up: Duration::ZERO,
+        decode: Duration::from_millis(2),
+        restart_delay: Duration::from_millis(50),
+        ..engine::Options::default()
+    }
+}
+
+fn name(index: usize) -> String {
+    format!("a-f0-h{index}")
+}
+
+fn address(world: &World, index: usize) -> String {
+    world.fleet().entries()[index].address.clone()
+}
+
+fn form(world: &World, fence: u64, group: &str, members: &[usize]) -> Value {
+    let member = |it: &usize| json!({"host": name(*it), "address": address(world, *it)});
+    let members: Vec<Value> = members.iter().map(member).collect();
+    json!({"fence": fence, "order": "o", "action": "form", "group": group, "generation": 1,
+        "service": "s", "model": "m", "version": "v1", "members": members})
+}
+
+fn release(fence: u64, group: &str) -> Value {
+    json!({"fence": fence, "order": "o", "action": "release", "group": group, "generation": 1})
+}
+
+async fn order(world: &World, index: usize, order: &Value) -> http::Answer {
+    http::post(address(world, index), "/v1/orders", order).await
+}
+
+/// Forms a group of hosts and waits until it is ready.
+pub(crate) async fn ready(world: &World, group: &str, members: &[usize]) {
+    for index in members {
+        let answer = order(world, *index, &form(world, 1, group, members)).await;
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+    wait(|| phase(world, members[0]) == Some(host::Phase::Ready)).await;
+}
+
+fn phase(world: &World, index: usize) -> Option<host::Phase> {
+    world.fleet().report(&name(index))?.membership.map(|it| it.phase)
+}
+
+async fn wait(condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + http::TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "the condition doesn't hold in time");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn generate(request: &str, prompt: &str, resume_at: u64) -> Value {
+    json!({"request": request, "group": "g", "generation": 1, "version": "v1", "prompt": prompt,
+        "max_tokens": 30, "priority": 0, "resume_at": resume_at})
+}
+
+fn texts(answer: &http::Answer) -> String {
+    let chunks = answer.text.lines().filter_map(|it| serde_json::from_str::<Value>(it).ok());
+    chunks.filter_map(|it| it["text"].as_str().map(str::to_owned)).collect()
+}
+
+fn finished(answer: &http::Answer) -> bool {
+    answer.text.contains("\"finish\"")
+}
+
+#[gtest]
+#[tokio::test]
+async fn serves_whole_and_resumes_alike() -> Result<()> {
+    let world = world(4, fast()).await;
+    let starting = order(&world, 0, &form(&world, 1, "g", &[0, 1, 2, 3])).await;
+    verify_that!(starting.json()["membership"]["phase"], eq(&json!("loading")))?;
+    let early = http::post(address(&world, 0), "/v1/generate", &generate("r0", "p", 0)).await;
+    verify_that!((early.status, early.code()), eq(&(503, "starting".to_owned())))?;
+    ready(&world, "g", &[0, 1, 2, 3]).await;
+    let prompt = "x".repeat(200);
+    let whole = http::post(address(&world, 0), "/v1/generate", &generate("r1", &prompt, 0)).await;
+    verify_that!(texts(&whole), eq(&token::reply_text("v1", &prompt, 30)))?;
+    let rest = http::post(address(&world, 0), "/v1/generate", &generate("r2", &prompt, 5)).await;
+    let head: String = (0..5).map(|it| engine::token_text("v1", &prompt, it)).collect();
+    verify_that!(head + &texts(&rest), eq(&texts(&whole)))?;
+    verify_that!(rest.text, contains_substring("\"cached_tokens\":48"))?;
+    let counters = world.fleet().counters();
+    verify_that!((counters.completed, counters.partial_answers), eq((2, 0)))
+}
+
+#[gtest]
+#[tokio::test]
+async fn death_breaks_the_group() -> Result<()> {
+    let world = world(3, fast()).await;
+    ready(&world, "g", &[0, 1]).await;
+    let before = world.fleet().report(&name(1)).or_fail()?;
+    let target = address(&world, 0);
+    let running = tokio::spawn(async move {
+        http::post(target, "/v1/generate", &generate("r1", "prompt", 0)).await
+    });
+    wait(|| world.fleet().counters().tokens > 0).await;
+    world.fleet().fault(&Fault::Kill { host: name(1) }).await;
+    verify_that!(finished(&running.await.or_fail()?), eq(false))?;
+    verify_that!(phase(&world, 0), some(eq(host::Phase::Broken)))?;
+    let refused = http::post(address(&world, 0), "/v1/generate", &generate("r2", "p", 0)).await;
+    verify_that!((refused.status, refused.code()), eq(&(409, "not-whole".to_owned())))?;
+    world.fleet().fault(&Fault::Restart { host: name(1) }).await;
+    let after = world.fleet().report(&name(1)).or_fail()?;
+    verify_that!(after.incarnation, not(eq(before.incarnation)))?;
+    verify_that!((after.fence, after.membership), eq(&(0, None)))?;
+    let counters = world.fleet().counters();
+    verify_that!((counters.cut_off, counters.partial_answers), eq((1, 0)))
+}
+
+struct Case {
+    name: &'static str,
+    order: Value,
+    status: u16,
+    code: &'static str,
+}
+
+#[gtest]
+#[tokio::test]
+async fn orders() -> Result<()> {
+    let world = world(3, fast()).await;
+    let case = |name, order, status, code| Case { name, order, status, code };
+    let fence = json!({"fence": 5, "order": "o", "action": "fence"});
+    let cases = [
+        case("form", form(&world, 2, "g", &[0, 1]), 200, ""),
+        case("form again", form(&world, 2, "g", &[0, 1]), 200, ""),
+        case("form another", form(&world, 2, "h", &[0, 1]), 409, "in-group"),
+        case("release another", release(2, "h"), 409, "other-group"),
+        case("fence", fence, 200, ""),
+        case("old release", release(4, "g"), 409, "stale-fence"),
+        case("release", release(5, "g"), 200, ""),
+        case("release again", release(5, "g"), 200, ""),
+        case("not a member", form(&world, 5, "h", &[1, 2]), 400, "not-member"),
+    ];
+    for case in cases {
+        let answer = order(&world, 0, &case.order).await;
+        verify_that!((answer.status, answer.code()), eq(&(case.status, case.code.to_owned())))
+            .with_failure_message(|| case.name.to_owned())?;
+    }
+    world.fleet().fault(&Fault::Fencing { host: name(0), enforced: false }).await;
+    verify_that!(order(&world, 0, &form(&world, 1, "h", &[0, 1])).await.status, eq(200))?;
+    verify_that!(world.fleet().counters().orders_stale_accepted, eq(1))?;
+    world.fleet().fault(&Fault::LoseOrderAnswers { host: name(0), count: 1 }).await;
+    verify_that!(order(&world, 0, &release(6, "h")).await.status, eq(0))?;
+    verify_that!(phase(&world, 0), none())
+}
+
+#[gtest]
+#[tokio::test]
+async fn overrun_fails_everything_in_flight() -> Result<()> {
+    let options = engine::Options { warm_up: Duration::from_secs(600), ..fast() };
+    let world = world(1, options).await;
+    ready(&world, "g", &[0]).await;
+    let calls = (0..3).map(|it| {
+        let target = address(&world, 0);
+        async move {
+            let body = generate(&format!("r{it}"), &format!("p{it}"), 0);
+            http::post(target, "/v1/generate", &body).await
+        }
+    });
+    let answers = futures::future::join_all(calls).await;
+    verify_that!(answers.iter().filter(|it| finished(it)).count(), eq(0))?;
+    let counters = world.fleet().counters();
+    verify_that!((counters.cold_most_in_flight, counters.cold_bound_then), eq((3, 2)))?;
+    verify_that!(counters.cold_overruns, eq(1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_marked_prompt_crashes_the_replica() -> Result<()> {
+    let world = world(2, fast()).await;
+    ready(&world, "g", &[0, 1]).await;
+    let body = generate("r", "a !!crash!! b", 0);
+    let answer = http::post(address(&world, 0), "/v1/generate", &body).await;
+    verify_that!(finished(&answer), eq(false))?;
+    wait(|| world.fleet().counters().crashes == 1 && phase(&world, 0).is_none()).await;
+    wait(|| (0..2).all(|it| world.fleet().report(&name(it)).is_some())).await;
+    ready(&world, "g", &[0, 1]).await;
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test]
+async fn pause_and_cancel() -> Result<()> {
+    let world = world(2, fast()).await;
+    ready(&world, "g", &[0, 1]).await;
+    world.fleet().fault(&Fault::Pause { host: name(1) }).await;
+    let target = address(&world, 0);
+    let stalled =
+        tokio::spawn(
+            async move { http::post(target, "/v1/generate", &generate("r1", "p", 0)).await },
+        );
+    let paused = address(&world, 1).parse().or_fail()?;
+    let silent = http::get_within(Duration::from_millis(100), paused, "/v1/host").await;
+    verify_that!(silent.status, eq(1))?;
+    verify_that!(world.fleet().counters().tokens, eq(0))?;
+    let target = address(&world, 0);
+    let cancelled =
+        http::call(::http::Method::DELETE, target, "/v1/generate/r1", &[], String::new()).await;
+    verify_that!(cancelled.json(), eq(&json!({"cancelled": true})))?;
+    verify_that!(finished(&stalled.await.or_fail()?), eq(false))?;
+    world.fleet().fault(&Fault::Resume { host: name(1) }).await;
+    verify_that!(http::get(address(&world, 1), "/v1/host").await.status, eq(200))
+}
+
+#[gtest]
+#[tokio::test]
+async fn cache_events_and_export() -> Result<()> {
+    let options =
+        engine::Options { event_lag: Duration::from_millis(50), event_gap_every: 3, ..fast() };
+    let world = world(1, options).await;
+    ready(&world, "g", &[0]).await;
+    let prompt = "y".repeat(64 * 4);
+    http::post(address(&world, 0), "/v1/generate", &generate("r", &prompt, 0)).await;
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    let events = http::get(address(&world, 0), "/v1/cache-events?from=0").await.json();
+    verify_that!((&events["gap"], &events["next"]), eq((&json!(true), &json!(4))))?;
+    let prefix = events["events"][1]["prefix"].as_str().or_fail()?.to_owned();
+    let expected = format!("{:016x}", engine::cache::prefixes(&prompt)[1]);
+    verify_that!(prefix, eq(&expected))?;
+    let export = http::get(address(&world, 0), &format!("/v1/kv/{prefix}")).await;
+    verify_that!(export.status, eq(200))
+}
