feat: standin: a node's own view of a world; orders and weights of dead or left formations

Cause: a partition cuts some nodes off and not others, so a node needs paths of its own. A reading of the engines found that each repeated order started another transfer of weights, that the end of an older transfer could replace the weights of a newer formation, and that a delayed order reached a host that had restarted meanwhile.

Change: view::View gives one node a host list, log and weight store behind links of its own. A formation loads once, a left formation's transfer ends, an order that waits dies with its host, and a group needs the same list of members at all of them to become ready.

Conclusion: splits can be tested for each node by itself.

--- a/cuminward-standin/src/engine/fleet.rs
+++ b/cuminward-standin/src/engine/fleet.rs
@@ -102,7 +102,7 @@
             weights: None,
             replica: None,
             server: Some(server),
-            life: CancellationToken::new(),
+            loading: None,
         };
         state.machines.insert(name, machine);
         Ok(entry)
@@ -240,7 +240,6 @@
         machine.weights = None;
         machine.fence = 0;
         machine.traits.paused = false;
-        machine.life.cancel();
     }
 
     async fn restart(self: &Arc<Self>, host: &str) {
@@ -259,7 +258,6 @@
         let incarnation = state.incarnation();
         let Some(machine) = state.machines.get_mut(host) else { return };
         machine.incarnation = incarnation;
-        machine.life = CancellationToken::new();
         machine.server = Some(server);
     }
 
--- a/cuminward-standin/src/engine/machine.rs
+++ b/cuminward-standin/src/engine/machine.rs
@@ -37,6 +37,10 @@
         self.fleet.lock().machines[&self.host].traits.clone()
     }
 
+    pub(super) fn incarnation(&self) -> id::Incarnation {
+        self.fleet.lock().machines[&self.host].incarnation
+    }
+
     pub(super) fn replica(&self) -> Option<Arc<replica::Replica>> {
         self.fleet.lock().machines[&self.host].replica.clone()
     }
--- a/cuminward-standin/src/engine/order.rs
+++ b/cuminward-standin/src/engine/order.rs
@@ -1,7 +1,5 @@
 //! Orders to hosts: form, release and fence.
 
-use std::sync::Arc;
-
 use axum::{
     Extension, Json,
     extract::State,
@@ -9,9 +7,10 @@
 };
 use cuminward_core::{host, id};
 use cuminward_derive::record;
+use tokio_util::sync::CancellationToken;
 
-use super::{fleet, machine::Node, state};
-use crate::{reply, server};
+use super::{counter, fleet, machine::Node, state};
+use crate::{reply, server, weights};
 
 /// An order, as a body of `POST /v1/orders`.
 #[record]
@@ -79,37 +78,41 @@
     Json(order): Json<Order>,
 ) -> Response {
     // The order takes effect even if the connection breaks meanwhile.
-    let effect = tokio::spawn(delayed(node.clone(), order));
-    let (outcome, lost) = effect.await.expect("applying an order doesn't panic");
-    if lost {
-        return connection.abandon().await;
-    }
+    let effect = tokio::spawn(delayed(node, order));
+    let outcome = effect.await.expect("applying an order doesn't panic");
     match outcome {
-        Ok(report) => Json(report).into_response(),
-        Err(error) => error.into_response(),
+        None => connection.abandon().await,
+        Some(Ok(report)) => Json(report).into_response(),
+        Some(Err(error)) => error.into_response(),
     }
 }
 
-async fn delayed(node: Node, order: Order) -> (Result<host::Report, Error>, bool) {
+/// Applies an order after the host's delay; `None` when the answer is lost.
+async fn delayed(node: Node, order: Order) -> Option<Result<host::Report, Error>> {
+    let received = node.incarnation();
     let delay = node.traits().order_delay;
     tokio::time::sleep(delay).await;
     let mut state = node.fleet.lock();
-    let outcome = apply(&mut state, &node.host, &order);
-    let counters = &mut state.book.counters;
-    match &outcome {
-        Ok(_) => counters.orders_accepted += 1,
-        Err(Error::Stale { .. }) => {
-            counters.orders_stale += 1;
-            counters.orders_refused += 1;
-        }
-        Err(_) => counters.orders_refused += 1,
+    let machine = &state.machines[&node.host];
+    let died = !machine.alive() || machine.incarnation != received;
+    if died {
+        return None;
     }
+    let outcome = apply(&mut state, &node.host, &order);
+    count(&mut state.book.counters, &outcome);
     let lost = lose_answer(&mut state, &node.host);
     drop(state);
     if outcome.is_ok() {
         load(&node);
     }
-    (outcome, lost)
+    Some(outcome).filter(|_| !lost)
+}
+
+fn count(counters: &mut counter::Counters, outcome: &Result<host::Report, Error>) {
+    let stale = matches!(outcome, Err(Error::Stale { .. }));
+    counters.orders_accepted += u64::from(outcome.is_ok());
+    counters.orders_refused += u64::from(outcome.is_err());
+    counters.orders_stale += u64::from(stale);
 }
 
 fn lose_answer(state: &mut state::State, host: &str) -> bool {
@@ -180,34 +183,40 @@
     Ok(())
 }
 
-/// Loads the weights that the host's formation needs, then makes the formation ready if it can.
+/// Starts to load the weights that the host's formation needs, if that hasn't started yet.
 fn load(node: &Node) {
-    let (formation, life, present) = {
-        let state = node.fleet.lock();
-        let machine = &state.machines[&node.host];
-        let Some(formation) = machine.membership.clone() else { return };
-        if formation.phase != host::Phase::Loading {
-            return;
-        }
-        let wanted = (formation.model.clone(), formation.version.clone());
-        (formation, machine.life.clone(), machine.weights.as_ref() == Some(&wanted))
-    };
-    if present {
-        return node.fleet.lock().try_ready(&formation);
+    let mut state = node.fleet.lock();
+    let machine = state.machines.get_mut(&node.host).expect("hosts are never removed");
+    let Some(formation) = machine.membership.clone() else { return };
+    if machine.loading.is_some() {
+        return;
+    }
+    let left = CancellationToken::new();
+    machine.loading = Some(left.clone());
+    if machine.has_weights(&formation) {
+        return state.try_ready(&formation);
     }
     let (fleet, host) = (node.fleet.clone(), node.host.clone());
     tokio::spawn(async move {
         tokio::select! {
-            () = life.cancelled() => {}
-            () = fetch(fleet, host, formation) => {}
+            () = left.cancelled() => {}
+            () = fetch(&fleet.weights, &formation) => fetched(&fleet, &host, &left),
         }
     });
 }
 
-async fn fetch(fleet: Arc<fleet::Shared>, host: id::Host, formation: host::Membership) {
-    fleet.weights.fetch(&formation.model, &formation.version).await;
+async fn fetch(weights: &weights::Handle, formation: &host::Membership) {
+    weights.fetch(&formation.model, &formation.version).await;
+}
+
+/// Notes that the weights of the host's formation are there, unless the host has left it.
+fn fetched(fleet: &fleet::Shared, host: &str, left: &CancellationToken) {
     let mut state = fleet.lock();
-    let machine = state.machines.get_mut(&host).expect("hosts are never removed");
+    if left.is_cancelled() {
+        return;
+    }
+    let machine = state.machines.get_mut(host).expect("hosts are never removed");
+    let Some(formation) = machine.membership.clone() else { return };
     machine.weights = Some((formation.model.clone(), formation.version.clone()));
     state.try_ready(&formation);
 }
--- a/cuminward-standin/src/engine/replica.rs
+++ b/cuminward-standin/src/engine/replica.rs
@@ -77,7 +77,8 @@
         let next = {
             let mut inner = self.replica.lock();
             inner.running.remove(&self.number);
-            let next = inner.pop();
+            let free = inner.running.len() < self.replica.options.slots as usize;
+            let next = if free { inner.pop() } else { None };
             next.map(|it| (it.grant, self.replica.start(&mut inner)))
         };
         if let Some((grant, slot)) = next {
@@ -222,7 +223,7 @@
         let overrun = in_flight > bound;
         let start = Start { in_flight, bound, cold: bound < self.options.slots, overrun };
         if overrun {
-            inner.running.values().for_each(CancellationToken::cancel);
+            inner.running.drain().for_each(|(_, it)| it.cancel());
             inner.started = Instant::now();
         }
         (Slot { replica: self.clone(), number, failed }, start)
--- a/cuminward-standin/src/engine/state.rs
+++ b/cuminward-standin/src/engine/state.rs
@@ -32,8 +32,8 @@
     pub(super) replica: Option<Arc<replica::Replica>>,
     /// `None` while the host is down.
     pub(super) server: Option<server::Server>,
-    /// Cancelled when this start of the host ends.
-    pub(super) life: CancellationToken,
+    /// Present once the weights of the formation load; cancelled when the host leaves it.
+    pub(super) loading: Option<CancellationToken>,
 }
 
 /// Access
@@ -61,7 +61,7 @@
         self.alive() && self.membership.as_ref().is_some_and(same)
     }
 
-    fn has_weights(&self, membership: &host::Membership) -> bool {
+    pub(super) fn has_weights(&self, membership: &host::Membership) -> bool {
         let loaded =
             |it: &(id::Model, id::Version)| it.0 == membership.model && it.1 == membership.version;
         self.weights.as_ref().is_some_and(loaded)
@@ -105,6 +105,9 @@
     pub(super) fn leave(&mut self, host: &str) {
         let Some(machine) = self.machines.get_mut(host) else { return };
         let Some(left) = machine.membership.take() else { return };
+        if let Some(loading) = machine.loading.take() {
+            loading.cancel();
+        }
         if let Some(replica) = machine.replica.take() {
             replica.broken.cancel();
         }
@@ -123,8 +126,10 @@
 
     /// Makes a formation ready when all its members are there with their weights.
     pub(super) fn try_ready(&mut self, formation: &host::Membership) {
+        let same = |it: &host::Membership| it.members == formation.members;
         let loaded = |it: &Machine| {
             it.in_formation(&formation.group, formation.generation)
+                && it.membership.as_ref().is_some_and(same)
                 && it.in_phase(host::Phase::Loading)
                 && it.has_weights(formation)
         };
--- a/cuminward-standin/src/hosts.rs
+++ b/cuminward-standin/src/hosts.rs
@@ -70,6 +70,10 @@
     server: server::Server,
 }
 
+/// The entries of a list, for other tasks.
+#[derive(Debug, Clone)]
+pub(crate) struct Source(Arc<Shared>);
+
 #[derive(Debug, Default)]
 struct Shared(Mutex<Inner>);
 
@@ -107,6 +111,11 @@
         self.server.address()
     }
 
+    /// Access that outlives a borrow.
+    pub(crate) fn source(&self) -> Source {
+        Source(self.shared.clone())
+    }
+
     /// The entries shown now.
     pub fn entries(&self) -> Vec<host::Entry> {
         self.shared.lock().entries()
@@ -136,6 +145,19 @@
     }
 }
 
+/// Access
+impl Source {
+    /// The entries shown now; `None` while the list is down.
+    pub(crate) fn entries(&self) -> Option<Vec<host::Entry>> {
+        let mut inner = self.0.lock();
+        if inner.down {
+            return None;
+        }
+        inner.counters.reads += 1;
+        Some(inner.entries())
+    }
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.0.lock().expect("no holder panics")
@@ -181,13 +203,15 @@
 }
 
 async fn read(State(shared): State<Arc<Shared>>) -> Response {
-    let mut inner = shared.lock();
-    if inner.down {
-        return reply::error(503, "unavailable", "the list is down");
+    answer(Source(shared).entries())
+}
+
+/// The answer to a read; without entries the list is down.
+pub(crate) fn answer(entries: Option<Vec<host::Entry>>) -> Response {
+    match entries {
+        Some(hosts) => Json(json!({"as_of_ms": reply::wall_ms(), "hosts": hosts})).into_response(),
+        None => reply::error(503, "unavailable", "the list is down"),
     }
-    inner.counters.reads += 1;
-    let hosts = inner.entries();
-    Json(json!({"as_of_ms": reply::wall_ms(), "hosts": hosts})).into_response()
 }
 
 async fn control(State(shared): State<Arc<Shared>>, Json(change): Json<Change>) {
--- a/cuminward-standin/src/lib.rs
+++ b/cuminward-standin/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod plain;
 mod reply;
 pub mod server;
+pub mod view;
 pub mod weights;
 pub mod world;
--- a/cuminward-standin/src/world.rs
+++ b/cuminward-standin/src/world.rs
@@ -6,7 +6,7 @@
 use cuminward_derive::record;
 use derive_builder::Builder;
 
-use crate::{engine, hosts, log, plain, weights};
+use crate::{engine, hosts, log, plain, view, weights};
 
 /// Ports from the base port to the log; host list, weights and the two controls follow.
 const LOG_PORT: u16 = 1;
@@ -199,6 +199,15 @@
         self.weights.address()
     }
 
+    /// What one node sees of the world: all paths lead through links of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port can't be bound.
+    pub async fn view(&self) -> io::Result<view::View> {
+        view::View::start(self).await
+    }
+
     /// The log.
     pub fn log(&self) -> &log::Log {
         &self.log
--- a/cuminward-standin/tests/all/engine.rs
+++ b/cuminward-standin/tests/all/engine.rs
@@ -246,3 +246,50 @@
     let export = http::get(address(&world, 0), &format!("/v1/kv/{prefix}")).await;
     verify_that!(export.status, eq(200))
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_delayed_order_doesnt_reach_the_next_incarnation() -> Result<()> {
+    let world = world(1, fast()).await;
+    let delay = Fault::DelayOrders { host: name(0), delay_ms: Duration::from_millis(100) };
+    world.fleet().fault(&delay).await;
+    let (target, body) = (address(&world, 0), form(&world, 3, "g", &[0]));
+    let ordering = tokio::spawn(async move { http::post(target, "/v1/orders", &body).await });
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    world.fleet().fault(&Fault::Restart { host: name(0) }).await;
+    verify_that!(ordering.await.or_fail()?.status, eq(0))?;
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    let report = world.fleet().report(&name(0)).or_fail()?;
+    verify_that!((report.fence, report.membership), eq(&(0, None)))
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_repeated_form_loads_once() -> Result<()> {
+    let world = world(1, fast()).await;
+    for _ in 0..3 {
+        order(&world, 0, &form(&world, 1, "g", &[0])).await;
+    }
+    ready(&world, "g", &[0]).await;
+    verify_that!(world.weights().counters().fetches, eq(1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn the_newest_formation_gets_its_weights() -> Result<()> {
+    let world = world(1, fast()).await;
+    let size = |version: &str, bytes| weights::Change::Size {
+        model: "m".to_owned(),
+        version: version.to_owned(),
+        bytes,
+    };
+    world.weights().handle().change(size("v0", 50_000_000));
+    let mut slow = form(&world, 1, "h", &[0]);
+    slow["version"] = json!("v0");
+    verify_that!(order(&world, 0, &slow).await.status, eq(200))?;
+    verify_that!(order(&world, 0, &release(1, "h")).await.status, eq(200))?;
+    ready(&world, "g", &[0]).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    verify_that!(phase(&world, 0), some(eq(host::Phase::Ready)))?;
+    verify_that!(world.weights().counters().active, eq(0))
+}
--- a/cuminward-standin/tests/all/main.rs
+++ b/cuminward-standin/tests/all/main.rs
@@ -7,3 +7,4 @@
 mod log;
 mod plain;
 mod platform;
+mod view;
