--- a/cuminward-standin/src/engine.rs
+++ b/cuminward-standin/src/engine.rs
@@ -5,6 +5,7 @@
 pub mod cache;
 pub mod control;
 pub mod counter;
+mod fault;
 pub mod fleet;
 mod generate;
 mod machine;
--- a/cuminward-standin/src/plain.rs
+++ b/cuminward-standin/src/plain.rs
@@ -1,5 +1,7 @@
 //! Stand-in of a plain service: an order desk on several hosts.
 
+mod counter;
+mod fault;
 mod machine;
 
 use std::{
@@ -14,9 +16,11 @@
 use cuminward_core::{host, id};
 use cuminward_derive::record;
 use derive_builder::Builder;
-use serde_with::{DurationMilliSeconds, serde_as};
 use tokio_util::sync::CancellationToken;
 
+pub use counter::Counters;
+pub use fault::Fault;
+
 use crate::{begun, reply, server};
 
 /// Time between tries to bind the port of a restarted host.
@@ -51,88 +55,6 @@
     }
 }
 
-/// A change of behaviour, as a body of `POST /control` at the desk's control address.
-#[serde_as]
-#[record]
-#[serde(tag = "kind", rename_all = "kebab-case")]
-pub enum Fault {
-    /// A host dies: its port closes and its connections break.
-    Kill {
-        /// Name of the host.
-        host: id::Host,
-    },
-    /// A host starts again, cold and with a new incarnation; a live one dies first.
-    Restart {
-        /// Name of the host.
-        host: id::Host,
-    },
-    /// A host accepts connections but answers nothing.
-    Pause {
-        /// Name of the host.
-        host: id::Host,
-    },
-    /// Ends a pause.
-    Resume {
-        /// Name of the host.
-        host: id::Host,
-    },
-    /// The connections open to a host never carry another byte; new ones work.
-    Silence {
-        /// Name of the host.
-        host: id::Host,
-    },
-    /// Requests to a host take longer by a time.
-    Slow {
-        /// Name of the host.
-        host: id::Host,
-        /// Added time.
-        #[serde_as(as = "DurationMilliSeconds<u64>")]
-        delay_ms: Duration,
-    },
-    /// The next requests to a host run, but the connection closes without an answer.
-    LoseAnswers {
-        /// Name of the host.
-        host: id::Host,
-        /// Number of requests.
-        count: u32,
-    },
-    /// The next requests to a host are refused with a 503 that says that nothing ran.
-    NotRun {
-        /// Name of the host.
-        host: id::Host,
-        /// Number of requests.
-        count: u32,
-    },
-}
-
-/// Figures since the start of the desk.
-#[record]
-#[derive(Default)]
-pub struct Counters {
-    /// Reservations that ran, by idempotency key; without a key, by request id.
-    pub runs_by_key: BTreeMap<String, u64>,
-    /// Reservations that ran, by request id.
-    pub runs_by_request: BTreeMap<id::Request, u64>,
-    /// Requests begun, by host.
-    pub begun_by_host: BTreeMap<id::Host, u64>,
-    /// Requests begun, by failure domain.
-    pub begun_by_domain: BTreeMap<id::Domain, u64>,
-    /// Reservations that ran.
-    pub reservations: u64,
-    /// Requests answered.
-    pub completed: u64,
-    /// Answers lost after the request ran.
-    pub lost_answers: u64,
-    /// Requests refused with nothing run.
-    pub not_run: u64,
-    /// Most requests in flight in a host that was still warming up.
-    pub cold_most_in_flight: u32,
-    /// Bound of that host at that time.
-    pub cold_bound_then: u32,
-    /// Times a host failed everything because it ran more than it bore.
-    pub cold_overruns: u64,
-}
-
 /// All plain hosts; dropping it ends them.
 #[derive(Debug)]
 pub struct Desk {
