--- /dev/null
+++ b/cuminward-testkit/src/caller.rs
@@ -0,0 +1,136 @@
+//! A caller over HTTP that reads whole answers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{self, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::json;
+
+use crate::declare;
+
+/// Longest time that a caller waits for a whole answer.
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A caller with a team's key.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    http: legacy::Client<HttpConnector, Full<Bytes>>,
+    key: String,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers, with the trailers added.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: String,
+}
+
+/// A call of a plain service.
+#[derive(Debug, Clone, Default)]
+pub struct Call {
+    /// HTTP method; empty means GET.
+    pub method: Method,
+    /// Path with the query.
+    pub path: String,
+    /// Body.
+    pub body: String,
+    /// Idempotency key.
+    pub key: Option<String>,
+}
+
+/// Life cycle
+impl Caller {
+    /// Makes a caller of a team.
+    pub fn new(team: &declare::Team) -> Caller {
+        let http = legacy::Client::builder(TokioExecutor::new()).build_http();
+        Caller { http, key: team.key.to_owned() }
+    }
+}
+
+/// Access
+impl Caller {
+    /// Asks for a streamed chat and reads it to its end.
+    ///
+    /// # Errors
+    ///
+    /// A text that says why there is no whole answer.
+    pub async fn chat(
+        &self,
+        node: SocketAddr,
+        text: &str,
+        max_tokens: u32,
+    ) -> Result<Answer, String> {
+        let body = json!({
+            "model": declare::MODEL,
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": max_tokens,
+            "stream": true,
+        });
+        let path = "/v1/chat/completions".to_owned();
+        let call = Call { method: Method::POST, path, body: body.to_string(), key: None };
+        self.send(node, &call).await
+    }
+
+    /// Makes a call and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// A text that says why there is no whole answer.
+    pub async fn send(&self, node: SocketAddr, call: &Call) -> Result<Answer, String> {
+        let mut request = Request::builder()
+            .method(&call.method)
+            .uri(format!("http://{node}{}", call.path))
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("te", "trailers");
+        if let Some(key) = &call.key {
+            request = request.header("idempotency-key", key);
+        }
+        let body = Full::new(Bytes::from(call.body.clone()));
+        let request = request.body(body).map_err(|it| it.to_string())?;
+        let exchange = self.exchange(request);
+        tokio::time::timeout(TIMEOUT, exchange).await.map_err(|_| "no answer in time".to_owned())?
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, String> {
+        let response = self.http.request(request).await.map_err(|it| format!("{it:?}"))?;
+        let (parts, body) = response.into_parts();
+        let collected = body.collect().await.map_err(|it| format!("cut off: {it}"))?;
+        let mut headers = parts.headers;
+        headers.extend(collected.trailers().cloned().unwrap_or_default());
+        let body = String::from_utf8_lossy(&collected.to_bytes()).into_owned();
+        Ok(Answer { status: parts.status, headers, body })
+    }
+}
+
+/// Access
+impl Answer {
+    /// What the node says about the execution.
+    pub fn outcome(&self) -> &str {
+        let header = self.headers.get("cuminward-outcome");
+        header.and_then(|it| it.to_str().ok()).unwrap_or_default()
+    }
+
+    /// Text of a streamed chat, without its frames.
+    pub fn chat_text(&self) -> String {
+        let chunks = self.body.lines().filter_map(|it| it.strip_prefix("data: "));
+        let values = chunks.filter_map(|it| serde_json::from_str::<serde_json::Value>(it).ok());
+        let content = |it: serde_json::Value| {
+            it["choices"][0]["delta"]["content"].as_str().map(ToOwned::to_owned)
+        };
+        values.filter_map(content).collect()
+    }
+
+    /// Whether a streamed chat came to its end.
+    pub fn is_whole_chat(&self) -> bool {
+        self.status == StatusCode::OK && self.body.ends_with("data: [DONE]\n\n")
+    }
+}
--- /dev/null
+++ b/cuminward-testkit/src/cluster.rs
@@ -0,0 +1,248 @@
+//! Real nodes over a world of stand-ins, in one process.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use cuminward_core::{change, host, id};
+use cuminward_node::{node, settings};
+use cuminward_operator::client;
+use cuminward_standin::world;
+use miette::{IntoDiagnostic, miette};
+
+use crate::declare;
+
+/// Token of the operator that changes the configuration.
+pub const OPERATOR_TOKEN: &str = "operator-token";
+
+/// Secret that the nodes share.
+const SECRET: &str = "a secret of the test cluster";
+
+/// Time between two looks at something that is waited for.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Nodes over a world of stand-ins.
+pub struct Cluster {
+    /// What surrounds the nodes.
+    pub world: world::World,
+    nodes: BTreeMap<id::Node, node::Node>,
+    timing: settings::Timing,
+    limits: settings::Limits,
+}
+
+/// What a cluster consists of.
+#[derive(Debug, Clone, Default)]
+pub struct Options {
+    /// What surrounds the nodes.
+    pub world: world::Options,
+    /// Nodes in each failure domain.
+    pub nodes_per_domain: u32,
+    /// Intervals and bounds of the nodes' control work.
+    pub timing: settings::Timing,
+    /// Bounds of the nodes' requests.
+    pub limits: settings::Limits,
+}
+
+/// Life cycle
+impl Cluster {
+    /// Starts the world and the nodes, named `{domain}-{index}`.
+    ///
+    /// # Errors
+    ///
+    /// A report if a port can't be bound.
+    pub async fn start(options: Options) -> miette::Result<Cluster> {
+        let domains: Vec<id::Domain> =
+            options.world.domains.iter().map(|it| it.name.clone()).collect();
+        let world = world::World::start(options.world).await.into_diagnostic()?;
+        let (timing, limits) = (options.timing, options.limits);
+        let mut cluster = Cluster { world, nodes: BTreeMap::new(), timing, limits };
+        for domain in &domains {
+            for index in 0..options.nodes_per_domain {
+                cluster.add(&format!("{domain}-{index}"), domain).await?;
+            }
+        }
+        Ok(cluster)
+    }
+
+    /// Stops all nodes gracefully; tells whether all of them finished their requests in time.
+    pub async fn stop(self) -> bool {
+        let stopping = self.nodes.into_values().map(node::Node::stop);
+        let finished = futures::future::join_all(stopping).await;
+        self.world.stop().await;
+        finished.into_iter().all(|it| it)
+    }
+}
+
+/// Access
+impl Cluster {
+    /// A node by name.
+    ///
+    /// # Panics
+    ///
+    /// If there is no such node.
+    pub fn node(&self, name: &str) -> &node::Node {
+        &self.nodes[name]
+    }
+
+    /// All nodes by name.
+    pub fn nodes(&self) -> impl Iterator<Item = (&id::Node, &node::Node)> {
+        self.nodes.iter()
+    }
+
+    /// Addresses of the nodes' HTTP interfaces, by the order of their names.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.nodes.values().map(|it| it.addresses().callers).collect()
+    }
+
+    /// A client of the operators' interfaces of all nodes.
+    ///
+    /// # Errors
+    ///
+    /// A report if there is no node.
+    pub fn operator(&self) -> miette::Result<client::Client> {
+        let endpoints =
+            self.nodes.values().map(|it| format!("http://{}", it.addresses().operators));
+        let options = client::OptionsBuilder::default()
+            .endpoints(endpoints.collect::<Vec<_>>())
+            .token(OPERATOR_TOKEN.to_owned())
+            .build()
+            .into_diagnostic()?;
+        client::Client::new(options).map_err(|it| miette!("{it}"))
+    }
+
+    /// Applies changes one after the other and returns the last revision.
+    ///
+    /// # Errors
+    ///
+    /// A report of the first change that isn't accepted.
+    pub async fn apply(
+        &self,
+        actions: impl IntoIterator<Item = change::Action>,
+    ) -> miette::Result<id::Revision> {
+        let operator = self.operator()?;
+        let mut revision = 0;
+        for action in actions {
+            let change = uuid::Uuid::now_v7().to_string();
+            let applied = operator.apply(change, None, action).await;
+            revision = applied.map_err(|it| miette!("{it}"))?.revision;
+        }
+        Ok(revision)
+    }
+
+    /// Declares all domains, the teams, the assistant and the order desk.
+    ///
+    /// # Errors
+    ///
+    /// A report of the first change that isn't accepted.
+    pub async fn declare(
+        &self,
+        replicas: u32,
+        hosts_per_replica: u32,
+        limits: &declare::Limits,
+    ) -> miette::Result<id::Revision> {
+        let domains = &self.world.options().domains;
+        let names: Vec<id::Domain> = domains.iter().map(|it| it.name.clone()).collect();
+        let fencing = |it: &world::Domain| match it.fencing {
+            true => cuminward_core::catalog::Fencing::Enforced,
+            false => cuminward_core::catalog::Fencing::Ignored,
+        };
+        let by_domain: BTreeMap<_, _> =
+            domains.iter().map(|it| (it.name.clone(), fencing(it))).collect();
+        let traits = self.world.fleet().entries().into_iter().map(|it| {
+            change::Action::DeclareHost(cuminward_core::catalog::Traits {
+                fencing: by_domain[&it.domain],
+                host: it.host,
+                fabric: None,
+            })
+        });
+        let mut actions: Vec<change::Action> =
+            domains.iter().map(|it| declare::domain(&it.name, &it.region)).collect();
+        actions.extend(traits);
+        actions.extend(declare::TEAMS.iter().map(declare::team));
+        actions.push(declare::assistant(&names, replicas, hosts_per_replica, limits));
+        actions.push(declare::desk(limits));
+        self.apply(actions).await
+    }
+
+    /// Waits until every node has so many routable replicas.
+    ///
+    /// # Errors
+    ///
+    /// A report if that takes longer than `limit`.
+    pub async fn wait_replicas(&self, count: usize, limit: Duration) -> miette::Result<()> {
+        let all = || {
+            let enough = |it: &node::Node| it.state().replicas.load().routable.len() == count;
+            self.nodes.values().all(enough)
+        };
+        if wait(limit, all).await {
+            Ok(())
+        } else {
+            Err(miette!("replicas were not formed in time"))
+        }
+    }
+}
+
+/// Mutation
+impl Cluster {
+    /// Starts a node and lists it.
+    ///
+    /// # Errors
+    ///
+    /// A report if a port can't be bound.
+    pub async fn add(&mut self, name: &str, domain: &str) -> miette::Result<()> {
+        let settings = self.settings(name, domain);
+        let node = node::Node::start(settings).await?;
+        let address = node.addresses().peers.to_string();
+        self.world.add_node(world::node_entry(name, domain, &address));
+        self.nodes.insert(name.to_owned(), node);
+        Ok(())
+    }
+
+    /// Takes a node out of the cluster, to be stopped or killed; it stays in the host list.
+    pub fn take(&mut self, name: &str) -> Option<node::Node> {
+        self.nodes.remove(name)
+    }
+
+    /// Settings of a node of this cluster.
+    pub fn settings(&self, name: &str, domain: &str) -> settings::Settings {
+        let local = SocketAddr::from(([127, 0, 0, 1], 0));
+        settings::Settings {
+            node: name.to_owned(),
+            domain: domain.to_owned(),
+            listen: settings::Listen { callers: local, operators: local, peers: local },
+            platform: settings::Platform {
+                log: self.world.log_address().to_string(),
+                hosts: self.world.hosts_address().to_string(),
+                weights: self.world.weights_address().to_string(),
+            },
+            secret: settings::Secret::new(SECRET),
+            operators: vec![settings::Operator {
+                name: "operator".to_owned(),
+                token_hash: blake3::hash(OPERATOR_TOKEN.as_bytes()).to_hex().to_string(),
+                role: settings::file::Role::Write,
+            }],
+            limits: self.limits.clone(),
+            timing: self.timing.clone(),
+        }
+    }
+}
+
+/// Waits until a condition holds; tells whether it did within the limit.
+pub async fn wait(limit: Duration, condition: impl Fn() -> bool) -> bool {
+    let begun = Instant::now();
+    while !condition() {
+        if limit < begun.elapsed() {
+            return false;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    true
+}
+
+/// Entry of a node in the host list that is about to leave.
+pub fn leaving(mut entry: host::Entry) -> host::Entry {
+    entry.state = host::State::Leaving;
+    entry
+}
