feat: cuminward-peer: calls between the nodes with handshake, pool, server and spread

Cause: nodes have to exchange configuration, observations, slots, key claims, replies and events. Change: tarpc service over length-limited bincode frames, mutual proof of a shared secret, one connection a node with back-off, bounded server that refuses bad frames with numbered events, streams behind two small traits so that TLS can be put under them, choice of the nodes to pull from. Conclusion: first cut; the types of claims and replies are in cuminward-once.

--- /dev/null
+++ b/cuminward-once/src/claim.rs
@@ -0,0 +1,79 @@
+//! Claims to run the request of a key, and what becomes of them.
+
+use cuminward_core::{id, outcome};
+use cuminward_derive::{record, value};
+use serde_with::serde_as;
+
+use crate::key;
+
+/// A claim of a node that has a request with a key.
+#[serde_as]
+#[record]
+pub struct Claim {
+    /// Hash of the key.
+    #[serde_as(as = "serde_with::hex::Hex")]
+    pub hash: key::Hash,
+    /// Node that has the request.
+    pub issuer: id::Node,
+}
+
+/// What became of a claim.
+#[record]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// The claim is the first one of its key: the issuer, and nobody else, may run the request. It
+    /// has to start within [`START_WITHIN`](crate::claim::START_WITHIN) of making the claim.
+    First {
+        /// Offset of the record.
+        offset: id::Offset,
+    },
+    /// The key was started before.
+    Repeated {
+        /// Node that started it, and may hold the reply.
+        by: id::Node,
+    },
+    /// The claim was not decided, and the request must not run.
+    Refused(Reason),
+}
+
+/// Why a claim was not decided.
+#[value]
+#[serde(rename_all = "kebab-case")]
+pub enum Reason {
+    /// The log takes or gives no records.
+    LogAway,
+    /// Records of the whole window have not been read yet.
+    WindowIncomplete,
+    /// The record was not read back in time.
+    Late,
+    /// Too many claims wait.
+    Overloaded,
+    /// The key is older than the window.
+    Expired,
+    /// The key was minted by another process.
+    Foreign,
+}
+
+/// Access
+impl Reason {
+    /// What is known about the request that was refused. It speaks of this request alone: an earlier
+    /// one with the same key may have run.
+    pub fn outcome(self) -> outcome::Outcome {
+        outcome::Outcome::NotRun
+    }
+
+    /// Short text for people.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reason::LogAway => "the log is away",
+            Reason::WindowIncomplete => "the window of started keys is not complete",
+            Reason::Late => "the key was not recorded in time",
+            Reason::Overloaded => "too many keys wait",
+            Reason::Expired => "the key is older than the window",
+            Reason::Foreign => "the key was minted by another process",
+        }
+    }
+}
+
+/// Longest time from making a claim to sending the request to an upstream.
+pub const START_WITHIN: std::time::Duration = std::time::Duration::from_secs(5);
--- /dev/null
+++ b/cuminward-peer/src/client.rs
@@ -0,0 +1,395 @@
+//! Calls to other nodes.
+//!
+//! There is one connection for each node, made by the first call. A failed attempt to connect is
+//! followed by a pause that doubles up to a bound; calls during the pause fail at once. A call that
+//! gets no answer in time drops the connection, so that the next one makes a new one.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    future::Future,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use cuminward_core::id;
+use cuminward_once::{claim, key, reply};
+use derive_builder::Builder;
+use tarpc::{
+    ClientMessage, Response,
+    client::{self, RpcError},
+    context::{self, Context},
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::LengthDelimitedCodec,
+};
+use tokio::{sync, time};
+
+use crate::{
+    count::{self, Counter},
+    handshake::{self, Secret},
+    message, server,
+    service::{PeerClient, PeerRequest, PeerResponse},
+    stream::Connect,
+};
+
+/// Settings of the client.
+#[derive(Debug, Clone, PartialEq, Builder)]
+#[builder(default)]
+pub struct Options {
+    /// Longest time to connect, the handshake included.
+    pub connect: Duration,
+    /// Longest time for a call.
+    pub call: Duration,
+    /// First pause after a failed attempt to connect.
+    pub backoff: Duration,
+    /// Longest pause after failed attempts to connect.
+    pub max_backoff: Duration,
+    /// Largest frame, in bytes.
+    pub max_frame: usize,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            connect: Duration::from_secs(1),
+            call: Duration::from_secs(1),
+            backoff: Duration::from_millis(100),
+            max_backoff: Duration::from_secs(2),
+            max_frame: server::MAX_FRAME,
+        }
+    }
+}
+
+/// A failed call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Error {
+    /// The node isn't among the pool's nodes.
+    Unlisted,
+    /// There is no connection; the call was not sent.
+    Away {
+        /// Cause.
+        message: String,
+    },
+    /// No answer came in time; the call may have taken effect.
+    Timeout,
+    /// The connection failed; the call may have taken effect.
+    Broken {
+        /// Cause.
+        message: String,
+    },
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Unlisted => f.write_str("the node is unknown"),
+            Error::Away { message } => write!(f, "no connection: {message}"),
+            Error::Timeout => f.write_str("no answer in time"),
+            Error::Broken { message } => write!(f, "the connection failed: {message}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Connections to other nodes.
+pub struct Pool<C> {
+    connect: C,
+    secret: Secret,
+    options: Options,
+    counter: Arc<Counter>,
+    links: ArcSwap<BTreeMap<id::Node, Arc<Link>>>,
+}
+
+/// The connection to one node.
+struct Link {
+    address: String,
+    client: ArcSwapOption<PeerClient>,
+    /// Held while a connection is made.
+    connecting: sync::Mutex<()>,
+    backoff: Mutex<Backoff>,
+}
+
+/// Pause after failed attempts to connect.
+struct Backoff {
+    pause: Duration,
+    until: Option<Instant>,
+    message: String,
+}
+
+/// Life cycle
+impl<C: Connect> Pool<C> {
+    /// Makes a pool without nodes.
+    pub fn new(connect: C, secret: Secret, options: Options, counter: Arc<Counter>) -> Pool<C> {
+        Pool { connect, secret, options, counter, links: ArcSwap::default() }
+    }
+}
+
+/// Access
+impl<C: Connect> Pool<C> {
+    /// Counts of bytes and calls.
+    pub fn counter(&self) -> &Counter {
+        &self.counter
+    }
+
+    /// Names of the nodes.
+    pub fn nodes(&self) -> Vec<id::Node> {
+        self.links.load().keys().cloned().collect()
+    }
+}
+
+/// Mutation
+impl<C: Connect> Pool<C> {
+    /// Replaces the nodes by others; connections to nodes whose address stays the same are kept.
+    pub fn set_nodes(&self, nodes: &BTreeMap<id::Node, String>) {
+        let before = self.links.load();
+        let link = |node: &id::Node, address: &String| match before.get(node) {
+            Some(link) if link.address == *address => Arc::clone(link),
+            _ => Arc::new(Link::new(address.clone(), &self.options)),
+        };
+        let links = nodes.iter().map(|(node, address)| (node.clone(), link(node, address)));
+        self.links.store(Arc::new(links.collect()));
+    }
+}
+
+/// Calls
+impl<C: Connect> Pool<C> {
+    /// See [`Peer::hello`](crate::service::Peer::hello).
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn hello(&self, node: &str, hello: message::Hello) -> Result<message::Hello, Error> {
+        self.call(
+            node,
+            self.options.call,
+            |it, context| async move { it.hello(context, hello).await },
+        )
+        .await
+    }
+
+    /// See [`Peer::config`](crate::service::Peer::config).
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn config(
+        &self,
+        node: &str,
+        from: id::Revision,
+        max: u32,
+    ) -> Result<message::Config, Error> {
+        self.call(node, self.options.call, |it, context| async move {
+            it.config(context, from, max).await
+        })
+        .await
+    }
+
+    /// See [`Peer::observations`](crate::service::Peer::observations).
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn observations(
+        &self,
+        node: &str,
+        incarnation: id::Incarnation,
+        since: message::Position,
+    ) -> Result<message::Observations, Error> {
+        self.call(node, self.options.call, |it, context| async move {
+            it.observations(context, incarnation, since).await
+        })
+        .await
+    }
+
+    /// See [`Peer::admission`](crate::service::Peer::admission).
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn admission(
+        &self,
+        node: &str,
+        admission: message::Admission,
+    ) -> Result<message::Admission, Error> {
+        self.call(node, self.options.call, |it, context| async move {
+            it.admission(context, admission).await
+        })
+        .await
+    }
+
+    /// See [`Peer::claim_keys`](crate::service::Peer::claim_keys).
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`]; without a verdict the requests must not run.
+    pub async fn claim_keys(
+        &self,
+        node: &str,
+        claims: Vec<claim::Claim>,
+    ) -> Result<Vec<claim::Verdict>, Error> {
+        self.call(node, claim::START_WITHIN, |it, context| async move {
+            it.claim_keys(context, claims).await
+        })
+        .await
+    }
+
+    /// See [`Peer::reply`](crate::service::Peer::reply). `wait` bounds the time for a running
+    /// request.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn reply(
+        &self,
+        node: &str,
+        hash: key::Hash,
+        wait: Duration,
+    ) -> Result<reply::Lookup, Error> {
+        self.call(node, wait, |it, context| async move { it.reply(context, hash).await }).await
+    }
+
+    /// See [`Peer::events`](crate::service::Peer::events).
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn events(
+        &self,
+        node: &str,
+        from: u64,
+        max: u32,
+        request: Option<id::Request>,
+    ) -> Result<message::Events, Error> {
+        self.call(node, self.options.call, |it, context| async move {
+            it.events(context, from, max, request).await
+        })
+        .await
+    }
+
+    async fn call<T, F, R>(&self, node: &str, timeout: Duration, call: F) -> Result<T, Error>
+    where
+        F: FnOnce(Arc<PeerClient>, Context) -> R,
+        R: Future<Output = Result<T, RpcError>>,
+    {
+        let link = self.links.load().get(node).cloned().ok_or(Error::Unlisted)?;
+        self.counter.add_call();
+        let answer = self.call_link(&link, timeout, call).await;
+        if answer.is_err() {
+            self.counter.add_failure();
+        }
+        answer
+    }
+
+    async fn call_link<T, F, R>(&self, link: &Link, timeout: Duration, call: F) -> Result<T, Error>
+    where
+        F: FnOnce(Arc<PeerClient>, Context) -> R,
+        R: Future<Output = Result<T, RpcError>>,
+    {
+        let client = self.client(link).await?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + timeout;
+        let error = match call(Arc::clone(&client), context).await {
+            Ok(answer) => return Ok(answer),
+            Err(error) => error,
+        };
+        if !matches!(error, RpcError::Server(_)) {
+            link.drop_client(&client);
+        }
+        Err(match error {
+            RpcError::DeadlineExceeded => Error::Timeout,
+            other => Error::Broken { message: other.to_string() },
+        })
+    }
+
+    /// The connection, made if there is none.
+    async fn client(&self, link: &Link) -> Result<Arc<PeerClient>, Error> {
+        if let Some(client) = link.client.load_full() {
+            return Ok(client);
+        }
+        let _connecting = link.connecting.lock().await;
+        if let Some(client) = link.client.load_full() {
+            return Ok(client);
+        }
+        link.check_pause()?;
+        match self.open(&link.address).await {
+            Ok(client) => {
+                let client = Arc::new(client);
+                link.client.store(Some(Arc::clone(&client)));
+                link.reset(self.options.backoff);
+                Ok(client)
+            }
+            Err(message) => {
+                link.pause(&message, self.options.max_backoff);
+                Err(Error::Away { message })
+            }
+        }
+    }
+
+    async fn open(&self, address: &str) -> Result<PeerClient, String> {
+        let opening = async {
+            let inner = self.connect.connect(address).await?;
+            let mut stream = count::Stream { inner, counter: Arc::clone(&self.counter) };
+            handshake::connect(&mut stream, &self.secret).await?;
+            Ok::<_, handshake::Error>(stream)
+        };
+        let stream = time::timeout(self.options.connect, opening)
+            .await
+            .map_err(|_| String::from("connecting took too long"))?
+            .map_err(|it| it.to_string())?;
+        let codec = LengthDelimitedCodec::builder()
+            .max_frame_length(self.options.max_frame)
+            .new_framed(stream);
+        let transport = tarpc::serde_transport::new(
+            codec,
+            Bincode::<Response<PeerResponse>, ClientMessage<PeerRequest>>::default(),
+        );
+        Ok(PeerClient::new(client::Config::default(), transport).spawn())
+    }
+}
+
+/// Life cycle
+impl Link {
+    fn new(address: String, options: &Options) -> Link {
+        let backoff = Backoff { pause: options.backoff, until: None, message: String::new() };
+        Link {
+            address,
+            client: ArcSwapOption::empty(),
+            connecting: sync::Mutex::default(),
+            backoff: Mutex::new(backoff),
+        }
+    }
+}
+
+/// Mutation
+impl Link {
+    /// Drops a connection that failed, unless another one has taken its place.
+    fn drop_client(&self, failed: &Arc<PeerClient>) {
+        self.client.compare_and_swap(&Some(Arc::clone(failed)), None);
+    }
+
+    /// Fails while the pause after a failed attempt lasts.
+    fn check_pause(&self) -> Result<(), Error> {
+        let backoff = self.backoff.lock().unwrap_or_else(PoisonError::into_inner);
+        match backoff.until {
+            Some(until) if Instant::now() < until => {
+                Err(Error::Away { message: backoff.message.clone() })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn pause(&self, message: &str, max: Duration) {
+        let mut backoff = self.backoff.lock().unwrap_or_else(PoisonError::into_inner);
+        backoff.until = Some(Instant::now() + backoff.pause);
+        backoff.pause = (backoff.pause * 2).min(max);
+        message.clone_into(&mut backoff.message);
+    }
+
+    fn reset(&self, pause: Duration) {
+        let mut backoff = self.backoff.lock().unwrap_or_else(PoisonError::into_inner);
+        backoff.pause = pause;
+        backoff.until = None;
+    }
+}
--- /dev/null
+++ b/cuminward-peer/src/message.rs
@@ -0,0 +1,117 @@
+//! Messages between the nodes.
+//!
+//! Values whose form may differ between versions of the program travel as JSON text, so that a node
+//! passes on what it doesn't know.
+
+use std::time::Duration;
+
+use cuminward_core::{hlc, host, id};
+use cuminward_derive::record;
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// What a node tells about itself.
+#[serde_as]
+#[record]
+pub struct Hello {
+    /// Name of the node.
+    pub node: id::Node,
+    /// Failure domain of the node.
+    pub domain: id::Domain,
+    /// Tells this start of the node from others.
+    pub incarnation: id::Incarnation,
+    /// Revision of the configuration in force at the node.
+    pub revision: id::Revision,
+    /// Hybrid logical time of the node.
+    pub stamp: hlc::Stamp,
+    /// Whether the node is shutting down and owns nothing any more.
+    pub draining: bool,
+    /// Failure domains that the node has fresh knowledge of.
+    pub trusted: Vec<id::Domain>,
+}
+
+/// Records of the configuration stream.
+#[record]
+pub struct Config {
+    /// The records in offset order, without gaps from the asked revision on.
+    pub records: Vec<ConfigRecord>,
+    /// Snapshot as JSON, where the records from the asked revision on are not held any more; the
+    /// records then follow it.
+    pub snapshot: Option<String>,
+    /// Revision of the answering node.
+    pub revision: id::Revision,
+}
+
+/// A record of the configuration stream.
+#[record]
+pub struct ConfigRecord {
+    /// Offset of the record.
+    pub offset: id::Offset,
+    /// Wall time at which the log took the record, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// The record as JSON.
+    pub text: String,
+}
+
+/// Position in the changes of a node's observations; 0 asks for all.
+pub type Position = u64;
+
+/// What changed in a node's observations of hosts.
+#[record]
+pub struct Observations {
+    /// Incarnation of the answering node; a position is valid for one incarnation only.
+    pub incarnation: id::Incarnation,
+    /// Position to ask from next time.
+    pub next: Position,
+    /// Whether the answer holds every host, because the asked position wasn't valid.
+    pub full: bool,
+    /// Hosts whose report changed.
+    pub changed: Vec<Observation>,
+    /// Hosts whose report is as before and was confirmed again.
+    pub confirmed: Vec<Confirmation>,
+    /// Hosts that are not observed any more.
+    pub removed: Vec<id::Host>,
+}
+
+/// A report of a host.
+#[serde_as]
+#[record]
+pub struct Observation {
+    /// The report.
+    pub report: host::Report,
+    /// Time since the report was received.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+}
+
+/// A confirmation that a host's report is as before.
+#[serde_as]
+#[record]
+pub struct Confirmation {
+    /// The host.
+    pub host: id::Host,
+    /// Incarnation that was reported.
+    pub incarnation: id::Incarnation,
+    /// Time since the report was received.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+}
+
+/// Messages about the slots of upstreams.
+#[record]
+pub struct Admission {
+    /// The sending node.
+    pub from: id::Node,
+    /// Incarnation of the sending node.
+    pub incarnation: id::Incarnation,
+    /// The messages as JSON, in order.
+    pub messages: Vec<String>,
+}
+
+/// Events of a node.
+#[record]
+pub struct Events {
+    /// The events as JSON, in order.
+    pub records: Vec<String>,
+    /// Index to ask from next time.
+    pub next: u64,
+}
--- /dev/null
+++ b/cuminward-peer/src/server.rs
@@ -0,0 +1,162 @@
+//! Answers the calls of other nodes.
+
+use std::{sync::Arc, time::Duration};
+
+use cuminward_event::{kind::Kind, sink::Sink};
+use derive_builder::Builder;
+use futures::StreamExt;
+use tarpc::{
+    ClientMessage, Response,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::LengthDelimitedCodec,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    task::JoinSet,
+    time,
+};
+
+use crate::{
+    answer::{Adapter, Answer},
+    count::{self, Counter},
+    handshake::{self, Secret},
+    service::{Peer, PeerRequest, PeerResponse},
+    stream::{Accept, Duplex},
+};
+
+/// Largest frame between nodes, in bytes.
+pub const MAX_FRAME: usize = 4 << 20;
+
+/// Pause after the listener failed to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Settings of the server.
+#[derive(Debug, Clone, PartialEq, Builder)]
+#[builder(default)]
+pub struct Options {
+    /// Connections at the same time.
+    pub connections: usize,
+    /// Calls of one connection that are answered at the same time.
+    pub calls: usize,
+    /// Largest frame, in bytes.
+    pub max_frame: usize,
+    /// Longest time for the handshake.
+    pub handshake: Duration,
+    /// Longest time without a call on a connection.
+    pub idle: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            connections: 1024,
+            calls: 256,
+            max_frame: MAX_FRAME,
+            handshake: Duration::from_secs(2),
+            idle: Duration::from_secs(60),
+        }
+    }
+}
+
+/// Server of one listener.
+pub struct Server<A, P> {
+    /// Makes the streams.
+    pub accept: A,
+    /// Answers the calls.
+    pub answer: Arc<P>,
+    /// The shared secret.
+    pub secret: Secret,
+    /// Settings.
+    pub options: Options,
+    /// Where events go.
+    pub sink: Arc<Sink>,
+    /// Counts bytes and calls.
+    pub counter: Arc<Counter>,
+}
+
+/// Life cycle
+impl<A, P> Server<A, P>
+where
+    A: Accept,
+    P: Answer,
+{
+    /// Accepts connections and answers their calls until the future is dropped, which closes all
+    /// connections.
+    pub async fn serve(self, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(self.options.connections));
+        let server = Arc::new(self);
+        let mut connections = JoinSet::new();
+        loop {
+            while connections.try_join_next().is_some() {}
+            let Ok((stream, address)) = listener.accept().await else {
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let address = address.to_string();
+            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                server.refuse(address, String::from("too many connections"));
+                continue;
+            };
+            let server = Arc::clone(&server);
+            connections.spawn(server.connection(stream, address, permit));
+        }
+    }
+
+    /// Serves one connection to its end.
+    async fn connection(
+        self: Arc<Self>,
+        stream: TcpStream,
+        address: String,
+        _permit: OwnedSemaphorePermit,
+    ) {
+        let opening = time::timeout(self.options.handshake, self.open(stream));
+        let stream = match opening.await {
+            Ok(Ok(it)) => it,
+            Ok(Err(error)) => return self.refuse(address, error.to_string()),
+            Err(_) => return self.refuse(address, String::from("the handshake took too long")),
+        };
+        if let Err(reason) = self.calls(stream).await {
+            self.sink.emit(Kind::FrameRefused { address, reason });
+        }
+    }
+
+    async fn open(&self, stream: TcpStream) -> Result<count::Stream<A::Stream>, handshake::Error> {
+        let inner = self.accept.accept(stream).await?;
+        let mut stream = count::Stream { inner, counter: Arc::clone(&self.counter) };
+        handshake::accept(&mut stream, &self.secret).await?;
+        Ok(stream)
+    }
+
+    /// Answers the calls of a connection; the error says why a frame was refused.
+    async fn calls(&self, stream: impl Duplex) -> Result<(), String> {
+        let codec = LengthDelimitedCodec::builder()
+            .max_frame_length(self.options.max_frame)
+            .new_framed(stream);
+        let transport = tarpc::serde_transport::new(
+            codec,
+            Bincode::<ClientMessage<PeerRequest>, Response<PeerResponse>>::default(),
+        );
+        let channel = BaseChannel::with_defaults(transport);
+        let requests = channel.max_concurrent_requests(self.options.calls).requests();
+        let mut requests = std::pin::pin!(requests);
+        let mut running = JoinSet::new();
+        let adapter = Adapter::new(Arc::clone(&self.answer));
+        loop {
+            while running.try_join_next().is_some() {}
+            let next = time::timeout(self.options.idle, requests.next());
+            let request = match next.await {
+                Ok(Some(Ok(it))) => it,
+                Ok(Some(Err(error))) => return Err(error.to_string()),
+                Ok(None) | Err(_) => return Ok(()),
+            };
+            self.counter.add_call();
+            running.spawn(request.execute(adapter.clone().serve()));
+        }
+    }
+
+    fn refuse(&self, address: String, reason: String) {
+        self.sink.emit(Kind::PeerRefused { address, reason });
+    }
+}
--- /dev/null
+++ b/cuminward-peer/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of cuminward-peer over loopback sockets.
+
+mod client;
+mod frame;
+mod node;
+mod spread;
