--- /dev/null
+++ b/cuminward-ctl/src/command/change.rs
@@ -0,0 +1,72 @@
+//! Commands that make one change.
+
+use std::io::Write;
+
+use cuminward_core::{change::Action, id};
+use cuminward_operator::client::Client;
+
+use crate::{
+    cli::{self, Command, Global},
+    connect,
+    error::Error,
+    output, view,
+};
+
+/// Makes the change that a command stands for.
+pub async fn run(global: &Global, command: Command, out: &mut impl Write) -> Result<(), Error> {
+    let what = describe(&command);
+    let action =
+        action(command).ok_or_else(|| Error::Usage("the command makes no change".to_owned()))?;
+    let client = connect::open(global)?;
+    let change = global.change_id.clone().unwrap_or_else(fresh_id);
+    let applied = send(&client, change, global.expected_revision, what, action).await?;
+    output::rows(out, global.output, &[applied])
+}
+
+/// Sends one change.
+pub(super) async fn send(
+    client: &Client,
+    change: id::Change,
+    expected: Option<id::Revision>,
+    what: String,
+    action: Action,
+) -> Result<view::Applied, Error> {
+    match client.apply(change.clone(), expected, action).await {
+        Ok(it) => Ok(view::Applied { what, change, revision: it.revision, repeated: it.repeated }),
+        Err(error) => Err(Error::Call { change: Some(change), error }),
+    }
+}
+
+/// A new id of a change.
+pub(super) fn fresh_id() -> id::Change {
+    uuid::Uuid::now_v7().to_string()
+}
+
+fn action(command: Command) -> Option<Action> {
+    Some(match command {
+        Command::Model(cli::Model::Declare(it)) => it.into_action(),
+        Command::Model(cli::Model::Remove(it)) => Action::RemoveModel(it.name),
+        Command::Plain(cli::Plain::Declare(it)) => it.into_action(),
+        Command::Plain(cli::Plain::Remove(it)) => Action::RemovePlain(it.name),
+        Command::Team(cli::Team::Declare(it)) => it.into_action(),
+        Command::Team(cli::Team::Remove(it)) => Action::RemoveTeam(it.name),
+        Command::Domain(cli::Domain::Declare(it)) => it.into_action(),
+        Command::Domain(cli::Domain::TakeOut(it)) => Action::TakeOut(it.name),
+        Command::Domain(cli::Domain::BringBack(it)) => Action::BringBack(it.name),
+        Command::Host(cli::Host::Declare(it)) => it.into_action(),
+        Command::Host(cli::Host::Drain(it)) => Action::Drain(it.name),
+        Command::Host(cli::Host::Undrain(it)) => Action::Undrain(it.name),
+        _ => return None,
+    })
+}
+
+fn describe(command: &Command) -> String {
+    match command {
+        Command::Model(_) => "model",
+        Command::Plain(_) => "plain",
+        Command::Team(_) => "team",
+        Command::Domain(_) => "domain",
+        _ => "host",
+    }
+    .to_owned()
+}
--- /dev/null
+++ b/cuminward-ctl/src/declaration.rs
@@ -0,0 +1,320 @@
+//! Declarations in YAML files and arguments.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    time::Duration,
+};
+
+use clap::Args;
+use cuminward_core::{
+    catalog::{self, Fencing, Service},
+    change::Action,
+    id,
+};
+use serde::{
+    Deserialize, Deserializer,
+    de::{
+        Error as _, MapAccess, SeqAccess, Visitor,
+        value::{MapAccessDeserializer, SeqAccessDeserializer},
+    },
+};
+
+/// A declaration of a file. Its first key is `kind`, so that faults are told with their line.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Declaration {
+    /// A failure domain.
+    Domain(Domain),
+    /// A team.
+    Team(Team),
+    /// Traits of a host.
+    Host(Host),
+    /// A plain service.
+    Plain(Plain),
+    /// A model service.
+    Model(Model),
+}
+
+/// A model service.
+#[derive(Debug, Clone, PartialEq, Deserialize, Args)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Name of the service.
+    pub name: id::Service,
+    /// Model that callers ask for.
+    #[arg(long)]
+    pub model: id::Model,
+    /// Versions in force, the preferred one first.
+    #[arg(long, value_delimiter = ',', required = true)]
+    pub versions: Vec<id::Version>,
+    /// Hosts of one fabric domain that form one replica.
+    #[arg(long)]
+    pub hosts_per_replica: u32,
+    /// Replicas of each version by failure domain, as DOMAIN=COUNT.
+    #[arg(long, value_delimiter = ',', value_parser = replicas, required = true)]
+    #[serde(deserialize_with = "replica_map")]
+    pub replicas: Vec<(id::Domain, u32)>,
+    /// Teams that may call the service.
+    #[arg(long, value_delimiter = ',')]
+    pub teams: Vec<id::Team>,
+    /// Requests that a warm replica may run at the same time.
+    #[arg(long)]
+    pub slots: u32,
+    /// Requests that a replica may run at the same time right after its start.
+    #[arg(long)]
+    pub cold_slots: u32,
+    /// Milliseconds over which the limit rises from the cold to the warm one.
+    #[arg(long)]
+    pub warm_up_ms: u64,
+}
+
+/// A plain service.
+#[derive(Debug, Clone, PartialEq, Deserialize, Args)]
+#[serde(deny_unknown_fields)]
+pub struct Plain {
+    /// Name of the service.
+    pub name: id::Service,
+    /// Teams that may call the service.
+    #[arg(long, value_delimiter = ',')]
+    pub teams: Vec<id::Team>,
+    /// Requests that a warm host may run at the same time.
+    #[arg(long)]
+    pub slots: u32,
+    /// Requests that a host may run at the same time right after its start.
+    #[arg(long)]
+    pub cold_slots: u32,
+    /// Milliseconds over which the limit rises from the cold to the warm one.
+    #[arg(long)]
+    pub warm_up_ms: u64,
+    /// Milliseconds that one call may take.
+    #[arg(long)]
+    pub timeout_ms: u64,
+}
+
+/// A team of callers.
+#[derive(Debug, Clone, PartialEq, Deserialize, Args)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Name of the team.
+    pub name: id::Team,
+    /// BLAKE3 hashes of the team's keys, as `cuminctl key hash` prints them.
+    #[arg(long, value_delimiter = ',')]
+    #[serde(default)]
+    pub keys: Vec<String>,
+    /// Share of the capacity under load, relative to other teams.
+    #[arg(long)]
+    pub weight: u32,
+    /// Requests that the team may have in flight at one node.
+    #[arg(long)]
+    pub in_flight: u32,
+}
+
+/// A failure domain.
+#[derive(Debug, Clone, PartialEq, Deserialize, Args)]
+#[serde(deny_unknown_fields)]
+pub struct Domain {
+    /// Name of the failure domain.
+    pub name: id::Domain,
+    /// Region of the failure domain.
+    #[arg(long)]
+    pub region: id::Region,
+    /// Declare the failure domain as taken out.
+    #[arg(long)]
+    #[serde(default)]
+    pub taken_out: bool,
+}
+
+/// Traits of a host.
+#[derive(Debug, Clone, PartialEq, Deserialize, Args)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// Name of the host.
+    pub name: id::Host,
+    /// Whether the host refuses orders with an old fencing number: `enforced` or `ignored`.
+    #[arg(long, value_parser = fencing)]
+    pub fencing: Fencing,
+    /// Fabric domain, where it differs from what the platform's host list says.
+    #[arg(long)]
+    #[serde(default)]
+    pub fabric: Option<id::Fabric>,
+}
+
+/// One YAML document: a declaration or a list of them.
+struct Document(Vec<Declaration>);
+
+/// Reads the declarations of a file, and puts what others refer to first.
+pub fn parse(name: &str, text: &str) -> Result<Vec<Declaration>, miette::Report> {
+    let documents: Vec<Document> = serde_saphyr::from_multiple(text)
+        .map_err(|error| serde_saphyr::miette::to_miette_report(&error, text, name))?;
+    let mut declarations: Vec<_> = documents.into_iter().flat_map(|it| it.0).collect();
+    declarations.sort_by_key(Declaration::rank);
+    Ok(declarations)
+}
+
+/// Access
+impl Declaration {
+    /// Makes the action that declares it.
+    pub fn into_action(self) -> Action {
+        match self {
+            Declaration::Domain(it) => it.into_action(),
+            Declaration::Team(it) => it.into_action(),
+            Declaration::Host(it) => it.into_action(),
+            Declaration::Plain(it) => it.into_action(),
+            Declaration::Model(it) => it.into_action(),
+        }
+    }
+
+    fn rank(&self) -> u8 {
+        match self {
+            Declaration::Domain(_) => 0,
+            Declaration::Team(_) => 1,
+            Declaration::Host(_) => 2,
+            Declaration::Plain(_) => 3,
+            Declaration::Model(_) => 4,
+        }
+    }
+}
+
+impl Model {
+    /// Makes the action that declares it.
+    pub fn into_action(self) -> Action {
+        Action::DeclareModel(catalog::Model {
+            name: self.name,
+            model: self.model,
+            versions: self.versions,
+            hosts_per_replica: self.hosts_per_replica,
+            replicas: self.replicas.into_iter().collect(),
+            teams: self.teams.into_iter().collect(),
+            slots: self.slots,
+            cold_slots: self.cold_slots,
+            warm_up: Duration::from_millis(self.warm_up_ms),
+        })
+    }
+}
+
+impl Plain {
+    /// Makes the action that declares it.
+    pub fn into_action(self) -> Action {
+        Action::DeclarePlain(catalog::Plain {
+            name: self.name,
+            teams: self.teams.into_iter().collect(),
+            slots: self.slots,
+            cold_slots: self.cold_slots,
+            warm_up: Duration::from_millis(self.warm_up_ms),
+            timeout: Duration::from_millis(self.timeout_ms),
+        })
+    }
+}
+
+impl Team {
+    /// Makes the action that declares it.
+    pub fn into_action(self) -> Action {
+        let keys: BTreeSet<String> = self.keys.into_iter().collect();
+        let Team { name, weight, in_flight, .. } = self;
+        Action::DeclareTeam(catalog::Team { name, keys, weight, in_flight })
+    }
+}
+
+impl Domain {
+    /// Makes the action that declares it.
+    pub fn into_action(self) -> Action {
+        let service = if self.taken_out { Service::TakenOut } else { Service::InService };
+        Action::DeclareDomain(catalog::Domain { name: self.name, region: self.region, service })
+    }
+}
+
+impl Host {
+    /// Makes the action that declares it.
+    pub fn into_action(self) -> Action {
+        let Host { name: host, fencing, fabric } = self;
+        Action::DeclareHost(catalog::Traits { host, fencing, fabric })
+    }
+}
+
+impl<'de> Deserialize<'de> for Document {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Document, D::Error> {
+        deserializer.deserialize_any(DocumentVisitor)
+    }
+}
+
+impl<'de> Deserialize<'de> for Declaration {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Declaration, D::Error> {
+        deserializer.deserialize_map(DeclarationVisitor)
+    }
+}
+
+struct DocumentVisitor;
+
+impl<'de> Visitor<'de> for DocumentVisitor {
+    type Value = Document;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a declaration or a list of declarations")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, map: A) -> Result<Document, A::Error> {
+        DeclarationVisitor.visit_map(map).map(|it| Document(vec![it]))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, seq: A) -> Result<Document, A::Error> {
+        Vec::deserialize(SeqAccessDeserializer::new(seq)).map(Document)
+    }
+}
+
+struct DeclarationVisitor;
+
+impl<'de> Visitor<'de> for DeclarationVisitor {
+    type Value = Declaration;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a declaration")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Declaration, A::Error> {
+        if map.next_key::<String>()?.as_deref() != Some("kind") {
+            return Err(A::Error::custom("`kind` has to be the first key of a declaration"));
+        }
+        let kind: Kind = map.next_value()?;
+        let rest = MapAccessDeserializer::new(map);
+        match kind {
+            Kind::Domain => Domain::deserialize(rest).map(Declaration::Domain),
+            Kind::Team => Team::deserialize(rest).map(Declaration::Team),
+            Kind::Host => Host::deserialize(rest).map(Declaration::Host),
+            Kind::Plain => Plain::deserialize(rest).map(Declaration::Plain),
+            Kind::Model => Model::deserialize(rest).map(Declaration::Model),
+        }
+    }
+}
+
+/// Kind of a declaration.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Kind {
+    Domain,
+    Team,
+    Host,
+    Plain,
+    Model,
+}
+
+fn replica_map<'de, D>(deserializer: D) -> Result<Vec<(id::Domain, u32)>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let map = BTreeMap::<id::Domain, u32>::deserialize(deserializer)?;
+    Ok(map.into_iter().collect())
+}
+
+fn replicas(text: &str) -> Result<(id::Domain, u32), String> {
+    let (domain, count) = text.split_once('=').ok_or("expected DOMAIN=COUNT")?;
+    let count = count.parse().map_err(|_| "expected a whole number after `=`")?;
+    Ok((domain.to_owned(), count))
+}
+
+fn fencing(text: &str) -> Result<Fencing, String> {
+    match text {
+        "enforced" => Ok(Fencing::Enforced),
+        "ignored" => Ok(Fencing::Ignored),
+        _ => Err("expected `enforced` or `ignored`".to_owned()),
+    }
+}
--- a/cuminward-operator/tests/all/fake.rs
+++ b/cuminward-operator/tests/all/fake.rs
@@ -3,14 +3,13 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
 };
 
 use cuminward_config::{fold, record};
 use cuminward_core::{catalog, change, id};
 use cuminward_operator::{
     auth::{self, Operator, Operators, Role},
-    client, proto, server,
+    proto, server,
     status::Error,
 };
 use futures::{StreamExt, stream};
@@ -135,14 +134,3 @@
     });
     Node { address, shutdown, task }
 }
-
-/// A client of some nodes.
-pub(crate) fn connect(addresses: &[SocketAddr], token: &str) -> client::Client {
-    let options = client::OptionsBuilder::default()
-        .endpoints(addresses.iter().map(|it| format!("http://{it}")).collect::<Vec<_>>())
-        .token(token.to_owned())
-        .pause(Duration::from_millis(10))
-        .build()
-        .expect("all settings are given");
-    client::Client::new(options).expect("the settings are well formed")
-}
--- a/cuminward-operator/tests/all/server.rs
+++ b/cuminward-operator/tests/all/server.rs
@@ -1,12 +1,12 @@
 //! Server and client together, over loopback sockets.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use cuminward_core::{
     catalog::{Domain, Service},
     change::Action,
 };
-use cuminward_operator::{proto, server::Applied, status::Error};
+use cuminward_operator::{client, proto, server::Applied, status::Error};
 use futures::StreamExt;
 use googletest::prelude::*;
 
@@ -17,6 +17,17 @@
     Action::DeclareDomain(Domain { name, region: "r".to_owned(), service: Service::InService })
 }
 
+/// A client of some nodes.
+fn connect(addresses: &[SocketAddr], token: &str) -> client::Client {
+    let options = client::OptionsBuilder::default()
+        .endpoints(addresses.iter().map(|it| format!("http://{it}")).collect::<Vec<_>>())
+        .token(token.to_owned())
+        .pause(Duration::from_millis(10))
+        .build()
+        .expect("all settings are given");
+    client::Client::new(options).expect("the settings are well formed")
+}
+
 fn accepted(revision: u64) -> std::result::Result<Applied, Error> {
     Ok(Applied { revision, repeated: false })
 }
@@ -25,7 +36,7 @@
 #[tokio::test]
 async fn changes_are_judged_and_read_back() -> Result<()> {
     let node = fake::start(&Arc::default(), &[]).await;
-    let client = fake::connect(&[node.address], "w");
+    let client = connect(&[node.address], "w");
     let apply = |id: &str, expected, action| client.apply(id.to_owned(), expected, action);
     expect_that!(apply("c1", None, declare("a")).await, eq(&accepted(1)));
     expect_that!(apply("c2", Some(1), Action::TakeOut("a".to_owned())).await, eq(&accepted(2)));
@@ -49,7 +60,7 @@
     let shared: Arc<Shared> = Arc::default();
     let first = fake::start(&shared, &[Fault::LostAnswer, Fault::LogAway]).await;
     let second = fake::start(&shared, &[Fault::LogAway]).await;
-    let client = fake::connect(&[first.address, second.address], "w");
+    let client = connect(&[first.address, second.address], "w");
     let applied = client.apply("c1".to_owned(), None, declare("a")).await;
     expect_that!(applied, ok(eq(&Applied { revision: 1, repeated: true })));
 }
@@ -84,7 +95,7 @@
     ];
     for case in cases {
         let node = fake::start(&Arc::default(), case.faults).await;
-        let client = fake::connect(&[node.address], case.token);
+        let client = connect(&[node.address], case.token);
         let result = client.apply("c1".to_owned(), None, declare("a")).await;
         expect_that!(result, err(eq(&case.expected)));
     }
@@ -95,10 +106,10 @@
 #[tokio::test]
 async fn a_closed_port_is_unreachable_and_the_next_node_answers() {
     let closed = "127.0.0.1:1".parse().expect("it is an address");
-    let alone = fake::connect(&[closed], "w").apply("c1".to_owned(), None, declare("a")).await;
+    let alone = connect(&[closed], "w").apply("c1".to_owned(), None, declare("a")).await;
     expect_that!(alone, err(matches_pattern!(Error::Unreachable(_))));
     let node = fake::start(&Arc::default(), &[]).await;
-    let client = fake::connect(&[closed, node.address], "w");
+    let client = connect(&[closed, node.address], "w");
     expect_that!(client.apply("c1".to_owned(), None, declare("a")).await, eq(&accepted(1)));
 }
 
@@ -106,7 +117,7 @@
 #[tokio::test]
 async fn event_streams_end_with_the_server() -> Result<()> {
     let node = fake::start(&Arc::default(), &[]).await;
-    let client = fake::connect(&[node.address], "r");
+    let client = connect(&[node.address], "r");
     let request = proto::FollowEventsRequest { request: "q1".to_owned(), from_hlc: 0 };
     let answer = client.follow(&request).await.pop().expect("there is one node");
     let mut events = answer.result?;
