--- a/cuminward-group/src/placement/mod.rs
+++ b/cuminward-group/src/placement/mod.rs
@@ -2,13 +2,24 @@
 //!
 //! The decision is a function of what is known now. It names hosts only; numbers of formations and
 //! orders come from [`crate::steward`].
+//!
+//! - Broken groups are released at once, unless their fabric domain is held back.
+//! - A version that is no longer in force goes group by group: one is released for each whole group
+//!   beyond the declared number. Without spare hosts for a next group, one is released beforehand, so the
+//!   service runs one replica short while its hosts load the next version.
+//! - A group with a leaving member is released and replaced.
+//! - Groups stay formed while their failure domain is taken out.
+//! - No more hosts than [`Limits::loads`] load weights at the same time.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use cuminward_core::id;
 use cuminward_derive::{record, value};
 
-mod first_fit;
+mod consolidation;
+mod form;
+mod pool;
+mod retire;
 
 /// What the decision looks at.
 #[record]
@@ -22,6 +33,8 @@
     pub groups: Vec<Group>,
     /// Replicas that operators declared for the failure domain, the most important ones first.
     pub demands: Vec<Demand>,
+    /// Fabric domains that went dark a short time ago: their groups are neither released nor replaced.
+    pub held: BTreeSet<id::Fabric>,
     /// Bounds of the plan.
     pub limits: Limits,
 }
@@ -80,6 +93,8 @@
     pub members: Vec<id::Host>,
     /// How far the group is.
     pub health: Health,
+    /// Whether its release has been decided and it finishes the work that it has.
+    pub retiring: bool,
 }
 
 /// How far a group is.
@@ -124,8 +139,10 @@
     pub release: Vec<Release>,
     /// Groups to form.
     pub form: Vec<Form>,
-    /// Replicas that are wanted and can't be formed now.
+    /// Replicas that are wanted and can't be formed for lack of hosts in one fabric domain.
     pub missing: usize,
+    /// Replicas that are wanted and wait until fewer hosts load weights.
+    pub deferred: usize,
 }
 
 /// A group to release.
@@ -170,8 +187,15 @@
 #[value]
 #[serde(rename_all = "kebab-case")]
 pub enum Strategy {
-    /// Takes the first fabric domain with enough free hosts.
+    /// Takes the first hosts of the first fabric domain with enough free ones.
     FirstFit,
+    /// Takes hosts that have the weights already, then the fabric domain with the fewest free hosts.
+    BestFit,
+    /// Takes hosts that have the weights already, then the fabric domain that keeps most hosts beside
+    /// its groups as spares.
+    Spares,
+    /// Like `Spares`, and moves small groups to complete larger ones.
+    Consolidation,
 }
 
 /// Hosts that may load weights at the same time unless set otherwise.
@@ -185,7 +209,60 @@
 
 /// Decides what is to be done.
 pub fn plan(input: &Input, strategy: Strategy) -> Plan {
-    match strategy {
-        Strategy::FirstFit => first_fit::plan(input),
+    let mut plan = Plan::default();
+    let mut pool = pool::Pool::new(input);
+    form::form(input, strategy, &mut pool, &mut plan);
+    retire::retire(input, strategy, &mut plan);
+    if strategy == Strategy::Consolidation && plan.missing > 0 {
+        consolidation::consolidate(input, &mut pool, &mut plan);
+    }
+    plan
+}
+
+/// Access
+impl Input {
+    /// Fabric domain of a host; empty for hosts that aren't listed.
+    fn fabric(&self, host: &str) -> &str {
+        let listed = self.hosts.iter().find(|it| it.host == host);
+        listed.map_or("", |it| it.fabric.as_str())
+    }
+
+    /// Tells whether a group has a member that is leaving or drained.
+    fn leaving(&self, group: &Group) -> bool {
+        self.hosts.iter().any(|it| it.leaving && group.members.contains(&it.host))
+    }
+
+    /// Tells whether a group is left alone since its fabric domain went dark.
+    fn holds(&self, group: &Group) -> bool {
+        !self.held.is_empty() && group.members.iter().any(|it| self.held.contains(self.fabric(it)))
+    }
+
+    /// Tells whether a group counts as one of the declared replicas.
+    fn counts(&self, group: &Group, demand: &Demand) -> bool {
+        let useful = self.holds(group) || group.health != Health::Broken;
+        useful && !group.retiring && demand.matches(group) && !self.leaving(group)
+    }
+
+    /// Number of groups that count for a declaration.
+    fn present(&self, demand: &Demand) -> usize {
+        self.groups.iter().filter(|it| self.counts(it, demand)).count()
+    }
+}
+
+/// Access
+impl Demand {
+    /// Tells whether a group runs what is declared.
+    fn matches(&self, group: &Group) -> bool {
+        self.service == group.service
+            && self.weights == group.weights
+            && self.size == group.members.len()
+    }
+}
+
+/// Access
+impl Group {
+    /// Makes the decision to release the group.
+    fn release(&self, cause: Cause) -> Release {
+        Release { group: self.group.clone(), generation: self.generation, cause }
     }
 }
--- a/cuminward-group/src/steward/event.rs
+++ b/cuminward-group/src/steward/event.rs
@@ -73,6 +73,21 @@
         /// What is released and why.
         release: placement::Release,
     },
+    /// A whole group receives no new work from now on and is released later.
+    GroupRetiring {
+        /// What will be released and why.
+        release: placement::Release,
+    },
+    /// Most hosts of a fabric domain stopped answering; repair is held back.
+    FabricDark {
+        /// The fabric domain.
+        fabric: id::Fabric,
+    },
+    /// Most hosts of a dark fabric domain answer again.
+    FabricBack {
+        /// The fabric domain.
+        fabric: id::Fabric,
+    },
     /// A host refused an order.
     OrderRefused {
         /// The host.
--- a/cuminward-group/src/steward/mod.rs
+++ b/cuminward-group/src/steward/mod.rs
@@ -14,7 +14,7 @@
 
 use cuminward_core::{catalog, host, id};
 
-use crate::{order, placement};
+use crate::{order, placement, probe::dark};
 
 pub mod claim;
 pub mod event;
@@ -23,6 +23,7 @@
 mod options;
 mod orders;
 mod reports;
+mod retiring;
 mod survey;
 pub mod term;
 
@@ -124,6 +125,15 @@
         /// IP address and port of the host.
         address: String,
     },
+    /// Give a whole group no new work from now on; its release follows.
+    Retire {
+        /// Name of the group.
+        group: id::Group,
+        /// Formation of the group.
+        generation: id::Generation,
+        /// When the group will be released, since the start of the process.
+        until: Duration,
+    },
     /// Tell the time line.
     Event(event::Event),
 }
@@ -156,6 +166,8 @@
     entries: Vec<host::Entry>,
     catalog: Arc<catalog::Catalog>,
     next_plan: Duration,
+    retiring: retiring::Retiring,
+    dark: dark::Detector,
     counter: u64,
     orders: u64,
     missing: usize,
@@ -175,6 +187,8 @@
             entries: Vec::new(),
             catalog: Arc::default(),
             next_plan: Duration::ZERO,
+            retiring: retiring::Retiring::new(),
+            dark: dark::Detector::default(),
             counter: 0,
             orders: 0,
             missing: 0,
@@ -200,9 +214,14 @@
     /// What placement would see at `now`.
     pub fn survey(&self, now: Duration) -> placement::Input {
         let allowed = |it: &hosts::Host| self.allowed(now, it.enforces);
-        let options = &self.options;
-        let domain = &options.domain;
-        survey::survey(now, &self.hosts, &self.catalog, domain, &options.limits, allowed)
+        placement::Input {
+            now,
+            hosts: survey::hosts(&self.hosts, allowed),
+            groups: survey::groups(&self.hosts, &self.retiring),
+            demands: survey::demands(&self.catalog, &self.options.domain),
+            held: self.dark.held(now, &self.options.dark),
+            limits: self.options.limits.clone(),
+        }
     }
 
     /// Tells whether hosts of a kind may get orders at `now`.
@@ -255,6 +274,7 @@
         self.missing = 0;
         self.lapsed = false;
         self.unfenced = false;
+        self.retiring.clear();
         self.event(event::Event::TermStarted { fence });
     }
 
@@ -294,6 +314,7 @@
             self.out.push(Output::Append(claim));
         }
         self.expire(now);
+        self.watch_fabrics(now);
         let Some(held) = self.lease.held() else { return };
         self.note_lease(now, held);
         self.confirm(now, held.fence);
--- a/cuminward-group/src/steward/options.rs
+++ b/cuminward-group/src/steward/options.rs
@@ -5,7 +5,7 @@
 use cuminward_core::id;
 use derive_builder::Builder;
 
-use crate::placement;
+use crate::{placement, probe::dark};
 
 /// Settings of a steward.
 #[derive(Debug, Clone, Builder)]
@@ -52,6 +52,12 @@
     /// Time between two plans.
     #[builder(default = "Duration::from_millis(500)")]
     pub plan_every: Duration,
+    /// Time for which a whole group finishes its work before it is released.
+    #[builder(default = "Duration::from_secs(30)")]
+    pub drain_for: Duration,
+    /// Detection of dark fabric domains.
+    #[builder(default)]
+    pub dark: dark::Options,
     /// Largest number of orders and readings that one step sends.
     #[builder(default = "64")]
     pub burst: usize,
--- a/cuminward-group/src/steward/orders.rs
+++ b/cuminward-group/src/steward/orders.rs
@@ -48,8 +48,9 @@
         let input = self.survey(now);
         let plan = placement::plan(&input, self.options.strategy);
         for release in plan.release {
-            self.release(now, fence, release);
+            self.retire(now, fence, &input, release);
         }
+        self.release_retired(now, fence, &input);
         for form in plan.form {
             self.form(now, fence, form);
         }
@@ -60,7 +61,7 @@
     }
 
     /// Orders the members that are confirmed to be in the group to leave it.
-    fn release(&mut self, now: Duration, fence: id::Fence, release: placement::Release) {
+    pub(super) fn release(&mut self, now: Duration, fence: id::Fence, release: placement::Release) {
         let key = (&release.group, release.generation);
         let inside = |it: &hosts::Host| {
             let member = it.membership().is_some_and(|it| (&it.group, it.generation) == key);
--- a/cuminward-group/src/steward/survey.rs
+++ b/cuminward-group/src/steward/survey.rs
@@ -1,39 +1,29 @@
 //! What placement sees of what the steward knows.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 use cuminward_core::{catalog, host, id};
 
-use super::hosts::{Effect, Host, Hosts};
+use super::{
+    hosts::{Effect, Host, Hosts},
+    retiring::Retiring,
+};
 use crate::placement;
 
-/// Makes the input of a plan; `allowed` tells whether a host may get orders now.
-pub(super) fn survey(
-    now: Duration,
-    hosts: &Hosts,
-    catalog: &catalog::Catalog,
-    domain: &str,
-    limits: &placement::Limits,
-    allowed: impl Fn(&Host) -> bool,
-) -> placement::Input {
-    let views = hosts.iter().map(|(name, it)| placement::Host {
+/// What placement sees of the hosts; `allowed` tells whether a host may get orders now.
+pub(super) fn hosts(hosts: &Hosts, allowed: impl Fn(&Host) -> bool) -> Vec<placement::Host> {
+    let view = |(name, it): (&id::Host, &Host)| placement::Host {
         host: name.clone(),
         fabric: it.fabric.clone(),
         state: it.state(allowed(it)),
         weights: it.weights.clone(),
         leaving: it.leaving,
-    });
-    placement::Input {
-        now,
-        hosts: views.collect(),
-        groups: groups(hosts),
-        demands: demands(catalog, domain),
-        limits: limits.clone(),
-    }
+    };
+    hosts.iter().map(view).collect()
 }
 
 /// Replicas that operators declared for a failure domain.
-fn demands(catalog: &catalog::Catalog, domain: &str) -> Vec<placement::Demand> {
+pub(super) fn demands(catalog: &catalog::Catalog, domain: &str) -> Vec<placement::Demand> {
     let mut demands = Vec::new();
     for model in catalog.models.values() {
         let count = model.replicas.get(domain).copied().unwrap_or_default() as usize;
@@ -53,17 +43,17 @@
 }
 
 /// Formations that at least one host reports, in the order of their generations.
-fn groups(hosts: &Hosts) -> Vec<placement::Group> {
+pub(super) fn groups(hosts: &Hosts, retiring: &Retiring) -> Vec<placement::Group> {
     let mut formations: BTreeMap<(id::Generation, &id::Group), &host::Membership> = BTreeMap::new();
-    for known in hosts.values().filter(|it| !it.lost) {
+    for known in hosts.values() {
         if let Some(it) = known.formation() {
             formations.entry((it.generation, &it.group)).or_insert(it);
         }
     }
-    formations.into_values().map(|it| group(hosts, it)).collect()
+    formations.into_values().map(|it| group(hosts, retiring, it)).collect()
 }
 
-fn group(hosts: &Hosts, formation: &host::Membership) -> placement::Group {
+fn group(hosts: &Hosts, retiring: &Retiring, formation: &host::Membership) -> placement::Group {
     let health = formation.members.iter().map(|it| member(hosts.get(it), formation)).max();
     placement::Group {
         group: formation.group.clone(),
@@ -75,6 +65,7 @@
         },
         members: formation.members.clone(),
         health: health.unwrap_or(placement::Health::Broken),
+        retiring: retiring.contains_key(&(formation.group.clone(), formation.generation)),
     }
 }
 
--- a/cuminward-group/tests/all/fixture.rs
+++ b/cuminward-group/tests/all/fixture.rs
@@ -14,7 +14,7 @@
 }
 
 impl Host {
-    /// Follows an order as the protocol page says.
+    /// Follows an order as the protocol page says; a host that ignores fencing numbers follows any order.
     pub(crate) fn order(&mut self, order: &order::Order) -> steward::Answer {
         if self.enforces && order.fence < self.report.fence {
             return steward::Answer::Stale { fence: self.report.fence };
@@ -27,11 +27,13 @@
             order::Action::Form(it) => match present {
                 None => self.report.membership = Some(membership(it)),
                 Some(key) if key == (&it.group, it.generation) => {}
+                Some(_) if !self.enforces => self.report.membership = Some(membership(it)),
                 Some(_) => return refused("in-group"),
             },
             order::Action::Release(it) if present == Some((&it.group, it.generation)) => {
                 self.report.membership = None;
             }
+            order::Action::Release(_) if !self.enforces => self.report.membership = None,
             order::Action::Release(_) => return refused("other-group"),
         }
         steward::Answer::Accepted(self.report.clone())
@@ -225,6 +227,7 @@
                 Some(steward::Input::Ordered { host: it.host, order: it.order.order, outcome })
             }
             steward::Output::Read { host, .. } => Some(read(now, host, world)),
+            steward::Output::Retire { .. } => None,
             steward::Output::Event(event) => {
                 self.events.push(event);
                 None
