feat: cuminward-route: quarantine, ejection and silent connections

Cause: a request that crashes upstreams, an outlier and a connection that has gone silent must not take the service down, nor cost the innocent. Change: quarantine (ledger folded from the log, isolation at a node), eject with a floor, silence; the admission tests run on proptest-state-machine with a fixed seed and short splits; what an owner knows of one node is a module of its own.

--- a/cuminward-route/src/admission.rs
+++ b/cuminward-route/src/admission.rs
@@ -14,6 +14,7 @@
 //! - A holder whose connection to the upstream was lost falls back to its reserve, since the
 //!   upstream may have restarted cold.
 
+mod account;
 mod holder;
 pub mod message;
 mod node;
--- a/cuminward-route/src/admission/owner.rs
+++ b/cuminward-route/src/admission/owner.rs
@@ -4,10 +4,7 @@
 
 use cuminward_core::{host, id};
 
-use super::{Limits, Options, Ramp, Upstream, message, reserve};
-
-/// Unacknowledged grants that are told apart for one node.
-const MAX_PENDING: usize = 8;
+use super::{Limits, Options, Ramp, Upstream, account::Account, message, reserve};
 
 /// Time between two invitations of a node that hasn't joined.
 const INVITATION_INTERVAL: Duration = Duration::from_millis(100);
@@ -67,42 +64,6 @@
     Probe,
 }
 
-/// A grant that was sent.
-#[derive(Debug, Clone, Copy)]
-struct Promise {
-    seq: u64,
-    slots: u32,
-    reserve: u32,
-}
-
-/// What one node holds.
-#[derive(Debug, Default)]
-struct Account {
-    join: message::Join,
-    report: u64,
-    reset: u64,
-    joined: bool,
-    listed: bool,
-    /// Slots that the node reported to hold.
-    held: u32,
-    in_use: u32,
-    waiting: u32,
-    /// Slots that the node reported to use without a grant.
-    reserve_held: u32,
-    /// Slots that the node is meant to use without a grant.
-    reserve: u32,
-    /// The node's share of what may be used without a grant.
-    entitled: u32,
-    /// Slots that the node is meant to have, its reserve aside.
-    target: u32,
-    /// Target and reserve of the last grant.
-    sent: (u32, u32),
-    /// Grants that the node hasn't acknowledged.
-    pending: Vec<Promise>,
-    echo: Duration,
-    heard: Duration,
-}
-
 /// Life cycle
 impl Owner {
     /// Makes an owner that knows nothing; sessions of the same node have to rise.
@@ -172,7 +133,7 @@
     fn list(&mut self, now: Duration, nodes: Vec<id::Node>) {
         self.listed = nodes;
         for node in &self.listed {
-            let new = || Account { heard: now, ..Account::default() };
+            let new = || Account::new(now);
             self.accounts.entry(node.clone()).or_insert_with(new);
         }
         for (node, account) in &mut self.accounts {
@@ -214,8 +175,7 @@
         }
         let fell = account.join != holdings.join || account.reset != holdings.reset;
         if fell {
-            account.pending.clear();
-            account.target = 0;
+            account.revoke();
         }
         account.take(now, holdings);
         if holdings.session != Some(self.session) {
@@ -225,7 +185,7 @@
         }
         let fell = fell || !account.joined;
         account.joined = true;
-        account.pending.retain(|it| it.seq > holdings.ack);
+        account.acknowledge(holdings.ack);
         if fell && self.doubt.replace(now).is_none() {
             outputs.push(Output::Probe);
         }
@@ -240,8 +200,7 @@
         account.held = release.in_use;
         account.in_use = release.in_use;
         account.waiting = 0;
-        account.target = 0;
-        account.pending.clear();
+        account.revoke();
     }
 
     /// Keeps the latest start of each incarnation that a holder knows of.
@@ -310,8 +269,7 @@
                 account.held = account.reserve_held;
                 account.in_use = 0;
                 account.waiting = 0;
-                account.target = 0;
-                account.pending.clear();
+                account.revoke();
             }
         }
         let over = |it: &Account| it.committed() == 0 || now > it.heard + longest;
@@ -410,70 +368,6 @@
     }
 }
 
-/// Access
-impl Account {
-    /// Slots that the node may be using.
-    fn committed(&self) -> u32 {
-        let pending = self.pending.iter().map(|it| it.slots).max().unwrap_or(0);
-        self.held.max(pending).max(self.level())
-    }
-
-    /// Slots that the node may be using without a grant.
-    fn reserved(&self) -> u32 {
-        let pending = self.pending.iter().map(|it| it.reserve).max().unwrap_or(0);
-        self.reserve_held.max(pending)
-    }
-
-    /// Tells whether the node has to be told of a change.
-    fn changed(&self) -> bool {
-        self.sent != (self.target, self.reserve)
-    }
-
-    /// Slots that the node is meant to have.
-    fn level(&self) -> u32 {
-        self.target.max(self.reserve)
-    }
-
-    /// Requests that run or wait at the node.
-    fn demand(&self) -> u32 {
-        self.in_use + self.waiting
-    }
-
-    /// Slots that the node is to have while there are enough: one more than it needs.
-    fn comfort(&self) -> u32 {
-        if self.demand() == 0 { 0 } else { self.demand() + 1 }
-    }
-}
-
-/// Mutation
-impl Account {
-    fn take(&mut self, now: Duration, holdings: &message::Holdings) {
-        self.join = holdings.join;
-        self.report = holdings.report;
-        self.reset = holdings.reset;
-        self.held = holdings.in_use.max(holdings.allowance);
-        self.reserve_held = holdings.reserve;
-        if !self.joined {
-            self.reserve = holdings.reserve.min(self.entitled);
-        }
-        self.in_use = holdings.in_use;
-        self.waiting = holdings.waiting;
-        self.echo = holdings.sent;
-        self.heard = now;
-    }
-
-    /// Notes a grant of the target; the oldest ones are merged when there are too many.
-    fn promise(&mut self, seq: u64) {
-        if self.pending.len() == MAX_PENDING {
-            let oldest = self.pending.remove(0);
-            let next = &mut self.pending[0];
-            next.slots = next.slots.max(oldest.slots);
-            next.reserve = next.reserve.max(oldest.reserve);
-        }
-        self.pending.push(Promise { seq, slots: self.level(), reserve: self.reserve });
-    }
-}
-
 /// Largest part for which the sum of all demands, each cut to the part, is within the limit.
 fn fair(mut demands: Vec<u32>, limit: u32) -> u32 {
     demands.sort_unstable();
--- /dev/null
+++ b/cuminward-route/src/quarantine/isolation.rs
@@ -0,0 +1,93 @@
+//! Which suspect runs where at this node.
+
+use std::collections::HashMap;
+
+use cuminward_core::id;
+
+use super::{Crash, Fingerprint, Record, Verdict, text};
+
+/// Suspects that this node runs, by upstream.
+#[derive(Debug, Clone, Default)]
+pub struct Isolation {
+    running: HashMap<String, Fingerprint>,
+}
+
+/// The upstream already runs a suspect of this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Busy;
+
+/// The right to run one suspect on one upstream; give it back with [`Isolation::complete`],
+/// [`Isolation::abandon`] or [`Isolation::crash`].
+#[derive(Debug, PartialEq, Eq)]
+pub struct Token {
+    upstream: String,
+    fingerprint: Fingerprint,
+}
+
+/// Access
+impl Isolation {
+    /// Tells whether a suspect may begin on the upstream.
+    pub fn is_free(&self, upstream: &str) -> bool {
+        !self.running.contains_key(upstream)
+    }
+}
+
+/// Mutation
+impl Isolation {
+    /// Lets a request begin; requests that are not suspected need no token.
+    pub fn begin(
+        &mut self,
+        upstream: &str,
+        fingerprint: Fingerprint,
+        verdict: Verdict,
+    ) -> Result<Option<Token>, Busy> {
+        if verdict != Verdict::Suspect {
+            return Ok(None);
+        }
+        if !self.is_free(upstream) {
+            return Err(Busy);
+        }
+        self.running.insert(upstream.to_owned(), fingerprint);
+        Ok(Some(Token { upstream: upstream.to_owned(), fingerprint }))
+    }
+
+    /// Ends a suspect that ran to its end; the record clears it everywhere.
+    pub fn complete(&mut self, token: Token) -> Record {
+        let fingerprint = text(token.fingerprint);
+        self.abandon(token);
+        Record::Cleared { fingerprint }
+    }
+
+    /// Ends a suspect that did not run to its end, without a crash.
+    pub fn abandon(&mut self, token: Token) {
+        let Token { upstream, fingerprint } = token;
+        if self.running.get(&upstream) == Some(&fingerprint) {
+            self.running.remove(&upstream);
+        }
+    }
+
+    /// Notes that an upstream crashed with these requests of the node in flight; the record tells
+    /// all nodes. `None` when nothing was in flight.
+    pub fn crash(
+        &mut self,
+        node: &str,
+        upstream: &str,
+        incarnation: id::Incarnation,
+        in_flight: &[Fingerprint],
+    ) -> Option<Record> {
+        let isolated = self.running.remove(upstream);
+        if in_flight.is_empty() && isolated.is_none() {
+            return None;
+        }
+        let mut suspects: Vec<String> = in_flight.iter().map(|it| text(*it)).collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        Some(Record::Crashed(Crash {
+            node: node.to_owned(),
+            upstream: upstream.to_owned(),
+            incarnation,
+            suspects,
+            isolated: isolated.map(text),
+        }))
+    }
+}
--- a/cuminward-route/tests/all/admission.rs
+++ b/cuminward-route/tests/all/admission.rs
@@ -6,6 +6,7 @@
 use cuminward_route::admission::{Limits, Node, Options, Slot, message, reserve};
 use googletest::prelude::*;
 use proptest::{prelude::*, test_runner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -50,6 +51,7 @@
     Run(u32),
     Split(u64),
     Heal,
+    Flap(u64),
     Restart,
     Demand(u64),
     Replace(usize),
@@ -106,6 +108,7 @@
             Event::Run(steps) => (0..steps).for_each(|_| self.step()),
             Event::Split(seed) => self.split(seed),
             Event::Heal => self.split(0),
+            Event::Flap(seed) => self.flap(seed),
             Event::Restart => self.restart(),
             Event::Demand(seed) => self.demand(seed),
             Event::Replace(index) => self.replace(index),
@@ -133,6 +136,14 @@
         }
     }
 
+    /// Nodes lose each other for a moment, shorter than messages may take.
+    fn flap(&mut self, seed: u64) {
+        for seed in [seed, 0, seed.rotate_left(7), 0] {
+            self.split(seed);
+            (0..4).for_each(|_| self.step());
+        }
+    }
+
     /// The upstream starts anew without warning; what it ran is lost.
     fn restart(&mut self) {
         self.incarnation += 1;
@@ -250,39 +261,99 @@
         3 => any::<u64>().prop_map(Event::Demand),
         1 => any::<u64>().prop_map(Event::Split),
         1 => Just(Event::Heal),
+        1 => any::<u64>().prop_map(Event::Flap),
         1 => Just(Event::Restart),
         1 => any::<usize>().prop_map(Event::Replace),
         1 => any::<bool>().prop_map(Event::Loss),
     ]
 }
 
-fn run(count: usize, cases: u32) {
-    let config = ProptestConfig { cases, failure_persistence: None, ..ProptestConfig::default() };
-    let seed = test_runner::TestRng::deterministic_rng(test_runner::RngAlgorithm::ChaCha);
-    let mut runner = test_runner::TestRunner::new_with_rng(config, seed);
-    let events = prop::collection::vec(event(), 5..40);
-    let result = runner.run(&(any::<u64>(), events), |(seed, events)| {
-        let mut domain = Domain::new(count, seed);
+/// The faults that may happen: any, at any time. The upstream's own count is the reference.
+struct Faults;
+
+impl ReferenceStateMachine for Faults {
+    type State = u64;
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<u64> {
+        any::<u64>().boxed()
+    }
+
+    fn transitions(_seed: &u64) -> BoxedStrategy<Event> {
+        event().boxed()
+    }
+
+    fn apply(seed: u64, _event: &Event) -> u64 {
+        seed
+    }
+}
+
+/// A domain of `COUNT` nodes.
+struct Run<const COUNT: usize>;
+
+impl<const COUNT: usize> StateMachineTest for Run<COUNT> {
+    type SystemUnderTest = Domain;
+    type Reference = Faults;
+
+    fn init_test(&seed: &u64) -> Domain {
+        let mut domain = Domain::new(COUNT, seed);
         domain.demand(seed);
-        events.iter().for_each(|it| domain.apply(it));
-        Ok(())
-    });
-    result.expect("the upstream never runs more than it can bear");
+        domain
+    }
+
+    fn apply(mut domain: Domain, _seed: &u64, event: Event) -> Domain {
+        domain.apply(&event);
+        domain
+    }
+
+    fn check_invariants(domain: &Domain, _seed: &u64) {
+        assert!(domain.running() <= domain.bearable());
+    }
 }
 
-#[gtest]
-fn never_exceeds_what_the_upstream_bears_at_2_nodes() {
-    run(2, 128);
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: test_runner::RngSeed::Fixed(9),
+        ..ProptestConfig::default()
+    }
 }
 
-#[gtest]
-fn never_exceeds_what_the_upstream_bears_at_9_nodes() {
-    run(9, 64);
+prop_state_machine! {
+    #![proptest_config(config(128))]
+
+    #[test]
+    fn never_exceeds_what_the_upstream_bears_at_2_nodes(sequential 5..40 => Run<2>);
+}
+
+prop_state_machine! {
+    #![proptest_config(config(64))]
+
+    #[test]
+    fn never_exceeds_what_the_upstream_bears_at_9_nodes(sequential 5..40 => Run<9>);
 }
 
+prop_state_machine! {
+    #![proptest_config(config(16))]
+
+    #[test]
+    fn never_exceeds_what_the_upstream_bears_at_44_nodes(sequential 5..40 => Run<44>);
+}
+
+/// An upstream that fails everything is cold again, though its incarnation is the same.
 #[gtest]
-fn never_exceeds_what_the_upstream_bears_at_44_nodes() {
-    run(44, 16);
+fn an_upstream_that_fails_everything_warms_up_anew() {
+    let mut domain = Domain::new(2, 3);
+    domain.members.iter_mut().for_each(|it| it.demand = 48);
+    domain.apply(&Event::Run(1_000));
+    let (now, owner) = (domain.now, |it: &&mut Member| it.node.owner(UPSTREAM).is_some());
+    let member = domain.members.iter_mut().find(owner).expect("one node owns it");
+    member.node.failing(now, UPSTREAM);
+    let owner = member.node.owner(UPSTREAM).expect("it still owns it");
+    expect_that!(owner.limit(now), eq(LIMITS.cold_slots));
+    domain.apply(&Event::Run(300));
+    expect_that!(domain.running(), le(6 + 42 * 6 / 10));
 }
 
 /// Without faults the nodes together reach the limit, and again after a split has healed.
--- a/cuminward-route/tests/all/main.rs
+++ b/cuminward-route/tests/all/main.rs
@@ -2,6 +2,8 @@
 
 mod admission;
 mod attempt;
+mod eject;
 mod prefix;
+mod quarantine;
 mod route;
 mod share;
--- /dev/null
+++ b/cuminward-route/tests/all/quarantine.rs
@@ -0,0 +1,87 @@
+//! Tests of the isolation of requests that crash upstreams.
+
+use std::time::Duration;
+
+use cuminward_route::quarantine::{Busy, Isolation, Ledger, Record, Verdict};
+use googletest::prelude::*;
+
+const NOW: Duration = Duration::from_secs(10);
+
+/// Runs requests on upstreams until all are done; `culprit` crashes each upstream that runs it.
+/// Returns the crashes.
+fn play(culprit: u64, requests: &[u64]) -> (u64, Ledger) {
+    let mut ledger = Ledger::default();
+    let mut isolation = Isolation::default();
+    let mut crashes = 1;
+    let first = isolation.crash("n", "g0", 1, requests).expect("something was in flight");
+    ledger.apply(NOW, Duration::ZERO, &first);
+    for &it in requests {
+        for attempt in 0..3 {
+            let verdict = ledger.verdict(NOW, it);
+            if verdict == Verdict::Refused {
+                break;
+            }
+            let upstream = format!("g{attempt}");
+            let token = isolation.begin(&upstream, it, verdict).expect("one runs at a time");
+            if it == culprit {
+                crashes += 1;
+                let record = isolation.crash("n", &upstream, 2 + crashes, &[it, 99]);
+                ledger.apply(NOW, Duration::ZERO, &record.expect("it was in flight"));
+            } else if let Some(token) = token {
+                ledger.apply(NOW, Duration::ZERO, &isolation.complete(token));
+            }
+        }
+    }
+    (crashes, ledger)
+}
+
+#[gtest]
+fn the_culprit_crashes_two_upstreams_and_the_innocent_get_through() {
+    let (crashes, ledger) = play(7, &[1, 2, 7, 8]);
+    expect_that!(crashes, eq(2));
+    expect_that!(ledger.verdict(NOW, 7), eq(Verdict::Refused));
+    for innocent in [1, 2, 8, 55] {
+        expect_that!(ledger.verdict(NOW, innocent), eq(Verdict::Clear), "{innocent}");
+    }
+    expect_that!(ledger.verdict(NOW, 99), eq(Verdict::Suspect));
+    expect_that!(ledger.verdict(NOW + Duration::from_secs(3600), 7), eq(Verdict::Clear));
+}
+
+#[gtest]
+fn one_suspect_of_a_node_runs_on_an_upstream() {
+    let mut isolation = Isolation::default();
+    let token = isolation.begin("g", 1, Verdict::Suspect).expect("it is free");
+    expect_that!(isolation.begin("g", 2, Verdict::Suspect), err(eq(&Busy)));
+    expect_that!(isolation.begin("g", 3, Verdict::Clear), ok(none()));
+    expect_that!(isolation.begin("h", 2, Verdict::Suspect), ok(some(anything())));
+    isolation.abandon(token.expect("suspects get one"));
+    expect_that!(isolation.is_free("g"), eq(true));
+}
+
+#[gtest]
+fn two_nodes_isolating_on_one_upstream_condemn_nobody() {
+    let mut ledger = Ledger::default();
+    for (node, suspect) in [("a", 1), ("b", 2)] {
+        let mut isolation = Isolation::default();
+        isolation.begin("g", suspect, Verdict::Suspect).expect("it is free");
+        let record = isolation.crash(node, "g", 5, &[suspect]).expect("it was in flight");
+        let text = serde_json::to_string(&record).expect("records are plain data");
+        let record: Record = serde_json::from_str(&text).expect("the text is a record");
+        ledger.apply(NOW, Duration::ZERO, &record);
+    }
+    expect_that!(ledger.verdict(NOW, 1), eq(Verdict::Suspect));
+    expect_that!(ledger.verdict(NOW, 2), eq(Verdict::Suspect));
+}
+
+#[gtest]
+fn memory_is_bounded() {
+    let mut ledger = Ledger::new(Duration::from_secs(60), 100);
+    for start in 0..50 {
+        let all: Vec<u64> = (start * 10..start * 10 + 10).collect();
+        let record = Isolation::default().crash("n", "g", start, &all).expect("in flight");
+        ledger.apply(NOW + Duration::from_secs(start), Duration::ZERO, &record);
+    }
+    let now = NOW + Duration::from_secs(50);
+    let known = (0..500).filter(|&it| ledger.verdict(now, it) != Verdict::Clear);
+    expect_that!(known.count(), eq(100));
+}
