feat: the whole path: quickstart over real nodes and stand-ins

Cause: nodes did not call each other, so only a lone node could serve. Conclusion: the path is whole; requests at nodes of a domain that was taken out wait for its return instead of using other domains, which comes next.

--- a/cuminward-node/src/control/configure.rs
+++ b/cuminward-node/src/control/configure.rs
@@ -1,6 +1,7 @@
 //! Follows the configuration log and appends operators' changes to it.
 
 use std::{
+    collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     time::Duration,
 };
@@ -9,6 +10,7 @@
 use cuminward_core::{catalog, change, id};
 use cuminward_event::kind::Kind;
 use cuminward_operator::{server, status};
+use cuminward_peer::message;
 use cuminward_platform::{call, journal};
 use serde_json::Value;
 
@@ -26,10 +28,14 @@
 /// Time that an operator's call waits until its record was read back.
 const READ_BACK: Duration = Duration::from_secs(5);
 
+/// Records that are kept for other nodes.
+const RECENT: usize = 4_096;
+
 /// The configuration as this node has folded it.
 #[derive(Debug, Default)]
 pub struct Config {
     fold: Mutex<fold::Fold>,
+    recent: Mutex<VecDeque<message::ConfigRecord>>,
 }
 
 /// Access
@@ -38,6 +44,11 @@
     pub fn fold(&self) -> MutexGuard<'_, fold::Fold> {
         self.fold.lock().expect("no code panics while it has the lock")
     }
+
+    /// The newest records, in offset order.
+    fn recent(&self) -> MutexGuard<'_, VecDeque<message::ConfigRecord>> {
+        self.recent.lock().expect("no code panics while it has the lock")
+    }
 }
 
 /// Follows the log until the node stops; the last configuration stays in force while it is away.
@@ -75,7 +86,11 @@
 async fn take(state: &state::State, stream: &journal::Stream, read: journal::Read<Value>) {
     match read {
         journal::Read::Page(page) => {
-            let records = page.records.into_iter().map(|it| (it.offset, it.value));
+            let records = page.records.iter().map(|it| message::ConfigRecord {
+                offset: it.offset,
+                at_ms: it.at_ms,
+                text: it.value.to_string(),
+            });
             apply(state, records);
             state.configured.store(true, Ordering::Release);
         }
@@ -83,15 +98,20 @@
     }
 }
 
-/// Folds records; later offsets come later.
-pub fn apply(state: &state::State, records: impl Iterator<Item = (id::Offset, Value)>) {
+/// Folds records in offset order; records that were folded before are skipped.
+fn apply(state: &state::State, records: impl Iterator<Item = message::ConfigRecord>) {
     let mut changed = false;
     {
         let mut fold = state.config.fold();
-        for (offset, value) in records {
-            let outcome = fold.apply(offset, &value);
+        for record in records.filter(|it| fold.revision() <= it.offset).collect::<Vec<_>>() {
+            let Ok(value) = serde_json::from_str(&record.text) else { break };
+            let outcome = fold.apply(record.offset, &value);
+            if outcome == (fold::Outcome::Skipped { reason: fold::Skip::Gap }) {
+                break;
+            }
             changed |= matches!(outcome, fold::Outcome::Accepted { .. });
             report(state, &fold, &value, &outcome);
+            remember(state, record);
         }
         if changed {
             publish(state, fold.catalog());
@@ -103,6 +123,39 @@
     }
 }
 
+/// Keeps a record for other nodes.
+fn remember(state: &state::State, record: message::ConfigRecord) {
+    let mut recent = state.config.recent();
+    recent.push_back(record);
+    let excess = recent.len().saturating_sub(RECENT);
+    recent.drain(..excess);
+}
+
+/// Records from a revision on for another node, or a snapshot where they aren't kept any more.
+pub fn since(state: &state::State, from: id::Revision, max: u32) -> message::Config {
+    let fold = state.config.fold();
+    let recent = state.config.recent();
+    let revision = fold.revision();
+    let kept = recent.front().is_some_and(|it| it.offset <= from);
+    let snapshot = (!kept && from < revision).then(|| {
+        let snapshot = record::Record::Snapshot(Box::new(fold.snapshot()));
+        record::to_value(&snapshot).to_string()
+    });
+    let wanted = recent.iter().filter(|it| kept && from <= it.offset);
+    let records = wanted.take(max as usize).cloned().collect();
+    message::Config { records, snapshot, revision }
+}
+
+/// Takes over what another node has folded already.
+pub fn take_over(state: &state::State, config: message::Config) {
+    let snapshot = config.snapshot.and_then(|it| serde_json::from_str(&it).ok());
+    if let Some(snapshot) = snapshot.as_ref().and_then(self::snapshot) {
+        adopt(state, &snapshot);
+    }
+    apply(state, config.records.into_iter());
+    state.configured.store(true, Ordering::Release);
+}
+
 /// Says what became of a change.
 fn report(state: &state::State, fold: &fold::Fold, value: &Value, outcome: &fold::Outcome) {
     let record::Parsed::Known(record::Record::Change(change)) = record::parse(value) else {
@@ -164,19 +217,22 @@
         tokio::time::sleep(RETRY).await;
         return;
     };
-    let restored = {
+    adopt(state, &snapshot);
+}
+
+/// Puts a snapshot in force, unless it is older than what is in force.
+fn adopt(state: &state::State, snapshot: &fold::Snapshot) {
+    {
         let mut fold = state.config.fold();
-        let newer = fold.revision() < snapshot.at;
-        if newer {
-            *fold = fold::Fold::restore(&snapshot);
-            publish(state, fold.catalog());
-            state.revision.send_replace(fold.revision());
+        if snapshot.at <= fold.revision() {
+            return;
         }
-        newer
-    };
-    if restored {
-        view::refresh(state);
+        *fold = fold::Fold::restore(snapshot);
+        state.config.recent().clear();
+        publish(state, fold.catalog());
+        state.revision.send_replace(fold.revision());
     }
+    view::refresh(state);
 }
 
 fn snapshot(value: &Value) -> Option<fold::Snapshot> {
--- a/cuminward-node/src/control/peer.rs
+++ b/cuminward-node/src/control/peer.rs
@@ -1,17 +1,72 @@
-//! Calls between the nodes.
+//! Calls between the nodes: who is there, what they know, and messages about slots.
+
+mod answer;
+pub mod greet;
 
 use std::sync::Arc;
 
 use cuminward_core::id;
-use cuminward_route::admission::message;
+use cuminward_peer::{client, handshake, message, server, stream};
+use cuminward_route::admission;
 use tokio::net::TcpListener;
 
-use crate::state;
+use crate::{control::admit, state};
+
+/// Connections to the other nodes.
+pub type Pool = client::Pool<stream::Tcp>;
+
+/// Makes the connections to the other nodes.
+pub fn pool(secret: &str) -> Pool {
+    let secret = handshake::Secret::new(secret);
+    let counter = Arc::default();
+    client::Pool::new(stream::Tcp, secret, client::Options::default(), counter)
+}
 
 /// Answers other nodes until the node stops.
-pub async fn run(state: Arc<state::State>, _listener: TcpListener) {
-    state.stop.cancelled().await;
+pub async fn run(state: Arc<state::State>, listener: TcpListener) {
+    let server = server::Server {
+        accept: stream::Tcp,
+        answer: Arc::new(answer::Answerer::new(Arc::clone(&state))),
+        secret: handshake::Secret::new(state.settings.secret.expose()),
+        options: server::Options::default(),
+        sink: Arc::clone(&state.events),
+        counter: Arc::clone(&state.counter),
+    };
+    tokio::select! {
+        () = server.serve(listener) => {}
+        () = state.stop.cancelled() => {}
+    }
 }
 
-/// Sends a message of the admission.
-pub fn send_batch(_state: &Arc<state::State>, _node: id::Node, _batch: message::Batch) {}
+/// Sends messages of the admission; what the other node answers is taken in at once.
+pub fn send_batch(state: &Arc<state::State>, node: id::Node, batch: &admission::message::Batch) {
+    let message = wrap(state, batch);
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        if let Ok(answer) = state.pool.admission(&node, message).await {
+            receive(&state, &answer);
+        }
+    });
+}
+
+fn wrap(state: &state::State, batch: &admission::message::Batch) -> message::Admission {
+    let json = serde_json::to_string(batch).expect("batches have string keys only");
+    message::Admission {
+        from: state.settings.node.clone(),
+        incarnation: state.incarnation,
+        messages: vec![json],
+    }
+}
+
+/// Takes in messages of another node; messages of other versions that can't be read are skipped.
+fn receive(state: &Arc<state::State>, message: &message::Admission) {
+    let batches = message.messages.iter().filter_map(|it| serde_json::from_str(it).ok());
+    let batches = batches.filter(|it: &admission::message::Batch| it.node == message.from);
+    let work = {
+        let mut admission = state.admission();
+        batches.for_each(|it| admission.receive(state.now(), it));
+        admission.take_work()
+    };
+    admit::carry_out(state, work);
+    state.freed.notify_one();
+}
--- /dev/null
+++ b/cuminward-node/src/control/peer/answer.rs
@@ -0,0 +1,79 @@
+//! Answers the calls of other nodes.
+
+use std::{sync::Arc, time::Duration};
+
+use cuminward_core::id;
+use cuminward_once::{claim, key, reply};
+use cuminward_peer::{answer, message};
+
+use crate::{
+    control::{configure, peer},
+    state,
+};
+
+/// Events of one answer.
+const MAX_EVENTS: u32 = 1_000;
+
+/// The node behind the calls of others.
+pub(super) struct Answerer {
+    state: Arc<state::State>,
+}
+
+/// Life cycle
+impl Answerer {
+    /// Answers with the state of a node.
+    pub(super) fn new(state: Arc<state::State>) -> Answerer {
+        Answerer { state }
+    }
+}
+
+impl answer::Answer for Answerer {
+    async fn hello(&self, hello: message::Hello) -> message::Hello {
+        self.state.events.clock().observe(hello.stamp);
+        peer::greet::hello(&self.state)
+    }
+
+    async fn config(&self, from: id::Revision, max: u32) -> message::Config {
+        configure::since(&self.state, from, max)
+    }
+
+    async fn observations(
+        &self,
+        _incarnation: id::Incarnation,
+        _since: message::Position,
+    ) -> message::Observations {
+        message::Observations {
+            incarnation: self.state.incarnation,
+            next: 0,
+            full: false,
+            changed: Vec::new(),
+            confirmed: Vec::new(),
+            removed: Vec::new(),
+        }
+    }
+
+    async fn admission(&self, admission: message::Admission) -> message::Admission {
+        peer::receive(&self.state, &admission);
+        message::Admission {
+            from: self.state.settings.node.clone(),
+            incarnation: self.state.incarnation,
+            messages: Vec::new(),
+        }
+    }
+
+    async fn claim_keys(&self, claims: Vec<claim::Claim>) -> Vec<claim::Verdict> {
+        claims.iter().map(|_| claim::Verdict::Refused(claim::Reason::Overloaded)).collect()
+    }
+
+    async fn reply(&self, _hash: key::Hash, _wait: Duration) -> reply::Lookup {
+        reply::Lookup::Unknown
+    }
+
+    async fn events(&self, from: u64, max: u32, request: Option<id::Request>) -> message::Events {
+        let max = max.min(MAX_EVENTS) as usize;
+        let records = self.state.events.since(from, max, request.as_deref());
+        let next = records.last().map_or(from, |it| it.seq + 1);
+        let json = records.iter().filter_map(|it| serde_json::to_string(it).ok());
+        message::Events { records: json.collect(), next }
+    }
+}
--- a/cuminward-node/src/control/probe.rs
+++ b/cuminward-node/src/control/probe.rs
@@ -142,13 +142,14 @@
 fn assemble(state: &state::State) {
     let hosts = state.hosts.load();
     let catalog = state.catalog.load();
-    let new = assembly::assemble(&assembly::Input {
+    let mut new = assembly::assemble(&assembly::Input {
         observations: &state.observations(),
         hosts: &hosts.hosts,
         catalog: &catalog,
         now: state.now(),
         freshness: state.settings.timing.freshness,
     });
+    new.routable.retain(|it| !state.retiring.contains(it));
     state.measure(&catalog, &hosts.hosts, &new.routable);
     let old = state.replicas.swap(Arc::new(new.clone()));
     let before = formations(&old);
--- a/cuminward-node/src/control/steward.rs
+++ b/cuminward-node/src/control/steward.rs
@@ -140,6 +140,9 @@
             steward::Output::Append(claim) => self.append(claim),
             steward::Output::Send(dispatch) => self.send(dispatch),
             steward::Output::Read { host, address } => self.read(host, address),
+            steward::Output::Retire { group, generation, until } => {
+                self.state.retiring.add(self.state.now(), group, generation, until);
+            }
             steward::Output::Event(event) => report(&self.state, event),
         }
     }
@@ -194,7 +197,9 @@
                     let _ = self.stream.append(&claim).await;
                 }
                 steward::Output::Event(event) => report(&self.state, event),
-                steward::Output::Send(_) | steward::Output::Read { .. } => {}
+                steward::Output::Send(_)
+                | steward::Output::Read { .. }
+                | steward::Output::Retire { .. } => {}
             }
         }
     }
--- a/cuminward-node/src/lib.rs
+++ b/cuminward-node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod operate;
 pub mod peers;
 pub mod request;
+pub mod retiring;
 pub mod settings;
 pub mod state;
 pub mod view;
--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -17,6 +17,7 @@
 use cuminward_core::{catalog, hlc, host, id, replica};
 use cuminward_event::sink;
 use cuminward_group::assembly;
+use cuminward_peer::count;
 use cuminward_platform::hosts;
 use cuminward_route::{admission, attempt};
 use cuminward_upstream::{engine, plain, pool};
@@ -25,7 +26,12 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::{control::configure, measure, node, peers, request::dispatch, settings, view};
+use crate::{
+    control::{configure, peer},
+    measure, node, peers,
+    request::dispatch,
+    retiring, settings, view,
+};
 
 /// Events that a node keeps in memory.
 const EVENT_CAPACITY: usize = 16_384;
@@ -43,7 +49,7 @@
     /// Tells this start of the node from others: milliseconds since the Unix epoch.
     pub incarnation: id::Incarnation,
     /// Where events go.
-    pub events: sink::Sink,
+    pub events: Arc<sink::Sink>,
     /// Configuration in force.
     pub catalog: ArcSwap<catalog::Catalog>,
     /// What requests read.
@@ -52,8 +58,14 @@
     pub hosts: ArcSwap<hosts::List>,
     /// Replicas that were whole at the last look.
     pub replicas: ArcSwap<assembly::Outcome>,
+    /// Groups that get no new work because they are about to be released.
+    pub retiring: retiring::Retiring,
     /// Other nodes, as they were last heard of.
     pub peers: peers::Peers,
+    /// Connections to the other nodes.
+    pub pool: peer::Pool,
+    /// Counts the bytes of calls that other nodes make.
+    pub counter: Arc<count::Counter>,
     /// Revision of the configuration in force; 0 before there is one.
     pub revision: watch::Sender<id::Revision>,
     /// The configuration as this node has folded it.
@@ -99,10 +111,13 @@
             admission: Mutex::new(admission::Node::new(settings.node.clone(), epoch)),
             maker: view::Maker::default(),
             catalog: ArcSwap::default(),
-            events: sink::Sink::new(settings.node.clone(), clock, EVENT_CAPACITY),
+            events: Arc::new(sink::Sink::new(settings.node.clone(), clock, EVENT_CAPACITY)),
+            pool: peer::pool(settings.secret.expose()),
+            counter: Arc::default(),
             view: ArcSwap::default(),
             hosts: ArcSwap::default(),
             replicas: ArcSwap::default(),
+            retiring: retiring::Retiring::default(),
             peers: peers::Peers::default(),
             revision: watch::Sender::new(0),
             config: configure::Config::default(),
@@ -148,6 +163,12 @@
         view.teams.values().map(|it| u64::from(it.load(Ordering::Acquire))).sum()
     }
 
+    /// Requests that the failure domain's replicas could take in addition, by this node's slots.
+    pub fn free(&self) -> u32 {
+        let view = self.view.load();
+        view.slots.values().map(|it| it.allowance().saturating_sub(it.in_use())).sum()
+    }
+
     /// The users' measures of the failure domain's groups.
     pub fn measures(&self) -> measure::Measures {
         *self.measures.lock().expect("no code panics while it has the lock")
--- a/cuminward-peer/src/message.rs
+++ b/cuminward-peer/src/message.rs
@@ -27,6 +27,25 @@
     pub draining: bool,
     /// Failure domains that the node has fresh knowledge of.
     pub trusted: Vec<id::Domain>,
+    /// IP address and port of the node's HTTP interface towards callers.
+    pub callers: String,
+    /// Requests that the node's failure domain could take in addition, as far as the node knows.
+    pub free: u32,
+    /// Groups that the node, as steward, is about to release; they get no new work.
+    pub retiring: Vec<Retiring>,
+}
+
+/// A group that is about to be released.
+#[serde_as]
+#[record]
+pub struct Retiring {
+    /// Name of the group.
+    pub group: id::Group,
+    /// Formation of the group.
+    pub generation: id::Generation,
+    /// Time until the release.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub left: Duration,
 }
 
 /// Records of the configuration stream.
--- a/cuminward-peer/tests/all/node.rs
+++ b/cuminward-peer/tests/all/node.rs
@@ -23,6 +23,13 @@
         stamp: 99,
         draining: false,
         trusted: vec![String::from("d"), String::from("e")],
+        callers: String::from("127.0.0.1:80"),
+        free: 3,
+        retiring: vec![message::Retiring {
+            group: String::from("g"),
+            generation: 4,
+            left: Duration::from_millis(250),
+        }],
     }
 }
 
--- a/cuminward-testkit/src/caller.rs
+++ b/cuminward-testkit/src/caller.rs
@@ -90,6 +90,7 @@
             .method(&call.method)
             .uri(format!("http://{node}{}", call.path))
             .header("authorization", format!("Bearer {}", self.key))
+            .header("content-type", "application/json")
             .header("te", "trailers");
         if let Some(key) = &call.key {
             request = request.header("idempotency-key", key);
