feat: cuminward-once: ledger of started keys, window, minted keys and replies

Cause: a request with an idempotency key must run at most once, and refusals must be true. Change: a pure machine batches claims (20 batches a second at most), folds the stream of started keys and decides a claim when its record is read back; the window slides with each record of a key, so that readers which began at different offsets agree; minted keys need no record; the store answers repeats and is the last check before a request is sent.

--- a/cuminward-once/src/claim.rs
+++ b/cuminward-once/src/claim.rs
@@ -1,11 +1,16 @@
 //! Claims to run the request of a key, and what becomes of them.
 
+use std::time::Duration;
+
 use cuminward_core::{id, outcome};
 use cuminward_derive::{record, value};
 use serde_with::serde_as;
 
 use crate::key;
 
+/// Longest time from making a claim to sending the request to an upstream.
+pub const START_WITHIN: Duration = Duration::from_secs(5);
+
 /// A claim of a node that has a request with a key.
 #[serde_as]
 #[record]
@@ -22,7 +27,7 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// The claim is the first one of its key: the issuer, and nobody else, may run the request. It
-    /// has to start within [`START_WITHIN`](crate::claim::START_WITHIN) of making the claim.
+    /// has to start within [`START_WITHIN`] of making the claim.
     First {
         /// Offset of the record.
         offset: id::Offset,
@@ -62,6 +67,12 @@
         outcome::Outcome::NotRun
     }
 
+    /// Tells whether the key may be recorded as started although the claim was refused. Such a key
+    /// is used up; with any other reason the request can be sent again with the same key.
+    pub fn is_recorded(self) -> bool {
+        self == Reason::Late
+    }
+
     /// Short text for people.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -74,6 +85,3 @@
         }
     }
 }
-
-/// Longest time from making a claim to sending the request to an upstream.
-pub const START_WITHIN: std::time::Duration = std::time::Duration::from_secs(5);
--- /dev/null
+++ b/cuminward-once/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of cuminward-once.
+
+mod key;
+mod ledger;
+mod mint;
+mod store;
+mod window;
--- /dev/null
+++ b/cuminward-once/tests/all/store.rs
@@ -0,0 +1,143 @@
+//! Tests of `store`.
+
+use std::{sync::Arc, time::Duration};
+
+use cuminward_once::{
+    claim::Reason,
+    reply::{Lookup, Reply},
+    store::{Begin, Options, Store},
+};
+use googletest::prelude::*;
+
+const HASH: [u8; 16] = [1; 16];
+
+fn seconds(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+fn reply(bytes: usize) -> Arc<Reply> {
+    Arc::new(Reply { status: 201, headers: Vec::new(), body: vec![0; bytes] })
+}
+
+#[gtest]
+fn repeats_are_answered_as_far_as_is_known() {
+    struct Case {
+        name: &'static str,
+        steps: fn(&mut Store),
+        begin: Begin,
+        lookup: Lookup,
+    }
+    let cases = [
+        Case { name: "claimed", steps: |_| (), begin: Begin::Wait, lookup: Lookup::Running },
+        Case {
+            name: "running",
+            steps: |it| assert!(it.start(seconds(5), &HASH)),
+            begin: Begin::Wait,
+            lookup: Lookup::Running,
+        },
+        Case {
+            name: "verdict after a pause",
+            steps: |it| assert!(!it.start(seconds(6), &HASH)),
+            begin: Begin::NotRun,
+            lookup: Lookup::NotRun,
+        },
+        Case {
+            name: "started twice",
+            steps: |it| {
+                assert!(it.start(seconds(1), &HASH));
+                assert!(!it.start(seconds(1), &HASH));
+            },
+            begin: Begin::Wait,
+            lookup: Lookup::Running,
+        },
+        Case {
+            name: "complete",
+            steps: |it| {
+                assert!(it.start(seconds(1), &HASH));
+                it.finish(seconds(2), &HASH, Some(reply(10)));
+            },
+            begin: Begin::Held(reply(10)),
+            lookup: Lookup::Held(reply(10).as_ref().clone()),
+        },
+        Case {
+            name: "failed",
+            steps: |it| {
+                assert!(it.start(seconds(1), &HASH));
+                it.finish(seconds(2), &HASH, None);
+            },
+            begin: Begin::Claim,
+            lookup: Lookup::Unknown,
+        },
+        Case {
+            name: "too large",
+            steps: |it| {
+                assert!(it.start(seconds(1), &HASH));
+                it.finish(seconds(2), &HASH, Some(reply(100_000)));
+            },
+            begin: Begin::Claim,
+            lookup: Lookup::Unknown,
+        },
+        Case {
+            name: "verdict lost",
+            steps: |it| it.refuse(seconds(1), &HASH, None),
+            begin: Begin::NotRun,
+            lookup: Lookup::NotRun,
+        },
+        Case {
+            name: "recorded late",
+            steps: |it| it.refuse(seconds(1), &HASH, Some(Reason::Late)),
+            begin: Begin::NotRun,
+            lookup: Lookup::NotRun,
+        },
+        Case {
+            name: "log away",
+            steps: |it| it.refuse(seconds(1), &HASH, Some(Reason::LogAway)),
+            begin: Begin::Claim,
+            lookup: Lookup::Unknown,
+        },
+        Case {
+            name: "refused after the start",
+            steps: |it| {
+                assert!(it.start(seconds(1), &HASH));
+                it.refuse(seconds(1), &HASH, None);
+            },
+            begin: Begin::Wait,
+            lookup: Lookup::Running,
+        },
+    ];
+    for case in cases {
+        let mut store = Store::new(Options { max_reply: 1000, ..Options::default() });
+        expect_that!(store.begin(seconds(0), HASH), eq(&Begin::Claim));
+        (case.steps)(&mut store);
+        expect_that!(store.lookup(&HASH), eq(&case.lookup), "{}", case.name);
+        expect_that!(store.begin(seconds(6), HASH), eq(&case.begin), "{}", case.name);
+        expect_that!(store.begin(seconds(7), [9; 16]), eq(&Begin::Claim), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn replies_are_bounded_in_bytes_number_and_age() {
+    let options = Options { max_bytes: 10_000, max_keys: 50, ..Options::default() };
+    let mut store = Store::new(options);
+    for n in 0..200_u8 {
+        expect_that!(store.begin(seconds(n.into()), [n; 16]), eq(&Begin::Claim));
+        expect_that!(store.start(seconds(n.into()), &[n; 16]), eq(true));
+        store.finish(seconds(n.into()), &[n; 16], Some(reply(usize::from(n) * 20)));
+        expect_that!(store.bytes(), le(10_000));
+        expect_that!(store.len(), le(50));
+    }
+    expect_that!(store.lookup(&[199; 16]), matches_pattern!(Lookup::Held(_)));
+    expect_that!(store.lookup(&[0; 16]), eq(&Lookup::Unknown));
+    expect_that!(store.begin(seconds(900), [250; 16]), eq(&Begin::Claim));
+    expect_that!(store.bytes(), eq(0));
+}
+
+#[gtest]
+fn requests_under_way_are_never_dropped() {
+    let mut store = Store::new(Options { max_keys: 2, ..Options::default() });
+    for n in 0..2 {
+        expect_that!(store.begin(seconds(0), [n; 16]), eq(&Begin::Claim));
+    }
+    expect_that!(store.begin(seconds(5000), [3; 16]), eq(&Begin::Full));
+    expect_that!(store.lookup(&[0; 16]), eq(&Lookup::Running));
+}
