--- a/cuminward-config/src/fold.rs
+++ b/cuminward-config/src/fold.rs
@@ -1,9 +1,7 @@
 //! Folds records of the configuration stream into a catalog.
 
-use std::collections::VecDeque;
-
 use cuminward_core::{
-    catalog::{Catalog, Service},
+    catalog::Catalog,
     change::{self, Action},
     id,
 };
@@ -11,17 +9,17 @@
 use serde_json::Value;
 
 use crate::{
+    effect,
     history::{self, History},
     limit,
-    record::{self, Parsed, Record},
+    record::{self, Parsed},
+    ring::Ring,
+    snapshot,
     target::{self, Touch, Touches},
     validate,
     window::{self, Window},
 };
 
-/// Version of the format of snapshots.
-pub const FORMAT: u32 = 1;
-
 /// What became of a record.
 #[record]
 #[serde(tag = "outcome", rename_all = "kebab-case")]
@@ -69,17 +67,6 @@
     Unknown,
 }
 
-/// The folded state as a record: a node restores it instead of reading older records.
-#[record]
-pub struct Snapshot {
-    /// Version of the format.
-    pub format: u32,
-    /// Offset of the first record that isn't part of the state.
-    pub at: id::Offset,
-    /// The state.
-    pub state: Fold,
-}
-
 /// The state that follows from the records read so far.
 #[record]
 #[derive(Default)]
@@ -88,21 +75,40 @@
     touches: Touches,
     window: Window,
     history: History,
-    unknown: VecDeque<(id::Offset, Value)>,
+    unknown: Unknown,
+    newest_snapshot: Option<snapshot::Mark>,
+    bytes: usize,
 }
 
-/// Life cycle
-impl Fold {
-    /// Restores the state from a snapshot.
-    pub fn restore(snapshot: &Snapshot) -> Fold {
-        let mut fold = snapshot.state.clone();
-        fold.catalog.revision = snapshot.at;
-        fold
+/// Records of unknown kinds, the oldest first.
+#[record]
+#[serde(from = "Vec<Kept>", into = "Vec<Kept>")]
+struct Unknown {
+    entries: Ring<Kept>,
+}
+
+/// A record of an unknown kind with its offset.
+type Kept = (id::Offset, Value);
+
+impl Default for Unknown {
+    fn default() -> Unknown {
+        Unknown { entries: Ring::new(limit::UNKNOWN, limit::UNKNOWN_BYTES) }
+    }
+}
+
+impl From<Vec<Kept>> for Unknown {
+    fn from(entries: Vec<Kept>) -> Unknown {
+        let mut unknown = Unknown::default();
+        for entry in entries {
+            unknown.entries.push(entry);
+        }
+        unknown
     }
+}
 
-    /// The state as a snapshot.
-    pub fn snapshot(&self) -> Snapshot {
-        Snapshot { format: FORMAT, at: self.revision(), state: self.clone() }
+impl From<Unknown> for Vec<Kept> {
+    fn from(unknown: Unknown) -> Vec<Kept> {
+        unknown.entries.into_iter().collect()
     }
 }
 
@@ -125,7 +131,12 @@
 
     /// Records of unknown kinds, the oldest first.
     pub fn unknown(&self) -> impl Iterator<Item = &(id::Offset, Value)> {
-        self.unknown.iter()
+        self.unknown.entries.iter()
+    }
+
+    /// Newest snapshot among the folded records.
+    pub fn newest_snapshot(&self) -> Option<snapshot::Mark> {
+        self.newest_snapshot
     }
 
     /// Last accepted change of a target.
@@ -146,7 +157,7 @@
     /// record in the log can tell.
     pub fn foresee(&self, change: &change::Record) -> Option<Outcome> {
         if let Err(reason) = validate::envelope(change) {
-            return Some(Outcome::Invalid { reason });
+            return Some(invalid(reason));
         }
         self.resolve(change)
             .or_else(|| self.conflict(change).map(|it| Outcome::Conflict { with: it.clone() }))
@@ -166,17 +177,29 @@
         let checked =
             validate::envelope(change).and_then(|()| validate::expected(change, self.revision()));
         if let Err(reason) = checked {
-            return Outcome::Invalid { reason };
+            return invalid(reason);
         }
         if let Some(with) = self.conflict(change) {
             return Outcome::Conflict { with: with.clone() };
         }
-        match validate::action(&self.catalog, &change.action) {
+        let checked = validate::action(&self.catalog, &change.action)
+            .and_then(|()| self.room(&change.action));
+        match checked {
             Ok(()) => Outcome::Accepted { revision: self.revision() + 1 },
-            Err(reason) => Outcome::Invalid { reason },
+            Err(reason) => invalid(reason),
         }
     }
 
+    /// Checks that the state with the change would still fit into a snapshot.
+    fn room(&self, action: &Action) -> Result<(), validate::Error> {
+        let growth = effect::growth(action);
+        let grown = self.bytes + growth - effect::weight(&self.catalog, action).min(self.bytes);
+        if growth > 0 && grown + self.touches.bytes() > limit::STATE_BYTES {
+            return Err(format!("the configuration would exceed {} bytes", limit::STATE_BYTES));
+        }
+        Ok(())
+    }
+
     fn conflict(&self, change: &change::Record) -> Option<&Touch> {
         let expected = change.expected?;
         self.touches.last(&target::of(&change.action)).filter(|it| it.revision > expected)
@@ -194,9 +217,9 @@
             return Outcome::Skipped { reason: Skip::Gap };
         }
         let outcome = match record::parse(value) {
-            Parsed::Known(Record::Change(change)) => self.change(offset, &change),
-            Parsed::Known(Record::Snapshot(_)) => Outcome::Skipped { reason: Skip::Snapshot },
-            Parsed::Malformed(reason) => Outcome::Invalid { reason },
+            Parsed::Change(change) => self.change(offset, &change),
+            Parsed::Snapshot => self.mark(offset, value),
+            Parsed::Malformed(reason) => invalid(reason),
             Parsed::Unknown => self.keep(offset, value),
         };
         self.catalog.revision = offset + 1;
@@ -211,7 +234,7 @@
         }
         if let Outcome::Accepted { revision } = outcome {
             self.touch(revision, change);
-            perform(&mut self.catalog, change.action.clone());
+            self.perform(&change.action);
         }
         self.window.push(offset, change.change.clone(), fingerprint(change), &outcome);
         self.history.push(history::Entry {
@@ -219,71 +242,38 @@
             change: change.change.clone(),
             operator: change.operator.clone(),
             action: target::kind(&change.action).to_owned(),
-            target: target::of(&change.action),
+            target: limit::text(target::of(&change.action)),
             outcome: outcome.clone(),
         });
         outcome
     }
 
+    fn perform(&mut self, action: &Action) {
+        let before = effect::weight(&self.catalog, action);
+        effect::perform(&mut self.catalog, action.clone());
+        let after = effect::weight(&self.catalog, action);
+        self.bytes = self.bytes + after - before;
+    }
+
     fn touch(&mut self, revision: id::Revision, change: &change::Record) {
         let touch = Touch {
             revision,
             change: change.change.clone(),
             operator: change.operator.clone(),
-            removed: target::removes(&change.action),
+            removed: effect::removes(&self.catalog, &change.action),
         };
         self.touches.touch(target::of(&change.action), touch);
     }
 
-    fn keep(&mut self, offset: id::Offset, value: &Value) -> Outcome {
-        self.unknown.push_back((offset, value.clone()));
-        if self.unknown.len() > limit::UNKNOWN {
-            self.unknown.pop_front();
-        }
-        Outcome::Skipped { reason: Skip::Unknown }
+    fn mark(&mut self, offset: id::Offset, value: &Value) -> Outcome {
+        let mark = record::mark(value).filter(|it| it.at <= offset);
+        self.newest_snapshot = self.newest_snapshot.max(mark);
+        Outcome::Skipped { reason: Skip::Snapshot }
     }
-}
 
-fn perform(catalog: &mut Catalog, action: Action) {
-    match action {
-        Action::DeclareModel(it) => {
-            catalog.models.insert(it.name.clone(), it);
-        }
-        Action::RemoveModel(name) => {
-            catalog.models.remove(&name);
-        }
-        Action::DeclarePlain(it) => {
-            catalog.plains.insert(it.name.clone(), it);
-        }
-        Action::RemovePlain(name) => {
-            catalog.plains.remove(&name);
-        }
-        Action::DeclareTeam(it) => {
-            catalog.teams.insert(it.name.clone(), it);
-        }
-        Action::RemoveTeam(name) => {
-            catalog.teams.remove(&name);
-        }
-        Action::DeclareDomain(it) => {
-            catalog.domains.insert(it.name.clone(), it);
-        }
-        Action::TakeOut(name) => set_service(catalog, &name, Service::TakenOut),
-        Action::BringBack(name) => set_service(catalog, &name, Service::InService),
-        Action::DeclareHost(it) => {
-            catalog.hosts.insert(it.host.clone(), it);
-        }
-        Action::Drain(name) => {
-            catalog.drained.insert(name);
-        }
-        Action::Undrain(name) => {
-            catalog.drained.remove(&name);
-        }
-    }
-}
-
-fn set_service(catalog: &mut Catalog, domain: &str, service: Service) {
-    if let Some(domain) = catalog.domains.get_mut(domain) {
-        domain.service = service;
+    fn keep(&mut self, offset: id::Offset, value: &Value) -> Outcome {
+        self.unknown.entries.push((offset, value.clone()));
+        Outcome::Skipped { reason: Skip::Unknown }
     }
 }
 
@@ -293,5 +283,9 @@
 }
 
 fn reused(change: &str) -> Outcome {
-    Outcome::Invalid { reason: format!("the change id `{change}` stands for another change") }
+    invalid(format!("the change id `{change}` stands for another change"))
+}
+
+fn invalid(reason: String) -> Outcome {
+    Outcome::Invalid { reason: limit::text(reason) }
 }
--- a/cuminward-config/src/history.rs
+++ b/cuminward-config/src/history.rs
@@ -1,11 +1,9 @@
 //! Recent changes with their details, for operators.
 
-use std::collections::VecDeque;
-
 use cuminward_core::id;
 use cuminward_derive::record;
 
-use crate::{fold, limit, target};
+use crate::{fold, limit, ring::Ring, target};
 
 /// A change and what became of it.
 #[record]
@@ -24,12 +22,17 @@
     pub outcome: fold::Outcome,
 }
 
-/// The last [`limit::HISTORY`] changes, the oldest first.
+/// The last [`limit::HISTORY`] changes within [`limit::HISTORY_BYTES`], the oldest first.
 #[record]
-#[derive(Default)]
-#[serde(transparent)]
+#[serde(from = "Vec<Entry>", into = "Vec<Entry>")]
 pub struct History {
-    entries: VecDeque<Entry>,
+    entries: Ring<Entry>,
+}
+
+impl Default for History {
+    fn default() -> History {
+        History { entries: Ring::new(limit::HISTORY, limit::HISTORY_BYTES) }
+    }
 }
 
 /// Access
@@ -42,11 +45,22 @@
 
 /// Mutation
 impl History {
-    /// Adds an entry, and forgets the oldest beyond the bound.
+    /// Adds an entry, and forgets the oldest beyond the bounds.
     pub(crate) fn push(&mut self, entry: Entry) {
-        self.entries.push_back(entry);
-        if self.entries.len() > limit::HISTORY {
-            self.entries.pop_front();
-        }
+        self.entries.push(entry);
+    }
+}
+
+impl From<Vec<Entry>> for History {
+    fn from(entries: Vec<Entry>) -> History {
+        let mut history = History::default();
+        entries.into_iter().for_each(|it| history.push(it));
+        history
+    }
+}
+
+impl From<History> for Vec<Entry> {
+    fn from(history: History) -> Vec<Entry> {
+        history.entries.into_iter().collect()
     }
 }
--- a/cuminward-config/src/limit.rs
+++ b/cuminward-config/src/limit.rs
@@ -13,6 +13,24 @@
 /// Records of unknown kinds that are kept.
 pub const UNKNOWN: usize = 64;
 
+/// Largest size of the catalog and of the last changes of its targets, in bytes.
+///
+/// The bounds in bytes add up to less than the largest record of the log (1 MiB), so that a snapshot
+/// of the state always fits.
+pub const STATE_BYTES: usize = 544 * 1024;
+
+/// Largest size of the remembered change ids with their outcomes, in bytes.
+pub const WINDOW_BYTES: usize = 288 * 1024;
+
+/// Largest size of the recent changes with their details, in bytes.
+pub const HISTORY_BYTES: usize = 96 * 1024;
+
+/// Largest size of the records of unknown kinds, in bytes.
+pub const UNKNOWN_BYTES: usize = 32 * 1024;
+
+/// Largest size of a reason or target in the state, in bytes.
+pub const TEXT_BYTES: usize = 200;
+
 /// Removed targets whose last change is remembered.
 pub const TOMBSTONES: usize = 256;
 
@@ -51,3 +69,10 @@
 
 /// Longest time that a call of a plain service may take.
 pub const TIMEOUT: Duration = Duration::from_secs(3_600);
+
+/// Cuts a text at [`TEXT_BYTES`].
+pub(crate) fn text(mut text: String) -> String {
+    let end = text.floor_char_boundary(TEXT_BYTES);
+    text.truncate(end);
+    text
+}
--- a/cuminward-config/src/record.rs
+++ b/cuminward-config/src/record.rs
@@ -2,9 +2,10 @@
 
 use cuminward_core::change;
 use cuminward_derive::record;
+use serde::Deserialize;
 use serde_json::Value;
 
-use crate::fold;
+use crate::snapshot;
 
 /// Name of the stream in the platform's log.
 pub const STREAM: &str = "config";
@@ -16,20 +17,27 @@
     /// A change that an operator asks for.
     Change(Box<change::Record>),
     /// The folded state, so that older records can be forgotten.
-    Snapshot(Box<fold::Snapshot>),
+    Snapshot(Box<snapshot::Snapshot>),
 }
 
 /// What became of reading a record.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Parsed {
-    /// A record of a known kind.
-    Known(Record),
+    /// A change that an operator asks for.
+    Change(change::Record),
+    /// A snapshot, of whichever format; its state isn't read.
+    Snapshot,
     /// A record whose kind or action this version doesn't know.
     Unknown,
-    /// A record of a known kind that isn't well formed.
+    /// A change that isn't well formed.
     Malformed(String),
 }
 
+/// Kind of a change's record.
+const CHANGE: &str = "change";
+/// Kind of a snapshot's record.
+const SNAPSHOT: &str = "snapshot";
+
 /// Actions that this version knows.
 const ACTIONS: [&str; 12] = [
     "declare-model",
@@ -58,19 +66,49 @@
 
 /// Reads a log's value.
 pub fn parse(value: &Value) -> Parsed {
-    if !is_known(value) {
-        return Parsed::Unknown;
+    match value["kind"].as_str() {
+        Some(CHANGE) => parse_change(value),
+        Some(SNAPSHOT) => Parsed::Snapshot,
+        _ => Parsed::Unknown,
+    }
+}
+
+/// Reads a snapshot; `None` for other records and for formats that this version doesn't know.
+pub fn snapshot(value: &Value) -> Option<snapshot::Snapshot> {
+    if value["kind"] != SNAPSHOT || value["format"] != snapshot::FORMAT {
+        return None;
     }
     match serde_json::from_value(value.clone()) {
-        Ok(record) => Parsed::Known(record),
-        Err(error) => Parsed::Malformed(error.to_string()),
+        Ok(Record::Snapshot(snapshot)) => Some(*snapshot),
+        _ => None,
     }
 }
 
-fn is_known(value: &Value) -> bool {
-    match value["kind"].as_str() {
-        Some("change") => value["action"]["action"].as_str().is_none_or(|it| ACTIONS.contains(&it)),
-        Some("snapshot") => value["format"] == fold::FORMAT,
-        _ => false,
+/// Where a snapshot's record ends and when it was taken; `None` for what [`snapshot`] doesn't read.
+pub(crate) fn mark(value: &Value) -> Option<snapshot::Mark> {
+    if value["kind"] != SNAPSHOT || value["format"] != snapshot::FORMAT {
+        return None;
+    }
+    snapshot::Mark::deserialize(value).ok()
+}
+
+/// Leaves out a snapshot's state. Nodes that fold a snapshot's record in its turn don't need it.
+pub(crate) fn without_state(mut value: Value) -> Value {
+    if value["kind"] == SNAPSHOT
+        && let Some(fields) = value.as_object_mut()
+    {
+        fields.remove("state");
+    }
+    value
+}
+
+fn parse_change(value: &Value) -> Parsed {
+    let action = value["action"]["action"].as_str();
+    if action.is_some_and(|it| !ACTIONS.contains(&it)) {
+        return Parsed::Unknown;
+    }
+    match change::Record::deserialize(value) {
+        Ok(change) => Parsed::Change(change),
+        Err(error) => Parsed::Malformed(error.to_string()),
     }
 }
--- a/cuminward-config/src/target.rs
+++ b/cuminward-config/src/target.rs
@@ -5,7 +5,7 @@
 use cuminward_core::{change::Action, id};
 use cuminward_derive::record;
 
-use crate::limit;
+use crate::{limit, ring::size};
 
 /// What a change is about, as `kind/name`; changes of one target exclude each other.
 pub type Target = String;
@@ -31,9 +31,10 @@
 /// The last accepted change of each target.
 #[record]
 #[derive(Default)]
-#[serde(transparent)]
+#[serde(from = "BTreeMap<Target, Touch>", into = "BTreeMap<Target, Touch>")]
 pub struct Touches {
     by_target: BTreeMap<Target, Touch>,
+    bytes: usize,
 }
 
 /// Access
@@ -42,6 +43,11 @@
     pub fn last(&self, target: &str) -> Option<&Touch> {
         self.by_target.get(target)
     }
+
+    /// Serialised size, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
 }
 
 /// Mutation
@@ -49,12 +55,24 @@
     /// Records an accepted change; forgets the oldest removal beyond the bound.
     pub(crate) fn touch(&mut self, target: Target, touch: Touch) {
         let removed = touch.removed;
-        self.by_target.insert(target, touch);
+        self.insert(target, touch);
         if removed {
             self.forget();
         }
     }
 
+    fn insert(&mut self, target: Target, touch: Touch) {
+        self.remove(&target);
+        self.bytes += size(&target) + size(&touch);
+        self.by_target.insert(target, touch);
+    }
+
+    fn remove(&mut self, target: &str) {
+        if let Some((target, touch)) = self.by_target.remove_entry(target) {
+            self.bytes -= size(&target) + size(&touch);
+        }
+    }
+
     fn forget(&mut self) {
         let removals = || self.by_target.iter().filter(|(_, it)| it.removed);
         if removals().count() <= limit::TOMBSTONES {
@@ -62,11 +80,27 @@
         }
         let oldest = removals().min_by_key(|(_, it)| it.revision).map(|(it, _)| it.clone());
         if let Some(target) = oldest {
-            self.by_target.remove(&target);
+            self.remove(&target);
         }
     }
 }
 
+impl From<BTreeMap<Target, Touch>> for Touches {
+    fn from(by_target: BTreeMap<Target, Touch>) -> Touches {
+        let mut touches = Touches::default();
+        for (target, touch) in by_target {
+            touches.insert(target, touch);
+        }
+        touches
+    }
+}
+
+impl From<Touches> for BTreeMap<Target, Touch> {
+    fn from(touches: Touches) -> BTreeMap<Target, Touch> {
+        touches.by_target
+    }
+}
+
 /// The target of an action. Model and plain services share one name space.
 pub fn of(action: &Action) -> Target {
     match action {
@@ -100,11 +134,6 @@
     }
 }
 
-/// Tells whether an action removes its target.
-pub(crate) fn removes(action: &Action) -> bool {
-    matches!(action, Action::RemoveModel(_) | Action::RemovePlain(_) | Action::RemoveTeam(_))
-}
-
 fn is_false(value: &bool) -> bool {
     !*value
 }
--- a/cuminward-config/src/validate.rs
+++ b/cuminward-config/src/validate.rs
@@ -48,7 +48,10 @@
         }
         Action::DeclareHost(it) => host(catalog, it),
         Action::Drain(host) => drain(catalog, host),
-        Action::Undrain(host) => name("host", host),
+        Action::Undrain(host) => {
+            let is_known = catalog.drained.contains(host) || catalog.hosts.contains_key(host);
+            unless(!is_known, || format!("host `{host}` is neither drained nor declared"))
+        }
     }
 }
 
--- a/cuminward-config/src/window.rs
+++ b/cuminward-config/src/window.rs
@@ -1,13 +1,13 @@
 //! Ids of recent changes, to recognise repetitions.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use cuminward_core::id;
 use cuminward_derive::record;
 use serde_json::Value;
 use xxhash_rust::xxh3;
 
-use crate::{fold, limit};
+use crate::{fold, limit, ring::Ring};
 
 /// A change that was folded.
 #[record]
@@ -26,15 +26,21 @@
     refused: Option<Box<fold::Outcome>>,
 }
 
-/// Recent changes by id: the last [`limit::WINDOW`] distinct ones.
+/// Recent changes by id: the last [`limit::WINDOW`] distinct ones within [`limit::WINDOW_BYTES`].
 #[record]
-#[derive(Default)]
 #[serde(from = "Vec<Entry>", into = "Vec<Entry>")]
 pub struct Window {
-    entries: VecDeque<Entry>,
+    entries: Ring<Entry>,
     offsets: BTreeMap<id::Change, id::Offset>,
 }
 
+impl Default for Window {
+    fn default() -> Window {
+        let entries = Ring::new(limit::WINDOW, limit::WINDOW_BYTES);
+        Window { entries, offsets: BTreeMap::new() }
+    }
+}
+
 /// Access
 impl Entry {
     /// What became of the change.
@@ -51,8 +57,7 @@
     /// The first record of a change, where it is still remembered.
     pub fn find(&self, change: &str) -> Option<&Entry> {
         let offset = self.offsets.get(change)?;
-        let index = self.entries.binary_search_by_key(offset, |it| it.offset).ok()?;
-        self.entries.get(index)
+        self.entries.find(offset, |it| it.offset)
     }
 }
 
@@ -73,10 +78,7 @@
 
     fn insert(&mut self, entry: Entry) {
         self.offsets.insert(entry.change.clone(), entry.offset);
-        self.entries.push_back(entry);
-        if self.entries.len() > limit::WINDOW
-            && let Some(oldest) = self.entries.pop_front()
-        {
+        for oldest in self.entries.push(entry) {
             self.offsets.remove(&oldest.change);
         }
     }
@@ -94,7 +96,7 @@
 
 impl From<Window> for Vec<Entry> {
     fn from(window: Window) -> Vec<Entry> {
-        window.entries.into()
+        window.entries.into_iter().collect()
     }
 }
 
--- /dev/null
+++ b/cuminward-config/tests/all/follow.rs
@@ -0,0 +1,160 @@
+//! Following the log and peers.
+
+use cuminward_config::{
+    fold::Fold,
+    follow::{Follow, Input, Page, RECENT},
+    record,
+    snapshot::Snapshot,
+};
+use cuminward_core::change::Action;
+use googletest::prelude::*;
+use serde_json::Value;
+
+use crate::sample;
+
+fn drain(index: u64) -> Value {
+    sample::change(&format!("c{index}"), None, Action::Drain(format!("h{index}")))
+}
+
+fn page(oldest: u64, next: u64, offsets: std::ops::Range<u64>) -> Input {
+    let records = offsets.map(|it| (it, drain(it))).collect();
+    Input::Page(Page { oldest, next, records })
+}
+
+fn state(revision: u64) -> Fold {
+    let mut fold = Fold::default();
+    for offset in 0..revision {
+        fold.apply(offset, &drain(offset));
+    }
+    fold
+}
+
+fn logged(revision: u64, taken_ms: u64) -> Value {
+    let snapshot = Snapshot::new(&state(revision), taken_ms);
+    record::to_value(&record::Record::Snapshot(Box::new(snapshot)))
+}
+
+#[gtest]
+fn a_new_node_is_ready_once_it_has_a_state() {
+    struct Case {
+        name: &'static str,
+        inputs: Vec<Input>,
+        revision: Option<u64>,
+        read_from: u64,
+        needs_snapshot: bool,
+    }
+    let snapshot = |at| Input::Snapshot(Box::new(Snapshot::new(&state(at), 0)));
+    let with_logged = |oldest, at| {
+        let mut records: Vec<_> = (oldest..20).map(|it| (it, drain(it))).collect();
+        records.push((20, logged(at, 0)));
+        Input::Page(Page { oldest, next: 21, records })
+    };
+    let cases = [
+        Case {
+            name: "nothing heard",
+            inputs: vec![],
+            revision: None,
+            read_from: 0,
+            needs_snapshot: false,
+        },
+        Case {
+            name: "an empty log",
+            inputs: vec![page(0, 0, 0..0)],
+            revision: Some(0),
+            read_from: 0,
+            needs_snapshot: false,
+        },
+        Case {
+            name: "a whole log",
+            inputs: vec![page(0, 9, 0..4)],
+            revision: Some(4),
+            read_from: 4,
+            needs_snapshot: false,
+        },
+        Case {
+            name: "a trimmed log without a snapshot",
+            inputs: vec![Input::Trimmed { oldest: 5 }, page(5, 9, 5..9)],
+            revision: None,
+            read_from: 9,
+            needs_snapshot: true,
+        },
+        Case {
+            name: "a trimmed log and a peer",
+            inputs: vec![Input::Trimmed { oldest: 5 }, page(5, 9, 5..9), snapshot(7)],
+            revision: Some(9),
+            read_from: 9,
+            needs_snapshot: false,
+        },
+        Case {
+            name: "a trimmed log with a snapshot",
+            inputs: vec![Input::Trimmed { oldest: 5 }, with_logged(5, 12)],
+            revision: Some(21),
+            read_from: 21,
+            needs_snapshot: false,
+        },
+        Case {
+            name: "a snapshot that ends before the oldest record",
+            inputs: vec![Input::Trimmed { oldest: 15 }, with_logged(15, 12)],
+            revision: Some(12),
+            read_from: 21,
+            needs_snapshot: true,
+        },
+        Case {
+            name: "only a peer",
+            inputs: vec![snapshot(7), Input::Deltas(vec![(8, drain(8)), (7, drain(7))])],
+            revision: Some(9),
+            read_from: 9,
+            needs_snapshot: false,
+        },
+    ];
+    for case in cases {
+        let mut follow = Follow::default();
+        for input in case.inputs {
+            follow.step(input);
+        }
+        let name = case.name;
+        expect_that!(follow.fold().map(Fold::revision), eq(case.revision), "{name}");
+        expect_that!(follow.read_from(), eq(case.read_from), "{name}");
+        expect_that!(follow.needs_snapshot(), eq(case.needs_snapshot), "{name}");
+    }
+}
+
+#[gtest]
+fn a_slow_reader_keeps_its_state_until_a_newer_one_comes() {
+    let mut follow = Follow::default();
+    follow.step(page(0, 3, 0..3));
+    follow.step(Input::Trimmed { oldest: 10 });
+    expect_that!(follow.step(page(10, 12, 10..12)).changed, eq(false));
+    expect_that!((follow.revision(), follow.needs_snapshot()), eq((3, true)));
+    let snapshot = Input::Snapshot(Box::new(Snapshot::new(&state(11), 0)));
+    expect_that!(follow.step(snapshot).changed, eq(true));
+    expect_that!((follow.revision(), follow.needs_snapshot()), eq((12, false)));
+    let older = Input::Snapshot(Box::new(Snapshot::new(&state(5), 0)));
+    expect_that!(follow.step(older).changed, eq(false));
+    expect_that!(follow.revision(), eq(12));
+}
+
+#[gtest]
+fn a_log_that_lost_records_is_noticed_and_nothing_reverts() {
+    let mut follow = Follow::default();
+    follow.step(page(0, 8, 0..8));
+    let outcome = follow.step(page(0, 2, 0..2));
+    expect_that!((outcome.log_behind, outcome.changed), eq((true, false)));
+    expect_that!(follow.revision(), eq(8));
+}
+
+#[gtest]
+fn deltas_reach_back_as_far_as_records_are_kept() {
+    let kept = RECENT as u64;
+    let mut follow = Follow::default();
+    follow.step(page(0, kept + 10, 0..kept + 10));
+    expect_that!(follow.deltas(9, 5), none());
+    expect_that!(follow.deltas(10, 5).map(|it| it.len()), some(eq(5)));
+    expect_that!(follow.deltas(kept + 8, 5).map(|it| it.len()), some(eq(2)));
+    expect_that!(follow.deltas(kept + 10, 5), some(eq(&vec![])));
+    // Records before and after a restored state don't follow each other.
+    follow.step(Input::Snapshot(Box::new(Snapshot::new(&state(kept + 20), 0))));
+    follow.step(Input::Deltas(vec![(kept + 20, drain(kept + 20))]));
+    expect_that!(follow.deltas(kept + 9, 50), none());
+    expect_that!(follow.deltas(kept + 20, 50).map(|it| it.len()), some(eq(1)));
+}
