--- a/cuminward-config/src/fold.rs
+++ b/cuminward-config/src/fold.rs
@@ -12,7 +12,7 @@
     effect,
     history::{self, History},
     limit,
-    record::{self, Parsed},
+    record::{self, Parsed, Record},
     ring::Ring,
     snapshot,
     target::{self, Touch, Touches},
@@ -20,6 +20,9 @@
     window::{self, Window},
 };
 
+/// The folded state as a record.
+pub type Snapshot = snapshot::Snapshot;
+
 /// What became of a record.
 #[record]
 #[serde(tag = "outcome", rename_all = "kebab-case")]
@@ -112,6 +115,19 @@
     }
 }
 
+/// Life cycle
+impl Fold {
+    /// Restores the state from a snapshot.
+    pub fn restore(snapshot: &Snapshot) -> Fold {
+        snapshot.state.clone()
+    }
+
+    /// The state as a snapshot for a peer. The log gets one with its time: [`Snapshot::new`].
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot::new(self, 0)
+    }
+}
+
 /// Access
 impl Fold {
     /// The configuration in force.
@@ -159,8 +175,10 @@
         if let Err(reason) = validate::envelope(change) {
             return Some(invalid(reason));
         }
-        self.resolve(change)
-            .or_else(|| self.conflict(change).map(|it| Outcome::Conflict { with: it.clone() }))
+        if self.window.find(&change.change).is_some() {
+            return Some(self.judge(change));
+        }
+        self.conflict(change).map(|it| Outcome::Conflict { with: it.clone() })
     }
 
     /// What would become of a change if its record were folded next.
@@ -216,16 +234,23 @@
         if offset > self.revision() {
             return Outcome::Skipped { reason: Skip::Gap };
         }
-        let outcome = match record::parse(value) {
-            Parsed::Change(change) => self.change(offset, &change),
-            Parsed::Snapshot => self.mark(offset, value),
-            Parsed::Malformed(reason) => invalid(reason),
-            Parsed::Unknown => self.keep(offset, value),
-        };
+        let outcome = self.record(offset, value);
         self.catalog.revision = offset + 1;
         outcome
     }
 
+    fn record(&mut self, offset: id::Offset, value: &Value) -> Outcome {
+        if record::is_snapshot(value) {
+            return self.mark(offset, value);
+        }
+        match record::parse(value) {
+            Parsed::Known(Record::Change(change)) => self.change(offset, &change),
+            Parsed::Known(Record::Snapshot(_)) => self.mark(offset, value),
+            Parsed::Malformed(reason) => invalid(reason),
+            Parsed::Unknown => self.keep(offset, value),
+        }
+    }
+
     fn change(&mut self, offset: id::Offset, change: &change::Record) -> Outcome {
         let outcome = self.judge(change);
         let is_repeated = self.window.find(&change.change).is_some();
--- a/cuminward-config/src/record.rs
+++ b/cuminward-config/src/record.rs
@@ -23,13 +23,11 @@
 /// What became of reading a record.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Parsed {
-    /// A change that an operator asks for.
-    Change(change::Record),
-    /// A snapshot, of whichever format; its state isn't read.
-    Snapshot,
-    /// A record whose kind or action this version doesn't know.
+    /// A record of a known kind.
+    Known(Record),
+    /// A record whose kind, format or action this version doesn't know.
     Unknown,
-    /// A change that isn't well formed.
+    /// A record of a known kind that isn't well formed.
     Malformed(String),
 }
 
@@ -66,24 +64,28 @@
 
 /// Reads a log's value.
 pub fn parse(value: &Value) -> Parsed {
-    match value["kind"].as_str() {
-        Some(CHANGE) => parse_change(value),
-        Some(SNAPSHOT) => Parsed::Snapshot,
-        _ => Parsed::Unknown,
+    if !is_known(value) {
+        return Parsed::Unknown;
+    }
+    match Record::deserialize(value) {
+        Ok(record) => Parsed::Known(record),
+        Err(error) => Parsed::Malformed(error.to_string()),
     }
 }
 
 /// Reads a snapshot; `None` for other records and for formats that this version doesn't know.
 pub fn snapshot(value: &Value) -> Option<snapshot::Snapshot> {
-    if value["kind"] != SNAPSHOT || value["format"] != snapshot::FORMAT {
-        return None;
-    }
-    match serde_json::from_value(value.clone()) {
-        Ok(Record::Snapshot(snapshot)) => Some(*snapshot),
+    match parse(value) {
+        Parsed::Known(Record::Snapshot(snapshot)) => Some(*snapshot),
         _ => None,
     }
 }
 
+/// Tells whether a value is a snapshot, of whichever format.
+pub(crate) fn is_snapshot(value: &Value) -> bool {
+    value["kind"] == SNAPSHOT
+}
+
 /// Where a snapshot's record ends and when it was taken; `None` for what [`snapshot`] doesn't read.
 pub(crate) fn mark(value: &Value) -> Option<snapshot::Mark> {
     if value["kind"] != SNAPSHOT || value["format"] != snapshot::FORMAT {
@@ -94,7 +96,7 @@
 
 /// Leaves out a snapshot's state. Nodes that fold a snapshot's record in its turn don't need it.
 pub(crate) fn without_state(mut value: Value) -> Value {
-    if value["kind"] == SNAPSHOT
+    if is_snapshot(&value)
         && let Some(fields) = value.as_object_mut()
     {
         fields.remove("state");
@@ -102,13 +104,10 @@
     value
 }
 
-fn parse_change(value: &Value) -> Parsed {
-    let action = value["action"]["action"].as_str();
-    if action.is_some_and(|it| !ACTIONS.contains(&it)) {
-        return Parsed::Unknown;
-    }
-    match change::Record::deserialize(value) {
-        Ok(change) => Parsed::Change(change),
-        Err(error) => Parsed::Malformed(error.to_string()),
+fn is_known(value: &Value) -> bool {
+    match value["kind"].as_str() {
+        Some(CHANGE) => value["action"]["action"].as_str().is_none_or(|it| ACTIONS.contains(&it)),
+        Some(SNAPSHOT) => value["format"] == snapshot::FORMAT,
+        _ => false,
     }
 }
--- a/cuminward-config/tests/all/convergence.rs
+++ b/cuminward-config/tests/all/convergence.rs
@@ -205,7 +205,7 @@
         let mut accepted_ids = BTreeMap::new();
         for (offset, (value, outcome)) in log.records.iter().zip(&log.outcomes).enumerate() {
             let Outcome::Accepted { revision } = outcome else { continue };
-            let record::Parsed::Change(change) = record::parse(value) else {
+            let record::Parsed::Known(record::Record::Change(change)) = record::parse(value) else {
                 return Err(TestCaseError::fail("only changes are accepted"));
             };
             prop_assert_eq!(*revision, offset as u64 + 1);
--- a/cuminward-config/tests/all/fold.rs
+++ b/cuminward-config/tests/all/fold.rs
@@ -6,7 +6,7 @@
 };
 use cuminward_core::{
     catalog::{Model, Plain, Team},
-    change::Action,
+    change::{Action, Record as Change},
 };
 use googletest::prelude::*;
 use serde_json::json;
@@ -155,6 +155,51 @@
     expect_that!(fold.apply(9, &early), matches_pattern!(Outcome::Invalid { .. }));
 }
 
+#[gtest]
+fn only_final_outcomes_are_foreseen() {
+    struct Case {
+        id: &'static str,
+        expected: Option<u64>,
+        action: Action,
+        foreseen: Option<Outcome>,
+    }
+    let mut fold = sample::state();
+    let drain = Action::Drain("h".to_owned());
+    fold.apply(5, &sample::change("done", None, drain.clone()));
+    let with = fold.last("host/h").cloned().expect("the target was touched");
+    let first = Box::new(accepted(6));
+    let cases = [
+        Case {
+            id: "done",
+            expected: None,
+            action: drain.clone(),
+            foreseen: Some(Outcome::Repeated { revision: 6, first }),
+        },
+        Case {
+            id: "late",
+            expected: Some(5),
+            action: drain.clone(),
+            foreseen: Some(Outcome::Conflict { with }),
+        },
+        Case {
+            id: "a b",
+            expected: None,
+            action: drain.clone(),
+            foreseen: Some(Outcome::Invalid {
+                reason: "change id `a b` may hold letters, digits, `-`, `_` and `.` only"
+                    .to_owned(),
+            }),
+        },
+        // Records that this node hasn't read yet may declare the domain or make the revision.
+        Case { id: "x", expected: None, action: Action::TakeOut("e".to_owned()), foreseen: None },
+        Case { id: "y", expected: Some(99), action: drain, foreseen: None },
+    ];
+    for Case { id, expected, action, foreseen } in cases {
+        let change = Change { change: id.to_owned(), operator: "ana".to_owned(), expected, action };
+        expect_that!(fold.foresee(&change), eq(&foreseen), "{id}");
+    }
+}
+
 #[gtest]
 fn a_change_id_stands_for_one_change() {
     let mut fold = sample::state();
--- a/cuminward-operator/src/lib.rs
+++ b/cuminward-operator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod auth;
 pub mod client;
 pub mod convert;
+pub mod outcome;
 pub mod proto;
 pub mod server;
 pub mod status;
--- /dev/null
+++ b/cuminward-operator/src/outcome.rs
@@ -0,0 +1,39 @@
+//! Outcomes of the configuration's fold, as operators hear them.
+
+use cuminward_config::{fold::Outcome, history, target::Touch};
+
+use crate::{proto, server::Applied, status::Error};
+
+/// The answer to an operator whose change was folded.
+pub fn answer(outcome: Outcome) -> Result<Applied, Error> {
+    match outcome {
+        Outcome::Accepted { revision } => Ok(Applied { revision, repeated: false }),
+        Outcome::Repeated { first, .. } => {
+            answer(*first).map(|it| Applied { repeated: true, ..it })
+        }
+        Outcome::Conflict { with: Touch { revision, change, operator, .. } } => {
+            Err(Error::Conflict { revision, change, operator })
+        }
+        Outcome::Invalid { reason } => Err(Error::Invalid(reason)),
+        Outcome::Skipped { .. } => Err(Error::Other("the record isn't a change".to_owned())),
+    }
+}
+
+/// An entry of the history.
+pub fn entry(entry: &history::Entry) -> proto::HistoryEntry {
+    let (verdict, reason) = match answer(entry.outcome.clone()) {
+        Ok(_) => (proto::Verdict::Accepted, String::new()),
+        Err(error @ Error::Conflict { .. }) => (proto::Verdict::Conflict, error.to_string()),
+        Err(Error::Invalid(reason)) => (proto::Verdict::Invalid, reason),
+        Err(error) => (proto::Verdict::Unspecified, error.to_string()),
+    };
+    proto::HistoryEntry {
+        revision: entry.offset + 1,
+        change: entry.change.clone(),
+        operator: entry.operator.clone(),
+        action: entry.action.clone(),
+        target: entry.target.clone(),
+        verdict: verdict.into(),
+        reason,
+    }
+}
--- a/cuminward-operator/tests/all/fake.rs
+++ b/cuminward-operator/tests/all/fake.rs
@@ -9,7 +9,7 @@
 use cuminward_core::{catalog, change, id};
 use cuminward_operator::{
     auth::{self, Operator, Operators, Role},
-    proto, server,
+    outcome, proto, server,
     status::Error,
 };
 use futures::{StreamExt, stream};
@@ -42,21 +42,7 @@
     fn append(&self, record: change::Record) -> Result<server::Applied, Error> {
         let mut fold = self.shared.fold.lock().expect("no test panics with the lock");
         let offset = fold.revision();
-        match fold.apply(offset, &record::from_change(record)) {
-            fold::Outcome::Accepted { revision } => {
-                Ok(server::Applied { revision, repeated: false })
-            }
-            fold::Outcome::Repeated { revision, .. } => {
-                Ok(server::Applied { revision, repeated: true })
-            }
-            fold::Outcome::Conflict { with } => Err(Error::Conflict {
-                revision: with.revision,
-                change: with.change,
-                operator: with.operator,
-            }),
-            fold::Outcome::Invalid { reason } => Err(Error::Invalid(reason)),
-            fold::Outcome::Skipped { .. } => Err(Error::Other("skipped".to_owned())),
-        }
+        outcome::answer(fold.apply(offset, &record::from_change(record)))
     }
 }
 
@@ -93,7 +79,8 @@
     }
 
     async fn history(&self) -> Vec<proto::HistoryEntry> {
-        vec![proto::HistoryEntry::default(); 3]
+        let fold = self.shared.fold.lock().expect("no test panics with the lock");
+        fold.history().iter().map(outcome::entry).collect()
     }
 
     async fn follow(&self, request: proto::FollowEventsRequest) -> Self::Events {
@@ -113,22 +100,26 @@
     pub(crate) task: tokio::task::JoinHandle<()>,
 }
 
-/// Serves a backend; the operator `ana` writes with the token `w`, `luis` reads with `r`.
+/// The operator `ana`, who writes with the token `w`, and `luis`, who reads with `r`.
+pub(crate) fn operators() -> Operators {
+    Operators::new(&[
+        Operator { name: "ana".to_owned(), hash: auth::hash("w"), role: Role::Write },
+        Operator { name: "luis".to_owned(), hash: auth::hash("r"), role: Role::Read },
+    ])
+    .expect("the list is well formed")
+}
+
+/// Serves a backend on a loopback port.
 pub(crate) async fn start(shared: &Arc<Shared>, faults: &[Fault]) -> Node {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
     let address = listener.local_addr().expect("the listener is bound");
     let faults = Mutex::new(faults.iter().rev().copied().collect());
     let backend = Arc::new(Backend { shared: shared.clone(), faults });
-    let operators = Operators::new(&[
-        Operator { name: "ana".to_owned(), hash: auth::hash("w"), role: Role::Write },
-        Operator { name: "luis".to_owned(), hash: auth::hash("r"), role: Role::Read },
-    ])
-    .expect("the list is well formed");
     let shutdown = CancellationToken::new();
     let until = shutdown.clone();
     let task = tokio::spawn(async move {
         let connections = TcpListenerStream::new(listener);
-        server::serve(backend, operators, connections, until)
+        server::serve(backend, operators(), connections, until)
             .await
             .expect("it serves until the end");
     });
--- a/cuminward-operator/tests/all/main.rs
+++ b/cuminward-operator/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod fake;
 mod generated;
 mod server;
+mod wire;
--- a/cuminward-operator/tests/all/server.rs
+++ b/cuminward-operator/tests/all/server.rs
@@ -50,7 +50,12 @@
     expect_that!(again, ok(eq(&Applied { revision: 1, repeated: true })));
     let catalog = client.catalog().await?;
     expect_that!(catalog.in_service("a"), eq(false));
-    expect_that!(client.history(2).await?.len(), eq(2));
+    let history = client.history(2).await?;
+    let verdicts: Vec<_> = history.iter().map(|it| (it.change.as_str(), it.verdict())).collect();
+    let (conflict, invalid) = (proto::Verdict::Conflict, proto::Verdict::Invalid);
+    expect_that!(verdicts, eq(&vec![("c3", conflict), ("c4", invalid)]));
+    let late = apply("c3", Some(1), Action::BringBack("a".to_owned())).await;
+    expect_that!(late, err(matches_pattern!(Error::Conflict { .. })));
     Ok(())
 }
 
