--- a/cuminward-config/src/fold.rs
+++ b/cuminward-config/src/fold.rs
@@ -1,9 +1,7 @@
 //! Folds records of the configuration stream into a catalog.
 
-use std::collections::VecDeque;
-
 use cuminward_core::{
-    catalog::{Catalog, Service},
+    catalog::Catalog,
     change::{self, Action},
     id,
 };
@@ -11,16 +9,19 @@
 use serde_json::Value;
 
 use crate::{
+    effect,
     history::{self, History},
     limit,
     record::{self, Parsed, Record},
+    ring::Ring,
+    snapshot,
     target::{self, Touch, Touches},
     validate,
     window::{self, Window},
 };
 
-/// Version of the format of snapshots.
-pub const FORMAT: u32 = 1;
+/// The folded state as a record.
+pub type Snapshot = snapshot::Snapshot;
 
 /// What became of a record.
 #[record]
@@ -69,17 +70,6 @@
     Unknown,
 }
 
-/// The folded state as a record: a node restores it instead of reading older records.
-#[record]
-pub struct Snapshot {
-    /// Version of the format.
-    pub format: u32,
-    /// Offset of the first record that isn't part of the state.
-    pub at: id::Offset,
-    /// The state.
-    pub state: Fold,
-}
-
 /// The state that follows from the records read so far.
 #[record]
 #[derive(Default)]
@@ -88,21 +78,53 @@
     touches: Touches,
     window: Window,
     history: History,
-    unknown: VecDeque<(id::Offset, Value)>,
+    unknown: Unknown,
+    newest_snapshot: Option<snapshot::Mark>,
+    bytes: usize,
+}
+
+/// Records of unknown kinds, the oldest first.
+#[record]
+#[serde(from = "Vec<Kept>", into = "Vec<Kept>")]
+struct Unknown {
+    entries: Ring<Kept>,
+}
+
+/// A record of an unknown kind with its offset.
+type Kept = (id::Offset, Value);
+
+impl Default for Unknown {
+    fn default() -> Unknown {
+        Unknown { entries: Ring::new(limit::UNKNOWN, limit::UNKNOWN_BYTES) }
+    }
+}
+
+impl From<Vec<Kept>> for Unknown {
+    fn from(entries: Vec<Kept>) -> Unknown {
+        let mut unknown = Unknown::default();
+        for entry in entries {
+            unknown.entries.push(entry);
+        }
+        unknown
+    }
+}
+
+impl From<Unknown> for Vec<Kept> {
+    fn from(unknown: Unknown) -> Vec<Kept> {
+        unknown.entries.into_iter().collect()
+    }
 }
 
 /// Life cycle
 impl Fold {
     /// Restores the state from a snapshot.
     pub fn restore(snapshot: &Snapshot) -> Fold {
-        let mut fold = snapshot.state.clone();
-        fold.catalog.revision = snapshot.at;
-        fold
+        snapshot.state.clone()
     }
 
-    /// The state as a snapshot.
+    /// The state as a snapshot for a peer. The log gets one with its time: [`Snapshot::new`].
     pub fn snapshot(&self) -> Snapshot {
-        Snapshot { format: FORMAT, at: self.revision(), state: self.clone() }
+        Snapshot::new(self, 0)
     }
 }
 
@@ -125,7 +147,12 @@
 
     /// Records of unknown kinds, the oldest first.
     pub fn unknown(&self) -> impl Iterator<Item = &(id::Offset, Value)> {
-        self.unknown.iter()
+        self.unknown.entries.iter()
+    }
+
+    /// Newest snapshot among the folded records.
+    pub fn newest_snapshot(&self) -> Option<snapshot::Mark> {
+        self.newest_snapshot
     }
 
     /// Last accepted change of a target.
@@ -146,10 +173,12 @@
     /// record in the log can tell.
     pub fn foresee(&self, change: &change::Record) -> Option<Outcome> {
         if let Err(reason) = validate::envelope(change) {
-            return Some(Outcome::Invalid { reason });
+            return Some(invalid(reason));
+        }
+        if self.window.find(&change.change).is_some() {
+            return Some(self.judge(change));
         }
-        self.resolve(change)
-            .or_else(|| self.conflict(change).map(|it| Outcome::Conflict { with: it.clone() }))
+        self.conflict(change).map(|it| Outcome::Conflict { with: it.clone() })
     }
 
     /// What would become of a change if its record were folded next.
@@ -166,17 +195,29 @@
         let checked =
             validate::envelope(change).and_then(|()| validate::expected(change, self.revision()));
         if let Err(reason) = checked {
-            return Outcome::Invalid { reason };
+            return invalid(reason);
         }
         if let Some(with) = self.conflict(change) {
             return Outcome::Conflict { with: with.clone() };
         }
-        match validate::action(&self.catalog, &change.action) {
+        let checked = validate::action(&self.catalog, &change.action)
+            .and_then(|()| self.room(&change.action));
+        match checked {
             Ok(()) => Outcome::Accepted { revision: self.revision() + 1 },
-            Err(reason) => Outcome::Invalid { reason },
+            Err(reason) => invalid(reason),
         }
     }
 
+    /// Checks that the state with the change would still fit into a snapshot.
+    fn room(&self, action: &Action) -> Result<(), validate::Error> {
+        let growth = effect::growth(action);
+        let grown = self.bytes + growth - effect::weight(&self.catalog, action).min(self.bytes);
+        if growth > 0 && grown + self.touches.bytes() > limit::STATE_BYTES {
+            return Err(format!("the configuration would exceed {} bytes", limit::STATE_BYTES));
+        }
+        Ok(())
+    }
+
     fn conflict(&self, change: &change::Record) -> Option<&Touch> {
         let expected = change.expected?;
         self.touches.last(&target::of(&change.action)).filter(|it| it.revision > expected)
@@ -193,16 +234,23 @@
         if offset > self.revision() {
             return Outcome::Skipped { reason: Skip::Gap };
         }
-        let outcome = match record::parse(value) {
-            Parsed::Known(Record::Change(change)) => self.change(offset, &change),
-            Parsed::Known(Record::Snapshot(_)) => Outcome::Skipped { reason: Skip::Snapshot },
-            Parsed::Malformed(reason) => Outcome::Invalid { reason },
-            Parsed::Unknown => self.keep(offset, value),
-        };
+        let outcome = self.record(offset, value);
         self.catalog.revision = offset + 1;
         outcome
     }
 
+    fn record(&mut self, offset: id::Offset, value: &Value) -> Outcome {
+        if record::is_snapshot(value) {
+            return self.mark(offset, value);
+        }
+        match record::parse(value) {
+            Parsed::Known(Record::Change(change)) => self.change(offset, &change),
+            Parsed::Known(Record::Snapshot(_)) => self.mark(offset, value),
+            Parsed::Malformed(reason) => invalid(reason),
+            Parsed::Unknown => self.keep(offset, value),
+        }
+    }
+
     fn change(&mut self, offset: id::Offset, change: &change::Record) -> Outcome {
         let outcome = self.judge(change);
         let is_repeated = self.window.find(&change.change).is_some();
@@ -211,7 +259,7 @@
         }
         if let Outcome::Accepted { revision } = outcome {
             self.touch(revision, change);
-            perform(&mut self.catalog, change.action.clone());
+            self.perform(&change.action);
         }
         self.window.push(offset, change.change.clone(), fingerprint(change), &outcome);
         self.history.push(history::Entry {
@@ -219,71 +267,38 @@
             change: change.change.clone(),
             operator: change.operator.clone(),
             action: target::kind(&change.action).to_owned(),
-            target: target::of(&change.action),
+            target: limit::text(target::of(&change.action)),
             outcome: outcome.clone(),
         });
         outcome
     }
 
+    fn perform(&mut self, action: &Action) {
+        let before = effect::weight(&self.catalog, action);
+        effect::perform(&mut self.catalog, action.clone());
+        let after = effect::weight(&self.catalog, action);
+        self.bytes = self.bytes + after - before;
+    }
+
     fn touch(&mut self, revision: id::Revision, change: &change::Record) {
         let touch = Touch {
             revision,
             change: change.change.clone(),
             operator: change.operator.clone(),
-            removed: target::removes(&change.action),
+            removed: effect::removes(&self.catalog, &change.action),
         };
         self.touches.touch(target::of(&change.action), touch);
     }
 
-    fn keep(&mut self, offset: id::Offset, value: &Value) -> Outcome {
-        self.unknown.push_back((offset, value.clone()));
-        if self.unknown.len() > limit::UNKNOWN {
-            self.unknown.pop_front();
-        }
-        Outcome::Skipped { reason: Skip::Unknown }
-    }
-}
-
-fn perform(catalog: &mut Catalog, action: Action) {
-    match action {
-        Action::DeclareModel(it) => {
-            catalog.models.insert(it.name.clone(), it);
-        }
-        Action::RemoveModel(name) => {
-            catalog.models.remove(&name);
-        }
-        Action::DeclarePlain(it) => {
-            catalog.plains.insert(it.name.clone(), it);
-        }
-        Action::RemovePlain(name) => {
-            catalog.plains.remove(&name);
-        }
-        Action::DeclareTeam(it) => {
-            catalog.teams.insert(it.name.clone(), it);
-        }
-        Action::RemoveTeam(name) => {
-            catalog.teams.remove(&name);
-        }
-        Action::DeclareDomain(it) => {
-            catalog.domains.insert(it.name.clone(), it);
-        }
-        Action::TakeOut(name) => set_service(catalog, &name, Service::TakenOut),
-        Action::BringBack(name) => set_service(catalog, &name, Service::InService),
-        Action::DeclareHost(it) => {
-            catalog.hosts.insert(it.host.clone(), it);
-        }
-        Action::Drain(name) => {
-            catalog.drained.insert(name);
-        }
-        Action::Undrain(name) => {
-            catalog.drained.remove(&name);
-        }
+    fn mark(&mut self, offset: id::Offset, value: &Value) -> Outcome {
+        let mark = record::mark(value).filter(|it| it.at <= offset);
+        self.newest_snapshot = self.newest_snapshot.max(mark);
+        Outcome::Skipped { reason: Skip::Snapshot }
     }
-}
 
-fn set_service(catalog: &mut Catalog, domain: &str, service: Service) {
-    if let Some(domain) = catalog.domains.get_mut(domain) {
-        domain.service = service;
+    fn keep(&mut self, offset: id::Offset, value: &Value) -> Outcome {
+        self.unknown.entries.push((offset, value.clone()));
+        Outcome::Skipped { reason: Skip::Unknown }
     }
 }
 
@@ -293,5 +308,9 @@
 }
 
 fn reused(change: &str) -> Outcome {
-    Outcome::Invalid { reason: format!("the change id `{change}` stands for another change") }
+    invalid(format!("the change id `{change}` stands for another change"))
+}
+
+fn invalid(reason: String) -> Outcome {
+    Outcome::Invalid { reason: limit::text(reason) }
 }
