--- a/cuminward-group/tests/all/main.rs
+++ b/cuminward-group/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the group decisions.
 
 mod fixture;
+mod machine;
 mod steward;
