feat: cuminward-group: late orders in the state machine test

Change: senders give up while their orders are still under way, and orders of earlier terms to hosts that enforce fencing may take any time.

--- a/cuminward-group/tests/all/machine.rs
+++ b/cuminward-group/tests/all/machine.rs
@@ -75,7 +75,7 @@
 }
 
 enum Flight {
-    Order { node: usize, sent: Duration, dispatch: Box<steward::Dispatch> },
+    Order { node: usize, sent: Duration, dispatch: Box<steward::Dispatch>, waits: bool },
     Read { node: usize, asked: Duration, host: id::Host },
 }
 
@@ -117,7 +117,7 @@
             steward::Output::Append(claim) => self.append(node, claim),
             steward::Output::Send(dispatch) => {
                 let dispatch = Box::new(dispatch);
-                self.flights.push(Flight::Order { node, sent, dispatch });
+                self.flights.push(Flight::Order { node, sent, dispatch, waits: true });
             }
             steward::Output::Read { host, .. } => {
                 self.flights.push(Flight::Read { node, asked: sent, host });
@@ -168,30 +168,61 @@
                     self.input(node, input);
                 }
             }
-            Flight::Order { node, dispatch, .. } => {
+            Flight::Order { node, dispatch, waits, .. } => {
                 let host = self.world.hosts.get_mut(&dispatch.host).filter(|it| it.up);
                 let answer = host.map_or(steward::Answer::Unknown, |it| it.order(&dispatch.order));
                 let outcome = if lost { steward::Answer::Unknown } else { answer };
                 let (host, order) = (dispatch.host.clone(), dispatch.order.order.clone());
-                self.input(node, steward::Input::Ordered { host, order, outcome });
+                if waits {
+                    self.input(node, steward::Input::Ordered { host, order, outcome });
+                }
             }
         }
     }
 
-    /// Lets time go on; every order takes effect within its bound.
+    /// Lets time go on. Senders give up after the timeout, and orders take effect within their bound;
+    /// only orders of earlier terms to hosts that enforce fencing may take any time.
     fn advance(&mut self, by: Duration) {
         let until = self.now + by;
-        let due = |it: &Flight| match it {
-            Flight::Order { sent, .. } => *sent + ORDER_BOUND <= until,
-            Flight::Read { .. } => false,
-        };
-        while let Some(at) = self.flights.iter().position(due) {
+        while let Some(at) = self.flights.iter().position(|it| self.is_due(it, until)) {
             self.deliver(at, true);
         }
         self.now = until;
+        self.give_up();
         self.world.advance();
     }
 
+    fn is_due(&self, flight: &Flight, until: Duration) -> bool {
+        let Flight::Order { sent, dispatch, .. } = flight else { return false };
+        let enforces = self.world.hosts[&dispatch.host].enforces;
+        let earlier = Some(dispatch.order.fence) != self.newest();
+        *sent + ORDER_BOUND <= until && !(enforces && earlier)
+    }
+
+    /// Fencing number of the newest term.
+    fn newest(&self) -> Option<id::Fence> {
+        let mut claims = self.world.claims.iter().enumerate();
+        let newest = claims.rfind(|it| it.1.kind == steward::claim::Kind::Claim);
+        newest.map(|it| it.0 as id::Fence)
+    }
+
+    fn give_up(&mut self) {
+        let mut given_up = Vec::new();
+        for flight in &mut self.flights {
+            if let Flight::Order { node, sent, dispatch, waits } = flight
+                && *waits
+                && self.now >= *sent + dispatch.timeout
+            {
+                *waits = false;
+                given_up.push((*node, dispatch.host.clone(), dispatch.order.order.clone()));
+            }
+        }
+        for (node, host, order) in given_up {
+            let outcome = steward::Answer::Unknown;
+            self.input(node, steward::Input::Ordered { host, order, outcome });
+        }
+    }
+
     fn solo(&mut self, node: usize, steps: u32, mask: u64, restart: usize) {
         for step in 0..steps {
             let bits = mask.rotate_right(step);
@@ -265,11 +296,9 @@
 
     /// Checks the invariants.
     fn check(&self) {
-        let mut claims = self.world.claims.iter().enumerate();
-        let newest = claims.rfind(|it| it.1.kind == steward::claim::Kind::Claim);
         for node in 0..self.nodes.len() {
             let fence = self.nodes[node].steward.fence();
-            if fence.is_some() && fence == newest.map(|it| it.0 as id::Fence) {
+            if fence.is_some() && fence == self.newest() {
                 self.check_truth(node);
             }
         }
