--- a/cuminward-route/src/share.rs
+++ b/cuminward-route/src/share.rs
@@ -5,6 +5,9 @@
 //! with the smallest one goes next. A team that returns from idleness starts at the current virtual
 //! time, so capacity that it did not use has been lent to the others. Within a team larger
 //! priorities go first, then earlier arrivals.
+//!
+//! Requests run long, so a team that returns would wait for another's request to end if every slot
+//! were lent. Teams beyond their share therefore leave some slots free.
 
 use std::{
     cmp::Reverse,
@@ -31,6 +34,19 @@
 pub struct Options {
     /// Requests of all teams that may wait.
     pub waiting: usize,
+    /// Part of the slots that teams beyond their share leave free, in thousandths.
+    pub headroom_permille: u32,
+}
+
+/// Slots that requests can be taken for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Capacity {
+    /// Slots in all.
+    pub slots: u32,
+    /// Slots that are free.
+    pub free: u32,
+    /// Sum of the weights of all declared teams.
+    pub weights: u32,
 }
 
 /// A request that asks for a place.
@@ -93,7 +109,7 @@
 
 impl Default for Options {
     fn default() -> Options {
-        Options { waiting: 1024 }
+        Options { waiting: 1024, headroom_permille: 100 }
     }
 }
 
@@ -130,6 +146,16 @@
         self.teams.get(team).map_or(0, |it| it.running + it.waiting.len() as u32)
     }
 
+    /// Tells whether a slot is free for a team: any within its share, one beyond the headroom else.
+    fn admits(&self, team: &str, capacity: &Capacity) -> bool {
+        let it = &self.teams[team];
+        let used = u64::from(it.running) * u64::from(capacity.weights);
+        let share = u64::from(capacity.slots) * u64::from(it.weight);
+        let headroom = u64::from(capacity.slots) * u64::from(self.options.headroom_permille) / 1000;
+        let keep = if used < share { 0 } else { headroom };
+        u64::from(capacity.free) > keep
+    }
+
     /// Time that a new request of the team would wait, from the recent service rate; `None` while
     /// the rate isn't known.
     pub fn estimate(&self, team: &str, weight: u32, priority: i32) -> Option<Duration> {
@@ -162,13 +188,15 @@
         Ok(())
     }
 
-    /// Takes the request that goes next; its team counts it as running until
-    /// [`finish`](Queue::finish).
-    pub fn pop(&mut self, now: Duration) -> Option<Entry<T>> {
-        let ((start, name), ()) = self.order.pop_first()?;
+    /// Takes the request that goes next, if a slot is free for it; its team counts it as running
+    /// until [`finish`](Queue::finish).
+    pub fn pop(&mut self, now: Duration, capacity: &Capacity) -> Option<Entry<T>> {
+        let turn = self.order.keys().find(|(_, it)| self.admits(it, capacity))?.clone();
+        self.order.remove(&turn);
+        let (start, name) = turn;
         let team = self.teams.get_mut(&name).expect("a team in the order is known");
         let (_, entry) = team.waiting.pop_first().expect("a team in the order has a request");
-        self.virtual_time = start;
+        self.virtual_time = self.virtual_time.max(start);
         team.running += 1;
         team.start = start + u64::from(entry.cost.max(1)) * UNIT / u64::from(team.weight);
         if !team.waiting.is_empty() {
--- a/cuminward-route/tests/all/admission.rs
+++ b/cuminward-route/tests/all/admission.rs
@@ -1,9 +1,9 @@
 //! Tests of admission over many nodes, with faults between them.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use cuminward_core::id;
-use cuminward_route::admission::{Limits, Node, Options, Slot, message, reserve};
+use cuminward_route::admission::{Holder, Limits, Node, Options, Slot, message, reserve};
 use googletest::prelude::*;
 use proptest::{prelude::*, test_runner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -399,3 +399,46 @@
         expect_that!(whole, eq(total));
     }
 }
+
+#[gtest]
+fn outdated_grants_are_ignored() {
+    struct Case {
+        from: &'static str,
+        change: fn(&mut message::Grant),
+        expected: u32,
+    }
+    let cases = [
+        Case { from: "a", change: |_| {}, expected: 9 },
+        Case { from: "b", change: |_| {}, expected: 2 },
+        Case { from: "a", change: |it| it.session = 6, expected: 2 },
+        Case { from: "a", change: |it| it.join -= 2, expected: 2 },
+        Case { from: "a", change: |it| it.reset -= 1, expected: 2 },
+        Case { from: "a", change: |it| it.seq = 0, expected: 2 },
+    ];
+    for (number, case) in cases.iter().enumerate() {
+        let lease = Duration::from_secs(3);
+        let holder = Arc::new(Holder::new(UPSTREAM.to_owned(), 2, lease, 1));
+        for owner in ["a", "b", "a"] {
+            holder.follow(Some(owner));
+        }
+        holder.disconnected();
+        holder.invited("a", &message::Invitation { upstream: UPSTREAM.to_owned(), session: 7 });
+        let (_, holdings) = holder.report(Duration::ZERO).expect("the first one is due");
+        let mut grant = message::Grant {
+            upstream: UPSTREAM.to_owned(),
+            session: 7,
+            join: holdings.join,
+            seq: 1,
+            reset: holdings.reset,
+            slots: 9,
+            reserve: 2,
+            echo: holdings.sent,
+            started: None,
+        };
+        (case.change)(&mut grant);
+        holder.granted(Duration::ZERO, case.from, &grant);
+        expect_that!(holder.allowance(), eq(case.expected), "case {number}");
+        let slots: Vec<Slot> = std::iter::from_fn(|| holder.acquire(lease)).collect();
+        expect_that!(slots.len(), eq(2), "the lease of case {number} has lapsed");
+    }
+}
--- a/cuminward-route/tests/all/share.rs
+++ b/cuminward-route/tests/all/share.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use cuminward_core::outcome::Cause;
-use cuminward_route::share::{Entry, Options, Queue};
+use cuminward_route::share::{Capacity, Entry, Options, Queue};
 use googletest::prelude::*;
 
 const FAR: Duration = Duration::from_secs(1_000);
@@ -12,6 +12,9 @@
     Entry { team: team.into(), weight, limit: 1_000, priority: 0, cost: 1, deadline: FAR, item }
 }
 
+/// Slots enough for everything, whoever asks.
+const AMPLE: Capacity = Capacity { slots: 1_000, free: 1_000, weights: 1 };
+
 fn millis(it: u64) -> Duration {
     Duration::from_millis(it)
 }
@@ -37,7 +40,7 @@
         }
         let mut served = BTreeMap::new();
         for it in 0..case.pops {
-            let entry = queue.pop(millis(it.into())).expect("something waits");
+            let entry = queue.pop(millis(it.into()), &AMPLE).expect("something waits");
             *served.entry(entry.team).or_insert(0) += 1;
         }
         let expected: BTreeMap<String, u32> =
@@ -54,16 +57,16 @@
         queue.push(Duration::ZERO, entry).expect("there is room");
     }
     let order: Vec<u32> =
-        std::iter::from_fn(|| queue.pop(Duration::ZERO)).map(|it| it.item).collect();
+        std::iter::from_fn(|| queue.pop(Duration::ZERO, &AMPLE)).map(|it| it.item).collect();
     expect_that!(order, eq(&vec![1, 2, 0, 3]));
 }
 
 #[gtest]
 fn refuses_beyond_the_bounds() {
-    let mut queue = Queue::new(Options { waiting: 3 });
+    let mut queue = Queue::new(Options { waiting: 3, ..Options::default() });
     let limited = |item| Entry { limit: 2, ..entry("a", 1, item) };
     queue.push(Duration::ZERO, limited(0)).expect("there is room");
-    queue.pop(Duration::ZERO).expect("something waits");
+    queue.pop(Duration::ZERO, &AMPLE).expect("something waits");
     queue.push(Duration::ZERO, limited(1)).expect("there is room");
     let refused = queue.push(Duration::ZERO, limited(2)).expect_err("the team is at its limit");
     expect_that!(refused.refusal.cause, eq(Cause::TeamLimit));
@@ -81,7 +84,7 @@
         queue.push(Duration::ZERO, entry("a", 1, it)).expect("there is room");
     }
     for it in 0..50 {
-        queue.pop(millis(it * 100)).expect("something waits");
+        queue.pop(millis(it * 100), &AMPLE).expect("something waits");
     }
     let now = millis(5_000);
     let due = |wait| Entry { deadline: now + millis(wait), ..entry("a", 1, 0) };
@@ -92,3 +95,30 @@
     queue.push(now, other).expect("the other team's turn comes at once");
     expect_that!(queue.expire(now + millis(500)).len(), eq(1));
 }
+
+#[gtest]
+fn teams_beyond_their_share_leave_slots_free() {
+    struct Case {
+        running: u32,
+        free: u32,
+        admitted: bool,
+    }
+    let cases = [
+        Case { running: 4, free: 1, admitted: true },
+        Case { running: 5, free: 1, admitted: false },
+        Case { running: 8, free: 2, admitted: true },
+        Case { running: 0, free: 0, admitted: false },
+    ];
+    for (number, case) in cases.iter().enumerate() {
+        let mut queue = Queue::new(Options::default());
+        for it in 0..=case.running {
+            queue.push(Duration::ZERO, entry("hot", 1, it)).expect("there is room");
+        }
+        for _ in 0..case.running {
+            queue.pop(Duration::ZERO, &AMPLE).expect("something waits");
+        }
+        let capacity = Capacity { slots: 10, free: case.free, weights: 2 };
+        let admitted = queue.pop(Duration::ZERO, &capacity).is_some();
+        expect_that!(admitted, eq(case.admitted), "case {number}");
+    }
+}
