--- a/cuminward-route/src/admission/account.rs
+++ b/cuminward-route/src/admission/account.rs
@@ -80,6 +80,16 @@
         self.in_use + self.waiting
     }
 
+    /// Slots that the node needs beyond those that it is meant to have.
+    pub(super) fn lack(&self) -> u32 {
+        self.demand().saturating_sub(self.level())
+    }
+
+    /// Slots that can be taken back: those beyond the node's need or beyond `most`.
+    pub(super) fn surplus(&self, most: u32) -> u32 {
+        self.level().saturating_sub(self.demand().min(most).max(self.reserve))
+    }
+
     /// Slots that the node is to have while there are enough: one more than it needs.
     pub(super) fn comfort(&self) -> u32 {
         if self.demand() == 0 { 0 } else { self.demand() + 1 }
--- a/cuminward-route/src/admission/node.rs
+++ b/cuminward-route/src/admission/node.rs
@@ -166,6 +166,7 @@
             if let Some(place) = self.places.get(&it.upstream) {
                 place.holder.granted(now, &from, &it);
             }
+            self.report(now, &it.upstream);
         }
         for it in batch.releases {
             let upstream = it.upstream.clone();
--- a/cuminward-route/src/admission/owner.rs
+++ b/cuminward-route/src/admission/owner.rs
@@ -334,16 +334,26 @@
         }
     }
 
-    /// Takes slots back from nodes that have more than they need, or more than a max-min fair part.
-    /// The remainder of the division stays where it is, unless some node has less than its part.
+    /// Takes back as many slots as poor nodes lack, from the nodes that have most beyond what they
+    /// need or beyond a max-min fair part. The remainder of the division stays where it is, unless
+    /// some node has less than its part.
     fn reclaim(&mut self, limit: u32) {
         let demands = self.accounts.values().map(Account::demand).collect();
         let fair = fair(demands, limit);
-        let mut accounts = self.accounts.values();
-        let poor = accounts.any(|it| it.joined && it.level() < it.demand().min(fair));
-        let most = if poor { fair } else { fair + 1 };
-        for account in self.accounts.values_mut() {
-            account.target = account.target.min(account.demand().min(most));
+        let joined = self.accounts.values().filter(|it| it.joined && it.listed);
+        let lack: u32 = joined.map(|it| it.demand().min(fair).saturating_sub(it.level())).sum();
+        let most = if lack > 0 { fair } else { fair + 1 };
+        let levels: u32 = self.accounts.values().map(Account::level).sum();
+        let wanted: u32 = self.accounts.values().map(Account::lack).sum();
+        let returning = self.accounts.values().map(|it| it.committed() - it.level()).sum();
+        let need = lack.max(wanted).max(levels.saturating_sub(limit));
+        let mut need = need.saturating_sub(returning);
+        while need > 0 {
+            let richest = self.accounts.values_mut().max_by_key(|it| it.surplus(most));
+            let Some(richest) = richest.filter(|it| it.surplus(most) > 0) else { return };
+            let taken = richest.surplus(most).min(need);
+            richest.target = richest.level() - taken;
+            need -= taken;
         }
     }
 
--- a/cuminward-route/src/share.rs
+++ b/cuminward-route/src/share.rs
@@ -34,7 +34,7 @@
 pub struct Options {
     /// Requests of all teams that may wait.
     pub waiting: usize,
-    /// Part of the slots that teams beyond their share leave free, in thousandths.
+    /// Part of the slots that a team far beyond its share leaves free, in thousandths.
     pub headroom_permille: u32,
 }
 
@@ -146,13 +146,15 @@
         self.teams.get(team).map_or(0, |it| it.running + it.waiting.len() as u32)
     }
 
-    /// Tells whether a slot is free for a team: any within its share, one beyond the headroom else.
+    /// Tells whether a slot is free for a team. Within its share any slot is; the further a team is
+    /// beyond its share, the more of the headroom has to stay free.
     fn admits(&self, team: &str, capacity: &Capacity) -> bool {
         let it = &self.teams[team];
         let used = u64::from(it.running) * u64::from(capacity.weights);
         let share = u64::from(capacity.slots) * u64::from(it.weight);
         let headroom = u64::from(capacity.slots) * u64::from(self.options.headroom_permille) / 1000;
-        let keep = if used < share { 0 } else { headroom };
+        let beyond = (used + 1).saturating_sub(share.max(1));
+        let keep = (headroom * beyond).div_ceil(used.max(1));
         u64::from(capacity.free) > keep
     }
 
