feat: cuminward-route: leases of 30 s; slots in use are not taken back

Cause: the owner waited for slots to come back that were in use. Change: such slots are left where they are, up to a fair part; the lease is 30 s, since renewals were most of the bytes.

--- a/cuminward-route/src/admission.rs
+++ b/cuminward-route/src/admission.rs
@@ -37,7 +37,7 @@
 pub type Upstream = String;
 
 /// Time for which a grant is valid without renewal.
-pub const DEFAULT_LEASE: Duration = Duration::from_secs(10);
+pub const DEFAULT_LEASE: Duration = Duration::from_secs(30);
 
 /// Part of a cold upstream's limit that nodes may use without a grant, in thousandths.
 pub const DEFAULT_RESERVE_PERMILLE: u32 = 500;
--- a/cuminward-route/src/admission/account.rs
+++ b/cuminward-route/src/admission/account.rs
@@ -26,6 +26,8 @@
     /// Slots that the node reported to hold.
     pub(super) held: u32,
     pub(super) in_use: u32,
+    /// Allowance that the node reported.
+    allowance: u32,
     pub(super) waiting: u32,
     /// Slots that the node reported to use without a grant.
     pub(super) reserve_held: u32,
@@ -80,6 +82,17 @@
         self.in_use + self.waiting
     }
 
+    /// Slots that the node will give back as soon as it hears of it. Slots in use that it gives back
+    /// later don't count.
+    pub(super) fn returning(&self) -> u32 {
+        self.allowance.saturating_sub(self.level().max(self.in_use))
+    }
+
+    /// Slots in use beyond the target although the node knows of the target.
+    pub(super) fn overrun(&self) -> bool {
+        self.allowance <= self.level() && self.in_use > self.level()
+    }
+
     /// Slots that the node needs beyond those that it is meant to have.
     pub(super) fn lack(&self) -> u32 {
         self.demand().saturating_sub(self.level())
@@ -118,6 +131,7 @@
         if !self.joined {
             self.reserve = holdings.reserve.min(self.entitled);
         }
+        self.allowance = holdings.allowance;
         self.in_use = holdings.in_use;
         self.waiting = holdings.waiting;
         self.echo = holdings.sent;
--- a/cuminward-route/src/admission/owner.rs
+++ b/cuminward-route/src/admission/owner.rs
@@ -284,6 +284,7 @@
         }
         let limit = self.ramp.limit(now);
         if ready {
+            self.restore(limit);
             let free = self.reserve(limit.saturating_sub(self.committed()));
             match self.raise(free, Account::demand) {
                 Some(free) => drop(self.raise(free, Account::comfort)),
@@ -298,6 +299,19 @@
         }
     }
 
+    /// Gives up taking back slots that turned out to be in use, up to a max-min fair part.
+    fn restore(&mut self, limit: u32) {
+        let fair = self.fair(limit);
+        for account in self.accounts.values_mut().filter(|it| it.overrun()) {
+            account.target = account.target.max(account.in_use.min(fair));
+        }
+    }
+
+    /// Largest part for which the sum of all demands, each cut to the part, is within the limit.
+    fn fair(&self, limit: u32) -> u32 {
+        fair(self.accounts.values().map(Account::demand).collect(), limit)
+    }
+
     /// Raises reserves towards the nodes' shares as far as others have given theirs up; returns the
     /// free slots that are left.
     fn reserve(&mut self, mut free: u32) -> u32 {
@@ -338,14 +352,13 @@
     /// need or beyond a max-min fair part. The remainder of the division stays where it is, unless
     /// some node has less than its part.
     fn reclaim(&mut self, limit: u32) {
-        let demands = self.accounts.values().map(Account::demand).collect();
-        let fair = fair(demands, limit);
+        let fair = self.fair(limit);
         let joined = self.accounts.values().filter(|it| it.joined && it.listed);
         let lack: u32 = joined.map(|it| it.demand().min(fair).saturating_sub(it.level())).sum();
         let most = if lack > 0 { fair } else { fair + 1 };
         let levels: u32 = self.accounts.values().map(Account::level).sum();
         let wanted: u32 = self.accounts.values().map(Account::lack).sum();
-        let returning = self.accounts.values().map(|it| it.committed() - it.level()).sum();
+        let returning = self.accounts.values().map(Account::returning).sum();
         let need = lack.max(wanted).max(levels.saturating_sub(limit));
         let mut need = need.saturating_sub(returning);
         while need > 0 {
