feat: cuminward-route: holders give idle slots back and ask ahead

Cause: owners heard of idle slots only at renewals, so that short nodes waited. Change: a holder with more than one idle slot gives the rest back by itself (at most every 200 ms), reports when its last slot is taken, and the owner answers only reports that need it.

--- a/cuminward-route/src/admission/account.rs
+++ b/cuminward-route/src/admission/account.rs
@@ -42,6 +42,8 @@
     /// Grants that the node hasn't acknowledged.
     pending: Vec<Promise>,
     pub(super) echo: Duration,
+    /// Report that the last grant's lease counts from.
+    renewed: Duration,
     pub(super) heard: Duration,
 }
 
@@ -93,6 +95,13 @@
         self.allowance <= self.level() && self.in_use > self.level()
     }
 
+    /// Tells whether the last report needs an answer: the node has other slots than it is meant to
+    /// have, or its lease wants renewal.
+    pub(super) fn wants_grant(&self, renewal: Duration) -> bool {
+        let differs = self.allowance != self.level() || self.reserve_held != self.reserve;
+        differs || self.echo >= self.renewed + renewal
+    }
+
     /// Slots that the node needs beyond those that it is meant to have.
     pub(super) fn lack(&self) -> u32 {
         self.demand().saturating_sub(self.level())
@@ -111,9 +120,14 @@
 
 /// Mutation
 impl Account {
-    /// Drops the promises that the node has acknowledged.
+    /// Drops the promises that the node has acknowledged. When these are all, the node itself has
+    /// given back what its allowance is below the target.
     pub(super) fn acknowledge(&mut self, ack: u64) {
         self.pending.retain(|it| it.seq > ack);
+        if self.pending.is_empty() && self.allowance < self.level() {
+            self.target = self.allowance;
+            self.sent.0 = self.allowance;
+        }
     }
 
     /// Forgets what was granted; the node can't take it over any more.
@@ -146,6 +160,8 @@
             next.slots = next.slots.max(oldest.slots);
             next.reserve = next.reserve.max(oldest.reserve);
         }
+        self.renewed = self.echo;
+        self.sent = (self.target, self.reserve);
         self.pending.push(Promise { seq, slots: self.level(), reserve: self.reserve });
     }
 }
--- a/cuminward-route/src/admission/holder.rs
+++ b/cuminward-route/src/admission/holder.rs
@@ -18,6 +18,12 @@
 /// Time after which an unchanged need for slots is reported again.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Shortest time between two reports that give idle slots back.
+const IDLE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Idle slots that a holder keeps for the next requests.
+const SPARE: u32 = 1;
+
 /// Part of the lease after which a grant is renewed: one in this many.
 const RENEWALS: u32 = 3;
 
@@ -59,6 +65,7 @@
 struct Last {
     at: Duration,
     held: u32,
+    full: bool,
     waiting: u32,
 }
 
@@ -206,12 +213,15 @@
         let mut control = self.lock();
         let owner = control.owner.clone()?;
         let (in_use, allowance) = unpack(self.slots.load(Ordering::Acquire));
-        if !self.due(&control, now, in_use, allowance) {
+        let idle = self.idle(&control, now, in_use, allowance);
+        if !idle && !self.due(&control, now, in_use, allowance) {
             return None;
         }
+        let (in_use, allowance) = if idle { self.give_back() } else { (in_use, allowance) };
         control.report += 1;
         let waiting = self.waiting.load(Ordering::Acquire);
-        control.last = Some(Last { at: now, held: in_use.max(allowance), waiting });
+        control.last =
+            Some(Last { at: now, held: in_use.max(allowance), full: in_use >= allowance, waiting });
         control.urgent = false;
         let holdings = message::Holdings {
             upstream: self.upstream.clone(),
@@ -237,13 +247,37 @@
         let waiting = self.waiting.load(Ordering::Acquire);
         let freed = in_use.max(allowance) < last.held;
         let differs = waiting.next_power_of_two() != last.waiting.next_power_of_two();
-        let short = freed || differs || control.session.is_none();
+        let filled = in_use >= allowance && in_use > 0 && !last.full;
+        let short = freed || filled || differs || control.session.is_none();
         control.urgent
             || short && since >= MIN_INTERVAL
             || waiting > 0 && since >= REPEAT_INTERVAL
             || in_use.max(allowance) > reserve && since >= self.lease / RENEWALS
     }
 
+    /// Tells whether more slots are idle than the next requests need.
+    fn idle(&self, control: &Control, now: Duration, in_use: u32, allowance: u32) -> bool {
+        let keep = (in_use + SPARE).max(self.reserve.load(Ordering::Acquire));
+        let since = control.last.map_or(Duration::ZERO, |it| now.saturating_sub(it.at));
+        control.session.is_some() && allowance > keep && since >= IDLE_INTERVAL
+    }
+
+    /// Gives idle slots back; returns the slots in use and the allowance that remains.
+    fn give_back(&self) -> (u32, u32) {
+        let reserve = self.reserve.load(Ordering::Acquire);
+        let keep = |in_use: u32, allowance: u32| allowance.min((in_use + SPARE).max(reserve));
+        let update = |it: u64| {
+            let (in_use, allowance) = unpack(it);
+            Some(pack(in_use, keep(in_use, allowance)))
+        };
+        let former = self
+            .slots
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, update)
+            .expect("the update always gives a value");
+        let (in_use, allowance) = unpack(former);
+        (in_use, keep(in_use, allowance))
+    }
+
     /// Gives up everything above the reserve; returns the slots in use.
     fn fall(&self) -> u32 {
         let reserve = self.reserve.load(Ordering::Acquire);
--- a/cuminward-route/src/admission/owner.rs
+++ b/cuminward-route/src/admission/owner.rs
@@ -6,6 +6,9 @@
 
 use super::{Limits, Options, Ramp, Upstream, account::Account, message, reserve};
 
+/// Part of the lease after which a report renews it: one in this many.
+const RENEWALS: u32 = 4;
+
 /// Time between two invitations of a node that hasn't joined.
 const INVITATION_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -189,7 +192,9 @@
         if fell && self.doubt.replace(now).is_none() {
             outputs.push(Output::Probe);
         }
-        self.grant(now, node, outputs);
+        if fell || account.wants_grant(self.options.lease / RENEWALS) {
+            self.grant(now, node, outputs);
+        }
     }
 
     fn release(&mut self, node: &str, release: &message::Release) {
@@ -374,7 +379,6 @@
         let started = self.ramp.started(now);
         let Some(account) = self.accounts.get_mut(node) else { return };
         self.seq += 1;
-        account.sent = (account.target, account.reserve);
         account.promise(self.seq);
         let grant = message::Grant {
             upstream: self.upstream.clone(),
