--- a/cuminward-route/src/admission/account.rs
+++ b/cuminward-route/src/admission/account.rs
@@ -26,6 +26,8 @@
     /// Slots that the node reported to hold.
     pub(super) held: u32,
     pub(super) in_use: u32,
+    /// Allowance that the node reported.
+    allowance: u32,
     pub(super) waiting: u32,
     /// Slots that the node reported to use without a grant.
     pub(super) reserve_held: u32,
@@ -40,6 +42,8 @@
     /// Grants that the node hasn't acknowledged.
     pending: Vec<Promise>,
     pub(super) echo: Duration,
+    /// Report that the last grant's lease counts from.
+    renewed: Duration,
     pub(super) heard: Duration,
 }
 
@@ -80,6 +84,34 @@
         self.in_use + self.waiting
     }
 
+    /// Slots that the node will give back as soon as it hears of it. Slots in use that it gives back
+    /// later don't count.
+    pub(super) fn returning(&self) -> u32 {
+        self.allowance.saturating_sub(self.level().max(self.in_use))
+    }
+
+    /// Slots in use beyond the target although the node knows of the target.
+    pub(super) fn overrun(&self) -> bool {
+        self.allowance <= self.level() && self.in_use > self.level()
+    }
+
+    /// Tells whether the last report needs an answer: the node has other slots than it is meant to
+    /// have, or its lease wants renewal.
+    pub(super) fn wants_grant(&self, renewal: Duration) -> bool {
+        let differs = self.allowance != self.level() || self.reserve_held != self.reserve;
+        differs || self.echo >= self.renewed + renewal
+    }
+
+    /// Slots that the node needs beyond those that it is meant to have.
+    pub(super) fn lack(&self) -> u32 {
+        self.demand().saturating_sub(self.level())
+    }
+
+    /// Slots that can be taken back: those beyond the node's need or beyond `most`.
+    pub(super) fn surplus(&self, most: u32) -> u32 {
+        self.level().saturating_sub(self.demand().min(most).max(self.reserve))
+    }
+
     /// Slots that the node is to have while there are enough: one more than it needs.
     pub(super) fn comfort(&self) -> u32 {
         if self.demand() == 0 { 0 } else { self.demand() + 1 }
@@ -88,9 +120,14 @@
 
 /// Mutation
 impl Account {
-    /// Drops the promises that the node has acknowledged.
+    /// Drops the promises that the node has acknowledged. When these are all, the node itself has
+    /// given back what its allowance is below the target.
     pub(super) fn acknowledge(&mut self, ack: u64) {
         self.pending.retain(|it| it.seq > ack);
+        if self.pending.is_empty() && self.allowance < self.level() {
+            self.target = self.allowance;
+            self.sent.0 = self.allowance;
+        }
     }
 
     /// Forgets what was granted; the node can't take it over any more.
@@ -108,6 +145,7 @@
         if !self.joined {
             self.reserve = holdings.reserve.min(self.entitled);
         }
+        self.allowance = holdings.allowance;
         self.in_use = holdings.in_use;
         self.waiting = holdings.waiting;
         self.echo = holdings.sent;
@@ -122,6 +160,8 @@
             next.slots = next.slots.max(oldest.slots);
             next.reserve = next.reserve.max(oldest.reserve);
         }
+        self.renewed = self.echo;
+        self.sent = (self.target, self.reserve);
         self.pending.push(Promise { seq, slots: self.level(), reserve: self.reserve });
     }
 }
--- a/cuminward-route/src/admission/owner.rs
+++ b/cuminward-route/src/admission/owner.rs
@@ -6,6 +6,9 @@
 
 use super::{Limits, Options, Ramp, Upstream, account::Account, message, reserve};
 
+/// Part of the lease after which a report renews it: one in this many.
+const RENEWALS: u32 = 4;
+
 /// Time between two invitations of a node that hasn't joined.
 const INVITATION_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -189,7 +192,9 @@
         if fell && self.doubt.replace(now).is_none() {
             outputs.push(Output::Probe);
         }
-        self.grant(now, node, outputs);
+        if fell || account.wants_grant(self.options.lease / RENEWALS) {
+            self.grant(now, node, outputs);
+        }
     }
 
     fn release(&mut self, node: &str, release: &message::Release) {
@@ -284,6 +289,7 @@
         }
         let limit = self.ramp.limit(now);
         if ready {
+            self.restore(limit);
             let free = self.reserve(limit.saturating_sub(self.committed()));
             match self.raise(free, Account::demand) {
                 Some(free) => drop(self.raise(free, Account::comfort)),
@@ -298,6 +304,19 @@
         }
     }
 
+    /// Gives up taking back slots that turned out to be in use, up to a max-min fair part.
+    fn restore(&mut self, limit: u32) {
+        let fair = self.fair(limit);
+        for account in self.accounts.values_mut().filter(|it| it.overrun()) {
+            account.target = account.target.max(account.in_use.min(fair));
+        }
+    }
+
+    /// Largest part for which the sum of all demands, each cut to the part, is within the limit.
+    fn fair(&self, limit: u32) -> u32 {
+        fair(self.accounts.values().map(Account::demand).collect(), limit)
+    }
+
     /// Raises reserves towards the nodes' shares as far as others have given theirs up; returns the
     /// free slots that are left.
     fn reserve(&mut self, mut free: u32) -> u32 {
@@ -334,16 +353,25 @@
         }
     }
 
-    /// Takes slots back from nodes that have more than they need, or more than a max-min fair part.
-    /// The remainder of the division stays where it is, unless some node has less than its part.
+    /// Takes back as many slots as poor nodes lack, from the nodes that have most beyond what they
+    /// need or beyond a max-min fair part. The remainder of the division stays where it is, unless
+    /// some node has less than its part.
     fn reclaim(&mut self, limit: u32) {
-        let demands = self.accounts.values().map(Account::demand).collect();
-        let fair = fair(demands, limit);
-        let mut accounts = self.accounts.values();
-        let poor = accounts.any(|it| it.joined && it.level() < it.demand().min(fair));
-        let most = if poor { fair } else { fair + 1 };
-        for account in self.accounts.values_mut() {
-            account.target = account.target.min(account.demand().min(most));
+        let fair = self.fair(limit);
+        let joined = self.accounts.values().filter(|it| it.joined && it.listed);
+        let lack: u32 = joined.map(|it| it.demand().min(fair).saturating_sub(it.level())).sum();
+        let most = if lack > 0 { fair } else { fair + 1 };
+        let levels: u32 = self.accounts.values().map(Account::level).sum();
+        let wanted: u32 = self.accounts.values().map(Account::lack).sum();
+        let returning = self.accounts.values().map(Account::returning).sum();
+        let need = lack.max(wanted).max(levels.saturating_sub(limit));
+        let mut need = need.saturating_sub(returning);
+        while need > 0 {
+            let richest = self.accounts.values_mut().max_by_key(|it| it.surplus(most));
+            let Some(richest) = richest.filter(|it| it.surplus(most) > 0) else { return };
+            let taken = richest.surplus(most).min(need);
+            richest.target = richest.level() - taken;
+            need -= taken;
         }
     }
 
@@ -351,7 +379,6 @@
         let started = self.ramp.started(now);
         let Some(account) = self.accounts.get_mut(node) else { return };
         self.seq += 1;
-        account.sent = (account.target, account.reserve);
         account.promise(self.seq);
         let grant = message::Grant {
             upstream: self.upstream.clone(),
