feat: cuminward-standin: engines that notice a loss late, load straight to engines

Cause: members that noticed a loss at once made the count of partial answers zero by construction, and the bound after a cold start and the restart of a server stood twice.

Change: engine::Options::loss_notice keeps the head serving after a loss, and partial_begun and partial_answers count what it then takes and finishes. warm_up::Ramp and Server::restart stand once. The load example also goes straight to engines.

Conclusion: a check for partial answers can fail now.

--- a/cuminward-standin/examples/load.rs
+++ b/cuminward-standin/examples/load.rs
@@ -9,8 +9,12 @@
 #[derive(Debug, Parser)]
 struct Arguments {
     /// Address of a chat interface; may be given several times.
-    #[arg(long = "target", required = true)]
+    #[arg(long = "target", required_unless_present = "engines")]
     targets: Vec<SocketAddr>,
+    /// Head of a replica, as ADDRESS=GROUP=GENERATION=VERSION, to go past the chat interface; may be
+    /// given several times.
+    #[arg(long = "engine", value_parser = engine)]
+    engines: Vec<load::Target>,
     /// Team, as NAME, NAME=KEY or NAME=KEY=WEIGHT; may be given several times.
     #[arg(long = "team", default_values = ["team"])]
     teams: Vec<String>,
@@ -51,12 +55,12 @@
 }
 
 fn options(arguments: &Arguments) -> load::Options {
-    let target = |it: &SocketAddr| load::Target::Chat { address: *it };
+    let chats = arguments.targets.iter().map(|it| load::Target::Chat { address: *it });
     load::Options {
         seed: arguments.seed,
         rate: arguments.rate,
         duration: Duration::from_secs(arguments.seconds),
-        targets: arguments.targets.iter().map(target).collect(),
+        targets: chats.chain(arguments.engines.iter().cloned()).collect(),
         teams: arguments.teams.iter().map(|it| team(it)).collect(),
         model: arguments.model.clone(),
         versions: arguments.versions.clone(),
@@ -73,3 +77,16 @@
         weight: parts.next().and_then(|it| it.parse().ok()).unwrap_or(1.0),
     }
 }
+
+fn engine(text: &str) -> Result<load::Target, String> {
+    let parts: Vec<&str> = text.split('=').collect();
+    let [address, group, generation, version] = parts[..] else {
+        return Err("not ADDRESS=GROUP=GENERATION=VERSION".to_owned());
+    };
+    Ok(load::Target::Engine {
+        address: address.parse().map_err(|_| "not an address".to_owned())?,
+        group: group.to_owned(),
+        generation: generation.parse().map_err(|_| "not a generation".to_owned())?,
+        version: version.to_owned(),
+    })
+}
--- a/cuminward-standin/src/engine.rs
+++ b/cuminward-standin/src/engine.rs
@@ -21,6 +21,8 @@
 
 pub use token::token_text;
 
+use crate::warm_up;
+
 /// Settings of all engines of a fleet.
 #[record]
 #[derive(Builder)]
@@ -50,6 +52,9 @@
     pub load_lag: Duration,
     /// Time from the death of a host to its restart where it restarts by itself.
     pub restart_delay: Duration,
+    /// Time until the members of a group notice that another one has gone; until then the head goes
+    /// on serving, which counts as partial answers.
+    pub loss_notice: Duration,
     /// A prompt with this text crashes the replica that runs it.
     pub crash_marker: String,
 }
@@ -69,11 +74,19 @@
             event_gap_every: 500,
             load_lag: Duration::from_millis(200),
             restart_delay: Duration::from_millis(500),
+            loss_notice: Duration::ZERO,
             crash_marker: "!!crash!!".to_owned(),
         }
     }
 }
 
+/// Access
+impl Options {
+    fn ramp(&self) -> warm_up::Ramp {
+        warm_up::Ramp { cold: self.cold_bound, warm: self.slots, rise: self.warm_up }
+    }
+}
+
 /// Mutation
 impl Options {
     /// Stretches the times of serving (prefill, decode, warm-up) by a factor; below 1 is faster.
--- a/cuminward-standin/src/engine/counter.rs
+++ b/cuminward-standin/src/engine/counter.rs
@@ -31,6 +31,8 @@
     pub overloaded: u64,
     /// Requests refused because the replica was starting.
     pub starting: u64,
+    /// Requests begun while a member was missing.
+    pub partial_begun: u64,
     /// Replies finished while a member was missing.
     pub partial_answers: u64,
     /// Most requests in flight in a replica that was still warming up.
--- a/cuminward-standin/src/engine/fault.rs
+++ b/cuminward-standin/src/engine/fault.rs
@@ -1,6 +1,6 @@
 //! Death, restart and other faults of hosts.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use cuminward_core::id;
 
@@ -11,9 +11,6 @@
 };
 use crate::server;
 
-/// Time between tries to bind the port of a restarted host.
-const BIND_RETRY: Duration = Duration::from_millis(20);
-
 /// Access
 impl Shared {
     fn members_of(&self, fabric: &str) -> Vec<id::Host> {
@@ -90,13 +87,8 @@
         let address = self.lock().machines.get(host).map(|it| it.entry.address.clone());
         let Some(address) = address else { return };
         let address: SocketAddr = address.parse().expect("the server gave the address");
-        let server = loop {
-            let router = machine::router(self.clone(), host.to_owned());
-            match server::Server::start(address.port(), router).await {
-                Ok(server) => break server,
-                Err(_) => tokio::time::sleep(BIND_RETRY).await,
-            }
-        };
+        let router = machine::router(self.clone(), host.to_owned());
+        let server = server::Server::restart(address.port(), router).await;
         let mut state = self.lock();
         let incarnation = state.incarnation();
         let Some(machine) = state.machines.get_mut(host) else { return };
--- a/cuminward-standin/src/engine/fleet.rs
+++ b/cuminward-standin/src/engine/fleet.rs
@@ -52,6 +52,7 @@
             book: counter::Book::default(),
             expected: BTreeMap::new(),
             next_incarnation: reply::wall_ms(),
+            losses: Vec::new(),
         };
         let state = Mutex::new(state);
         let shared = Arc::new(Shared { options, weights, started: Instant::now(), state });
@@ -186,7 +187,9 @@
             if sample {
                 sampled = last;
             }
-            add_up(&mut self.lock(), elapsed.as_secs_f64(), sample);
+            let mut state = self.lock();
+            state.notice_losses();
+            add_up(&mut state, elapsed.as_secs_f64(), sample);
         }
     }
 }
--- a/cuminward-standin/src/engine/generate.rs
+++ b/cuminward-standin/src/engine/generate.rs
@@ -112,6 +112,8 @@
         counters.overloaded += 1;
         return Err(Box::new(reply::error(429, "overloaded", "the engine's queue is full")));
     }
+    let partial = !state.whole(&replica.membership);
+    state.book.counters.partial_begun += u64::from(partial);
     state.book.begin(&domain, host, &replica.name());
     Ok(replica)
 }
--- a/cuminward-standin/src/engine/replica.rs
+++ b/cuminward-standin/src/engine/replica.rs
@@ -132,7 +132,7 @@
     /// Requests that the replica bears now.
     pub(super) fn bound(&self) -> u32 {
         let age = self.lock().started.elapsed();
-        bound(&self.options, age)
+        self.options.ramp().bound(age)
     }
 
     /// Time of one token now.
@@ -219,7 +219,7 @@
         let failed = CancellationToken::new();
         inner.running.insert(number, failed.clone());
         let in_flight = inner.running.len() as u32;
-        let bound = bound(&self.options, inner.started.elapsed());
+        let bound = self.options.ramp().bound(inner.started.elapsed());
         let overrun = in_flight > bound;
         let start = Start { in_flight, bound, cold: bound < self.options.slots, overrun };
         if overrun {
@@ -238,11 +238,3 @@
         Some(self.waiting.swap_remove(index))
     }
 }
-
-fn bound(options: &Options, age: Duration) -> u32 {
-    if age >= options.warm_up {
-        return options.slots;
-    }
-    let rise = f64::from(options.slots.saturating_sub(options.cold_bound));
-    options.cold_bound + (rise * age.as_secs_f64() / options.warm_up.as_secs_f64()) as u32
-}
--- a/cuminward-standin/src/engine/state.rs
+++ b/cuminward-standin/src/engine/state.rs
@@ -1,6 +1,6 @@
 //! The hosts of a fleet and their groups.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 
 use cuminward_core::{host, id};
 use tokio_util::sync::CancellationToken;
@@ -16,6 +16,15 @@
     pub(super) book: counter::Book,
     pub(super) expected: BTreeMap<id::Domain, u32>,
     pub(super) next_incarnation: id::Incarnation,
+    pub(super) losses: Vec<Loss>,
+}
+
+/// A loss of a member that the others have yet to notice.
+#[derive(Debug)]
+pub(super) struct Loss {
+    due: Instant,
+    group: id::Group,
+    generation: id::Generation,
 }
 
 /// One host.
@@ -111,8 +120,23 @@
         if let Some(replica) = machine.replica.take() {
             replica.broken.cancel();
         }
+        let due = Instant::now() + self.options.loss_notice;
+        self.losses.push(Loss { due, group: left.group, generation: left.generation });
+        self.notice_losses();
+    }
+
+    /// Breaks the groups whose members notice now that another one has gone.
+    pub(super) fn notice_losses(&mut self) {
+        let now = Instant::now();
+        let losses = std::mem::take(&mut self.losses);
+        let (due, later): (Vec<Loss>, Vec<Loss>) = losses.into_iter().partition(|it| it.due <= now);
+        self.losses = later;
+        due.iter().for_each(|it| self.break_up(&it.group, it.generation));
+    }
+
+    fn break_up(&mut self, group: &str, generation: id::Generation) {
         for member in self.machines.values_mut() {
-            if !member.in_formation(&left.group, left.generation) {
+            if !member.in_formation(group, generation) {
                 continue;
             }
             if let Some(membership) = &mut member.membership {
--- a/cuminward-standin/src/lib.rs
+++ b/cuminward-standin/src/lib.rs
@@ -13,5 +13,6 @@
 mod reply;
 pub mod server;
 pub mod view;
+mod warm_up;
 pub mod weights;
 pub mod world;
--- a/cuminward-standin/src/plain.rs
+++ b/cuminward-standin/src/plain.rs
@@ -21,10 +21,7 @@
 pub use counter::Counters;
 pub use fault::Fault;
 
-use crate::{begun, reply, server};
-
-/// Time between tries to bind the port of a restarted host.
-const BIND_RETRY: Duration = Duration::from_millis(20);
+use crate::{begun, reply, server, warm_up};
 
 /// Settings of all hosts.
 #[record]
@@ -55,6 +52,13 @@
     }
 }
 
+/// Access
+impl Options {
+    fn ramp(&self) -> warm_up::Ramp {
+        warm_up::Ramp { cold: self.cold_bound, warm: self.slots, rise: self.warm_up }
+    }
+}
+
 /// All plain hosts; dropping it ends them.
 #[derive(Debug)]
 pub struct Desk {
@@ -219,13 +223,8 @@
         let address = self.lock().hosts.get(host).map(|it| it.entry.address.clone());
         let Some(address) = address else { return };
         let address: SocketAddr = address.parse().expect("the server gave the address");
-        let server = loop {
-            let router = machine::router(self.clone(), host.to_owned());
-            match server::Server::start(address.port(), router).await {
-                Ok(server) => break server,
-                Err(_) => tokio::time::sleep(BIND_RETRY).await,
-            }
-        };
+        let router = machine::router(self.clone(), host.to_owned());
+        let server = server::Server::restart(address.port(), router).await;
         let incarnation = self.lock().incarnation();
         self.set(host, |it| {
             it.incarnation = incarnation;
@@ -241,15 +240,6 @@
         self.server = None;
         self.failing.cancel();
     }
-
-    fn bound(&self, options: &Options) -> u32 {
-        let age = self.started.elapsed();
-        if age >= options.warm_up {
-            return options.slots;
-        }
-        let rise = f64::from(options.slots.saturating_sub(options.cold_bound));
-        options.cold_bound + (rise * age.as_secs_f64() / options.warm_up.as_secs_f64()) as u32
-    }
 }
 
 async fn control(State(shared): State<Arc<Shared>>, Json(fault): Json<Fault>) {
--- a/cuminward-standin/src/plain/machine.rs
+++ b/cuminward-standin/src/plain/machine.rs
@@ -103,7 +103,7 @@
         return Err(Box::new(refusal));
     }
     machine.in_flight += 1;
-    let bound = machine.bound(&node.shared.options);
+    let bound = node.shared.options.ramp().bound(machine.started.elapsed());
     let cold = bound < node.shared.options.slots;
     if cold && machine.in_flight > inner.counters.cold_most_in_flight {
         inner.counters.cold_most_in_flight = machine.in_flight;
--- a/cuminward-standin/src/server.rs
+++ b/cuminward-standin/src/server.rs
@@ -9,6 +9,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll, Waker},
+    time::Duration,
 };
 
 use axum::{Extension, Router};
@@ -24,6 +25,9 @@
 };
 use tokio_util::sync::CancellationToken;
 
+/// Time between tries to bind a port again.
+const BIND_RETRY: Duration = Duration::from_millis(20);
+
 /// A running server; dropping it closes the port and every connection.
 #[derive(Debug)]
 pub struct Server {
@@ -69,6 +73,16 @@
         });
         Ok(Server { address, gate, stop })
     }
+
+    /// Listens at a port again that an earlier server may still be giving up.
+    pub async fn restart(port: u16, router: Router) -> Server {
+        loop {
+            match Server::start(port, router.clone()).await {
+                Ok(server) => return server,
+                Err(_) => tokio::time::sleep(BIND_RETRY).await,
+            }
+        }
+    }
 }
 
 impl Drop for Server {
--- a/cuminward-standin/tests/all/engine.rs
+++ b/cuminward-standin/tests/all/engine.rs
@@ -8,6 +8,10 @@
 };
 use googletest::prelude::*;
 use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::http;
 
@@ -85,6 +89,11 @@
     chunks.filter_map(|it| it["text"].as_str().map(str::to_owned)).collect()
 }
 
+/// Asks for a reply over HTTP/1.1 and waits for its end.
+async fn ask(world: &World, request: &str, prompt: &str) -> http::Answer {
+    http::post(address(world, 0), "/v1/generate", &generate(request, prompt, 0)).await
+}
+
 fn finished(answer: &http::Answer) -> bool {
     answer.text.contains("\"finish\"")
 }
@@ -293,3 +302,101 @@
     verify_that!(phase(&world, 0), some(eq(host::Phase::Ready)))?;
     verify_that!(world.weights().counters().active, eq(0))
 }
+
+#[gtest]
+#[tokio::test]
+async fn counts_answers_of_a_group_that_hasnt_noticed_a_loss() -> Result<()> {
+    let options = engine::Options { loss_notice: Duration::from_secs(2), ..fast() };
+    let world = world(2, options).await;
+    ready(&world, "g", &[0, 1]).await;
+    world.fleet().fault(&Fault::Kill { host: name(1) }).await;
+    verify_that!(finished(&ask(&world, "r1", "p").await), eq(true))?;
+    let counters = world.fleet().counters();
+    verify_that!((counters.partial_begun, counters.partial_answers), eq((1, 1)))?;
+    wait(|| phase(&world, 0) == Some(host::Phase::Broken)).await;
+    verify_that!(ask(&world, "r2", "p").await.code(), eq("not-whole"))
+}
+
+#[gtest]
+#[tokio::test]
+async fn larger_priorities_go_first() -> Result<()> {
+    let options = engine::Options { slots: 1, queue: 2, ..fast() };
+    let world = world(1, options).await;
+    ready(&world, "g", &[0]).await;
+    let ask = |request: &'static str, priority: i64| {
+        let (target, mut body) = (address(&world, 0), generate(request, request, 0));
+        body["priority"] = json!(priority);
+        tokio::spawn(async move {
+            let answer = http::post(target, "/v1/generate", &body).await;
+            (answer.status, Instant::now())
+        })
+    };
+    let running = ask("running", 0);
+    wait(|| world.fleet().counters().tokens > 0).await;
+    let low = ask("low", 1);
+    wait(|| world.fleet().counters().begun_by_domain["a"] == 2).await;
+    let high = ask("high", 2);
+    wait(|| world.fleet().counters().begun_by_domain["a"] == 3).await;
+    verify_that!(ask("too much", 3).await.or_fail()?.0, eq(429))?;
+    let (low, high) = (low.await.or_fail()?, high.await.or_fail()?);
+    verify_that!((running.await.or_fail()?.0, low.0, high.0), eq((200, 200, 200)))?;
+    verify_that!(high.1, lt(low.1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn measures_slowness_and_time_outside_groups() -> Result<()> {
+    let world = world(3, fast()).await;
+    let expect = json!({"kind": "expect", "domain": "a", "groups": 2});
+    let control = world.fleet().control_address();
+    verify_that!(http::post(control, "/control", &expect).await.status, eq(200))?;
+    ready(&world, "g", &[0, 1]).await;
+    let begun = Instant::now();
+    ask(&world, "r1", "prompt").await;
+    let normal = begun.elapsed();
+    let slow = json!({"kind": "slow", "host": name(1), "factor": 5.0});
+    verify_that!(http::post(control, "/control", &slow).await.status, eq(200))?;
+    let before = world.fleet().counters();
+    let begun = Instant::now();
+    ask(&world, "r2", "prompt").await;
+    let slowed = begun.elapsed();
+    verify_that!(slowed, gt(normal * 2))?;
+    let after = http::get(control, "/control/counters").await.json();
+    let stranded = after["stranded_seconds"]["a"].as_f64().or_fail()?;
+    let missing = after["group_down_seconds"]["a"].as_f64().or_fail()?;
+    let passed = slowed.as_secs_f64();
+    verify_that!(stranded - before.stranded_seconds["a"], near(passed, passed / 2.0))?;
+    verify_that!(missing - before.group_down_seconds["a"], near(passed, passed / 2.0))?;
+    verify_that!(world.fleet().begun_since("a", begun), eq(1))
+}
+
+#[gtest]
+#[tokio::test]
+async fn silences_open_connections_only() -> Result<()> {
+    let world = world(1, fast()).await;
+    let mut open = TcpStream::connect(address(&world, 0)).await.or_fail()?;
+    let request = b"GET /v1/host HTTP/1.1\r\nhost: h\r\n\r\n";
+    let mut buffer = [0; 1024];
+    open.write_all(request).await.or_fail()?;
+    verify_that!(open.read(&mut buffer).await.or_fail()?, gt(0))?;
+    world.fleet().fault(&Fault::Silence { host: name(0) }).await;
+    open.write_all(request).await.or_fail()?;
+    let read = tokio::time::timeout(Duration::from_millis(100), open.read(&mut buffer)).await;
+    verify_that!(read.is_err(), eq(true))?;
+    verify_that!(http::get(address(&world, 0), "/v1/host").await.status, eq(200))
+}
+
+#[gtest]
+#[tokio::test]
+async fn stops() -> Result<()> {
+    let world = world(1, fast()).await;
+    let (host, log) = (address(&world, 0), world.log_address());
+    world.stop().await;
+    let refused = |it: String| async move { TcpStream::connect(it).await.is_err() };
+    let deadline = Instant::now() + http::TIMEOUT;
+    while !(refused(host.clone()).await && refused(log.to_string()).await) {
+        verify_that!(Instant::now(), lt(deadline))?;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Ok(())
+}
--- a/cuminward-standin/tests/all/load.rs
+++ b/cuminward-standin/tests/all/load.rs
@@ -1,7 +1,9 @@
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use cuminward_standin::load;
+use axum::{Json, Router, routing};
+use cuminward_standin::{engine::token, load, server};
 use googletest::prelude::*;
+use serde_json::{Value, json};
 
 use crate::engine;
 
@@ -31,3 +33,53 @@
     verify_that!(report.all.wrong, eq(report.all.sent))?;
     verify_that!(load::plot::svg(&report).or_fail()?, contains_substring("<svg"))
 }
+
+/// Answers a chat request in the usual form; the content "cut" leaves out the end.
+async fn chat(Json(request): Json<Value>) -> String {
+    let prompt = format!("user: {}\n", request["messages"][0]["content"].as_str().unwrap_or(""));
+    let limit = request["max_tokens"].as_u64().unwrap_or_default();
+    let event = |content: String, finish: Value| {
+        let choice = json!({"index": 0, "delta": {"content": content}, "finish_reason": finish});
+        format!("data: {}\n\n", json!({"id": "c", "choices": [choice]}))
+    };
+    let texts = (0..token::token_count("v1", &prompt, limit))
+        .map(|it| event(token::token_text("v1", &prompt, it), Value::Null));
+    let end = match request["model"] == "cut" {
+        true => String::new(),
+        false => event(String::new(), json!("stop")) + "data: [DONE]\n\n",
+    };
+    texts.collect::<String>() + &end
+}
+
+struct Case {
+    model: &'static str,
+    path: &'static str,
+    figures: fn(&load::Report) -> u64,
+}
+
+#[gtest]
+#[tokio::test]
+async fn judges_chat_replies() -> Result<()> {
+    let cases = [
+        Case { model: "m", path: "/v1/chat/completions", figures: |it| it.all.complete },
+        Case { model: "cut", path: "/v1/chat/completions", figures: |it| it.all.cut_off },
+        Case { model: "m", path: "/elsewhere", figures: |it| it.all.refused },
+    ];
+    for case in cases {
+        let router = Router::new().route(case.path, routing::post(chat));
+        let server = server::Server::start(0, router).await.or_fail()?;
+        let address: SocketAddr = server.address();
+        let options = load::Options {
+            rate: 100.0,
+            duration: Duration::from_millis(200),
+            targets: vec![load::Target::Chat { address }],
+            model: case.model.to_owned(),
+            ..load::Options::default()
+        };
+        let report = load::run(&options).await;
+        verify_that!(report.all.sent, gt(5))?;
+        verify_that!((case.figures)(&report), eq(report.all.sent))
+            .with_failure_message(|| format!("{} {}", case.model, case.path))?;
+    }
+    Ok(())
+}
