fix: cuminward-standin: times of the load generator past two microseconds

Cause: the histograms started with their smallest range, and recording saturated at 2 microseconds: a run showed 0.002 ms for every quantile.

Change: the histograms reach an hour; the test of the load generator bounds the quantiles from both sides and fails without the change.

Before: 0.002 ms for all of them.

Conclusion: times are reported as measured.

--- a/cuminward-standin/src/load/tally.rs
+++ b/cuminward-standin/src/load/tally.rs
@@ -11,6 +11,9 @@
 /// Significant digits of the histograms.
 const DIGITS: u8 = 3;
 
+/// Longest time that the histograms tell from longer ones, in microseconds: an hour.
+const LONGEST_MICROS: u64 = 3_600_000_000;
+
 /// Figures of a run.
 #[record]
 pub struct Report {
@@ -114,8 +117,8 @@
 /// Life cycle
 impl Quantiles {
     fn new(seconds: impl Iterator<Item = f64>) -> Quantiles {
-        let mut histogram: Histogram<u64> =
-            Histogram::new(DIGITS).expect("the number of digits is valid");
+        let mut histogram: Histogram<u64> = Histogram::new_with_max(LONGEST_MICROS, DIGITS)
+            .expect("limit and number of digits are valid");
         seconds.for_each(|it| histogram.saturating_record((it * 1e6) as u64));
         let quantile = |it: f64| histogram.value_at_quantile(it) as f64 / 1e3;
         Quantiles {
--- a/cuminward-standin/tests/all/load.rs
+++ b/cuminward-standin/tests/all/load.rs
@@ -28,6 +28,11 @@
     let report = load::run(&options).await;
     verify_that!(report.all.sent, gt(20))?;
     verify_that!(report.all.complete, eq(report.all.sent))?;
+    // Ten tokens of two milliseconds each.
+    verify_that!(report.all.total.p50_ms, all![ge(20.0), lt(1000.0)])?;
+    verify_that!(report.all.first_token.p50_ms, all![ge(2.0), lt(report.all.total.p50_ms)])?;
+    verify_that!(report.all.between_tokens.count, eq(9 * report.all.sent))?;
+    verify_that!(report.all.between_tokens.p95_ms, all![ge(1.0), lt(100.0)])?;
     let wrong = load::Options { versions: vec!["v2".to_owned()], ..options };
     let report = load::run(&wrong).await;
     verify_that!(report.all.wrong, eq(report.all.sent))?;
