--- a/cuminward-standin/src/engine/fleet.rs
+++ b/cuminward-standin/src/engine/fleet.rs
@@ -14,7 +14,7 @@
 use super::{
     Options,
     control::{self, Fault, Traits},
-    counter, machine, state,
+    counter, machine, order, state,
 };
 use crate::{reply, server, weights};
 
@@ -160,6 +160,26 @@
 
 /// Mutation
 impl Fleet {
+    /// Forms a group past the order interface and waits until it is ready; the phase is ignored.
+    ///
+    /// Returns whether the group became ready; it doesn't when a host is dead or in a group.
+    pub async fn form(&self, formation: &host::Membership) -> bool {
+        for host in &formation.members {
+            let node = machine::Node { fleet: self.shared.clone(), host: host.clone() };
+            if !order::form_now(&node, formation) {
+                return false;
+            }
+        }
+        let Some(head) = formation.members.first() else { return false };
+        loop {
+            let membership = self.report(head).and_then(|it| it.membership);
+            match membership.map(|it| it.phase) {
+                Some(host::Phase::Loading) => tokio::time::sleep(TICK).await,
+                phase => return phase == Some(host::Phase::Ready),
+            }
+        }
+    }
+
     /// Changes the behaviour.
     pub async fn fault(&self, fault: &Fault) {
         self.shared.fault(fault).await;
--- a/cuminward-standin/src/engine/order.rs
+++ b/cuminward-standin/src/engine/order.rs
@@ -108,6 +108,29 @@
     Some(outcome).filter(|_| !lost)
 }
 
+/// Lets a host form a group under the largest fencing number that it has seen.
+pub(super) fn form_now(node: &Node, formation: &host::Membership) -> bool {
+    let member = |it: &id::Host| Member { host: it.clone(), address: String::new() };
+    let form = Form {
+        group: formation.group.clone(),
+        generation: formation.generation,
+        service: formation.service.clone(),
+        model: formation.model.clone(),
+        version: formation.version.clone(),
+        members: formation.members.iter().map(member).collect(),
+    };
+    let mut state = node.fleet.lock();
+    let Some(machine) = state.machines.get(&node.host) else { return false };
+    let (alive, fence) = (machine.alive(), machine.fence);
+    let order = Order { fence, order: String::new(), action: Action::Form(form) };
+    let formed = alive && apply(&mut state, &node.host, &order).is_ok();
+    drop(state);
+    if formed {
+        load(node);
+    }
+    formed
+}
+
 fn count(counters: &mut counter::Counters, outcome: &Result<host::Report, Error>) {
     let stale = matches!(outcome, Err(Error::Stale { .. }));
     counters.orders_accepted += u64::from(outcome.is_ok());
--- a/cuminward-standin/tests/all/load.rs
+++ b/cuminward-standin/tests/all/load.rs
@@ -1,6 +1,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use axum::{Json, Router, routing};
+use cuminward_core::host;
 use cuminward_standin::{engine::token, load, server};
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -11,7 +12,18 @@
 #[tokio::test]
 async fn checks_every_reply() -> Result<()> {
     let world = engine::world(2, engine::fast()).await;
-    engine::ready(&world, "g", &[0, 1]).await;
+    let formation = host::Membership {
+        group: "g".to_owned(),
+        generation: 1,
+        service: "s".to_owned(),
+        model: "m".to_owned(),
+        version: "v1".to_owned(),
+        members: world.fleet().entries().into_iter().map(|it| it.host).collect(),
+        phase: host::Phase::Loading,
+    };
+    verify_that!(world.fleet().form(&formation).await, eq(true))?;
+    let other = host::Membership { group: "h".to_owned(), ..formation };
+    verify_that!(world.fleet().form(&other).await, eq(false))?;
     let target = load::Target::Engine {
         address: world.fleet().entries()[0].address.parse().or_fail()?,
         group: "g".to_owned(),
