fix: cuminward-standin: cancels of streams that share a request id

Cause: two streams of one request at one host (a resumed one beside the one it replaces) shared one registration; the end of the first made the second impossible to cancel. Conclusion: a caller that resumes at the same host has to expect the cancel of the old stream to end the new one.

--- a/cuminward-standin/src/engine/generate.rs
+++ b/cuminward-standin/src/engine/generate.rs
@@ -15,12 +15,11 @@
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
-use tokio_util::sync::CancellationToken;
 
 use super::{
     cache, fleet,
     machine::Node,
-    replica::{Replica, Slot, Start},
+    replica::{Registration, Replica, Slot, Start},
     state, token,
 };
 use crate::reply;
@@ -60,7 +59,7 @@
     fleet: Arc<fleet::Shared>,
     replica: Arc<Replica>,
     request: Generate,
-    cancel: CancellationToken,
+    registration: Registration,
     chunks: mpsc::Sender<Bytes>,
 }
 
@@ -72,8 +71,8 @@
         Err(refusal) => return *refusal,
     };
     let (chunks, receiver) = mpsc::channel(CHUNKS_BUFFERED);
-    let cancel = replica.register(&request.request);
-    let run = Run { fleet: node.fleet.clone(), replica, request, cancel, chunks };
+    let registration = replica.register(&request.request);
+    let run = Run { fleet: node.fleet.clone(), replica, request, registration, chunks };
     tokio::spawn(run.finish());
     let stream = ReceiverStream::new(receiver).map(Ok::<Bytes, std::io::Error>);
     ([("content-type", "application/x-ndjson")], Body::from_stream(stream)).into_response()
@@ -124,11 +123,11 @@
         let end = tokio::select! {
             biased;
             () = broken.cancelled() => End::Broken,
-            () = self.cancel.cancelled() => End::Cancelled,
+            () = self.registration.cancel.cancelled() => End::Cancelled,
             () = self.chunks.closed() => End::Abandoned,
             end = self.serve() => end,
         };
-        self.replica.unregister(&self.request.request);
+        self.replica.unregister(&self.registration);
         self.count(&end);
         match end {
             End::Overrun => self.fail("overrun", "the replica ran more than it bears").await,
--- a/cuminward-standin/src/engine/replica.rs
+++ b/cuminward-standin/src/engine/replica.rs
@@ -37,12 +37,21 @@
     next_run: u64,
     running: HashMap<u64, CancellationToken>,
     waiting: Vec<Waiting>,
-    cancels: HashMap<id::Request, CancellationToken>,
+    registered: HashMap<u64, Registration>,
     cache: cache::Cache,
     sampled: Instant,
     load: (u32, u32, u32),
 }
 
+/// A request that can be cancelled.
+#[derive(Debug, Clone)]
+pub(super) struct Registration {
+    number: u64,
+    request: id::Request,
+    /// Cancelled when the request is.
+    pub(super) cancel: CancellationToken,
+}
+
 #[derive(Debug)]
 struct Waiting {
     priority: i64,
@@ -96,7 +105,7 @@
             next_run: 0,
             running: HashMap::new(),
             waiting: Vec::new(),
-            cancels: HashMap::new(),
+            registered: HashMap::new(),
             cache: cache::Cache::new(options.cache_blocks, options.event_gap_every),
             sampled: Instant::now(),
             load: (0, 0, 0),
@@ -181,20 +190,29 @@
         self.slowdown_permille.store(permille, Ordering::Relaxed);
     }
 
-    /// Registers a request so that it can be cancelled.
-    pub(super) fn register(&self, request: &str) -> CancellationToken {
-        self.lock().cancels.entry(request.to_owned()).or_default().clone()
+    /// Registers a request so that it can be cancelled; several may have the same id.
+    pub(super) fn register(&self, request: &str) -> Registration {
+        let mut inner = self.lock();
+        let number = inner.next_run;
+        inner.next_run += 1;
+        let cancel = CancellationToken::new();
+        let registration = Registration { number, request: request.to_owned(), cancel };
+        inner.registered.insert(number, registration.clone());
+        registration
     }
 
     /// Ends the registration of a request.
-    pub(super) fn unregister(&self, request: &str) {
-        self.lock().cancels.remove(request);
+    pub(super) fn unregister(&self, registration: &Registration) {
+        self.lock().registered.remove(&registration.number);
     }
 
-    /// Cancels a request; tells whether it was there.
+    /// Cancels all requests with an id; tells whether there was one.
     pub(super) fn cancel(&self, request: &str) -> bool {
-        let cancel = self.lock().cancels.remove(request);
-        cancel.inspect(CancellationToken::cancel).is_some()
+        let inner = self.lock();
+        let found: Vec<&Registration> =
+            inner.registered.values().filter(|it| it.request == request).collect();
+        found.iter().for_each(|it| it.cancel.cancel());
+        !found.is_empty()
     }
 
     /// Waits for a place among the running requests and takes it.
--- a/cuminward-standin/tests/all/engine.rs
+++ b/cuminward-standin/tests/all/engine.rs
@@ -320,7 +320,8 @@
 #[gtest]
 #[tokio::test]
 async fn larger_priorities_go_first() -> Result<()> {
-    let options = engine::Options { slots: 1, queue: 2, ..fast() };
+    let options =
+        engine::Options { slots: 1, queue: 2, decode: Duration::from_millis(10), ..fast() };
     let world = world(1, options).await;
     ready(&world, "g", &[0]).await;
     let ask = |request: &'static str, priority: i64| {
@@ -400,3 +401,29 @@
     }
     Ok(())
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_cancel_reaches_every_stream_of_a_request() -> Result<()> {
+    let world = world(1, fast()).await;
+    ready(&world, "g", &[0]).await;
+    let long = |it: &String| token::token_count("v1", it, 1000) > 200;
+    let prompt = (0..).map(|it| format!("p{it}")).find(long).or_fail()?;
+    let ask = |max_tokens: u64| {
+        let (target, mut body) = (address(&world, 0), generate("same", &prompt, 0));
+        body["max_tokens"] = json!(max_tokens);
+        tokio::spawn(async move { http::post(target, "/v1/generate", &body).await })
+    };
+    let (short, long) = (ask(1), ask(10_000));
+    verify_that!(finished(&short.await.or_fail()?), eq(true))?;
+    let cancelled = http::call(
+        ::http::Method::DELETE,
+        address(&world, 0),
+        "/v1/generate/same",
+        &[],
+        String::new(),
+    );
+    verify_that!(cancelled.await.json(), eq(&json!({"cancelled": true})))?;
+    verify_that!(finished(&long.await.or_fail()?), eq(false))?;
+    verify_that!(world.fleet().counters().cancelled, eq(1))
+}
