fix: cuminward-standin: restarts of one host at the same time

Cause: a crash restarts its hosts by itself; a restart ordered meanwhile waited for ever for the port that the first one held. Change: a restart ends once the host is alive. The new test times out without it. Conclusion: faults may be given at any time.

--- a/cuminward-standin/src/engine/fault.rs
+++ b/cuminward-standin/src/engine/fault.rs
@@ -88,7 +88,9 @@
         let Some(address) = address else { return };
         let address: SocketAddr = address.parse().expect("the server gave the address");
         let router = machine::router(self.clone(), host.to_owned());
-        let server = server::Server::restart(address.port(), router).await;
+        let alive = || self.lock().machines.get(host).is_some_and(|it| it.alive());
+        let restarted = server::Server::restart(address.port(), router, alive).await;
+        let Some(server) = restarted else { return };
         let mut state = self.lock();
         let incarnation = state.incarnation();
         let Some(machine) = state.machines.get_mut(host) else { return };
--- a/cuminward-standin/src/plain.rs
+++ b/cuminward-standin/src/plain.rs
@@ -224,7 +224,9 @@
         let Some(address) = address else { return };
         let address: SocketAddr = address.parse().expect("the server gave the address");
         let router = machine::router(self.clone(), host.to_owned());
-        let server = server::Server::restart(address.port(), router).await;
+        let alive = || self.lock().hosts.get(host).is_some_and(|it| it.server.is_some());
+        let restarted = server::Server::restart(address.port(), router, alive).await;
+        let Some(server) = restarted else { return };
         let incarnation = self.lock().incarnation();
         self.set(host, |it| {
             it.incarnation = incarnation;
--- a/cuminward-standin/src/server.rs
+++ b/cuminward-standin/src/server.rs
@@ -74,14 +74,20 @@
         Ok(Server { address, gate, stop })
     }
 
-    /// Listens at a port again that an earlier server may still be giving up.
-    pub async fn restart(port: u16, router: Router) -> Server {
-        loop {
+    /// Listens at a port again that an earlier server may still be giving up; `None` once
+    /// `superseded` says that another restart was faster.
+    pub async fn restart(
+        port: u16,
+        router: Router,
+        superseded: impl Fn() -> bool,
+    ) -> Option<Server> {
+        while !superseded() {
             match Server::start(port, router.clone()).await {
-                Ok(server) => return server,
+                Ok(server) => return Some(server),
                 Err(_) => tokio::time::sleep(BIND_RETRY).await,
             }
         }
+        None
     }
 }
 
--- a/cuminward-standin/tests/all/engine.rs
+++ b/cuminward-standin/tests/all/engine.rs
@@ -427,3 +427,14 @@
     verify_that!(finished(&long.await.or_fail()?), eq(false))?;
     verify_that!(world.fleet().counters().cancelled, eq(1))
 }
+
+#[gtest]
+#[tokio::test]
+async fn restarts_at_the_same_time_start_one_server() -> Result<()> {
+    let world = world(1, fast()).await;
+    let restart = Fault::Restart { host: name(0) };
+    let restarts = (0..5).map(|_| world.fleet().fault(&restart));
+    let all = tokio::time::timeout(http::TIMEOUT, futures::future::join_all(restarts)).await;
+    verify_that!(all.is_ok(), eq(true))?;
+    verify_that!(http::get(address(&world, 0), "/v1/host").await.status, eq(200))
+}
