fix: cuminward-standin: hosts that came back after their fleet had ended

Cause: the restart after a crash ran on when the fleet was dropped and left a server behind. Change: a restart ends with the fleet. The test of stopping crashes a host first and fails without it. Conclusion: a world leaves nothing behind.

--- a/cuminward-standin/src/engine/fault.rs
+++ b/cuminward-standin/src/engine/fault.rs
@@ -92,6 +92,9 @@
         let restarted = server::Server::restart(address.port(), router, alive).await;
         let Some(server) = restarted else { return };
         let mut state = self.lock();
+        if self.stop.is_cancelled() {
+            return;
+        }
         let incarnation = state.incarnation();
         let Some(machine) = state.machines.get_mut(host) else { return };
         machine.incarnation = incarnation;
--- a/cuminward-standin/src/engine/fleet.rs
+++ b/cuminward-standin/src/engine/fleet.rs
@@ -26,7 +26,6 @@
 pub struct Fleet {
     shared: Arc<Shared>,
     control: server::Server,
-    stop: CancellationToken,
 }
 
 #[derive(Debug)]
@@ -34,6 +33,8 @@
     pub(super) options: Arc<Options>,
     pub(super) weights: weights::Handle,
     pub(super) started: Instant,
+    /// Cancelled when the fleet ends.
+    pub(super) stop: CancellationToken,
     state: Mutex<state::State>,
 }
 
@@ -55,17 +56,18 @@
             losses: Vec::new(),
         };
         let state = Mutex::new(state);
-        let shared = Arc::new(Shared { options, weights, started: Instant::now(), state });
-        let control = server::Server::start(port, control::router(shared.clone())).await?;
         let stop = CancellationToken::new();
-        let (ticking, stopped) = (shared.clone(), stop.clone());
+        let stopped = stop.clone();
+        let shared = Arc::new(Shared { options, weights, started: Instant::now(), stop, state });
+        let control = server::Server::start(port, control::router(shared.clone())).await?;
+        let ticking = shared.clone();
         tokio::spawn(async move {
             tokio::select! {
                 () = stopped.cancelled() => {}
                 () = ticking.tick() => {}
             }
         });
-        Ok(Fleet { shared, control, stop })
+        Ok(Fleet { shared, control })
     }
 
     /// Adds a host and starts it at a port of 127.0.0.1 (0 takes a free one); `entry` gets the
@@ -110,7 +112,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        self.stop.cancel();
+        self.shared.stop.cancel();
         let names: Vec<id::Host> = self.shared.lock().machines.keys().cloned().collect();
         names.iter().for_each(|it| self.shared.kill(it));
     }
--- a/cuminward-standin/tests/all/engine.rs
+++ b/cuminward-standin/tests/all/engine.rs
@@ -391,8 +391,13 @@
 #[tokio::test]
 async fn stops() -> Result<()> {
     let world = world(1, fast()).await;
+    ready(&world, "g", &[0]).await;
     let (host, log) = (address(&world, 0), world.log_address());
+    ask(&world, "r", "!!crash!!").await;
+    wait(|| world.fleet().counters().crashes == 1).await;
     world.stop().await;
+    // The crashed host would be back by now.
+    tokio::time::sleep(fast().restart_delay * 3).await;
     let refused = |it: String| async move { TcpStream::connect(it).await.is_err() };
     let deadline = Instant::now() + http::TIMEOUT;
     while !(refused(host.clone()).await && refused(log.to_string()).await) {
