--- a/cuminward-node/src/request/dispatch.rs
+++ b/cuminward-node/src/request/dispatch.rs
@@ -104,7 +104,8 @@
 
 /// Lets a request wait in the queue of its model or service.
 fn push(state: &state::State, queues: &mut Queues, waiting: Waiting) {
-    let new = || share::Queue::new(share::Options { waiting: WAITING });
+    let new =
+        || share::Queue::new(share::Options { waiting: WAITING, ..share::Options::default() });
     let queue = queues.entry(waiting.wish.target.name().to_owned()).or_insert_with(new);
     let view = state.view.load();
     let team = view.catalog.teams.get(&waiting.wish.team);
@@ -129,7 +130,8 @@
         let _ = rejected.item.answer.send(Err(rejected.refusal));
     }
     queue.take(|it| it.item.answer.is_closed());
-    while let Some(entry) = queue.pop(now) {
+    let capacity = capacity(state);
+    while let Some(entry) = queue.pop(now, &capacity) {
         queue.finish(&entry.team);
         match search::run(state, &entry.item.wish) {
             search::Outcome::Granted(granted) => {
@@ -146,6 +148,14 @@
     }
 }
 
+/// Slots of this node.
+fn capacity(state: &state::State) -> share::Capacity {
+    let view = state.view.load();
+    let slots = view.slots.values().map(|it| it.allowance()).sum();
+    let weights = view.catalog.teams.values().map(|it| it.weight).sum();
+    share::Capacity { slots, free: slots, weights }
+}
+
 fn shutting_down() -> Refusal {
     Refusal::not_run(Cause::ShuttingDown, "the node is shutting down")
 }
