feat: cuminward-config: tests of resolving, resending and the id window

Cause: a trial with one guard removed at a time left two mutants alive, the fingerprint in resolve and the bar against remembering an id twice. Change: tests of both, and of the window's bound.

--- a/cuminward-config/tests/all/fold.rs
+++ b/cuminward-config/tests/all/fold.rs
@@ -149,10 +149,11 @@
     // The outcome of a resent record is the first one's, whatever happened between.
     let again = fold.apply(7, &loser);
     expect_that!(again, eq(&Outcome::Repeated { revision: 7, first: Box::new(lost) }));
+    expect_that!(fold.apply(8, &loser), eq(&again));
     let aware = sample::change("a", Some(6), bring_back.clone());
-    expect_that!(fold.apply(8, &aware), eq(&accepted(9)));
+    expect_that!(fold.apply(9, &aware), eq(&accepted(10)));
     let early = sample::change("e", Some(90), bring_back);
-    expect_that!(fold.apply(9, &early), matches_pattern!(Outcome::Invalid { .. }));
+    expect_that!(fold.apply(10, &early), matches_pattern!(Outcome::Invalid { .. }));
 }
 
 #[gtest]
@@ -208,6 +209,34 @@
     let reason = contains_substring("another change");
     expect_that!(fold.apply(6, &drain("i")), matches_pattern!(Outcome::Invalid { reason: reason }));
     expect_that!(fold.catalog().drained.len(), eq(1));
+    let resolved = |host: &str, id: &str| {
+        fold.resolve(&Change {
+            change: id.to_owned(),
+            operator: "ana".to_owned(),
+            expected: None,
+            action: Action::Drain(host.to_owned()),
+        })
+    };
+    expect_that!(resolved("h", "c"), some(eq(&accepted(6))));
+    expect_that!(resolved("i", "c"), some(matches_pattern!(Outcome::Invalid { .. })));
+    expect_that!(resolved("h", "d"), none());
+}
+
+#[gtest]
+fn ids_are_remembered_over_the_window() {
+    let mut fold = sample::state();
+    let drain = |index: usize| {
+        sample::change(&format!("c{index}"), None, Action::Drain(format!("h{}", index % 9)))
+    };
+    for index in 0..=limit::WINDOW {
+        fold.apply(fold.revision(), &drain(index));
+    }
+    let repeated = fold.apply(fold.revision(), &drain(1));
+    expect_that!(repeated, matches_pattern!(Outcome::Repeated { revision: eq(&7), .. }));
+    expect_that!(
+        fold.apply(fold.revision(), &drain(0)),
+        matches_pattern!(Outcome::Accepted { .. })
+    );
 }
 
 #[gtest]
