--- a/cuminward-config/src/fold.rs
+++ b/cuminward-config/src/fold.rs
@@ -13,9 +13,9 @@
     history::{self, History},
     limit,
     record::{self, Parsed, Record},
-    ring::Ring,
     snapshot,
     target::{self, Touch, Touches},
+    unknown::Unknown,
     validate,
     window::{self, Window},
 };
@@ -83,38 +83,6 @@
     bytes: usize,
 }
 
-/// Records of unknown kinds, the oldest first.
-#[record]
-#[serde(from = "Vec<Kept>", into = "Vec<Kept>")]
-struct Unknown {
-    entries: Ring<Kept>,
-}
-
-/// A record of an unknown kind with its offset.
-type Kept = (id::Offset, Value);
-
-impl Default for Unknown {
-    fn default() -> Unknown {
-        Unknown { entries: Ring::new(limit::UNKNOWN, limit::UNKNOWN_BYTES) }
-    }
-}
-
-impl From<Vec<Kept>> for Unknown {
-    fn from(entries: Vec<Kept>) -> Unknown {
-        let mut unknown = Unknown::default();
-        for entry in entries {
-            unknown.entries.push(entry);
-        }
-        unknown
-    }
-}
-
-impl From<Unknown> for Vec<Kept> {
-    fn from(unknown: Unknown) -> Vec<Kept> {
-        unknown.entries.into_iter().collect()
-    }
-}
-
 /// Life cycle
 impl Fold {
     /// Restores the state from a snapshot.
@@ -147,7 +115,7 @@
 
     /// Records of unknown kinds, the oldest first.
     pub fn unknown(&self) -> impl Iterator<Item = &(id::Offset, Value)> {
-        self.unknown.entries.iter()
+        self.unknown.iter()
     }
 
     /// Newest snapshot among the folded records.
@@ -297,7 +265,7 @@
     }
 
     fn keep(&mut self, offset: id::Offset, value: &Value) -> Outcome {
-        self.unknown.entries.push((offset, value.clone()));
+        self.unknown.push((offset, value.clone()));
         Outcome::Skipped { reason: Skip::Unknown }
     }
 }
--- a/cuminward-config/src/lib.rs
+++ b/cuminward-config/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod ring;
 pub mod snapshot;
 pub mod target;
+pub mod unknown;
 pub mod validate;
 pub mod window;
--- a/cuminward-config/tests/all/size.rs
+++ b/cuminward-config/tests/all/size.rs
@@ -22,6 +22,7 @@
 struct Writer {
     fold: Fold,
     id_bytes: usize,
+    largest: usize,
 }
 
 impl Writer {
@@ -30,7 +31,9 @@
         let id = format!("{offset:0>width$}", width = self.id_bytes);
         let operator = "o".repeat(if self.id_bytes > 36 { limit::NAME_BYTES } else { 12 });
         let change = change::Record { change: id, operator, expected: Some(offset / 2), action };
-        self.fold.apply(offset, &record::from_change(change))
+        let value = record::from_change(change);
+        self.largest = self.largest.max(value.to_string().len());
+        self.fold.apply(offset, &value)
     }
 
     fn snapshot_bytes(&self) -> usize {
@@ -47,7 +50,7 @@
 #[gtest]
 #[expect(clippy::print_stdout, reason = "the figures are for people")]
 fn the_target_fits_into_a_record() {
-    let mut writer = Writer { fold: Fold::default(), id_bytes: 36 };
+    let mut writer = Writer { fold: Fold::default(), id_bytes: 36, largest: 0 };
     let domains: Vec<String> = (0..9).map(|it| format!("domain-{it}")).collect();
     let teams: Vec<String> = (0..100).map(|it| format!("team-{it:03}")).collect();
     let borrowed = |names: &[String]| names.to_vec();
@@ -70,6 +73,7 @@
         writer.apply(Action::TakeOut(format!("domain-{}", index % 9)));
     }
     let bytes = writer.snapshot_bytes();
+    println!("bytes of the largest record before the snapshot: {}", writer.largest);
     println!("snapshot at the target: {bytes} bytes");
     expect_that!(bytes, lt(RECORD_BYTES * 3 / 4));
 }
@@ -77,7 +81,7 @@
 #[gtest]
 #[expect(clippy::print_stdout, reason = "the figures are for people")]
 fn the_bounds_keep_every_snapshot_within_a_record() {
-    let mut writer = Writer { fold: Fold::default(), id_bytes: limit::NAME_BYTES };
+    let mut writer = Writer { fold: Fold::default(), id_bytes: limit::NAME_BYTES, largest: 0 };
     let mut refused = 0;
     for index in 0..limit::HOSTS + 500 {
         let name = format!("{index:0>width$}", width = limit::NAME_BYTES);
--- a/cuminward-ctl/src/declaration.rs
+++ b/cuminward-ctl/src/declaration/mod.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fmt,
     time::Duration,
 };
 
@@ -12,13 +11,9 @@
     change::Action,
     id,
 };
-use serde::{
-    Deserialize, Deserializer,
-    de::{
-        Error as _, MapAccess, SeqAccess, Visitor,
-        value::{MapAccessDeserializer, SeqAccessDeserializer},
-    },
-};
+use serde::{Deserialize, Deserializer};
+
+mod document;
 
 /// A declaration of a file. Its first key is `kind`, so that faults are told with their line.
 #[derive(Debug, Clone, PartialEq)]
@@ -139,12 +134,9 @@
     pub fabric: Option<id::Fabric>,
 }
 
-/// One YAML document: a declaration or a list of them.
-struct Document(Vec<Declaration>);
-
 /// Reads the declarations of a file, and puts what others refer to first.
 pub fn parse(name: &str, text: &str) -> Result<Vec<Declaration>, miette::Report> {
-    let documents: Vec<Document> = serde_saphyr::from_multiple(text)
+    let documents: Vec<document::Document> = serde_saphyr::from_multiple(text)
         .map_err(|error| serde_saphyr::miette::to_miette_report(&error, text, name))?;
     let mut declarations: Vec<_> = documents.into_iter().flat_map(|it| it.0).collect();
     declarations.sort_by_key(Declaration::rank);
@@ -231,72 +223,6 @@
     }
 }
 
-impl<'de> Deserialize<'de> for Document {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Document, D::Error> {
-        deserializer.deserialize_any(DocumentVisitor)
-    }
-}
-
-impl<'de> Deserialize<'de> for Declaration {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Declaration, D::Error> {
-        deserializer.deserialize_map(DeclarationVisitor)
-    }
-}
-
-struct DocumentVisitor;
-
-impl<'de> Visitor<'de> for DocumentVisitor {
-    type Value = Document;
-
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a declaration or a list of declarations")
-    }
-
-    fn visit_map<A: MapAccess<'de>>(self, map: A) -> Result<Document, A::Error> {
-        DeclarationVisitor.visit_map(map).map(|it| Document(vec![it]))
-    }
-
-    fn visit_seq<A: SeqAccess<'de>>(self, seq: A) -> Result<Document, A::Error> {
-        Vec::deserialize(SeqAccessDeserializer::new(seq)).map(Document)
-    }
-}
-
-struct DeclarationVisitor;
-
-impl<'de> Visitor<'de> for DeclarationVisitor {
-    type Value = Declaration;
-
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a declaration")
-    }
-
-    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Declaration, A::Error> {
-        if map.next_key::<String>()?.as_deref() != Some("kind") {
-            return Err(A::Error::custom("`kind` has to be the first key of a declaration"));
-        }
-        let kind: Kind = map.next_value()?;
-        let rest = MapAccessDeserializer::new(map);
-        match kind {
-            Kind::Domain => Domain::deserialize(rest).map(Declaration::Domain),
-            Kind::Team => Team::deserialize(rest).map(Declaration::Team),
-            Kind::Host => Host::deserialize(rest).map(Declaration::Host),
-            Kind::Plain => Plain::deserialize(rest).map(Declaration::Plain),
-            Kind::Model => Model::deserialize(rest).map(Declaration::Model),
-        }
-    }
-}
-
-/// Kind of a declaration.
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-enum Kind {
-    Domain,
-    Team,
-    Host,
-    Plain,
-    Model,
-}
-
 fn replica_map<'de, D>(deserializer: D) -> Result<Vec<(id::Domain, u32)>, D::Error>
 where
     D: Deserializer<'de>,
