feat: cuminward-config: bound on the bytes of waiting records

Cause: records that wait for earlier ones were bounded by number only, and a record of the log may have 1 MiB. Change: a bound of 8 MiB; what is forgotten is read again.

--- a/cuminward-config/src/follow.rs
+++ b/cuminward-config/src/follow/mod.rs
@@ -1,10 +1,11 @@
 //! Puts together what a node reads from the log and hears from its peers.
 
-use std::collections::BTreeMap;
-
 use cuminward_core::id;
 use serde_json::Value;
 
+mod waiting;
+
+use self::waiting::Waiting;
 use crate::{
     fold::{self, Fold},
     record,
@@ -15,6 +16,9 @@
 /// Largest number of records that wait for earlier ones.
 pub const MAX_WAITING: usize = 4_400;
 
+/// Largest size of the records that wait for earlier ones, in bytes.
+pub const MAX_WAITING_BYTES: usize = 8 * 1024 * 1024;
+
 /// Folded records that are kept for peers.
 pub const RECENT: usize = 1_024;
 
@@ -67,7 +71,7 @@
 #[derive(Debug, Clone)]
 pub struct Follow {
     fold: Option<Fold>,
-    waiting: BTreeMap<id::Offset, Value>,
+    waiting: Waiting,
     recent: Ring<Delta>,
     oldest: id::Offset,
     next: id::Offset,
@@ -79,7 +83,7 @@
     fn default() -> Follow {
         Follow {
             fold: None,
-            waiting: BTreeMap::new(),
+            waiting: Waiting::default(),
             recent: Ring::new(RECENT, RECENT_BYTES),
             oldest: 0,
             next: 0,
@@ -180,12 +184,12 @@
                 self.waiting.insert(offset, record::without_state(value));
             }
         }
-        while self.waiting.len() > MAX_WAITING {
+        while self.waiting.is_over() {
             // Records after a gap can be read again; without a state the newest ones matter.
             match self.needs_snapshot() || self.fold.is_none() {
-                true => self.waiting.pop_first(),
-                false => self.waiting.pop_last(),
-            };
+                true => self.waiting.forget_first(),
+                false => self.waiting.forget_last(),
+            }
         }
     }
 
@@ -208,8 +212,8 @@
     fn advance(&mut self) -> Vec<(id::Offset, fold::Outcome)> {
         let Some(fold) = &mut self.fold else { return Vec::new() };
         let mut folded = Vec::new();
-        self.waiting = self.waiting.split_off(&fold.revision());
-        while let Some(value) = self.waiting.remove(&fold.revision()) {
+        self.waiting.forget_before(fold.revision());
+        while let Some(value) = self.waiting.take(fold.revision()) {
             let offset = fold.revision();
             folded.push((offset, fold.apply(offset, &value)));
             self.recent.push((offset, value));
--- a/cuminward-config/tests/all/follow.rs
+++ b/cuminward-config/tests/all/follow.rs
@@ -2,13 +2,13 @@
 
 use cuminward_config::{
     fold::Fold,
-    follow::{Follow, Input, Page, RECENT},
+    follow::{Follow, Input, MAX_WAITING, Page, RECENT},
     record,
     snapshot::Snapshot,
 };
 use cuminward_core::change::Action;
 use googletest::prelude::*;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::sample;
 
@@ -158,3 +158,27 @@
     expect_that!(follow.deltas(kept + 9, 50), none());
     expect_that!(follow.deltas(kept + 20, 50).map(|it| it.len()), some(eq(1)));
 }
+
+#[gtest]
+fn waiting_records_are_bounded_and_can_be_read_again() {
+    struct Case {
+        text_bytes: usize,
+        count: u64,
+    }
+    let many = Case { text_bytes: 1, count: MAX_WAITING as u64 + 10 };
+    let large = Case { text_bytes: 1 << 20, count: 12 };
+    for Case { text_bytes, count } in [many, large] {
+        let value = json!({"kind": "policy", "text": "x".repeat(text_bytes)});
+        let record = |offset| (offset, value.clone());
+        let mut follow = Follow::default();
+        follow.step(page(0, 1, 0..1));
+        // The record at 1 is missing, and the last ones are forgotten for it.
+        follow.step(Input::Deltas((2..count).map(record).collect()));
+        follow.step(Input::Deltas(vec![record(1)]));
+        expect_that!(follow.revision(), gt(1));
+        expect_that!(follow.revision(), lt(count));
+        let records = (follow.read_from()..count).map(record).collect();
+        follow.step(Input::Page(Page { oldest: 0, next: count, records }));
+        expect_that!(follow.revision(), ge(count - 5));
+    }
+}
--- a/cuminward-ctl/tests/all/command.rs
+++ b/cuminward-ctl/tests/all/command.rs
@@ -1,6 +1,6 @@
 //! Commands against a served backend: what they print and their exit codes.
 
-use std::{io::Write, sync::Arc};
+use std::{io::Write, sync::Arc, time::Duration};
 
 use clap::Parser;
 use cuminward_ctl::{cli::Cli, command, error};
@@ -80,7 +80,15 @@
             Err(code) => expect_that!(got, err(eq(&code)), "{line}"),
         }
     }
-    node.shutdown.cancel();
+    // Following ends with the node.
+    let nodes = [&node];
+    let follow = run(&nodes, "events --follow --request q9", "");
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        node.shutdown.cancel();
+    };
+    let (followed, ()) = tokio::join!(follow, stop);
+    expect_that!(followed, ok(contains_substring("request=q9")));
     expect_that!(node.task.await, ok(anything()));
 }
 
