--- a/cuminward-standin/src/engine/fleet.rs
+++ b/cuminward-standin/src/engine/fleet.rs
@@ -14,7 +14,7 @@
 use super::{
     Options,
     control::{self, Fault, Traits},
-    counter, machine, state,
+    counter, machine, order, state,
 };
 use crate::{reply, server, weights};
 
@@ -26,7 +26,6 @@
 pub struct Fleet {
     shared: Arc<Shared>,
     control: server::Server,
-    stop: CancellationToken,
 }
 
 #[derive(Debug)]
@@ -34,6 +33,8 @@
     pub(super) options: Arc<Options>,
     pub(super) weights: weights::Handle,
     pub(super) started: Instant,
+    /// Cancelled when the fleet ends.
+    pub(super) stop: CancellationToken,
     state: Mutex<state::State>,
 }
 
@@ -52,19 +53,21 @@
             book: counter::Book::default(),
             expected: BTreeMap::new(),
             next_incarnation: reply::wall_ms(),
+            losses: Vec::new(),
         };
         let state = Mutex::new(state);
-        let shared = Arc::new(Shared { options, weights, started: Instant::now(), state });
-        let control = server::Server::start(port, control::router(shared.clone())).await?;
         let stop = CancellationToken::new();
-        let (ticking, stopped) = (shared.clone(), stop.clone());
+        let stopped = stop.clone();
+        let shared = Arc::new(Shared { options, weights, started: Instant::now(), stop, state });
+        let control = server::Server::start(port, control::router(shared.clone())).await?;
+        let ticking = shared.clone();
         tokio::spawn(async move {
             tokio::select! {
                 () = stopped.cancelled() => {}
                 () = ticking.tick() => {}
             }
         });
-        Ok(Fleet { shared, control, stop })
+        Ok(Fleet { shared, control })
     }
 
     /// Adds a host and starts it at a port of 127.0.0.1 (0 takes a free one); `entry` gets the
@@ -109,7 +112,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        self.stop.cancel();
+        self.shared.stop.cancel();
         let names: Vec<id::Host> = self.shared.lock().machines.keys().cloned().collect();
         names.iter().for_each(|it| self.shared.kill(it));
     }
@@ -159,6 +162,26 @@
 
 /// Mutation
 impl Fleet {
+    /// Forms a group past the order interface and waits until it is ready; the phase is ignored.
+    ///
+    /// Returns whether the group became ready; it doesn't when a host is dead or in a group.
+    pub async fn form(&self, formation: &host::Membership) -> bool {
+        for host in &formation.members {
+            let node = machine::Node { fleet: self.shared.clone(), host: host.clone() };
+            if !order::form_now(&node, formation) {
+                return false;
+            }
+        }
+        let Some(head) = formation.members.first() else { return false };
+        loop {
+            let membership = self.report(head).and_then(|it| it.membership);
+            match membership.map(|it| it.phase) {
+                Some(host::Phase::Loading) => tokio::time::sleep(TICK).await,
+                phase => return phase == Some(host::Phase::Ready),
+            }
+        }
+    }
+
     /// Changes the behaviour.
     pub async fn fault(&self, fault: &Fault) {
         self.shared.fault(fault).await;
@@ -186,7 +209,9 @@
             if sample {
                 sampled = last;
             }
-            add_up(&mut self.lock(), elapsed.as_secs_f64(), sample);
+            let mut state = self.lock();
+            state.notice_losses();
+            add_up(&mut state, elapsed.as_secs_f64(), sample);
         }
     }
 }
