fix: cuminward-config: a node is ready only at the end of the log

Cause: after the first of several pages a node had a state, but an older one than the others; it could have served in a domain that a later record takes out. Change: Follow::is_ready, once the state was as new as the log's end or a peer's state; cases of a log read in part and of a peer that is behind.

--- a/cuminward-config/src/follow/mod.rs
+++ b/cuminward-config/src/follow/mod.rs
@@ -76,6 +76,7 @@
     oldest: id::Offset,
     next: id::Offset,
     scanned: id::Offset,
+    ready: bool,
 }
 
 /// Life cycle
@@ -88,13 +89,14 @@
             oldest: 0,
             next: 0,
             scanned: 0,
+            ready: false,
         }
     }
 }
 
 /// Access
 impl Follow {
-    /// The state; `None` before there is one, and the node isn't ready.
+    /// The state; `None` before there is one.
     pub fn fold(&self) -> Option<&Fold> {
         self.fold.as_ref()
     }
@@ -104,6 +106,12 @@
         self.fold.as_ref().map_or(0, Fold::revision)
     }
 
+    /// Whether the state has once been as new as the log's end, or as a peer's state. Before that the
+    /// node would serve by an older configuration than the others.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
     /// Offset to read the log from next.
     pub fn read_from(&self) -> id::Offset {
         let revision = self.revision();
@@ -147,6 +155,7 @@
         let had_fold = self.fold.is_some();
         let revision = self.revision();
         let mut outcome = Outcome::default();
+        let is_current = matches!(input, Input::Page(_) | Input::Snapshot(_));
         match input {
             Input::Page(page) => outcome.log_behind = self.page(page),
             Input::Trimmed { oldest } => self.oldest = self.oldest.max(oldest),
@@ -154,6 +163,8 @@
             Input::Snapshot(snapshot) => self.restore(*snapshot),
         }
         outcome.folded = self.advance();
+        let reaches_end = self.fold.is_some() && self.revision() >= self.next;
+        self.ready |= is_current && reaches_end;
         outcome.changed = self.revision() > revision || self.fold.is_some() != had_fold;
         outcome
     }
--- a/cuminward-config/tests/all/follow.rs
+++ b/cuminward-config/tests/all/follow.rs
@@ -42,6 +42,7 @@
         revision: Option<u64>,
         read_from: u64,
         needs_snapshot: bool,
+        ready: bool,
     }
     let snapshot = |at| Input::Snapshot(Box::new(Snapshot::new(&state(at), 0)));
     let with_logged = |oldest, at| {
@@ -56,6 +57,7 @@
             revision: None,
             read_from: 0,
             needs_snapshot: false,
+            ready: false,
         },
         Case {
             name: "an empty log",
@@ -63,13 +65,31 @@
             revision: Some(0),
             read_from: 0,
             needs_snapshot: false,
+            ready: true,
         },
         Case {
-            name: "a whole log",
+            name: "the start of a log",
             inputs: vec![page(0, 9, 0..4)],
             revision: Some(4),
             read_from: 4,
             needs_snapshot: false,
+            ready: false,
+        },
+        Case {
+            name: "a whole log",
+            inputs: vec![page(0, 9, 0..4), page(0, 9, 4..9)],
+            revision: Some(9),
+            read_from: 9,
+            needs_snapshot: false,
+            ready: true,
+        },
+        Case {
+            name: "a peer that is behind the log",
+            inputs: vec![Input::Trimmed { oldest: 5 }, page(5, 9, 5..6), snapshot(6)],
+            revision: Some(6),
+            read_from: 6,
+            needs_snapshot: false,
+            ready: false,
         },
         Case {
             name: "a trimmed log without a snapshot",
@@ -77,6 +97,7 @@
             revision: None,
             read_from: 9,
             needs_snapshot: true,
+            ready: false,
         },
         Case {
             name: "a trimmed log and a peer",
@@ -84,6 +105,7 @@
             revision: Some(9),
             read_from: 9,
             needs_snapshot: false,
+            ready: true,
         },
         Case {
             name: "a trimmed log with a snapshot",
@@ -91,6 +113,7 @@
             revision: Some(21),
             read_from: 21,
             needs_snapshot: false,
+            ready: true,
         },
         Case {
             name: "a snapshot that ends before the oldest record",
@@ -98,6 +121,7 @@
             revision: Some(12),
             read_from: 21,
             needs_snapshot: true,
+            ready: false,
         },
         Case {
             name: "only a peer",
@@ -105,6 +129,7 @@
             revision: Some(9),
             read_from: 9,
             needs_snapshot: false,
+            ready: true,
         },
     ];
     for case in cases {
@@ -116,6 +141,7 @@
         expect_that!(follow.fold().map(Fold::revision), eq(case.revision), "{name}");
         expect_that!(follow.read_from(), eq(case.read_from), "{name}");
         expect_that!(follow.needs_snapshot(), eq(case.needs_snapshot), "{name}");
+        expect_that!(follow.is_ready(), eq(case.ready), "{name}");
     }
 }
 
