--- a/cuminward-config/tests/all/follow.rs
+++ b/cuminward-config/tests/all/follow.rs
@@ -2,13 +2,13 @@
 
 use cuminward_config::{
     fold::Fold,
-    follow::{Follow, Input, Page, RECENT},
+    follow::{Follow, Input, MAX_WAITING, Page, RECENT},
     record,
     snapshot::Snapshot,
 };
 use cuminward_core::change::Action;
 use googletest::prelude::*;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::sample;
 
@@ -42,6 +42,7 @@
         revision: Option<u64>,
         read_from: u64,
         needs_snapshot: bool,
+        ready: bool,
     }
     let snapshot = |at| Input::Snapshot(Box::new(Snapshot::new(&state(at), 0)));
     let with_logged = |oldest, at| {
@@ -56,6 +57,7 @@
             revision: None,
             read_from: 0,
             needs_snapshot: false,
+            ready: false,
         },
         Case {
             name: "an empty log",
@@ -63,13 +65,31 @@
             revision: Some(0),
             read_from: 0,
             needs_snapshot: false,
+            ready: true,
         },
         Case {
-            name: "a whole log",
+            name: "the start of a log",
             inputs: vec![page(0, 9, 0..4)],
             revision: Some(4),
             read_from: 4,
             needs_snapshot: false,
+            ready: false,
+        },
+        Case {
+            name: "a whole log",
+            inputs: vec![page(0, 9, 0..4), page(0, 9, 4..9)],
+            revision: Some(9),
+            read_from: 9,
+            needs_snapshot: false,
+            ready: true,
+        },
+        Case {
+            name: "a peer that is behind the log",
+            inputs: vec![Input::Trimmed { oldest: 5 }, page(5, 9, 5..6), snapshot(6)],
+            revision: Some(6),
+            read_from: 6,
+            needs_snapshot: false,
+            ready: false,
         },
         Case {
             name: "a trimmed log without a snapshot",
@@ -77,6 +97,7 @@
             revision: None,
             read_from: 9,
             needs_snapshot: true,
+            ready: false,
         },
         Case {
             name: "a trimmed log and a peer",
@@ -84,6 +105,7 @@
             revision: Some(9),
             read_from: 9,
             needs_snapshot: false,
+            ready: true,
         },
         Case {
             name: "a trimmed log with a snapshot",
@@ -91,6 +113,7 @@
             revision: Some(21),
             read_from: 21,
             needs_snapshot: false,
+            ready: true,
         },
         Case {
             name: "a snapshot that ends before the oldest record",
@@ -98,6 +121,7 @@
             revision: Some(12),
             read_from: 21,
             needs_snapshot: true,
+            ready: false,
         },
         Case {
             name: "only a peer",
@@ -105,6 +129,7 @@
             revision: Some(9),
             read_from: 9,
             needs_snapshot: false,
+            ready: true,
         },
     ];
     for case in cases {
@@ -116,6 +141,7 @@
         expect_that!(follow.fold().map(Fold::revision), eq(case.revision), "{name}");
         expect_that!(follow.read_from(), eq(case.read_from), "{name}");
         expect_that!(follow.needs_snapshot(), eq(case.needs_snapshot), "{name}");
+        expect_that!(follow.is_ready(), eq(case.ready), "{name}");
     }
 }
 
@@ -158,3 +184,27 @@
     expect_that!(follow.deltas(kept + 9, 50), none());
     expect_that!(follow.deltas(kept + 20, 50).map(|it| it.len()), some(eq(1)));
 }
+
+#[gtest]
+fn waiting_records_are_bounded_and_can_be_read_again() {
+    struct Case {
+        text_bytes: usize,
+        count: u64,
+    }
+    let many = Case { text_bytes: 1, count: MAX_WAITING as u64 + 10 };
+    let large = Case { text_bytes: 1 << 20, count: 12 };
+    for Case { text_bytes, count } in [many, large] {
+        let value = json!({"kind": "policy", "text": "x".repeat(text_bytes)});
+        let record = |offset| (offset, value.clone());
+        let mut follow = Follow::default();
+        follow.step(page(0, 1, 0..1));
+        // The record at 1 is missing, and the last ones are forgotten for it.
+        follow.step(Input::Deltas((2..count).map(record).collect()));
+        follow.step(Input::Deltas(vec![record(1)]));
+        expect_that!(follow.revision(), gt(1));
+        expect_that!(follow.revision(), lt(count));
+        let records = (follow.read_from()..count).map(record).collect();
+        follow.step(Input::Page(Page { oldest: 0, next: count, records }));
+        expect_that!(follow.revision(), ge(count - 5));
+    }
+}
