feat: cuminward-upstream, cuminward-caller: relayed generations between nodes

Cause: a node whose own domain can't serve has no way to another domain. Change: a route for generations that other nodes relay, which answers like an engine, and the client for it; resumption at a token goes through it.

--- a/cuminward-caller/src/backend.rs
+++ b/cuminward-caller/src/backend.rs
@@ -61,6 +61,8 @@
     pub prompt: String,
     /// Most tokens to generate.
     pub max_tokens: u32,
+    /// Index of the first token that is wanted; larger than 0 only for relayed requests.
+    pub resume_at: u64,
 }
 
 /// One step of a generation.
--- a/cuminward-caller/src/generate.rs
+++ b/cuminward-caller/src/generate.rs
@@ -49,6 +49,7 @@
         version: parsed.version,
         prompt: parsed.prompt,
         max_tokens: parsed.max_tokens,
+        resume_at: 0,
     };
     let tokens = backend.generate(generation).await?;
     if parsed.stream {
--- a/cuminward-caller/src/lib.rs
+++ b/cuminward-caller/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod generate;
 pub mod header;
 pub mod plain;
+mod relay;
 pub mod router;
 pub mod server;
 mod sse;
--- a/cuminward-caller/src/router.rs
+++ b/cuminward-caller/src/router.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     api::{self, Kind},
-    auth, backend, body, failure, generate, plain,
+    auth, backend, body, failure, generate, plain, relay,
 };
 
 /// What the routes share.
@@ -35,6 +35,7 @@
         .route("/services/{service}", any(service_root::<B>))
         .route("/services/{service}/", any(service_root::<B>))
         .route("/services/{service}/{*path}", any(service::<B>))
+        .route(relay::PATH, post(relayed::<B>))
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(ready::<B>))
         .route("/metrics", get(metrics::<B>))
@@ -65,6 +66,17 @@
         answer.await.unwrap_or_else(|refusal| refuse(id, refusal))
     }
 
+    async fn relayed(self, request: Request) -> Response {
+        let id = new_id();
+        let (parts, body) = request.into_parts();
+        let answer = async {
+            let context = self.context(&id, &parts.headers)?;
+            let body = body::read(body, self.options.body).await?;
+            relay::answer(&self.backend, context, &body).await
+        };
+        answer.await.unwrap_or_else(|refusal| refuse(id, refusal))
+    }
+
     async fn call(self, service: id::Service, request: Request) -> Response {
         let id = new_id();
         let (parts, body) = request.into_parts();
@@ -87,6 +99,10 @@
     it.generate(Kind::Chat, request).await
 }
 
+async fn relayed<B: backend::Backend>(State(it): State<Shared<B>>, request: Request) -> Response {
+    it.relayed(request).await
+}
+
 async fn text<B: backend::Backend>(State(it): State<Shared<B>>, request: Request) -> Response {
     it.generate(Kind::Text, request).await
 }
--- a/cuminward-upstream/src/engine.rs
+++ b/cuminward-upstream/src/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cuminward_core::{host, id, outcome};
 use derive_builder::Builder;
-use http::{Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{runtime, time};
@@ -15,7 +15,7 @@
     cache,
     connection::Protocol,
     error::{Answer, Error, Wire},
-    generate, pool,
+    generate, pool, relay,
 };
 
 /// Largest body of an answer other than a stream, in bytes.
@@ -160,11 +160,41 @@
         head: Duration,
     ) -> Result<generate::Chunks, Error> {
         let request = request(Method::POST, "/v1/generate", json(body)?)?;
-        let mut cancel = Guard(Some(Cancel {
+        let cancel = Cancel {
             client: self.clone(),
             address: address.to_owned(),
             request: body.request.clone(),
-        }));
+        };
+        self.start(address, request, Some(cancel), body.resume_at, head).await
+    }
+
+    /// Starts a generation at another node, which answers like an engine. `headers` are added to the
+    /// request; the other node notices by the closed stream that it isn't wanted any more.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] and [`Error::Refused`] say that nothing ran.
+    pub async fn relay(
+        &self,
+        address: &str,
+        body: &relay::Request,
+        headers: HeaderMap,
+        head: Duration,
+    ) -> Result<generate::Chunks, Error> {
+        let mut request = request(Method::POST, relay::PATH, json(body)?)?;
+        request.headers_mut().extend(headers);
+        self.start(address, request, None, body.resume_at, head).await
+    }
+
+    async fn start(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+        cancel: Option<Cancel>,
+        resume_at: u64,
+        head: Duration,
+    ) -> Result<generate::Chunks, Error> {
+        let mut cancel = Guard(cancel);
         let sent = self.streams.send(address, request, self.options.pool.idle, head).await;
         let answer = match sent {
             Ok(response) => accept(response).await,
@@ -179,9 +209,8 @@
                 return Err(error);
             }
         };
-        let cancel = cancel.0.take().expect("the guard is only emptied before a return");
         let max_line = self.options.max_line;
-        Ok(generate::Chunks::new(response.into_body(), body.resume_at, max_line, cancel))
+        Ok(generate::Chunks::new(response.into_body(), resume_at, max_line, cancel.0.take()))
     }
 
     /// Cancels a generation request; returns whether it still ran.
@@ -251,6 +280,8 @@
         return Ok(response);
     }
     let status = response.status();
+    let says_not_run =
+        response.headers().get(relay::OUTCOME_HEADER).is_some_and(|it| it == relay::NOT_RUN);
     let retry_after_seconds = response
         .headers()
         .get(header::RETRY_AFTER)
@@ -268,7 +299,7 @@
         retry_after_seconds,
         tokens: 0,
     };
-    Err(if is_not_run(status, &answer.code) {
+    Err(if says_not_run || is_not_run(status, &answer.code) {
         Error::Refused(answer)
     } else {
         Error::Answer(answer)
--- a/cuminward-upstream/src/generate.rs
+++ b/cuminward-upstream/src/generate.rs
@@ -97,6 +97,7 @@
     tokens: u64,
     /// Cancels the request; taken once the stream has ended.
     cancel: Option<engine::Cancel>,
+    ended: bool,
 }
 
 /// A line of the stream.
@@ -120,7 +121,7 @@
         body: Body<Full<Bytes>>,
         resume_at: u64,
         max_line: usize,
-        cancel: engine::Cancel,
+        cancel: Option<engine::Cancel>,
     ) -> Chunks {
         Chunks {
             body: Some(body),
@@ -128,7 +129,8 @@
             max_line,
             next: resume_at,
             tokens: 0,
-            cancel: Some(cancel),
+            cancel,
+            ended: false,
         }
     }
 }
@@ -225,19 +227,22 @@
 
     fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         let this = self.get_mut();
-        if this.cancel.is_none() {
+        if this.ended {
             return Poll::Ready(None);
         }
         let chunk = ready!(this.poll_chunk(cx));
         if let Ok(Chunk::Finish(_)) = &chunk {
+            this.ended = true;
             this.cancel = None;
             if let Some(body) = this.body.take() {
                 body.drain();
             }
-        } else if chunk.is_err()
-            && let Some(cancel) = this.cancel.take()
-        {
-            cancel.start();
+        } else if chunk.is_err() {
+            this.ended = true;
+            this.body = None;
+            if let Some(cancel) = this.cancel.take() {
+                cancel.start();
+            }
         }
         Poll::Ready(Some(chunk))
     }
--- a/cuminward-upstream/src/lib.rs
+++ b/cuminward-upstream/src/lib.rs
@@ -16,3 +16,4 @@
 mod line;
 pub mod plain;
 pub mod pool;
+pub mod relay;
