--- a/cuminward-group/src/steward/options.rs
+++ b/cuminward-group/src/steward/options.rs
@@ -62,7 +62,7 @@
     #[builder(default = "64")]
     pub burst: usize,
     /// Way of placing groups.
-    #[builder(default = "placement::Strategy::FirstFit")]
+    #[builder(default = "placement::Strategy::Consolidation")]
     pub strategy: placement::Strategy,
     /// Bounds of the placement.
     #[builder(default)]
--- a/cuminward-group/tests/all/main.rs
+++ b/cuminward-group/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod fixture;
 mod machine;
+mod placement;
 mod steward;
