feat: cuminward-group: cases of assembly, probes and the steward

Change: cases for assembly and probes; a successor with hosts that enforce and that ignore fencing, and repair while the log is away; the findings are mended.

--- a/cuminward-group/tests/all/fixture.rs
+++ b/cuminward-group/tests/all/fixture.rs
@@ -187,6 +187,21 @@
             inputs.push(steward::Input::LogRead);
         }
         inputs.push(steward::Input::Tick);
+        self.run(now, inputs, world, log);
+    }
+
+    /// Gives one input while the log is away, with everything answered at once.
+    pub(crate) fn input(&mut self, now: Duration, input: steward::Input, world: &mut World) {
+        self.run(now, vec![input], world, false);
+    }
+
+    fn run(
+        &mut self,
+        now: Duration,
+        mut inputs: Vec<steward::Input>,
+        world: &mut World,
+        log: bool,
+    ) {
         while !inputs.is_empty() {
             let input = inputs.remove(0);
             for output in self.steward.step(now, input) {
--- a/cuminward-group/tests/all/placement.rs
+++ b/cuminward-group/tests/all/placement.rs
@@ -39,11 +39,14 @@
     }
 }
 
+/// Number of hosts, and the size, version and health of the groups.
+type Fabric = (usize, Vec<(usize, &'static str, Health)>);
+
 struct Case {
     name: &'static str,
     strategy: Strategy,
     demands: Vec<Demand>,
-    fabrics: Vec<(usize, Vec<(usize, &'static str, Health)>)>,
+    fabrics: Vec<Fabric>,
     change: fn(&mut Input),
     formed: &'static [&'static str],
     released: &'static [(u64, Cause)],
--- /dev/null
+++ b/cuminward-group/tests/all/probe.rs
@@ -0,0 +1,55 @@
+//! Cases of the probes and what they show.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cuminward_group::probe::{
+    self, dark,
+    suspicion::{Options, Probe, Suspicion, Verdict},
+};
+use googletest::prelude::*;
+
+#[gtest]
+fn every_host_has_its_probers() {
+    let nodes: Vec<String> = (0..44).map(|it| format!("n{it}")).collect();
+    let hosts: Vec<String> = (0..167).map(|it| format!("h{it}")).collect();
+    let assigned = nodes.iter().map(|it| probe::assigned(it, &nodes, &hosts, probe::PROBERS).len());
+    let assigned: Vec<usize> = assigned.collect();
+    expect_that!(assigned.iter().sum::<usize>(), eq(hosts.len() * probe::PROBERS));
+    expect_that!(assigned, each(le(&20)));
+}
+
+#[gtest]
+fn verdicts() {
+    let fast = Probe::Answered { after: Duration::from_millis(5) };
+    let late = Probe::Answered { after: Duration::from_secs(1) };
+    let cases: [(&str, Vec<Probe>, Verdict); 6] = [
+        ("fine", vec![fast], Verdict::Fine),
+        ("one lost probe", vec![fast, Probe::Unanswered, Probe::Unanswered], Verdict::Fine),
+        ("paused", vec![Probe::Unanswered; 3], Verdict::Paused),
+        ("dead", vec![fast, Probe::Refused, Probe::Refused], Verdict::Dead),
+        ("back", vec![Probe::Refused, Probe::Refused, fast], Verdict::Fine),
+        ("slow", vec![fast, late, late, late, late], Verdict::Slow),
+    ];
+    for (name, probes, verdict) in cases {
+        let mut suspicion = Suspicion::default();
+        let options = Options::default();
+        for probe in probes {
+            suspicion.step(probe, &options);
+        }
+        expect_that!(suspicion.verdict(&options), eq(verdict), "{name}");
+    }
+}
+
+#[gtest]
+fn a_dark_fabric_is_held_for_a_while() {
+    let options = dark::Options::default();
+    let mut detector = dark::Detector::default();
+    let mut step = |at: u64, silent: usize| {
+        let now = Duration::from_secs(at);
+        let counts = BTreeMap::from([("f".to_owned(), dark::Count { listed: 8, silent })]);
+        detector.step(now, &counts, &options);
+        detector.held(now, &options).len()
+    };
+    let held = [step(0, 4), step(1, 5), step(59, 8), step(61, 8), step(62, 0), step(63, 8)];
+    expect_that!(held, eq([0, 1, 1, 0, 0, 1]));
+}
--- a/cuminward-group/tests/all/steward.rs
+++ b/cuminward-group/tests/all/steward.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use cuminward_group::assembly;
+use cuminward_core::host;
+use cuminward_group::{assembly, steward};
 use googletest::prelude::*;
 
 use super::fixture::{DOMAIN, Node, World};
@@ -89,3 +90,77 @@
         expect_that!(holders, eq(1), "{} in {}", case.name, DOMAIN);
     }
 }
+
+const LEASE: Duration = Duration::from_secs(10);
+const ORDER_BOUND: Duration = Duration::from_secs(5);
+const SERVICES: &[(&str, u32, u32)] = &[("a", 2, 2)];
+
+/// Forms the replicas under the first of two stewards; returns the nodes, the holder first.
+fn formed(world: &mut World) -> (Vec<Node>, Duration) {
+    let mut nodes = vec![Node::new("n1", world, SERVICES), Node::new("n2", world, SERVICES)];
+    let now = run(&mut nodes, world, Duration::ZERO, Duration::from_secs(20));
+    nodes.sort_by_key(|it| it.steward.fence().is_none());
+    (nodes, now)
+}
+
+/// Position of the event that allows orders to hosts that ignore fencing.
+fn allowed(node: &Node) -> Option<usize> {
+    let allows =
+        |it: &steward::event::Event| matches!(it, steward::event::Event::UnfencedAllowed { .. });
+    node.events.iter().position(allows)
+}
+
+#[gtest]
+fn successor_waits_only_for_hosts_that_ignore_fencing() {
+    for (ignoring, waits) in [(0, false), (1, true)] {
+        let mut world = World::new(1, 5, ignoring);
+        let (mut nodes, paused) = formed(&mut world);
+        let lapse = nodes[1].steward.term().until();
+        let early = run(&mut nodes[1..], &mut world, paused, lapse + ORDER_BOUND);
+        expect_that!(allowed(&nodes[1]), none(), "orders may be under way at {early:?}");
+        let end = run(&mut nodes[1..], &mut world, early, early + ORDER_BOUND);
+        expect_that!(allowed(&nodes[1]), some(anything()));
+        let confirms =
+            |it: &steward::event::Event| matches!(it, steward::event::Event::HostConfirmed { .. });
+        let confirmed = nodes[1].events.iter().position(confirms);
+        expect_that!(confirmed > allowed(&nodes[1]), eq(waits), "ignoring {ignoring}");
+        let orders = nodes[1]
+            .events
+            .iter()
+            .filter(|it| matches!(it, steward::event::Event::GroupForming { .. }));
+        expect_that!(orders.count(), eq(0), "whole replicas are adopted");
+        expect_that!(routable(&world, end, SERVICES), eq(2));
+        let sent = nodes[0].steward.step(end, steward::Input::Tick);
+        let sends = sent.iter().any(|it| matches!(it, steward::Output::Send(_)));
+        expect_that!(sends && ignoring == 1, eq(false), "the lease lapsed in the pause");
+    }
+}
+
+#[gtest]
+fn repair_while_the_log_is_away() {
+    for (ignoring, during) in [(0, 2), (1, 1)] {
+        let mut world = World::new(1, 5, ignoring);
+        let (mut nodes, mut now) = formed(&mut world);
+        let away = now;
+        while now < away + LEASE * 4 {
+            if now == away + LEASE * 2 {
+                let member = world.hosts.values_mut().find(|it| it.report.membership.is_some());
+                member.expect("replicas are formed").up = false;
+            }
+            world.advance();
+            for (name, it) in world.hosts.clone() {
+                let seen = if it.up {
+                    steward::Input::Heard(host::Observation { report: it.report, at: now })
+                } else {
+                    steward::Input::Unreachable(name)
+                };
+                nodes[0].input(now, seen, &mut world);
+            }
+            nodes[0].tick(now, &mut world, false);
+            now += STEP;
+        }
+        expect_that!(routable(&world, now, SERVICES), eq(during), "ignoring {ignoring}");
+        let now = run(&mut nodes, &mut world, now, now + LEASE * 5);
+        expect_that!(routable(&world, now, SERVICES), eq(2), "the log is back");
+    }
+}
