--- a/cuminward-group/tests/all/steward.rs
+++ b/cuminward-group/tests/all/steward.rs
@@ -123,6 +123,7 @@
         let confirms =
             |it: &steward::event::Event| matches!(it, steward::event::Event::HostConfirmed { .. });
         let confirmed = nodes[1].events.iter().position(confirms);
+        expect_that!(confirmed, some(anything()), "every host is learned anew");
         expect_that!(confirmed > allowed(&nodes[1]), eq(waits), "ignoring {ignoring}");
         let orders = nodes[1]
             .events
