--- a/cuminward-group/tests/all/steward.rs
+++ b/cuminward-group/tests/all/steward.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cuminward_core::host;
-use cuminward_group::{assembly, steward};
+use cuminward_group::{assembly, placement::State, steward};
 use googletest::prelude::*;
 
 use super::fixture::{DOMAIN, Node, World};
@@ -165,3 +165,29 @@
         expect_that!(routable(&world, now, SERVICES), eq(2), "the log is back");
     }
 }
+
+/// State of a host that ignores fencing, after a reading that shows it free was asked for at `asked`.
+fn state_after(node: &mut Node, world: &World, now: Duration, asked: Duration) -> State {
+    let mut report = world.hosts["f0-h0"].report.clone();
+    report.membership = None;
+    let observation = host::Observation { report, at: now };
+    node.steward.step(now, steward::Input::Observed { observation, asked });
+    let survey = node.steward.survey(now);
+    let view = survey.hosts.into_iter().find(|it| it.host == "f0-h0");
+    view.expect("the host is listed").state
+}
+
+#[gtest]
+fn readings_from_before_are_not_used() {
+    let mut world = World::new(1, 5, 1);
+    let (mut nodes, now) = formed(&mut world);
+    let old = state_after(&mut nodes[0], &world, now, STEP);
+    expect_that!(old, eq(State::Member), "asked before the order's answer");
+    let lapse = nodes[1].steward.term().until();
+    let early = run(&mut nodes[1..], &mut world, now, lapse + ORDER_BOUND);
+    let later = early + STEP * 2;
+    let old = state_after(&mut nodes[1], &world, later, early - ORDER_BOUND / 2);
+    expect_that!(old, eq(State::Unsure), "asked while earlier orders may be under way");
+    let new = state_after(&mut nodes[1], &world, later, later);
+    expect_that!(new, eq(State::Free));
+}
