fix: cuminward-group: a new term forms nothing before its hosts are read

Cause: groups whose members hadn't answered yet were unknown to a new steward, which formed their replicas a second time on spare hosts. Change: no group is formed until every host is read in the term, lost, or waited for; hosts that ignore fencing are read at once. Figures: the new case fails without the wait, for hosts of either kind and both.

--- a/cuminward-group/src/steward/hosts.rs
+++ b/cuminward-group/src/steward/hosts.rs
@@ -21,6 +21,8 @@
     pub(super) report: Option<host::Report>,
     /// Whether `report` was read under the present term, with all earlier orders settled.
     pub(super) confirmed: bool,
+    /// Whether `report` was read under the present term, maybe with earlier orders under way.
+    pub(super) read: bool,
     /// Readings that were asked for before this time say nothing about the present.
     pub(super) valid_from: Duration,
     /// Since when the host doesn't answer.
@@ -113,12 +115,14 @@
                 Some(placement::Weights { model: it.model.clone(), version: it.version.clone() });
         }
         self.report = Some(report);
+        self.read = true;
         restarted
     }
 
     /// Forgets what earlier terms confirmed.
     pub(super) fn unconfirm(&mut self) {
         self.confirmed = false;
+        self.read = false;
         self.next = Duration::ZERO;
     }
 }
--- a/cuminward-group/src/steward/orders.rs
+++ b/cuminward-group/src/steward/orders.rs
@@ -10,6 +10,9 @@
 /// Bits of a generation that count the formations of one term; the others hold the fencing number.
 const COUNTER_BITS: u32 = 16;
 
+/// Multiple of the longest time of an order for which a new term waits to read its hosts.
+const SURVEY_BOUNDS: u32 = 2;
+
 /// Confirming
 impl Steward {
     /// Fences hosts that enforce fencing numbers, and reads those that don't, until all are confirmed.
@@ -34,8 +37,9 @@
         let due = move |it: &hosts::Host| {
             let sweep = if it.loads() { options.retry_after } else { options.sweep_every };
             let stale = it.asked.is_none_or(|asked| now >= asked + sweep);
-            let may = it.open.is_none() && now >= it.next && self.allowed(now, it.enforces);
-            may && (!it.confirmed || stale)
+            let rests = it.open.is_some() || now < it.next;
+            let confirmable = self.allowed(now, it.enforces) && (!it.confirmed || stale);
+            !rests && (confirmable || !it.read)
         };
         self.hosts.iter().filter(move |it| due(it.1)).map(|it| it.0.clone())
     }
@@ -51,8 +55,8 @@
             self.retire(now, fence, &input, release);
         }
         self.release_retired(now, fence, &input);
-        for form in plan.form {
-            self.form(now, fence, form);
+        if self.surveyed(now) {
+            plan.form.into_iter().for_each(|it| self.form(now, fence, it));
         }
         if plan.missing != self.missing {
             self.missing = plan.missing;
@@ -60,6 +64,14 @@
         }
     }
 
+    /// Tells whether every host has been read in this term, lost, or waited for long enough, so that
+    /// the groups that exist are known.
+    fn surveyed(&self, now: Duration) -> bool {
+        let Some(held) = self.lease.held() else { return false };
+        let known = self.hosts.values().all(|it| it.read || it.lost);
+        known || now >= held.since + self.options.order_bound * SURVEY_BOUNDS
+    }
+
     /// Orders the members that are confirmed to be in the group to leave it.
     pub(super) fn release(&mut self, now: Duration, fence: id::Fence, release: placement::Release) {
         let key = (&release.group, release.generation);
--- a/cuminward-group/tests/all/fixture.rs
+++ b/cuminward-group/tests/all/fixture.rs
@@ -160,6 +160,8 @@
 pub(crate) struct Node {
     pub(crate) steward: steward::Steward,
     pub(crate) read: usize,
+    /// Hosts that don't answer yet.
+    pub(crate) mute: Vec<id::Host>,
     pub(crate) events: Vec<steward::event::Event>,
 }
 
@@ -176,7 +178,7 @@
         steward.step(Duration::ZERO, steward::Input::Nodes(nodes));
         steward.step(Duration::ZERO, steward::Input::Hosts(world.entries()));
         steward.step(Duration::ZERO, steward::Input::Catalog(world.catalog(services)));
-        Node { steward, read: 0, events: Vec::new() }
+        Node { steward, read: 0, mute: Vec::new(), events: Vec::new() }
     }
 
     /// Runs one tick with everything answered at once.
@@ -236,6 +238,8 @@
                 }
                 Some(steward::Input::Appended { sequence, outcome })
             }
+            steward::Output::Send(it) if self.mute.contains(&it.host) => None,
+            steward::Output::Read { host, .. } if self.mute.contains(&host) => None,
             steward::Output::Send(it) => {
                 let host = world.hosts.get_mut(&it.host).filter(|it| it.up);
                 let outcome = host.map_or(steward::Answer::Unknown, |host| host.order(&it.order));
--- a/cuminward-group/tests/all/steward.rs
+++ b/cuminward-group/tests/all/steward.rs
@@ -191,3 +191,28 @@
     let new = state_after(&mut nodes[1], &world, later, later);
     expect_that!(new, eq(State::Free));
 }
+
+#[gtest]
+fn nothing_is_formed_before_the_hosts_are_read() {
+    for ignoring in [0, 1, 2] {
+        let mut world = World::new(1, 5, ignoring);
+        let (mut nodes, now) = formed(&mut world);
+        world.hosts.retain(|_, it| it.report.membership.is_some());
+        let spare = World::new(2, 2, ignoring).hosts;
+        world.hosts.extend(spare.into_iter().filter(|it| it.0.starts_with("f1")));
+        let successor = &mut nodes[1];
+        successor.steward.step(now, steward::Input::Hosts(world.entries()));
+        successor.steward.step(now, steward::Input::Catalog(world.catalog(SERVICES)));
+        let group = world.hosts["f0-h0"].report.membership.clone();
+        successor.mute = group.expect("the host is in a group").members;
+        let now = run(&mut nodes[1..], &mut world, now, now + LEASE + ORDER_BOUND);
+        nodes[1].mute.clear();
+        run(&mut nodes[1..], &mut world, now, now + LEASE);
+        let forms = nodes[1]
+            .events
+            .iter()
+            .any(|it| matches!(it, steward::event::Event::GroupForming { .. }));
+        expect_that!(forms, eq(false), "ignoring {ignoring}");
+        expect_that!(nodes[1].steward.fence(), some(anything()));
+    }
+}
