--- a/cuminward-group/tests/all/fixture.rs
+++ b/cuminward-group/tests/all/fixture.rs
@@ -160,6 +160,8 @@
 pub(crate) struct Node {
     pub(crate) steward: steward::Steward,
     pub(crate) read: usize,
+    /// Hosts that don't answer yet.
+    pub(crate) mute: Vec<id::Host>,
     pub(crate) events: Vec<steward::event::Event>,
 }
 
@@ -176,7 +178,7 @@
         steward.step(Duration::ZERO, steward::Input::Nodes(nodes));
         steward.step(Duration::ZERO, steward::Input::Hosts(world.entries()));
         steward.step(Duration::ZERO, steward::Input::Catalog(world.catalog(services)));
-        Node { steward, read: 0, events: Vec::new() }
+        Node { steward, read: 0, mute: Vec::new(), events: Vec::new() }
     }
 
     /// Runs one tick with everything answered at once.
@@ -187,6 +189,21 @@
             inputs.push(steward::Input::LogRead);
         }
         inputs.push(steward::Input::Tick);
+        self.run(now, inputs, world, log);
+    }
+
+    /// Gives one input while the log is away, with everything answered at once.
+    pub(crate) fn input(&mut self, now: Duration, input: steward::Input, world: &mut World) {
+        self.run(now, vec![input], world, false);
+    }
+
+    fn run(
+        &mut self,
+        now: Duration,
+        mut inputs: Vec<steward::Input>,
+        world: &mut World,
+        log: bool,
+    ) {
         while !inputs.is_empty() {
             let input = inputs.remove(0);
             for output in self.steward.step(now, input) {
@@ -221,6 +238,8 @@
                 }
                 Some(steward::Input::Appended { sequence, outcome })
             }
+            steward::Output::Send(it) if self.mute.contains(&it.host) => None,
+            steward::Output::Read { host, .. } if self.mute.contains(&host) => None,
             steward::Output::Send(it) => {
                 let host = world.hosts.get_mut(&it.host).filter(|it| it.up);
                 let outcome = host.map_or(steward::Answer::Unknown, |host| host.order(&it.order));
