fix: cuminward-node: the configuration is in force only at the end of the log

Answers and history come from `cuminward_operator::outcome`. Clusters of the testkit can give each node a view of its own.

--- /dev/null
+++ b/cuminward-node/src/control/configure/follow.rs
@@ -0,0 +1,77 @@
+//! Follows the configuration log; the last configuration stays in force while it is away.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use cuminward_config::{follow, record};
+use cuminward_event::kind::Kind;
+use cuminward_platform::journal;
+use serde_json::Value;
+
+use crate::{
+    control::{configure, outage},
+    state,
+};
+
+/// Records of one read.
+const PAGE: usize = 500;
+
+/// Name of the log as a source of the configuration.
+const SOURCE: &str = "log";
+
+/// Time that a read waits for a new record.
+const WAIT: Duration = Duration::from_secs(2);
+
+/// Follows the log until the node stops.
+pub async fn run(state: Arc<state::State>) {
+    let stream = journal::Stream::new(&state.settings.platform.log, record::STREAM);
+    let mut outage = outage::Outage::default();
+    while !state.stop.is_cancelled() {
+        let from = state.config.follow().read_from();
+        let read = tokio::select! {
+            read = stream.read::<Value>(from, PAGE, WAIT) => read,
+            () = state.stop.cancelled() => return,
+        };
+        match read {
+            Ok(read) => {
+                answered(&state, &mut outage);
+                take(&state, read).await;
+            }
+            Err(error) => {
+                failed(&state, &mut outage, error.to_string());
+                tokio::time::sleep(configure::RETRY).await;
+            }
+        }
+    }
+}
+
+fn answered(state: &state::State, outage: &mut outage::Outage) {
+    if let Some(after_ms) = outage.answered(state.now()) {
+        state.log_away.store(false, Ordering::Release);
+        state.events.emit(Kind::LogBack { stream: record::STREAM.to_owned(), after_ms });
+    }
+}
+
+fn failed(state: &state::State, outage: &mut outage::Outage, message: String) {
+    if outage.failed(state.now()) {
+        state.log_away.store(true, Ordering::Release);
+        state.events.emit(Kind::LogAway { stream: record::STREAM.to_owned(), message });
+    }
+}
+
+/// Takes what was read. A log that lost records in force is asked again after a pause.
+async fn take(state: &state::State, read: journal::Read<Value>) {
+    let input = match read {
+        journal::Read::Page(page) => follow::Input::Page(follow::Page {
+            oldest: page.oldest,
+            next: page.next,
+            records: page.records.into_iter().map(|it| (it.offset, it.value)).collect(),
+        }),
+        journal::Read::Trimmed { oldest } => follow::Input::Trimmed { oldest },
+    };
+    if configure::take(state, input, SOURCE).log_behind {
+        tokio::time::sleep(configure::RETRY).await;
+    }
+}
--- /dev/null
+++ b/cuminward-node/src/control/configure/spread.rs
@@ -0,0 +1,50 @@
+//! Gives other nodes the records that they lack, and takes over theirs.
+
+use cuminward_config::{follow, record, snapshot::Snapshot};
+use cuminward_core::id;
+use cuminward_peer::message;
+
+use crate::{control::configure, state};
+
+/// Revision to ask other nodes from. A node that isn't ready asks for a whole state: records alone
+/// don't tell it how much is missing.
+pub fn wanted_from(state: &state::State) -> id::Revision {
+    let follow = state.config.follow();
+    if follow.is_ready() { follow.revision() } else { 0 }
+}
+
+/// Records from a revision on for another node, or the state where they aren't kept any more.
+///
+/// A node that isn't ready has nothing to give.
+pub fn since(state: &state::State, from: id::Revision, max: u32) -> message::Config {
+    let (deltas, fold, revision) = {
+        let follow = state.config.follow();
+        let Some(fold) = follow.fold().filter(|_| follow.is_ready()) else {
+            return message::Config::default();
+        };
+        let deltas = follow.deltas(from, max as usize).filter(|_| from > 0);
+        let fold = deltas.is_none().then(|| fold.clone());
+        (deltas, fold, follow.revision())
+    };
+    let snapshot = fold.map(|it| {
+        let snapshot = record::Record::Snapshot(Box::new(Snapshot::new(&it, 0)));
+        record::to_value(&snapshot).to_string()
+    });
+    let record =
+        |(offset, value): follow::Delta| message::ConfigRecord { offset, text: value.to_string() };
+    let records = deltas.into_iter().flatten().map(record).collect();
+    message::Config { records, snapshot, revision }
+}
+
+/// Takes over what another node has folded already; what can't be read is skipped.
+pub fn take_over(state: &state::State, config: message::Config, source: &str) {
+    let value = config.snapshot.and_then(|it| serde_json::from_str(&it).ok());
+    if let Some(snapshot) = value.as_ref().and_then(record::snapshot) {
+        configure::take(state, follow::Input::Snapshot(Box::new(snapshot)), source);
+    }
+    let delta = |it: message::ConfigRecord| Some((it.offset, serde_json::from_str(&it.text).ok()?));
+    let deltas: Vec<follow::Delta> = config.records.into_iter().map_while(delta).collect();
+    if !deltas.is_empty() {
+        configure::take(state, follow::Input::Deltas(deltas), source);
+    }
+}
--- a/cuminward-node/src/control/peer/answer.rs
+++ b/cuminward-node/src/control/peer/answer.rs
@@ -34,7 +34,7 @@
     }
 
     async fn config(&self, from: id::Revision, max: u32) -> message::Config {
-        configure::since(&self.state, from, max)
+        configure::spread::since(&self.state, from, max)
     }
 
     async fn observations(
--- a/cuminward-node/src/control/peer/greet.rs
+++ b/cuminward-node/src/control/peer/greet.rs
@@ -119,10 +119,10 @@
     }
     let (node, domain) = (&state.settings.node, &state.settings.domain);
     for source in spread::sources(node, domain, &domains) {
-        let own = *state.revision.borrow();
+        let own = configure::spread::wanted_from(state);
         let newer = known[&source].word.as_ref().is_some_and(|it| own < it.revision);
         if newer && let Ok(config) = state.pool.config(&source, own, PAGE).await {
-            configure::take_over(state, config);
+            configure::spread::take_over(state, config, &source);
         }
     }
 }
--- a/cuminward-node/src/node.rs
+++ b/cuminward-node/src/node.rs
@@ -155,7 +155,8 @@
 fn spawn_control(state: &Arc<state::State>, tasks: &TaskTracker, peers: TcpListener) {
     let (inputs, received) = mpsc::channel(control::steward::INPUTS);
     tasks.spawn(control::list::run(Arc::clone(state)));
-    tasks.spawn(control::configure::run(Arc::clone(state)));
+    tasks.spawn(control::configure::follow::run(Arc::clone(state)));
+    tasks.spawn(control::configure::snapshot::run(Arc::clone(state)));
     tasks.spawn(control::probe::run(Arc::clone(state), inputs.clone()));
     tasks.spawn(control::steward::follow(Arc::clone(state), inputs.clone()));
     tasks.spawn(control::steward::run(Arc::clone(state), inputs, received));
--- a/cuminward-node/src/operate.rs
+++ b/cuminward-node/src/operate.rs
@@ -7,10 +7,9 @@
     time::Duration,
 };
 
-use cuminward_config::{fold, history};
 use cuminward_core::{catalog, change, host, id, replica};
 use cuminward_event::{kind, record};
-use cuminward_operator::{convert, proto, server, status};
+use cuminward_operator::{convert, outcome, proto, server, status};
 use futures::{Stream, StreamExt, stream};
 
 use crate::{control::configure, state};
@@ -38,7 +37,7 @@
     type Events = Pin<Box<dyn Stream<Item = proto::Event> + Send>>;
 
     async fn apply(&self, record: change::Record) -> Result<server::Applied, status::Error> {
-        configure::change(&self.state, record).await
+        configure::change::run(&self.state, record).await
     }
 
     async fn catalog(&self) -> Result<Arc<catalog::Catalog>, status::Error> {
@@ -69,7 +68,9 @@
     }
 
     async fn history(&self) -> Vec<proto::HistoryEntry> {
-        self.state.config.fold().history().iter().map(entry).collect()
+        let follow = self.state.config.follow();
+        let entries = follow.fold().into_iter().flat_map(|it| it.history().iter());
+        entries.map(outcome::entry).collect()
     }
 
     async fn follow(&self, request: proto::FollowEventsRequest) -> Self::Events {
@@ -145,28 +146,6 @@
     }
 }
 
-fn entry(entry: &history::Entry) -> proto::HistoryEntry {
-    let (verdict, reason) = match &entry.outcome {
-        fold::Outcome::Accepted { .. } | fold::Outcome::Repeated { .. } => {
-            (proto::Verdict::Accepted, String::new())
-        }
-        fold::Outcome::Conflict { with } => {
-            (proto::Verdict::Conflict, format!("change {} came first", with.change))
-        }
-        fold::Outcome::Invalid { reason } => (proto::Verdict::Invalid, reason.clone()),
-        fold::Outcome::Skipped { .. } => (proto::Verdict::Unspecified, String::new()),
-    };
-    proto::HistoryEntry {
-        revision: entry.offset + 1,
-        change: entry.change.clone(),
-        operator: entry.operator.clone(),
-        action: entry.action.clone(),
-        target: entry.target.clone(),
-        verdict: verdict.into(),
-        reason,
-    }
-}
-
 /// Groups of the failure domain as their members report them.
 fn groups(state: &state::State, service: &str) -> Vec<proto::Group> {
     let observations = state.observations();
--- a/cuminward-node/src/peers.rs
+++ b/cuminward-node/src/peers.rs
@@ -66,6 +66,17 @@
     }
 }
 
+/// Access
+impl Peers {
+    /// Nodes of all failure domains that answer and don't shut down, this one included.
+    pub fn live_everywhere(&self, state: &state::State) -> Vec<id::Node> {
+        let now = state.now();
+        let known = self.known.load();
+        let live = known.iter().filter(|(_, it)| it.is_live(now)).map(|(name, _)| name.clone());
+        live.chain([state.settings.node.clone()]).collect()
+    }
+}
+
 /// Mutation
 impl Peers {
     /// Takes over the nodes of the host list; what they said before is kept.
--- a/cuminward-node/src/settings.rs
+++ b/cuminward-node/src/settings.rs
@@ -8,6 +8,9 @@
 
 use cuminward_core::id;
 
+/// Time for which the log promises to keep records, unless the settings say otherwise.
+pub const RETENTION: Duration = Duration::from_secs(24 * 3_600);
+
 /// Checked settings of a node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -49,6 +52,8 @@
     pub hosts: String,
     /// The weight store.
     pub weights: String,
+    /// Time for which the log promises to keep records.
+    pub retention: Duration,
 }
 
 /// A text that never shows up in logs.
--- a/cuminward-node/src/settings/check.rs
+++ b/cuminward-node/src/settings/check.rs
@@ -15,6 +15,12 @@
 /// Milliseconds of one hour.
 const HOUR_MS: u64 = 3_600_000;
 
+/// Shortest accepted retention of the log, in milliseconds: an hour.
+const MIN_RETENTION_MS: u64 = HOUR_MS;
+
+/// Longest accepted retention of the log, in milliseconds: a year.
+const MAX_RETENTION_MS: u64 = 365 * 24 * HOUR_MS;
+
 /// Largest accepted limit of a body, in bytes.
 const MAX_BODY_BYTES: u64 = 256 * 1024 * 1024;
 
@@ -75,9 +81,16 @@
             log: self.address(&platform.log).to_string(),
             hosts: self.address(&platform.hosts).to_string(),
             weights: self.address(&platform.weights).to_string(),
+            retention: self.retention(&platform.retention_ms),
         }
     }
 
+    fn retention(&mut self, value: &Option<Spanned<u64>>) -> Duration {
+        let default = settings::RETENTION.as_millis() as u64;
+        let range = MIN_RETENTION_MS..=MAX_RETENTION_MS;
+        Duration::from_millis(self.number(value, default, range))
+    }
+
     fn secret(&mut self, secret: &Spanned<file::Secret>) -> settings::Secret {
         let found = match (&secret.value.file, &secret.value.env) {
             (Some(path), None) => {
--- a/cuminward-node/src/settings/file.rs
+++ b/cuminward-node/src/settings/file.rs
@@ -58,6 +58,8 @@
     pub hosts: Spanned<String>,
     /// The weight store.
     pub weights: Spanned<String>,
+    /// Time for which the log promises to keep records, in milliseconds.
+    pub retention_ms: Option<Spanned<u64>>,
 }
 
 /// Where the nodes' shared secret is found; exactly one of the two.
--- a/cuminward-node/tests/all/settings.rs
+++ b/cuminward-node/tests/all/settings.rs
@@ -1,5 +1,7 @@
 //! Settings files: what is accepted, and what is said about the others.
 
+use std::time::Duration;
+
 use cuminward_node::settings::load;
 use googletest::prelude::*;
 
@@ -93,6 +95,14 @@
     Ok(())
 }
 
+#[gtest]
+fn checks_the_retention_of_the_log() -> Result<()> {
+    let with = |it: &str| GOOD.replace("secret:", &format!("  retention_ms: {it}\nsecret:"));
+    let settings = load::parse(&with("7200000"), "node.yaml").or_fail()?;
+    verify_that!(settings.platform.retention, eq(Duration::from_secs(7_200)))?;
+    verify_that!(render(&with("60000")), some(contains_substring("3600000 to")))
+}
+
 #[gtest]
 fn names_all_faults_at_once() -> Result<()> {
     let text = replace_line(2, "  name: ''").replace("127.0.0.1:7101", "nowhere");
--- a/cuminward-peer/src/message.rs
+++ b/cuminward-peer/src/message.rs
@@ -50,6 +50,7 @@
 
 /// Records of the configuration stream.
 #[record]
+#[derive(Default)]
 pub struct Config {
     /// The records in offset order, without gaps from the asked revision on.
     pub records: Vec<ConfigRecord>,
@@ -65,8 +66,6 @@
 pub struct ConfigRecord {
     /// Offset of the record.
     pub offset: id::Offset,
-    /// Wall time at which the log took the record, in milliseconds since the Unix epoch.
-    pub at_ms: u64,
     /// The record as JSON.
     pub text: String,
 }
--- a/cuminward-peer/tests/all/node.rs
+++ b/cuminward-peer/tests/all/node.rs
@@ -61,7 +61,7 @@
     }
 
     async fn config(&self, from: id::Revision, max: u32) -> message::Config {
-        let record = |n| message::ConfigRecord { offset: n, at_ms: 1, text: String::from("{}") };
+        let record = |n| message::ConfigRecord { offset: n, text: String::from("{}") };
         let records = (from..from + u64::from(max)).map(record).collect();
         message::Config { records, snapshot: None, revision: from + u64::from(max) }
     }
--- a/cuminward-testkit/src/cluster.rs
+++ b/cuminward-testkit/src/cluster.rs
@@ -9,7 +9,7 @@
 use cuminward_core::{change, host, id};
 use cuminward_node::{node, settings};
 use cuminward_operator::client;
-use cuminward_standin::world;
+use cuminward_standin::{view, world};
 use miette::{IntoDiagnostic, miette};
 
 use crate::declare;
@@ -28,6 +28,7 @@
     /// What surrounds the nodes.
     pub world: world::World,
     nodes: BTreeMap<id::Node, node::Node>,
+    views: Option<BTreeMap<id::Node, view::View>>,
     timing: settings::Timing,
     limits: settings::Limits,
 }
@@ -37,6 +38,8 @@
 pub struct Options {
     /// What surrounds the nodes.
     pub world: world::Options,
+    /// Whether each node sees the world through links of its own, which can be cut.
+    pub views: bool,
     /// Nodes in each failure domain.
     pub nodes_per_domain: u32,
     /// Intervals and bounds of the nodes' control work.
@@ -57,7 +60,8 @@
             options.world.domains.iter().map(|it| it.name.clone()).collect();
         let world = world::World::start(options.world).await.into_diagnostic()?;
         let (timing, limits) = (options.timing, options.limits);
-        let mut cluster = Cluster { world, nodes: BTreeMap::new(), timing, limits };
+        let views = options.views.then(BTreeMap::new);
+        let mut cluster = Cluster { world, nodes: BTreeMap::new(), views, timing, limits };
         for domain in &domains {
             for index in 0..options.nodes_per_domain {
                 cluster.add(&format!("{domain}-{index}"), domain).await?;
@@ -86,6 +90,15 @@
         &self.nodes[name]
     }
 
+    /// What a node sees of the world.
+    ///
+    /// # Panics
+    ///
+    /// If the cluster was started without views, or there is no such node.
+    pub fn view(&self, name: &str) -> &view::View {
+        &self.views.as_ref().expect("the cluster has views")[name]
+    }
+
     /// All nodes by name.
     pub fn nodes(&self) -> impl Iterator<Item = (&id::Node, &node::Node)> {
         self.nodes.iter()
@@ -192,6 +205,11 @@
     ///
     /// A report if a port can't be bound.
     pub async fn add(&mut self, name: &str, domain: &str) -> miette::Result<()> {
+        if let Some(views) = &mut self.views
+            && !views.contains_key(name)
+        {
+            views.insert(name.to_owned(), self.world.view().await.into_diagnostic()?);
+        }
         let settings = self.settings(name, domain);
         let node = node::Node::start(settings).await?;
         let address = node.addresses().peers.to_string();
@@ -208,15 +226,12 @@
     /// Settings of a node of this cluster.
     pub fn settings(&self, name: &str, domain: &str) -> settings::Settings {
         let local = SocketAddr::from(([127, 0, 0, 1], 0));
+        let [log, hosts, weights] = self.platform(name).map(|it| it.to_string());
         settings::Settings {
             node: name.to_owned(),
             domain: domain.to_owned(),
             listen: settings::Listen { callers: local, operators: local, peers: local },
-            platform: settings::Platform {
-                log: self.world.log_address().to_string(),
-                hosts: self.world.hosts_address().to_string(),
-                weights: self.world.weights_address().to_string(),
-            },
+            platform: settings::Platform { log, hosts, weights, retention: settings::RETENTION },
             secret: settings::Secret::new(SECRET),
             operators: vec![settings::Operator {
                 name: "operator".to_owned(),
@@ -229,6 +244,20 @@
     }
 }
 
+/// Access
+impl Cluster {
+    /// Addresses of log, host list and weight store for a node.
+    fn platform(&self, name: &str) -> [SocketAddr; 3] {
+        match self.views.as_ref().and_then(|it| it.get(name)) {
+            Some(view) => [view.log_address(), view.hosts_address(), view.weights_address()],
+            None => {
+                let world = &self.world;
+                [world.log_address(), world.hosts_address(), world.weights_address()]
+            }
+        }
+    }
+}
+
 /// Waits until a condition holds; tells whether it did within the limit.
 pub async fn wait(limit: Duration, condition: impl Fn() -> bool) -> bool {
     let begun = Instant::now();
