feat: cuminward-testkit: failure tests of the configuration over real sockets

Cause: the promises about the configuration were tested in the decisions only.

Change: eight tests with real nodes: nine nodes with lost answers and restarts over 200 seeded changes, a node without the platform, racing operators, a trimmed log, replaced nodes in an outage, refusals in an outage, a domain taken out in four cuts, and a log of several pages. A node that isn't ready reads the log where it can, and takes the newest state of any peer only where it can't.

--- a/cuminward-node/src/control/configure/spread.rs
+++ b/cuminward-node/src/control/configure/spread.rs
@@ -1,16 +1,35 @@
 //! Gives other nodes the records that they lack, and takes over theirs.
 
+use std::sync::atomic::Ordering;
+
 use cuminward_config::{follow, record, snapshot::Snapshot};
 use cuminward_core::id;
 use cuminward_peer::message;
 
 use crate::{control::configure, state};
 
-/// Revision to ask other nodes from. A node that isn't ready asks for a whole state: records alone
-/// don't tell it how much is missing.
-pub fn wanted_from(state: &state::State) -> id::Revision {
+/// What a node asks other nodes for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wanted {
+    /// Nothing: the log will tell.
+    Nothing,
+    /// Records from a revision on.
+    Records(id::Revision),
+    /// The newest state that any node has, since records don't tell how much is missing.
+    State,
+}
+
+/// What this node asks other nodes for.
+///
+/// A node that isn't ready reads the log where it can: a peer's state may be older than what an
+/// earlier process of this node had in force.
+pub fn wanted(state: &state::State) -> Wanted {
     let follow = state.config.follow();
-    if follow.is_ready() { follow.revision() } else { 0 }
+    if follow.is_ready() {
+        return Wanted::Records(follow.revision());
+    }
+    let is_log_away = state.log_away.load(Ordering::Acquire);
+    if is_log_away || follow.needs_snapshot() { Wanted::State } else { Wanted::Nothing }
 }
 
 /// Records from a revision on for another node, or the state where they aren't kept any more.
--- a/cuminward-node/src/control/peer/greet.rs
+++ b/cuminward-node/src/control/peer/greet.rs
@@ -8,10 +8,10 @@
 
 use cuminward_core::id;
 use cuminward_event::kind::Kind;
-use cuminward_peer::{message, spread};
+use cuminward_peer::{message, spread as sources};
 use futures::{StreamExt, stream};
 
-use crate::{control::configure, peers, state};
+use crate::{control::configure::spread, peers, state};
 
 /// Time between two greetings of the same node.
 const INTERVAL: Duration = Duration::from_millis(400);
@@ -110,19 +110,41 @@
     *live = found;
 }
 
-/// Pulls newer configuration from the node's sources.
+/// Pulls newer configuration from other nodes.
 async fn pull(state: &state::State) {
+    match spread::wanted(state) {
+        spread::Wanted::Nothing => {}
+        spread::Wanted::Records(_) => pull_records(state).await,
+        spread::Wanted::State => pull_state(state).await,
+    }
+}
+
+/// Pulls the state of the node with the largest revision.
+async fn pull_state(state: &state::State) {
+    let now = state.now();
+    let known = state.peers.known();
+    let live = known.iter().filter(|(_, it)| it.is_live(now));
+    let revision = |it: &peers::Peer| it.word.as_ref().map_or(0, |it| it.revision);
+    let newest = live.max_by_key(|(_, it)| revision(it)).filter(|(_, it)| 0 < revision(it));
+    let Some((source, _)) = newest else { return };
+    if let Ok(config) = state.pool.config(source, 0, PAGE).await {
+        spread::take_over(state, config, source);
+    }
+}
+
+/// Pulls newer records from the node's sources.
+async fn pull_records(state: &state::State) {
     let known = state.peers.known();
     let mut domains: BTreeMap<id::Domain, BTreeSet<id::Node>> = BTreeMap::new();
     for (node, peer) in known.iter() {
         domains.entry(peer.domain.clone()).or_default().insert(node.clone());
     }
     let (node, domain) = (&state.settings.node, &state.settings.domain);
-    for source in spread::sources(node, domain, &domains) {
-        let own = configure::spread::wanted_from(state);
+    for source in sources::sources(node, domain, &domains) {
+        let own = *state.revision.borrow();
         let newer = known[&source].word.as_ref().is_some_and(|it| own < it.revision);
         if newer && let Ok(config) = state.pool.config(&source, own, PAGE).await {
-            configure::spread::take_over(state, config, &source);
+            spread::take_over(state, config, &source);
         }
     }
 }
--- /dev/null
+++ b/cuminward-testkit/tests/configuration.rs
@@ -0,0 +1,397 @@
+//! The configuration of real nodes under lost answers, restarts, outages, trimming and cuts.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use cuminward_config::{fold, record};
+use cuminward_core::{catalog, change, id};
+use cuminward_node::{node, state};
+use cuminward_operator::{client, server, status};
+use cuminward_standin::{log, world};
+use cuminward_testkit::{
+    cluster::{self, Cluster},
+    declare,
+};
+use googletest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// Time within which an accepted change has to be in force.
+const IN_FORCE: Duration = Duration::from_secs(5);
+
+/// Time within which a domain that was taken out has to get no new work.
+const TAKEN_OUT: Duration = Duration::from_secs(3);
+
+/// Time that nodes get to start, and the log to get a snapshot.
+const START: Duration = Duration::from_secs(10);
+
+/// What an operator heard of a change.
+type Answer = std::result::Result<server::Applied, status::Error>;
+
+async fn start(domains: &[&str], nodes_per_domain: u32, views: bool) -> Result<Cluster> {
+    let domain = |it: &&str| world::Domain::new(it, "r", 0);
+    let domains = domains.iter().map(domain).collect();
+    let world = world::Options { domains, ..world::Options::default() };
+    let options = cluster::Options { world, nodes_per_domain, views, ..Default::default() };
+    let cluster = Cluster::start(options).await.or_fail()?;
+    verify_true!(all(&cluster, START, |it| it.ready().is_ok()).await)?;
+    Ok(cluster)
+}
+
+/// Waits until a condition holds at every node.
+async fn all(cluster: &Cluster, limit: Duration, holds: impl Fn(&state::State) -> bool) -> bool {
+    cluster::wait(limit, || cluster.nodes().all(|(_, it)| holds(it.state()))).await
+}
+
+fn revision(state: &state::State) -> id::Revision {
+    state.catalog.load().revision
+}
+
+fn team(name: &str, in_flight: u32) -> change::Action {
+    let keys = BTreeSet::new();
+    change::Action::DeclareTeam(catalog::Team { name: name.to_owned(), keys, weight: 1, in_flight })
+}
+
+fn record(id: &str, action: change::Action) -> serde_json::Value {
+    let (change, operator) = (id.to_owned(), "operator".to_owned());
+    record::from_change(change::Record { change, operator, expected: None, action })
+}
+
+/// A client of some nodes, the first one first.
+fn operator(nodes: &[&node::Node], rounds: u32) -> Result<client::Client> {
+    let endpoints = nodes.iter().map(|it| format!("http://{}", it.addresses().operators));
+    let options = client::OptionsBuilder::default()
+        .endpoints(endpoints.collect::<Vec<_>>())
+        .token(cluster::OPERATOR_TOKEN.to_owned())
+        .rounds(rounds)
+        .build()
+        .or_fail()?;
+    client::Client::new(options).or_fail()
+}
+
+/// Waits until the log keeps a snapshot; tells whether it came in time.
+async fn wait_snapshot(cluster: &Cluster) -> bool {
+    let is_snapshot = |it: &serde_json::Value| it["kind"] == "snapshot";
+    let log = cluster.world.log();
+    cluster::wait(START, || log.records(record::STREAM).iter().any(is_snapshot)).await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_node_serves_only_at_the_logs_end() -> Result<()> {
+    const RECORDS: u32 = 1_300;
+    let mut cluster = start(&["a"], 0, false).await?;
+    let log = cluster.world.log();
+    log.append(record::STREAM, record("domain", declare::domain("a", "r")));
+    for number in 0..RECORDS {
+        log.append(record::STREAM, record(&format!("c{number}"), team("t", 1 + number)));
+    }
+    log.append(record::STREAM, record("out", change::Action::TakeOut("a".to_owned())));
+    log.fault(&log::Fault::Slow { delay_ms: Duration::from_millis(200) });
+    cluster.add("a-0", "a").await.or_fail()?;
+    let state = cluster.node("a-0").state();
+    let is_early = || state.configured.load(std::sync::atomic::Ordering::Acquire);
+    let is_wrong = || is_early() && state.catalog.load().in_service("a");
+    let end = u64::from(RECORDS) + 2;
+    verify_true!(cluster::wait(START, || is_wrong() || revision(state) >= end).await)?;
+    verify_false!(is_wrong())?;
+    verify_true!(cluster::wait(START, || state.ready().is_ok()).await)
+}
+
+/// Notes where a node's revision in force fell.
+fn watch(name: String, state: Arc<state::State>, seen: Arc<Mutex<Seen>>) {
+    tokio::spawn(async move {
+        while !state.stop.is_cancelled() {
+            seen.lock().expect("no holder panics").note(&name, revision(&state));
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+}
+
+/// Largest revision of each node, and the falls.
+#[derive(Default)]
+struct Seen {
+    newest: BTreeMap<id::Node, id::Revision>,
+    falls: Vec<(id::Node, id::Revision, id::Revision)>,
+}
+
+impl Seen {
+    fn note(&mut self, node: &str, revision: id::Revision) {
+        let newest = self.newest.entry(node.to_owned()).or_default();
+        // A new process has no revision before it is ready.
+        if 0 < revision && revision < *newest {
+            self.falls.push((node.to_owned(), *newest, revision));
+        }
+        *newest = revision.max(*newest);
+    }
+}
+
+/// A change of the seeded run; some can't be accepted.
+fn random_change(random: &mut Pcg64, number: u32) -> change::Action {
+    match random.random_range(0..10) {
+        0 => change::Action::TakeOut("nowhere".to_owned()),
+        1 => change::Action::RemoveTeam(format!("t{}", random.random_range(0..4))),
+        _ => team(&format!("t{}", random.random_range(0..4)), 1 + number),
+    }
+}
+
+/// Tells whether an answer is true of what the log's records make of the change.
+fn is_true(answer: &Answer, folded: Option<&fold::Outcome>) -> bool {
+    match (answer, folded) {
+        (Ok(applied), Some(fold::Outcome::Accepted { revision })) => applied.revision == *revision,
+        (Err(status::Error::Conflict { change, .. }), Some(fold::Outcome::Conflict { with })) => {
+            *change == with.change
+        }
+        (Err(status::Error::Invalid(_)), Some(fold::Outcome::Invalid { .. })) => true,
+        (Err(status::Error::Unknown(_)), _) => true,
+        (Err(_), None) => true,
+        _ => false,
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn accepted_changes_hold_with_lost_answers_and_restarts() -> Result<()> {
+    const BATCHES: u32 = 50;
+    const BATCH: u32 = 4;
+    let mut random = Pcg64::seed_from_u64(7);
+    let mut cluster = start(&["a", "b", "c"], 3, false).await?;
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    for (name, node) in cluster.nodes() {
+        watch(name.clone(), Arc::clone(node.state()), Arc::clone(&seen));
+    }
+    let names: Vec<id::Node> = cluster.nodes().map(|(name, _)| name.clone()).collect();
+    let (mut answers, mut known, mut restarts) = (Vec::new(), 0, 0);
+    for batch in 0..BATCHES {
+        if random.random_ratio(1, 3) {
+            let count = random.random_range(1..4);
+            cluster.world.log().fault(&log::Fault::LoseAnswers { count });
+        }
+        let mut changes = Vec::new();
+        for number in batch * BATCH..(batch + 1) * BATCH {
+            let mut nodes: Vec<&node::Node> = cluster.nodes().map(|(_, it)| it).collect();
+            nodes.rotate_left(random.random_range(0..names.len()));
+            let operator = operator(&nodes, 3)?;
+            let expected = random.random_bool(0.5).then_some(known);
+            let action = random_change(&mut random, number);
+            changes.push(tokio::spawn(async move {
+                let id = format!("change-{number}");
+                let answer = operator.apply(id.clone(), expected, action).await;
+                (id, answer)
+            }));
+        }
+        if random.random_ratio(1, 3) {
+            let name = &names[random.random_range(0..names.len())];
+            cluster.take(name).or_fail()?.kill();
+            cluster.add(name, &name[..1]).await.or_fail()?;
+            let state = Arc::clone(cluster.node(name).state());
+            watch(name.clone(), state, Arc::clone(&seen));
+            restarts += 1;
+        }
+        for change in changes {
+            let (id, answer) = change.await.or_fail()?;
+            known = answer.as_ref().map_or(known, |it| known.max(it.revision));
+            answers.push((id, answer));
+        }
+        verify_true!(all(&cluster, IN_FORCE, |it| revision(it) >= known).await)
+            .with_failure_message(|| format!("batch {batch}"))?;
+    }
+    let mut fold = fold::Fold::default();
+    let mut outcomes = BTreeMap::new();
+    for (offset, value) in cluster.world.log().records(record::STREAM).iter().enumerate() {
+        let outcome = fold.apply(offset as id::Offset, value);
+        if let Some(id) = value["change"].as_str() {
+            outcomes.entry(id.to_owned()).or_insert(outcome);
+        }
+    }
+    for (id, answer) in &answers {
+        verify_true!(is_true(answer, outcomes.get(id)))
+            .with_failure_message(|| format!("{id}: {answer:?}, {:?}", outcomes.get(id)))?;
+    }
+    let count = |of: fn(&Answer) -> bool| answers.iter().filter(|(_, it)| of(it)).count();
+    let accepted = count(|it| it.is_ok());
+    let conflicts = count(|it| matches!(it, Err(status::Error::Conflict { .. })));
+    let unknown = count(|it| matches!(it, Err(status::Error::Unknown(_))));
+    let lost = cluster.world.log().counters().lost_answers;
+    println!(
+        "{accepted} accepted, {conflicts} conflicts, {unknown} unknown of {}; {lost} answers lost, \
+         {restarts} restarts",
+        answers.len()
+    );
+    verify_that!((accepted, conflicts, lost), (gt(50), gt(10), gt(10)))?;
+    verify_true!(all(&cluster, IN_FORCE, |it| **it.catalog.load() == *fold.catalog()).await)?;
+    verify_that!(seen.lock().expect("no holder panics").falls, is_empty())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_cut_off_from_the_platform_follows_its_peers() -> Result<()> {
+    let cluster = start(&["a", "b"], 2, true).await?;
+    cluster.view("a-0").cut_platform();
+    let operator = operator(&[cluster.node("b-1")], 3)?;
+    for number in 0..5 {
+        let id = format!("change-{number}");
+        let applied = operator.apply(id, None, team("t", 1 + number)).await.or_fail()?;
+        verify_true!(all(&cluster, IN_FORCE, |it| revision(it) >= applied.revision).await)?;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_of_two_racing_operators_wins() -> Result<()> {
+    let cluster = start(&["a"], 2, false).await?;
+    let first = operator(&[cluster.node("a-0")], 3)?;
+    let second = operator(&[cluster.node("a-1")], 3)?;
+    let mut known = Some(0);
+    for round in 0..20 {
+        let ids = [format!("first-{round}"), format!("second-{round}")];
+        let (one, other) = tokio::join!(
+            first.apply(ids[0].clone(), known, team("t", 1)),
+            second.apply(ids[1].clone(), known, team("t", 2)),
+        );
+        let (winner, lost, applied) = match (one, other) {
+            (Ok(applied), Err(lost)) => (&ids[0], lost, applied),
+            (Err(lost), Ok(applied)) => (&ids[1], lost, applied),
+            both => return fail!("not one winner: {both:?}"),
+        };
+        let status::Error::Conflict { revision, change, .. } = lost else {
+            return fail!("no conflict: {lost}");
+        };
+        verify_that!((revision, &change), eq((applied.revision, winner)))?;
+        known = Some(applied.revision);
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_reader_of_a_trimmed_log_takes_a_snapshot() -> Result<()> {
+    let cluster = start(&["a", "b"], 2, true).await?;
+    let view = cluster.view("a-0");
+    view.cut_platform();
+    ["a", "b"].into_iter().for_each(|it| view.cut_domain(it));
+    let slow = cluster.node("a-0").state();
+    let held = revision(slow);
+    let operator = operator(&[cluster.node("b-0"), cluster.node("b-1")], 3)?;
+    for number in 0..20 {
+        operator.apply(format!("c{number}"), None, team("t", 1 + number)).await.or_fail()?;
+    }
+    verify_true!(wait_snapshot(&cluster).await)?;
+    let kept = cluster.world.log().records(record::STREAM).len();
+    cluster.world.log().trim(record::STREAM, kept as u64);
+    verify_true!(wait_snapshot(&cluster).await)?;
+    verify_that!(revision(slow), eq(held))?;
+    view.log().heal();
+    let newest = revision(cluster.node("b-0").state());
+    verify_true!(cluster::wait(IN_FORCE, || revision(slow) >= newest).await)?;
+    verify_that!(slow.catalog.load().teams["t"].in_flight, eq(20))
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_replaced_in_an_outage_take_the_state_of_peers() -> Result<()> {
+    let mut cluster = start(&["a", "b"], 2, false).await?;
+    let applied = cluster.apply([team("t", 7)]).await.or_fail()?;
+    verify_true!(all(&cluster, IN_FORCE, |it| revision(it) >= applied).await)?;
+    cluster.world.log().fault(&log::Fault::Down);
+    replace(&mut cluster, &["a-0", "a-1"]).await?;
+    let has_team = |it: &state::State| it.catalog.load().teams.contains_key("t");
+    verify_true!(all(&cluster, IN_FORCE, |it| it.ready().is_ok() && has_team(it)).await)?;
+    replace(&mut cluster, &["a-0", "a-1", "b-0", "b-1"]).await?;
+    let any_ready = || cluster.nodes().any(|(_, it)| it.state().ready().is_ok());
+    verify_false!(cluster::wait(Duration::from_secs(2), any_ready).await)?;
+    cluster.world.log().fault(&log::Fault::Up);
+    verify_true!(all(&cluster, IN_FORCE, |it| it.ready().is_ok() && has_team(it)).await)
+}
+
+/// Kills nodes at once and starts new ones in their places.
+async fn replace(cluster: &mut Cluster, names: &[&str]) -> Result<()> {
+    let old: Vec<_> = names.iter().filter_map(|it| cluster.take(it)).collect();
+    old.into_iter().for_each(node::Node::kill);
+    for name in names {
+        cluster.add(name, &name[..1]).await.or_fail()?;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_are_refused_truthfully_in_an_outage() -> Result<()> {
+    let cluster = start(&["a"], 2, false).await?;
+    let applied = cluster.apply([team("t", 7)]).await.or_fail()?;
+    verify_true!(all(&cluster, IN_FORCE, |it| revision(it) >= applied).await)?;
+    cluster.world.log().fault(&log::Fault::Down);
+    let refused = cluster.operator().or_fail()?.apply("late".to_owned(), None, team("t", 8)).await;
+    verify_that!(refused, err(matches_pattern!(status::Error::Unavailable(_))))?;
+    verify_true!(all(&cluster, IN_FORCE, |it| it.catalog.load().teams["t"].in_flight == 7).await)?;
+    cluster.world.log().fault(&log::Fault::Up);
+    let applied = cluster.apply([team("u", 1)]).await.or_fail()?;
+    verify_true!(all(&cluster, IN_FORCE, |it| revision(it) >= applied).await)?;
+    let records = cluster.world.log().records(record::STREAM);
+    verify_false!(records.iter().any(|it| it["change"] == "late"))
+}
+
+/// A cut of the nodes of domain `a` while operators take it out at domain `b`.
+struct Cut {
+    name: &'static str,
+    platform: bool,
+    domains: &'static [&'static str],
+    learns: bool,
+}
+
+const CUTS: [Cut; 4] = [
+    Cut { name: "from the platform", platform: true, domains: &[], learns: true },
+    Cut { name: "from the other domains", platform: false, domains: &["b", "c"], learns: true },
+    Cut { name: "from the platform and b", platform: true, domains: &["b"], learns: true },
+    Cut { name: "from all", platform: true, domains: &["b", "c"], learns: false },
+];
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_domain_is_taken_out_in_every_cut() -> Result<()> {
+    futures::future::join_all(CUTS.iter().map(take_out_in)).await.into_iter().collect()
+}
+
+async fn take_out_in(cut: &Cut) -> Result<()> {
+    let cluster = start(&["a", "b", "c"], 2, true).await?;
+    let domains = ["a", "b", "c"].map(|it| declare::domain(it, "r"));
+    let declared = cluster.apply(domains).await.or_fail()?;
+    verify_true!(all(&cluster, IN_FORCE, |it| revision(it) >= declared).await)?;
+    cluster.nodes().for_each(|(name, _)| apply_cut(&cluster, name, cut));
+    let operator = operator(&[cluster.node("b-0")], 3)?;
+    let action = change::Action::TakeOut("a".to_owned());
+    operator.apply("out".to_owned(), None, action).await.or_fail()?;
+    let knows = |it: &state::State| !it.catalog.load().in_service("a");
+    let must = |name: &str| cut.learns || !name.starts_with("a-");
+    let learned = || cluster.nodes().all(|(name, it)| !must(name) || knows(it.state()));
+    verify_true!(cluster::wait(TAKEN_OUT, learned).await)
+        .with_failure_message(|| cut.name.to_owned())?;
+    if !cut.learns {
+        let state = cluster.node("a-0").state();
+        verify_true!(state.catalog.load().in_service("a") && state.ready().is_ok())?;
+    }
+    for (name, _) in cluster.nodes() {
+        let view = cluster.view(name);
+        view.heal_platform();
+        ["a", "b", "c"].into_iter().for_each(|it| view.heal_domain(it));
+    }
+    verify_true!(all(&cluster, IN_FORCE, knows).await)
+        .with_failure_message(|| format!("healed, {}", cut.name))
+}
+
+/// Cuts domain `a` from others, in both directions.
+fn apply_cut(cluster: &Cluster, name: &str, cut: &Cut) {
+    let view = cluster.view(name);
+    if name.starts_with("a-") {
+        cut.domains.iter().for_each(|it| view.cut_domain(it));
+        if cut.platform {
+            view.cut_platform();
+        }
+    } else if cut.domains.contains(&&name[..1]) {
+        view.cut_domain("a");
+    }
+}
