feat: cuminward-node: other failure domains serve what the own one can't

Cause: requests at nodes of a domain that was taken out waited for its return. Change: a request whose own domain has no upstream for it, or no slot for 100 ms, is relayed to a node of a domain that is in service and freshly known to have capacity; broken relayed streams are resumed at their token.

--- a/cuminward-node/src/request.rs
+++ b/cuminward-node/src/request.rs
@@ -5,4 +5,5 @@
 pub mod dispatch;
 pub mod generate;
 pub mod lease;
+pub mod remote;
 pub mod search;
--- a/cuminward-node/src/request/call.rs
+++ b/cuminward-node/src/request/call.rs
@@ -10,17 +10,20 @@
 };
 use cuminward_event::kind::Kind;
 use cuminward_route::attempt;
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 
 use crate::{
-    request::{dispatch, lease, search},
-    state, view,
+    request::{dispatch, lease, remote, search},
+    state,
 };
 
 /// Largest answer that is passed on, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Time that a call waits for a slot of the own failure domain before another one is used.
+const SPILL: Duration = Duration::from_millis(100);
+
 /// One call on its way.
 struct Job {
     state: Arc<state::State>,
@@ -82,26 +85,23 @@
             let wish = self.wish(avoid);
             let granted = dispatch::acquire(&self.state, wish).await;
             let granted = granted.map_err(|it| self.truthful(it))?;
-            let search::Upstream::Plain(host) = granted.upstream else {
-                unreachable!("a plain service is served by plain hosts");
-            };
-            let failure = match self.attempt(&host).await {
+            let failure = match self.attempt(&granted.upstream).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
-            avoid = vec![host.host];
+            avoid = vec![granted.upstream.name().to_owned()];
             self.decide(failure)?;
         }
     }
 
-    async fn attempt(&mut self, host: &view::Plain) -> Result<backend::Answer, Failure> {
+    async fn attempt(&mut self, upstream: &search::Upstream) -> Result<backend::Answer, Failure> {
         self.attempts += 1;
         self.emit(Kind::RequestRouted {
-            upstream: host.host.clone(),
-            domain: self.state.settings.domain.clone(),
+            upstream: upstream.name().to_owned(),
+            domain: upstream.domain(&self.state).to_owned(),
             attempt: u64::from(self.attempts),
         });
-        let failure = match self.send(host).await {
+        let failure = match self.send(upstream).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
@@ -109,8 +109,16 @@
         Err(failure)
     }
 
-    async fn send(&self, host: &view::Plain) -> Result<backend::Answer, Failure> {
-        let called = self.state.plains.call(&host.address, self.request(), self.timeout).await;
+    async fn send(&self, upstream: &search::Upstream) -> Result<backend::Answer, Failure> {
+        let (address, request, timeout) = match upstream {
+            search::Upstream::Plain(host) => (&host.address, self.request(), self.timeout),
+            search::Upstream::Node(node) => {
+                let wait = self.deadline.saturating_sub(self.state.now());
+                (&node.address, self.relayed(wait), wait + self.timeout)
+            }
+            search::Upstream::Replica(_) => unreachable!("replicas serve no plain services"),
+        };
+        let called = self.state.plains.call(address, request, timeout).await;
         let response = called.map_err(|failure| {
             let report = match failure.error.outcome() {
                 Outcome::NotRun => attempt::Report::NotRun,
@@ -125,6 +133,11 @@
             Ok(Err(error)) => return Err(unknown(format!("the answer was cut off: {error}"))),
             Err(_) => return Err(unknown("the answer took too long".to_owned())),
         };
+        if let search::Upstream::Node(_) = upstream
+            && let Some(failure) = relayed_failure(&parts.headers, &body)
+        {
+            return Err(failure);
+        }
         if self.is_empty_look_up(parts.status, &body) {
             return Err(unknown("the answer to a look-up was empty".to_owned()));
         }
@@ -164,6 +177,7 @@
             deadline: self.deadline,
             target: search::Target::Plain(self.call.service.clone()),
             avoid,
+            spill: self.call.context.relay.is_none().then_some(self.begun + SPILL),
         }
     }
 
@@ -178,6 +192,18 @@
         request
     }
 
+    /// The request as another node takes it.
+    fn relayed(&self, wait: Duration) -> Request<Full<Bytes>> {
+        let mut request = self.request();
+        let path = format!("/services/{}{}", self.call.service, self.call.path);
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        let headers = request.headers_mut();
+        headers.extend(remote::headers(&self.state, &self.call.context));
+        let wait_ms = wait.as_millis().max(1) as u64;
+        headers.insert(cuminward_caller::header::DEADLINE, HeaderValue::from(wait_ms));
+        request
+    }
+
     /// A successful look-up has content, or says by its status that there is none.
     fn is_empty_look_up(&self, status: StatusCode, body: &Bytes) -> bool {
         self.call.method == Method::GET && status == StatusCode::OK && body.is_empty()
@@ -212,6 +238,17 @@
     }
 }
 
+/// The failure that another node reports, if it does.
+fn relayed_failure(headers: &HeaderMap, body: &Bytes) -> Option<Failure> {
+    let outcome = headers.get(cuminward_caller::header::OUTCOME).map(HeaderValue::as_bytes);
+    let report = match outcome {
+        Some(b"complete") => return None,
+        Some(b"not-run") => attempt::Report::NotRun,
+        _ => attempt::Report::Unknown,
+    };
+    Some(Failure { report, reason: String::from_utf8_lossy(body).into_owned() })
+}
+
 fn unknown(reason: String) -> Failure {
     Failure { report: attempt::Report::Unknown, reason }
 }
--- a/cuminward-node/src/request/generate.rs
+++ b/cuminward-node/src/request/generate.rs
@@ -14,12 +14,12 @@
 };
 use cuminward_event::kind::Kind;
 use cuminward_route::{attempt, prefix};
-use cuminward_upstream::{error, generate};
+use cuminward_upstream::{error, generate, relay};
 use futures::{Stream, StreamExt};
 use tokio::sync::mpsc;
 
 use crate::{
-    request::{dispatch, lease, search},
+    request::{dispatch, lease, remote, search},
     state,
 };
 
@@ -32,6 +32,9 @@
 /// Longest time that a whole generation may take.
 const LONGEST: Duration = Duration::from_secs(600);
 
+/// Time that a request waits for a slot of the own failure domain before another one is used.
+const SPILL: Duration = Duration::from_millis(100);
+
 /// Tokens of one generation.
 #[derive(Debug)]
 pub struct Tokens {
@@ -118,6 +121,7 @@
                 prefixes: Arc::new(prefixes),
             }),
             avoid: Vec::new(),
+            spill: request.context.relay.is_none().then_some(begun + SPILL),
         };
         Job {
             fingerprint: fingerprint(&request),
@@ -125,8 +129,8 @@
             begun,
             sink,
             attempts: 0,
-            next: 0,
-            may_have_run: false,
+            next: request.resume_at,
+            may_have_run: 0 < request.resume_at,
             _place: place,
             state,
             request,
@@ -151,35 +155,50 @@
                 Ok(granted) => granted,
                 Err(refusal) => return self.refuse(self.truthful(refusal)).await,
             };
-            let search::Upstream::Replica(replica) = granted.upstream else {
-                unreachable!("a model is served by replicas");
-            };
-            let end = self.attempt(&replica).await;
+            let end = self.attempt(&granted.upstream).await;
             drop(granted.lease);
             let failure = match end {
                 End::Complete | End::CallerLeft => return,
                 End::Failed(failure) => failure,
             };
-            self.wish.avoid = vec![replica.group.clone()];
+            self.wish.avoid = vec![granted.upstream.name().to_owned()];
             if let Some(refusal) = self.decide(&failure) {
                 return self.refuse(refusal).await;
             }
         }
     }
 
-    /// Sends the request to a replica and passes its tokens on.
-    async fn attempt(&mut self, replica: &replica::Replica) -> End {
+    /// Sends the request to an upstream and passes its tokens on.
+    async fn attempt(&mut self, upstream: &search::Upstream) -> End {
         self.attempts += 1;
         self.emit(Kind::RequestRouted {
-            upstream: replica.group.clone(),
-            domain: self.state.settings.domain.clone(),
+            upstream: upstream.name().to_owned(),
+            domain: upstream.domain(&self.state).to_owned(),
             attempt: u64::from(self.attempts),
         });
-        let body = self.body(replica);
-        let started = self.state.engines.generate(&replica.address, &body, HEAD_TIMEOUT).await;
-        match started {
+        match self.send(upstream).await {
             Ok(chunks) => self.pass(chunks).await,
-            Err(error) => End::Failed(self.failure(&error)),
+            Err(error) => {
+                self.may_have_run |= error.outcome() != Outcome::NotRun;
+                End::Failed(self.failure(&error))
+            }
+        }
+    }
+
+    async fn send(&self, upstream: &search::Upstream) -> Result<generate::Chunks, error::Error> {
+        let engines = &self.state.engines;
+        match upstream {
+            search::Upstream::Replica(replica) => {
+                engines.generate(&replica.address, &self.body(replica), HEAD_TIMEOUT).await
+            }
+            search::Upstream::Node(node) => {
+                let headers = remote::headers(&self.state, &self.request.context);
+                let wait = self.wish.deadline.saturating_sub(self.state.now());
+                engines
+                    .relay(&node.address, &self.relayed(wait), headers, wait + HEAD_TIMEOUT)
+                    .await
+            }
+            search::Upstream::Plain(_) => unreachable!("plain hosts serve no models"),
         }
     }
 
@@ -211,7 +230,7 @@
     }
 
     fn note_token(&mut self, index: u64) {
-        if self.next == 0 {
+        if self.next == self.request.resume_at {
             self.emit(Kind::RequestFirstToken { after_ms: self.age_ms() });
         }
         self.next = index + 1;
@@ -271,6 +290,17 @@
         }
     }
 
+    fn relayed(&self, wait: Duration) -> relay::Request {
+        relay::Request {
+            model: self.request.model.clone(),
+            version: self.request.version.clone(),
+            prompt: self.request.prompt.clone(),
+            max_tokens: self.request.max_tokens,
+            resume_at: self.next,
+            wait,
+        }
+    }
+
     fn failure(&self, error: &error::Error) -> Failure {
         let report = match error.outcome() {
             Outcome::NotRun if self.next == 0 => attempt::Report::NotRun,
--- a/cuminward-node/src/request/search.rs
+++ b/cuminward-node/src/request/search.rs
@@ -12,7 +12,10 @@
     route::{self, Candidate},
 };
 
-use crate::{request::lease, state, view};
+use crate::{
+    request::{lease, remote},
+    state, view,
+};
 
 /// What a request wants.
 #[derive(Debug, Clone)]
@@ -25,8 +28,11 @@
     pub deadline: Duration,
     /// Kind of upstream.
     pub target: Target,
-    /// Groups or hosts that failed the request before.
+    /// Groups, hosts or nodes that failed the request before.
     pub avoid: Vec<String>,
+    /// When other failure domains may be used although the own one serves the request, since the
+    /// start of the process; `None` never uses them.
+    pub spill: Option<Duration>,
 }
 
 /// Kind of upstream that a request wants.
@@ -53,8 +59,8 @@
 pub struct Granted {
     /// The upstream.
     pub upstream: Upstream,
-    /// The slot; to be kept until the request has ended.
-    pub lease: lease::Lease,
+    /// The slot, to be kept until the request has ended; other nodes need none.
+    pub lease: Option<lease::Lease>,
 }
 
 /// An upstream that a request is sent to.
@@ -64,6 +70,8 @@
     Replica(replica::Replica),
     /// A host of a plain service.
     Plain(view::Plain),
+    /// A node of another failure domain.
+    Node(remote::Node),
 }
 
 /// Whether a slot is to be had.
@@ -76,6 +84,26 @@
     Refused(Refusal),
 }
 
+/// Access
+impl Upstream {
+    /// Name of the group, host or node.
+    pub fn name(&self) -> &str {
+        match self {
+            Upstream::Replica(it) => &it.group,
+            Upstream::Plain(it) => &it.host,
+            Upstream::Node(it) => &it.node,
+        }
+    }
+
+    /// Failure domain of the upstream.
+    pub fn domain<'a>(&'a self, state: &'a state::State) -> &'a str {
+        match self {
+            Upstream::Node(it) => &it.domain,
+            Upstream::Replica(_) | Upstream::Plain(_) => &state.settings.domain,
+        }
+    }
+}
+
 /// Access
 impl Target {
     /// Name of the model or service.
@@ -87,12 +115,36 @@
     }
 }
 
-/// Looks for an upstream that fits a wish and has a free slot.
+/// Looks for an upstream that fits a wish and has a free slot: in the own failure domain first, in
+/// another one if the own one doesn't serve the request or has had no slot for too long.
 pub fn run(state: &Arc<state::State>, wish: &Wish) -> Outcome {
     let view = state.view.load();
-    match &wish.target {
+    let local = match &wish.target {
         Target::Model(model) => replica(state, &view, wish, model),
         Target::Plain(service) => host(state, &view, service, &wish.avoid),
+    };
+    if !matches!(local, Outcome::Busy) {
+        return local;
+    }
+    let Some(spill) = wish.spill else { return Outcome::Busy };
+    if is_served(&view, wish) && state.now() < spill {
+        return Outcome::Busy;
+    }
+    remote::choose(state, &view, wish).map_or(Outcome::Busy, |node| {
+        Outcome::Granted(Granted { upstream: Upstream::Node(node), lease: None })
+    })
+}
+
+/// Tells whether an upstream of the own failure domain could serve the wish when it has a slot.
+fn is_served(view: &view::View, wish: &Wish) -> bool {
+    let usable = |name: &String| !wish.avoid.contains(name);
+    match &wish.target {
+        Target::Model(it) => view.table.candidates().any(|candidate| {
+            candidate.replica.model == it.model && usable(&candidate.replica.group)
+        }),
+        Target::Plain(service) => {
+            view.plains.get(service).is_some_and(|hosts| hosts.iter().any(|it| usable(&it.host)))
+        }
     }
 }
 
@@ -129,7 +181,7 @@
     let slot = view.slots.get(&candidate.replica.group)?.acquire(state.now())?;
     candidate.gauge.prefixes().insert_all(prefixes);
     let lease = lease::Lease::new(state, slot, Some(candidate.gauge.enter()));
-    Some(Granted { upstream: Upstream::Replica(candidate.replica.clone()), lease })
+    Some(Granted { upstream: Upstream::Replica(candidate.replica.clone()), lease: Some(lease) })
 }
 
 /// Looks among the hosts of a plain service, the least used one first.
@@ -146,7 +198,7 @@
     let granted = usable.into_iter().find_map(|it| {
         let slot = it.slots.acquire(state.now())?;
         let lease = lease::Lease::new(state, slot, None);
-        Some(Granted { upstream: Upstream::Plain(it.clone()), lease })
+        Some(Granted { upstream: Upstream::Plain(it.clone()), lease: Some(lease) })
     });
     granted.map_or(Outcome::Busy, Outcome::Granted)
 }
--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -19,7 +19,7 @@
 use cuminward_group::assembly;
 use cuminward_peer::count;
 use cuminward_platform::hosts;
-use cuminward_route::{admission, attempt};
+use cuminward_route::{admission, attempt, route::Candidate};
 use cuminward_upstream::{engine, plain, pool};
 use http_body_util::Full;
 
@@ -163,10 +163,11 @@
         view.teams.values().map(|it| u64::from(it.load(Ordering::Acquire))).sum()
     }
 
-    /// Requests that the failure domain's replicas could take in addition, by this node's slots.
+    /// Requests that the failure domain's replicas could take in addition, by their reported load.
     pub fn free(&self) -> u32 {
         let view = self.view.load();
-        view.slots.values().map(|it| it.allowance().saturating_sub(it.in_use())).sum()
+        let free = |it: &Candidate| it.gauge.limit().saturating_sub(it.gauge.load());
+        view.table.candidates().map(free).sum()
     }
 
     /// The users' measures of the failure domain's groups.
