fix: cuminward-testkit: killed nodes close their connections

Cause: a node that was killed in a test kept the connections that it had accepted, so the test of a lost node could pass without a loss. Change: each node has threads of its own, which end with it; the test kills the node that really relays the stream. Conclusion: tests that kill nodes now show what a killed process would.

--- a/cuminward-node/src/node.rs
+++ b/cuminward-node/src/node.rs
@@ -92,12 +92,6 @@
         self.state.events.emit(Kind::NodeStopped { in_flight: self.state.in_flight(), after_ms });
         finished
     }
-
-    /// Ends the node at once, as if its process were killed; requests are cut off.
-    pub fn kill(self) {
-        self.state.stop.cancel();
-        self.callers.abort();
-    }
 }
 
 /// Access
--- a/cuminward-testkit/src/cluster.rs
+++ b/cuminward-testkit/src/cluster.rs
@@ -11,6 +11,7 @@
 use cuminward_operator::client;
 use cuminward_standin::world;
 use miette::{IntoDiagnostic, miette};
+use tokio::runtime::{self, Runtime};
 
 use crate::declare;
 
@@ -27,11 +28,20 @@
 pub struct Cluster {
     /// What surrounds the nodes.
     pub world: world::World,
-    nodes: BTreeMap<id::Node, node::Node>,
+    nodes: BTreeMap<id::Node, Member>,
     timing: settings::Timing,
     limits: settings::Limits,
 }
 
+/// A node with threads of its own, as if it were a process of its own.
+pub struct Member {
+    node: Option<node::Node>,
+    runtime: Option<Runtime>,
+}
+
+/// Threads of a node.
+const THREADS: usize = 2;
+
 /// What a cluster consists of.
 #[derive(Debug, Clone, Default)]
 pub struct Options {
@@ -68,7 +78,7 @@
 
     /// Stops all nodes gracefully; tells whether all of them finished their requests in time.
     pub async fn stop(self) -> bool {
-        let stopping = self.nodes.into_values().map(node::Node::stop);
+        let stopping = self.nodes.into_values().map(Member::stop);
         let finished = futures::future::join_all(stopping).await;
         self.world.stop().await;
         finished.into_iter().all(|it| it)
@@ -83,17 +93,17 @@
     ///
     /// If there is no such node.
     pub fn node(&self, name: &str) -> &node::Node {
-        &self.nodes[name]
+        self.nodes[name].node()
     }
 
     /// All nodes by name.
     pub fn nodes(&self) -> impl Iterator<Item = (&id::Node, &node::Node)> {
-        self.nodes.iter()
+        self.nodes.iter().map(|(name, it)| (name, it.node()))
     }
 
     /// Addresses of the nodes' HTTP interfaces, by the order of their names.
     pub fn callers(&self) -> Vec<SocketAddr> {
-        self.nodes.values().map(|it| it.addresses().callers).collect()
+        self.nodes.values().map(|it| it.node().addresses().callers).collect()
     }
 
     /// A client of the operators' interfaces of all nodes.
@@ -103,7 +113,7 @@
     /// A report if there is no node.
     pub fn operator(&self) -> miette::Result<client::Client> {
         let endpoints =
-            self.nodes.values().map(|it| format!("http://{}", it.addresses().operators));
+            self.nodes.values().map(|it| format!("http://{}", it.node().addresses().operators));
         let options = client::OptionsBuilder::default()
             .endpoints(endpoints.collect::<Vec<_>>())
             .token(OPERATOR_TOKEN.to_owned())
@@ -173,7 +183,7 @@
     /// A report if that takes longer than `limit`.
     pub async fn wait_replicas(&self, count: usize, limit: Duration) -> miette::Result<()> {
         let all = || {
-            let enough = |it: &node::Node| it.state().replicas.load().routable.len() == count;
+            let enough = |it: &Member| it.node().state().replicas.load().routable.len() == count;
             self.nodes.values().all(enough)
         };
         if wait(limit, all).await {
@@ -193,15 +203,15 @@
     /// A report if a port can't be bound.
     pub async fn add(&mut self, name: &str, domain: &str) -> miette::Result<()> {
         let settings = self.settings(name, domain);
-        let node = node::Node::start(settings).await?;
-        let address = node.addresses().peers.to_string();
+        let member = Member::start(settings).await?;
+        let address = member.node().addresses().peers.to_string();
         self.world.add_node(world::node_entry(name, domain, &address));
-        self.nodes.insert(name.to_owned(), node);
+        self.nodes.insert(name.to_owned(), member);
         Ok(())
     }
 
     /// Takes a node out of the cluster, to be stopped or killed; it stays in the host list.
-    pub fn take(&mut self, name: &str) -> Option<node::Node> {
+    pub fn take(&mut self, name: &str) -> Option<Member> {
         self.nodes.remove(name)
     }
 
@@ -229,6 +239,52 @@
     }
 }
 
+/// Life cycle
+impl Member {
+    /// Starts a node with threads of its own.
+    ///
+    /// # Errors
+    ///
+    /// A report if a port can't be bound.
+    pub async fn start(settings: settings::Settings) -> miette::Result<Member> {
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(THREADS)
+            .enable_all()
+            .build()
+            .into_diagnostic()?;
+        let starting = runtime.spawn(node::Node::start(settings));
+        let node = starting.await.into_diagnostic()??;
+        Ok(Member { node: Some(node), runtime: Some(runtime) })
+    }
+
+    /// Stops the node gracefully; tells whether it finished its requests in time.
+    pub async fn stop(mut self) -> bool {
+        let (Some(node), Some(runtime)) = (self.node.take(), &self.runtime) else { return false };
+        runtime.spawn(node.stop()).await.unwrap_or(false)
+    }
+
+    /// Ends the node at once, with all its connections, as if its process were killed.
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Access
+impl Member {
+    /// The node.
+    pub fn node(&self) -> &node::Node {
+        self.node.as_ref().expect("the node is there until it is stopped")
+    }
+}
+
 /// Waits until a condition holds; tells whether it did within the limit.
 pub async fn wait(limit: Duration, condition: impl Fn() -> bool) -> bool {
     let begun = Instant::now();
--- a/cuminward-testkit/tests/domains.rs
+++ b/cuminward-testkit/tests/domains.rs
@@ -79,8 +79,11 @@
     let tokens = 200;
     let text = "a long tail";
     let chat = tokio::spawn(async move { caller.chat(node, text, tokens).await });
-    tokio::time::sleep(Duration::from_millis(400)).await;
-    cluster.take("b-0").or_fail()?.kill();
+    let used = || ["b-0", "b-1"].into_iter().find(|it| cluster.node(it).state().in_flight() == 1);
+    expect_that!(cluster::wait(ANSWER, || used().is_some()).await, eq(true));
+    let used = used().or_fail()?;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    cluster.take(used).or_fail()?.kill();
     let answer = chat.await.or_fail()?.or_fail()?;
     let prompt = format!("user: {text}\n");
     let expected = engine::token::reply_text(declare::VERSION, &prompt, u64::from(tokens));
