--- a/cuminward-once/tests/all/main.rs
+++ b/cuminward-once/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod key;
 mod ledger;
+mod machine;
 mod mint;
 mod store;
 mod window;
