feat: cuminward-route: requests without a cached prefix go in turn

Cause: affinity sent requests without a cached prefix to the less utilized of two drawn replicas; their prompts then queued behind each other. Change: they go in turn to the replicas within the load bound.

--- a/cuminward-route/examples/policies/routing.rs
+++ b/cuminward-route/examples/policies/routing.rs
@@ -138,10 +138,10 @@
     print("least loaded", &play(&policy::LeastLoaded, seed));
     print("affinity 1.25", &play(&policy::Affinity::default(), seed));
     for (name, bound_permille) in [("affinity 1.1", 1100), ("affinity 1.5", 1500)] {
-        let policy = policy::Affinity { bound_permille, ..policy::Affinity::default() };
+        let policy = policy::Affinity::new(bound_permille, 250);
         print(name, &play(&policy, seed));
     }
-    let policy = policy::Affinity { bound_permille: u64::MAX / 1_000_000, floor_permille: 0 };
+    let policy = policy::Affinity::new(u64::MAX / 1_000_000, 0);
     print("affinity only", &play(&policy, seed));
 }
 
--- a/cuminward-route/src/route.rs
+++ b/cuminward-route/src/route.rs
@@ -47,7 +47,7 @@
     load: &impl policy::Load,
     random: u64,
 ) -> Choice<'a> {
-    choose_with(&policy::Affinity::default(), table, query, load, random)
+    choose_with(table.policy(), table, query, load, random)
 }
 
 /// Chooses a replica with the given policy; `random` is uniform.
--- a/cuminward-route/src/route/policy.rs
+++ b/cuminward-route/src/route/policy.rs
@@ -45,9 +45,11 @@
 pub struct LeastLoaded;
 
 /// Takes the replica with the longest cached prefix among those whose utilization is within a
-/// bound; without a cached prefix, the less utilized one of two drawn at random.
-#[derive(Debug, Clone, Copy)]
+/// bound. Requests without a cached prefix cost most to start, so they go to the replicas within
+/// the bound in turn; if none is within it, to the less utilized one of two drawn at random.
+#[derive(Debug)]
 pub struct Affinity {
+    turn: AtomicUsize,
     /// Bound, in thousandths of the average utilization.
     pub bound_permille: u64,
     /// Utilization in thousandths up to which affinity always counts.
@@ -56,7 +58,7 @@
 
 impl Default for Affinity {
     fn default() -> Affinity {
-        Affinity { bound_permille: DEFAULT_BOUND_PERMILLE, floor_permille: DEFAULT_FLOOR_PERMILLE }
+        Affinity::new(DEFAULT_BOUND_PERMILLE, DEFAULT_FLOOR_PERMILLE)
     }
 }
 
@@ -112,13 +114,27 @@
             .map(|it| (load.matched(it, query), load.utilization(it), it))
             .filter(|&(matched, utilization, _)| matched > 0 && utilization <= bound)
             .max_by_key(|&(matched, utilization, _)| (matched, std::cmp::Reverse(utilization)));
-        match best {
-            Some((_, _, it)) => Some(it),
+        if let Some((_, _, it)) = best {
+            return Some(it);
+        }
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let within = |it: &Candidate| load.utilization(it) <= bound && !avoided(it, query);
+        match around(candidates, turn).find(|it| within(it)) {
+            Some(it) => Some(it),
             None => LeastLoaded.pick(candidates, query, load, random),
         }
     }
 }
 
+/// Life cycle
+impl Affinity {
+    /// Makes a policy with bounds in thousandths.
+    pub fn new(bound_permille: u64, floor_permille: u64) -> Affinity {
+        Affinity { turn: AtomicUsize::new(0), bound_permille, floor_permille }
+    }
+}
+
+/// Access
 impl Affinity {
     fn bound<L: Load>(&self, candidates: &[Candidate], load: &L) -> u64 {
         let total: u64 = candidates.iter().map(|it| load.utilization(it)).sum();
@@ -133,9 +149,14 @@
     query: &Query<'_>,
     position: usize,
 ) -> Option<&'a Candidate> {
+    around(candidates, position).find(|it| !avoided(it, query))
+}
+
+/// All replicas, beginning at a position that is counted around.
+fn around(candidates: &[Candidate], position: usize) -> impl Iterator<Item = &Candidate> {
     let start = position % candidates.len().max(1);
     let (before, after) = candidates.split_at(start);
-    after.iter().chain(before).find(|it| !avoided(it, query))
+    after.iter().chain(before)
 }
 
 fn avoided(candidate: &Candidate, query: &Query<'_>) -> bool {
--- a/cuminward-route/src/route/table.rs
+++ b/cuminward-route/src/route/table.rs
@@ -7,12 +7,14 @@
 
 use cuminward_core::{catalog, id, replica};
 
+use super::policy;
 use crate::{load, prefix};
 
 /// Replicas of one failure domain that requests may be sent to, by model.
 #[derive(Debug, Default)]
 pub struct Table {
     models: HashMap<id::Model, Vec<Service>>,
+    policy: policy::Affinity,
 }
 
 /// A declared service with its replicas.
@@ -116,6 +118,11 @@
         self.models.get(model).map(Vec::as_slice)
     }
 
+    /// The default policy, with its turn in this snapshot.
+    pub fn policy(&self) -> &policy::Affinity {
+        &self.policy
+    }
+
     /// All replicas of the snapshot.
     pub fn candidates(&self) -> impl Iterator<Item = &Candidate> {
         let services = self.models.values().flatten();
