feat: cuminward-route: list changes in the fault tests

Cause: the tests kept one list of nodes. Change: nodes join and leave while others notice one after the other; an owner counts the reserves that it means to give as well as the reported ones. Conclusion: the bound holds while the list changes.

--- a/cuminward-route/src/admission/account.rs
+++ b/cuminward-route/src/admission/account.rs
@@ -66,7 +66,7 @@
     /// Slots that the node may be using without a grant.
     pub(super) fn reserved(&self) -> u32 {
         let pending = self.pending.iter().map(|it| it.reserve).max().unwrap_or(0);
-        self.reserve_held.max(pending)
+        self.reserve_held.max(pending).max(self.reserve)
     }
 
     /// Tells whether the node has to be told of a change.
--- a/cuminward-route/src/admission/owner.rs
+++ b/cuminward-route/src/admission/owner.rs
@@ -326,7 +326,7 @@
             let wanted = account.entitled.saturating_sub(account.reserved()).min(rest);
             let reserve = (account.reserved() + wanted).min(account.entitled);
             let cost = reserve.saturating_sub(account.committed());
-            if reserve > account.reserve && cost <= free {
+            if wanted > 0 && cost <= free {
                 free -= cost;
                 rest -= wanted;
                 account.reserve = reserve;
--- a/cuminward-route/tests/all/admission.rs
+++ b/cuminward-route/tests/all/admission.rs
@@ -29,6 +29,7 @@
     connected: id::Incarnation,
     side: u32,
     demand: u32,
+    leaving: bool,
 }
 
 /// A failure domain with one upstream.
@@ -36,11 +37,12 @@
     random: Pcg64,
     now: Duration,
     members: Vec<Member>,
-    messages: Vec<(Duration, usize, message::Batch)>,
-    observations: Vec<(Duration, usize, id::Incarnation, Duration)>,
+    messages: Vec<(Duration, id::Node, message::Batch)>,
+    observations: Vec<(Duration, id::Node, id::Incarnation, Duration)>,
     incarnation: id::Incarnation,
     started: Duration,
     loss: f64,
+    named: usize,
     most: u32,
     served: u64,
 }
@@ -56,6 +58,8 @@
     Demand(u64),
     Replace(usize),
     Loss(bool),
+    Join(u64),
+    Leave(usize, u64),
 }
 
 impl Domain {
@@ -70,6 +74,7 @@
             incarnation: 1,
             started: Duration::ZERO,
             loss: 0.0,
+            named: count,
             most: 0,
             served: 0,
         };
@@ -95,7 +100,7 @@
         let listed: Vec<id::Node> = self.members.iter().map(|it| it.name.clone()).collect();
         for index in 0..self.members.len() {
             let side = self.members[index].side;
-            let live = self.members.iter().filter(|it| it.side == side);
+            let live = self.members.iter().filter(|it| it.side == side && !it.leaving);
             let live = live.map(|it| it.name.clone()).collect();
             let node = &mut self.members[index].node;
             node.set_nodes(self.now, listed.clone(), live);
@@ -112,6 +117,8 @@
             Event::Restart => self.restart(),
             Event::Demand(seed) => self.demand(seed),
             Event::Replace(index) => self.replace(index),
+            Event::Join(seed) => self.join(seed),
+            Event::Leave(index, seed) => self.leave(index, seed),
             Event::Loss(on) => self.loss = if on { 0.3 } else { 0.0 },
         }
     }
@@ -122,20 +129,46 @@
         for member in &mut self.members {
             member.side = random.random_range(0..sides);
         }
-        // Nodes notice a split one after the other.
+        self.spread(&mut random);
+    }
+
+    /// The nodes notice a change one after the other.
+    fn spread(&mut self, random: &mut Pcg64) {
         let listed: Vec<id::Node> = self.members.iter().map(|it| it.name.clone()).collect();
-        let sides: Vec<(id::Node, u32)> =
-            self.members.iter().map(|it| (it.name.clone(), it.side)).collect();
-        for index in 0..self.members.len() {
-            let own = self.members[index].side;
-            let live = sides.iter().filter(|it| it.1 == own).map(|it| it.0.clone()).collect();
-            self.members[index].node.set_nodes(self.now, listed.clone(), live);
+        let stay = self.members.iter().filter(|it| !it.leaving);
+        let sides: Vec<(id::Node, u32)> = stay.map(|it| (it.name.clone(), it.side)).collect();
+        for name in &listed {
+            let Some(member) = self.members.iter_mut().find(|it| it.name == *name) else {
+                continue;
+            };
+            let live = sides.iter().filter(|it| it.1 == member.side).map(|it| it.0.clone());
+            member.node.set_nodes(self.now, listed.clone(), live.collect());
             if random.random_bool(0.3) {
                 self.step();
             }
         }
     }
 
+    /// A new node is listed.
+    fn join(&mut self, seed: u64) {
+        let side = self.members.first().map_or(0, |it| it.side);
+        let mut new = Member { side, demand: 20, ..member(self.named, 1) };
+        self.named += 1;
+        new.node.set_upstream(self.now, UPSTREAM, options());
+        self.members.push(new);
+        self.spread(&mut Pcg64::seed_from_u64(seed));
+    }
+
+    /// A node shuts down: it owns nothing more, finishes its requests and leaves the list.
+    fn leave(&mut self, index: usize, seed: u64) {
+        if self.members.len() == 1 {
+            return;
+        }
+        let index = index % self.members.len();
+        self.members[index].leaving = true;
+        self.spread(&mut Pcg64::seed_from_u64(seed));
+    }
+
     /// Nodes lose each other for a moment, shorter than messages may take.
     fn flap(&mut self, seed: u64) {
         for seed in [seed, 0, seed.rotate_left(7), 0] {
@@ -163,7 +196,9 @@
         let index = index % self.members.len();
         let epoch = 2 + self.now.as_millis() as u32;
         let (side, demand) = (self.members[index].side, self.members[index].demand);
-        self.members[index] = Member { side, demand, ..member(index, epoch) };
+        let name = self.members[index].name.clone();
+        let node = Node::new(name.clone(), epoch);
+        self.members[index] = Member { name, node, side, demand, ..member(index, epoch) };
         self.relist();
     }
 
@@ -175,6 +210,10 @@
             self.members[index].node.tick(self.now);
             self.post(index);
         }
+        let ended = |it: &Member| it.leaving && it.running.is_empty();
+        if self.members.iter().any(|it| !ended(it)) {
+            self.members.retain(|it| !ended(it));
+        }
         let running = self.running();
         self.most = self.most.max(running);
         assert!(
@@ -195,6 +234,9 @@
             holder.disconnected();
             member.connected = self.incarnation;
         }
+        if member.leaving {
+            member.demand = 0;
+        }
         while (member.running.len() as u32) < member.demand {
             let Some(slot) = holder.acquire(now) else { break };
             let end = now + Duration::from_millis(self.random.random_range(50..4_000));
@@ -210,15 +252,17 @@
         let polled = self.random.random_bool(0.05);
         if !work.probes.is_empty() || polled {
             let due = self.now + self.delay();
-            self.observations.push((due, index, self.incarnation, asked));
+            let name = self.members[index].name.clone();
+            self.observations.push((due, name, self.incarnation, asked));
         }
         for (to, batch) in work.batches {
-            let to = self.members.iter().position(|it| it.name == to).expect("it is listed");
+            let Some(other) = self.members.iter().find(|it| it.name == to) else { continue };
+            let cut = other.side != self.members[index].side;
             for _ in 0..1 + u32::from(self.random.random_bool(0.05)) {
                 let lost = self.random.random_bool(self.loss);
                 let due = self.now + self.delay();
-                if !lost && self.members[to].side == self.members[index].side {
-                    self.messages.push((due, to, batch.clone()));
+                if !lost && !cut {
+                    self.messages.push((due, to.clone(), batch.clone()));
                 }
             }
         }
@@ -232,11 +276,15 @@
         let now = self.now;
         let due: Vec<_> = self.messages.extract_if(.., |it| it.0 <= now).collect();
         for (_, to, batch) in due {
-            self.members[to].node.receive(now, batch);
+            if let Some(member) = self.members.iter_mut().find(|it| it.name == to) {
+                member.node.receive(now, batch);
+            }
         }
         let due: Vec<_> = self.observations.extract_if(.., |it| it.0 <= now).collect();
         for (_, to, incarnation, asked) in due {
-            self.members[to].node.observe(now, UPSTREAM, incarnation, None, asked);
+            if let Some(member) = self.members.iter_mut().find(|it| it.name == to) {
+                member.node.observe(now, UPSTREAM, incarnation, None, asked);
+            }
         }
     }
 }
@@ -252,7 +300,7 @@
 fn member(index: usize, epoch: u32) -> Member {
     let name = format!("node-{index}");
     let node = Node::new(name.clone(), epoch);
-    Member { name, node, running: Vec::new(), connected: 0, side: 0, demand: 0 }
+    Member { name, node, running: Vec::new(), connected: 0, side: 0, demand: 0, leaving: false }
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -265,6 +313,8 @@
         1 => Just(Event::Restart),
         1 => any::<usize>().prop_map(Event::Replace),
         1 => any::<bool>().prop_map(Event::Loss),
+        1 => any::<u64>().prop_map(Event::Join),
+        1 => any::<(usize, u64)>().prop_map(|(index, seed)| Event::Leave(index, seed)),
     ]
 }
 
