fix: cuminward-route: owners keep counting reserves that may have risen

Cause: a reserve has no lease, but the owner forgot an unacknowledged rise when it freed a silent node's slots, and took only slots in use over from a release. After a list change that lowered the node's share, its reserve was given twice. Change: both count the largest reserve that the node may have; the release names it; a directed test, and one for new upstreams in a split.

--- a/cuminward-route/src/admission/account.rs
+++ b/cuminward-route/src/admission/account.rs
@@ -130,6 +130,17 @@
         }
     }
 
+    /// Frees all but what the node may use without a grant; that has no lease, so it counts as the
+    /// node would have it after all grants that it may have received.
+    pub(super) fn lapse(&mut self) {
+        self.reserve_held = self.reserved();
+        self.held = self.reserve_held;
+        self.allowance = self.held;
+        self.in_use = 0;
+        self.waiting = 0;
+        self.revoke();
+    }
+
     /// Forgets what was granted; the node can't take it over any more.
     pub(super) fn revoke(&mut self) {
         self.target = 0;
--- a/cuminward-route/src/admission/holder.rs
+++ b/cuminward-route/src/admission/holder.rs
@@ -160,7 +160,8 @@
         control.ack = 0;
         control.urgent = true;
         let former = std::mem::replace(&mut control.owner, owner.map(str::to_owned))?;
-        Some((former, message::Release { upstream: self.upstream.clone(), join, in_use }))
+        let reserve = self.reserve.load(Ordering::Acquire);
+        Some((former, message::Release { upstream: self.upstream.clone(), join, in_use, reserve }))
     }
 
     /// Falls back to the reserve: call this when a connection to the upstream is lost, and before a
--- a/cuminward-route/src/admission/message.rs
+++ b/cuminward-route/src/admission/message.rs
@@ -87,6 +87,8 @@
     pub join: Join,
     /// Slots still in use.
     pub in_use: u32,
+    /// Slots that the holder goes on to use without a grant.
+    pub reserve: u32,
 }
 
 /// Slots that a node may use.
--- a/cuminward-route/src/admission/owner.rs
+++ b/cuminward-route/src/admission/owner.rs
@@ -202,7 +202,8 @@
         if account.join != release.join {
             return;
         }
-        account.held = release.in_use;
+        account.held = release.in_use.max(release.reserve);
+        account.reserve_held = release.reserve;
         account.in_use = release.in_use;
         account.waiting = 0;
         account.revoke();
@@ -271,10 +272,7 @@
         let longest = self.options.lease + self.options.longest;
         for account in self.accounts.values_mut() {
             if account.joined && now > account.heard + longest {
-                account.held = account.reserve_held;
-                account.in_use = 0;
-                account.waiting = 0;
-                account.revoke();
+                account.lapse();
             }
         }
         let over = |it: &Account| it.committed() == 0 || now > it.heard + longest;
--- a/cuminward-route/tests/all/admission.rs
+++ b/cuminward-route/tests/all/admission.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use cuminward_core::id;
-use cuminward_route::admission::{Holder, Limits, Node, Options, Slot, message, reserve};
+use cuminward_route::admission::{
+    Holder, Input, Limits, Node, Options, Owner, Slot, message, reserve,
+};
 use googletest::prelude::*;
 use proptest::{prelude::*, test_runner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -492,3 +494,61 @@
         expect_that!(slots.len(), eq(2), "the lease of case {number} has lapsed");
     }
 }
+
+/// In a split without any message, a new upstream is used within the reserves, by nodes that all
+/// others know to be listed.
+#[gtest]
+fn a_new_upstream_is_used_within_the_reserves() {
+    for (listed_for, expected) in [(29, 0), (30, options().reserved())] {
+        let now = Duration::from_secs(listed_for);
+        let names: Vec<id::Node> = (0..9).map(|it| format!("node-{it}")).collect();
+        let allowance = |name: &id::Node| {
+            let mut node = Node::new(name.clone(), 1);
+            let alone = vec![name.clone()];
+            node.set_nodes(Duration::ZERO, names.clone(), alone);
+            let holder = node.set_upstream(now, "desk-2", options());
+            node.observe(now, "desk-2", 1, None, now);
+            (0..100).for_each(|it| node.tick(now + STEP * it));
+            holder.allowance()
+        };
+        let sum: u32 = names.iter().map(allowance).sum();
+        expect_that!(sum, eq(expected), "listed for {listed_for} s");
+    }
+}
+
+/// A reserve has no lease: it counts until the node says that it is lower, also when the node is
+/// silent, hasn't acknowledged it, or turned to another owner.
+#[gtest]
+fn reserves_count_until_the_node_lowers_them() {
+    for released in [false, true] {
+        let now = Duration::from_secs(1);
+        let mut owner = Owner::new(UPSTREAM.to_owned(), 1, options(), now);
+        let node = "a".to_owned();
+        owner.step(now, Input::Listed(vec![node.clone()]));
+        let holdings = message::Holdings {
+            upstream: UPSTREAM.to_owned(),
+            join: 1,
+            session: Some(1),
+            report: 1,
+            ack: 0,
+            reset: 0,
+            in_use: 0,
+            allowance: 0,
+            reserve: 0,
+            waiting: 0,
+            sent: now,
+            started: None,
+        };
+        owner.step(now, Input::Holdings(node.clone(), holdings));
+        owner.step(now, Input::Observed { incarnation: 1, load: None, asked: now });
+        let all = (0..9).map(|it| format!("node-{it}")).chain([node.clone()]);
+        owner.step(now, Input::Listed(all.collect()));
+        if released {
+            let upstream = UPSTREAM.to_owned();
+            let release = message::Release { upstream, join: 1, in_use: 0, reserve: 3 };
+            owner.step(now, Input::Release(node.clone(), release));
+        }
+        owner.step(now + Duration::from_secs(9), Input::Tick);
+        expect_that!(owner.committed(), ge(options().reserved()), "released: {released}");
+    }
+}
