--- a/cuminward-route/tests/all/admission.rs
+++ b/cuminward-route/tests/all/admission.rs
@@ -548,6 +548,7 @@
             let release = message::Release { upstream, join: 1, in_use: 0, reserve: 3 };
             owner.step(now, Input::Release(node.clone(), release));
         }
+        expect_that!(owner.committed(), ge(options().reserved()), "released: {released}");
         owner.step(now + Duration::from_secs(9), Input::Tick);
         expect_that!(owner.committed(), ge(options().reserved()), "released: {released}");
     }
