--- a/cuminward-route/examples/policies/admission.rs
+++ b/cuminward-route/examples/policies/admission.rs
@@ -3,7 +3,7 @@
 //! Credits run through the library's nodes over a network with a delay. For a slot per request and
 //! for relaying through the owner the messages are counted on the same load.
 
-use std::{collections::BinaryHeap, collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, collections::BinaryHeap, time::Duration};
 
 use cuminward_route::admission::{Limits, Node, Options, Slot, message};
 use rand::{RngExt, SeedableRng};
@@ -33,7 +33,7 @@
 struct Place {
     node: Node,
     /// Requests that wait for a slot, by upstream, with their arrival.
-    waiting: HashMap<usize, Vec<f64>>,
+    waiting: BTreeMap<usize, Vec<f64>>,
     running: BinaryHeap<End>,
     next: f64,
     /// Whether this node owns each upstream.
@@ -132,7 +132,7 @@
             let owns = upstreams.iter().map(|it| node.owner(it).is_some()).collect();
             Place {
                 node,
-                waiting: HashMap::new(),
+                waiting: BTreeMap::new(),
                 running: BinaryHeap::new(),
                 next: 0.0,
                 owns,
--- a/cuminward-route/src/admission/node.rs
+++ b/cuminward-route/src/admission/node.rs
@@ -1,10 +1,6 @@
 //! All of a node's admission: its holders, and the owners of the upstreams that it owns.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use cuminward_core::{host, id};
 
@@ -22,7 +18,7 @@
     listed: Vec<id::Node>,
     listed_since: Option<Duration>,
     live: Vec<id::Node>,
-    places: HashMap<Upstream, Place>,
+    places: BTreeMap<Upstream, Place>,
     outbox: BTreeMap<id::Node, message::Batch>,
     probes: Vec<Upstream>,
 }
@@ -56,7 +52,7 @@
             listed: Vec::new(),
             listed_since: None,
             live: Vec::new(),
-            places: HashMap::new(),
+            places: BTreeMap::new(),
             outbox: BTreeMap::new(),
             probes: Vec::new(),
         }
