--- a/cuminward-testkit/src/cluster.rs
+++ b/cuminward-testkit/src/cluster.rs
@@ -21,6 +21,9 @@
 /// Secret that the nodes share.
 const SECRET: &str = "a secret of the test cluster";
 
+/// Time within which nodes have to be ready.
+const STARTING: Duration = Duration::from_secs(10);
+
 /// Time between two looks at something that is waited for.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -77,6 +80,7 @@
                 cluster.add(&format!("{domain}-{index}"), domain).await?;
             }
         }
+        cluster.wait_ready().await?;
         Ok(cluster)
     }
 
@@ -189,6 +193,20 @@
         self.apply(actions).await
     }
 
+    /// Waits until every node takes requests.
+    ///
+    /// # Errors
+    ///
+    /// A report if that takes too long.
+    pub async fn wait_ready(&self) -> miette::Result<()> {
+        let ready = || self.nodes.values().all(|it| it.node().state().ready().is_ok());
+        if wait(STARTING, ready).await {
+            Ok(())
+        } else {
+            Err(miette!("nodes were not ready in time"))
+        }
+    }
+
     /// Waits until every node has so many routable replicas.
     ///
     /// # Errors
--- a/cuminward-testkit/src/lib.rs
+++ b/cuminward-testkit/src/lib.rs
@@ -8,4 +8,5 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod cpu;
 pub mod declare;
