change!: cuminward-peer, cuminward-node: a node greets a bounded number of nodes

Cause: each node greeted every listed node every 400 ms, so its messages grew with the number of all nodes. A node that didn't answer held up the greetings of the others, and groups retired once were told from node to node for ever.

Change: up to eight others are still greeted all the time. Beyond that each node greets two of a ring of its failure domain, and one node of each other domain when its last word is 1.4 s old; liveness of the rest comes with ages in a digest of one byte a node (`cuminward_peer::digest`). Greetings don't wait for each other. Pulls take the node with the largest revision, at once while the log is away. The message `Hello` lacks domain and trusted domains. Released groups aren't told any more.

--- a/cuminward-node/src/control/peer.rs
+++ b/cuminward-node/src/control/peer.rs
@@ -2,6 +2,8 @@
 
 mod answer;
 pub mod greet;
+pub mod pull;
+mod target;
 
 use std::sync::Arc;
 
--- a/cuminward-node/src/control/peer/answer.rs
+++ b/cuminward-node/src/control/peer/answer.rs
@@ -29,8 +29,8 @@
 
 impl answer::Answer for Answerer {
     async fn hello(&self, hello: message::Hello) -> message::Hello {
-        self.state.events.clock().observe(hello.stamp);
-        peer::greet::hello(&self.state)
+        peer::greet::note_others(&self.state, &hello, self.state.now());
+        peer::greet::answer(&self.state, &hello)
     }
 
     async fn config(&self, from: id::Revision, max: u32) -> message::Config {
--- a/cuminward-node/src/control/peer/greet.rs
+++ b/cuminward-node/src/control/peer/greet.rs
@@ -1,66 +1,79 @@
-//! Says hello to the other nodes again and again, and pulls configuration that they have earlier.
+//! Says hello to other nodes again and again.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::{Arc, atomic::Ordering},
+    collections::BTreeSet,
+    sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     time::Duration,
 };
 
 use cuminward_core::id;
 use cuminward_event::kind::Kind;
-use cuminward_peer::{message, spread as sources};
-use futures::{StreamExt, stream};
+use cuminward_peer::{digest, message};
 
-use crate::{control::configure::spread, peers, state};
+use crate::{control::peer::target, peers, state};
 
-/// Time between two greetings of the same node.
-const INTERVAL: Duration = Duration::from_millis(400);
+/// Time between two rounds of greetings.
+pub const INTERVAL: Duration = Duration::from_millis(500);
 
-/// Greetings under way at the same time.
-const CONCURRENCY: usize = 64;
-
-/// Records of one pull.
-const PAGE: u32 = 500;
+/// Nodes that are being greeted. A node that doesn't answer puts off no others.
+type UnderWay = Arc<Mutex<BTreeSet<id::Node>>>;
 
 /// Greets until the node stops.
 pub async fn run(state: Arc<state::State>) {
     let mut interval = tokio::time::interval(INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut live = BTreeSet::new();
-    loop {
+    let under_way = UnderWay::default();
+    for round in 0.. {
         tokio::select! {
             _ = interval.tick() => {}
             () = state.stop.cancelled() => return,
         }
         list(&state);
-        let nodes: Vec<id::Node> = state.peers.known().keys().cloned().collect();
-        let greetings = nodes.into_iter().map(|it| greet(Arc::clone(&state), it));
-        stream::iter(greetings).buffer_unordered(CONCURRENCY).collect::<Vec<()>>().await;
+        for node in target::choose(&state, round) {
+            spawn(&state, &under_way, node);
+        }
         report(&state, &mut live);
-        pull(&state).await;
     }
 }
 
 /// Takes the nodes over from the host list.
 fn list(state: &state::State) {
-    state.peers.list(&state.settings.node, &state.hosts.load().hosts);
+    let settings = &state.settings;
+    state.peers.list(state.now(), &settings.node, &settings.domain, &state.hosts.load().hosts);
     let known = state.peers.known();
     let addresses = known.iter().map(|(node, it)| (node.clone(), it.address.clone()));
     state.pool.set_nodes(&addresses.collect());
 }
 
-async fn greet(state: Arc<state::State>, node: id::Node) {
+/// Greets a node, unless that is under way.
+fn spawn(state: &Arc<state::State>, under_way: &UnderWay, node: id::Node) {
+    let (state, under_way) = (Arc::clone(state), Arc::clone(under_way));
+    if !lock(&under_way).insert(node.clone()) {
+        return;
+    }
+    tokio::spawn(async move {
+        greet(&state, &node).await;
+        lock(&under_way).remove(&node);
+    });
+}
+
+fn lock(under_way: &UnderWay) -> MutexGuard<'_, BTreeSet<id::Node>> {
+    under_way.lock().expect("no code panics while it has the lock")
+}
+
+async fn greet(state: &state::State, node: &str) {
     let asked = state.now();
-    if let Ok(hello) = state.pool.hello(&node, hello(&state)).await
+    let hello = hello(state, node);
+    if let Ok(hello) = state.pool.hello(node, hello).await
         && hello.node == node
     {
-        note(&state, &hello, asked);
+        note(state, &hello, asked);
     }
 }
 
-/// Keeps what another node said.
-pub fn note(state: &state::State, hello: &message::Hello, asked: Duration) {
-    state.events.clock().observe(hello.stamp);
+/// Keeps what another node answered.
+fn note(state: &state::State, hello: &message::Hello, asked: Duration) {
     let word = peers::Word {
         at: asked,
         incarnation: hello.incarnation,
@@ -69,27 +82,54 @@
         callers: hello.callers.clone(),
         free: hello.free,
         round_trip: state.now().saturating_sub(asked),
+        list: hello.digest.list,
     };
     state.peers.heard(&hello.node, &word);
+    note_others(state, hello, asked);
+}
+
+/// Keeps what another node says beside that it answers; `at` is when it knew that, or earlier.
+pub fn note_others(state: &state::State, hello: &message::Hello, at: Duration) {
+    state.events.clock().observe(hello.stamp);
+    let settings = &state.settings;
+    if !hello.digest.ages.is_empty() {
+        state.peers.heard_of(at, &settings.node, &settings.domain, &hello.digest);
+    }
     for it in &hello.retiring {
         let until = state.now() + it.left;
         state.retiring.add(state.now(), it.group.clone(), it.generation, until);
     }
 }
 
-/// What this node says about itself.
-pub fn hello(state: &state::State) -> message::Hello {
+/// What this node says to another one.
+fn hello(state: &state::State, to: &str) -> message::Hello {
+    let known = state.peers.known();
+    let list = known.get(to).and_then(|it| it.word.as_ref()).map_or(0, |it| it.list);
+    let is_near = known.get(to).is_some_and(|it| it.domain == state.settings.domain);
+    say(state, is_near.then_some(list))
+}
+
+/// What this node answers to another one's hello.
+pub fn answer(state: &state::State, hello: &message::Hello) -> message::Hello {
+    let is_near = !hello.digest.ages.is_empty();
+    say(state, is_near.then_some(hello.digest.list))
+}
+
+/// What this node says to a node with a list of the failure domain's nodes; `None` is a node of
+/// another domain.
+fn say(state: &state::State, list: Option<digest::List>) -> message::Hello {
+    let evidence = list.map(|list| (state.peers.evidence(state), list));
+    let digest = evidence.map(|(nodes, list)| digest::Digest::new(&nodes, list));
     message::Hello {
         node: state.settings.node.clone(),
-        domain: state.settings.domain.clone(),
         incarnation: state.incarnation,
         revision: *state.revision.borrow(),
         stamp: state.events.clock().now(),
         draining: state.draining.load(Ordering::Acquire),
-        trusted: Vec::new(),
         callers: state.addresses.callers.to_string(),
         free: state.free(),
-        retiring: state.retiring.list(state.now()),
+        retiring: if list.is_some() { state.retiring.list(state.now()) } else { Vec::new() },
+        digest: digest.unwrap_or_default(),
     }
 }
 
@@ -109,42 +149,3 @@
     }
     *live = found;
 }
-
-/// Pulls newer configuration from other nodes.
-async fn pull(state: &state::State) {
-    match spread::wanted(state) {
-        spread::Wanted::Nothing => {}
-        spread::Wanted::Records(_) => pull_records(state).await,
-        spread::Wanted::State => pull_state(state).await,
-    }
-}
-
-/// Pulls the state of the node with the largest revision.
-async fn pull_state(state: &state::State) {
-    let now = state.now();
-    let known = state.peers.known();
-    let live = known.iter().filter(|(_, it)| it.is_live(now));
-    let revision = |it: &peers::Peer| it.word.as_ref().map_or(0, |it| it.revision);
-    let newest = live.max_by_key(|(_, it)| revision(it)).filter(|(_, it)| 0 < revision(it));
-    let Some((source, _)) = newest else { return };
-    if let Ok(config) = state.pool.config(source, 0, PAGE).await {
-        spread::take_over(state, config, source);
-    }
-}
-
-/// Pulls newer records from the node's sources.
-async fn pull_records(state: &state::State) {
-    let known = state.peers.known();
-    let mut domains: BTreeMap<id::Domain, BTreeSet<id::Node>> = BTreeMap::new();
-    for (node, peer) in known.iter() {
-        domains.entry(peer.domain.clone()).or_default().insert(node.clone());
-    }
-    let (node, domain) = (&state.settings.node, &state.settings.domain);
-    for source in sources::sources(node, domain, &domains) {
-        let own = *state.revision.borrow();
-        let newer = known[&source].word.as_ref().is_some_and(|it| own < it.revision);
-        if newer && let Ok(config) = state.pool.config(&source, own, PAGE).await {
-            spread::take_over(state, config, &source);
-        }
-    }
-}
--- /dev/null
+++ b/cuminward-node/src/control/peer/pull.rs
@@ -0,0 +1,79 @@
+//! Pulls configuration from nodes that have it earlier than this one.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use cuminward_core::id;
+
+use crate::{
+    control::{configure::spread, peer::greet},
+    peers, state,
+};
+
+/// Records of one pull.
+const PAGE: u32 = 500;
+
+/// Time for which the log may bring records that others have already, before they are pulled.
+const PATIENCE: Duration = Duration::from_millis(400);
+
+/// Pulls until the node stops.
+pub async fn run(state: Arc<state::State>) {
+    let mut interval = tokio::time::interval(greet::INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut pull = Pull::default();
+    loop {
+        tokio::select! {
+            _ = interval.tick() => pull.step(&state).await,
+            () = state.stop.cancelled() => return,
+        }
+    }
+}
+
+/// Pulls from the node with the largest revision.
+#[derive(Debug, Default)]
+struct Pull {
+    behind_since: Option<Duration>,
+}
+
+/// Mutation
+impl Pull {
+    /// Pulls what is wanted, if a node has it.
+    async fn step(&mut self, state: &state::State) {
+        let from = match spread::wanted(state) {
+            spread::Wanted::Nothing => return,
+            spread::Wanted::Records(from) => from,
+            spread::Wanted::State => 0,
+        };
+        let Some((source, revision)) = newest(state).filter(|(_, revision)| from < *revision)
+        else {
+            self.behind_since = None;
+            return;
+        };
+        let since = *self.behind_since.get_or_insert(state.now());
+        if state.now().saturating_sub(since) < PATIENCE && is_log_there(state) {
+            return;
+        }
+        log::debug!("pulling revision {revision} from {source}");
+        if let Ok(config) = state.pool.config(&source, from, PAGE).await {
+            spread::take_over(state, config, &source);
+        }
+    }
+}
+
+fn is_log_there(state: &state::State) -> bool {
+    !state.log_away.load(Ordering::Acquire)
+}
+
+/// The node that answered lately with the largest revision.
+fn newest(state: &state::State) -> Option<(id::Node, id::Revision)> {
+    let now = state.now();
+    let known = state.peers.known();
+    let said = |peer: &peers::Peer| {
+        let word = peer.word.as_ref().filter(|it| now.saturating_sub(it.at) <= peer.limit);
+        word.map(|it| it.revision)
+    };
+    let revisions = known.iter().filter_map(|(node, it)| Some((node, said(it)?)));
+    revisions.max_by_key(|(_, revision)| *revision).map(|(node, it)| (node.clone(), it))
+}
--- a/cuminward-node/src/node.rs
+++ b/cuminward-node/src/node.rs
@@ -156,6 +156,7 @@
     tasks.spawn(control::steward::run(Arc::clone(state), inputs, received));
     tasks.spawn(control::admit::run(Arc::clone(state)));
     tasks.spawn(control::peer::greet::run(Arc::clone(state)));
+    tasks.spawn(control::peer::pull::run(Arc::clone(state)));
     tasks.spawn(control::peer::run(Arc::clone(state), peers));
     tasks.spawn(request::dispatch::run(Arc::clone(state)));
 }
--- a/cuminward-node/src/peers.rs
+++ b/cuminward-node/src/peers.rs
@@ -1,15 +1,23 @@
 //! The other nodes, as the host list names them and as they were last heard of.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
 use cuminward_core::{host, id};
+use cuminward_peer::{digest, spread};
 
 use crate::state;
 
-/// Time after which a node that wasn't heard of doesn't count as live.
+/// Time after which a node that is greeted all the time and wasn't heard of doesn't count as live.
 pub const LIVE: Duration = Duration::from_millis(1_500);
 
+/// The same for a node that is heard of through others, or greeted less often.
+pub const LIVE_INDIRECT: Duration = Duration::from_millis(2_800);
+
 /// The other nodes.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -23,8 +31,23 @@
     pub domain: id::Domain,
     /// IP address and port for calls between nodes.
     pub address: String,
+    /// When the node was first listed, since the start of this process.
+    pub since: Duration,
+    /// Time after which the node doesn't count as live unless it is heard of.
+    pub limit: Duration,
     /// What the node last said, if it ever did.
     pub word: Option<Word>,
+    /// Newest evidence through other nodes of its failure domain.
+    pub evidence: Option<Evidence>,
+}
+
+/// What others say about a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Evidence {
+    /// When the node was heard of, since the start of this process.
+    pub at: Duration,
+    /// Whether the node shuts down.
+    pub draining: bool,
 }
 
 /// What a node last said.
@@ -44,6 +67,8 @@
     pub free: u32,
     /// Time between question and answer.
     pub round_trip: Duration,
+    /// Hash of the node's list of its failure domain's nodes.
+    pub list: digest::List,
 }
 
 /// Access
@@ -68,31 +93,54 @@
 
 /// Access
 impl Peers {
-    /// Nodes of all failure domains that answer and don't shut down, this one included.
+    /// Nodes of all failure domains that count as live as far as is known, this one included: of those
+    /// that are neither greeted nor heard of, nothing else is known.
     pub fn live_everywhere(&self, state: &state::State) -> Vec<id::Node> {
         let now = state.now();
         let known = self.known.load();
-        let live = known.iter().filter(|(_, it)| it.is_live(now)).map(|(name, _)| name.clone());
-        live.chain([state.settings.node.clone()]).collect()
+        let is_unheard = |it: &Peer| it.domain != state.settings.domain && it.word.is_none();
+        let live = known.iter().filter(|(_, it)| it.is_live(now) || is_unheard(it));
+        live.map(|(name, _)| name.clone()).chain([state.settings.node.clone()]).collect()
+    }
+
+    /// What this node knows about the liveness of its failure domain's nodes, itself included.
+    pub fn evidence(&self, state: &state::State) -> BTreeMap<id::Node, Option<digest::Evidence>> {
+        let now = state.now();
+        let known = self.known.load();
+        let own = known.iter().filter(|(_, it)| it.domain == state.settings.domain);
+        let mut all: BTreeMap<_, _> =
+            own.map(|(name, it)| (name.clone(), it.newest().map(|it| it.age(now)))).collect();
+        let draining = state.draining.load(Ordering::Acquire);
+        let itself = digest::Evidence { age: Duration::ZERO, draining };
+        all.insert(state.settings.node.clone(), Some(itself));
+        all
     }
 }
 
 /// Mutation
 impl Peers {
     /// Takes over the nodes of the host list; what they said before is kept.
-    pub fn list(&self, own: &str, hosts: &[host::Entry]) {
+    pub fn list(&self, now: Duration, own: &str, domain: &str, hosts: &[host::Entry]) {
         let old = self.known.load();
         let nodes = hosts.iter().filter(|it| it.role == host::Role::Node && it.host != own);
+        let all = nodes.clone().count();
+        let near = nodes.clone().filter(|it| it.domain == domain).count();
         let peer = |it: &host::Entry| {
             let known = old.get(&it.host).filter(|peer| peer.address == it.address);
+            let others = if it.domain == domain { near } else { all };
             Peer {
                 domain: it.domain.clone(),
                 address: it.address.clone(),
+                since: known.map_or(now, |it| it.since),
+                limit: if others <= spread::MESH { LIVE } else { LIVE_INDIRECT },
                 word: known.and_then(|it| it.word.clone()),
+                evidence: known.and_then(|it| it.evidence),
             }
         };
-        let known = nodes.map(|it| (it.host.clone(), peer(it))).collect();
-        self.known.store(Arc::new(known));
+        let known: BTreeMap<id::Node, Peer> = nodes.map(|it| (it.host.clone(), peer(it))).collect();
+        if known != **old {
+            self.known.store(Arc::new(known));
+        }
     }
 
     /// Notes what a node said.
@@ -105,13 +153,63 @@
             known
         });
     }
+
+    /// Notes what a node of this failure domain knows about the others, at a time.
+    pub fn heard_of(&self, at: Duration, own: &str, domain: &str, digest: &digest::Digest) {
+        self.known.rcu(|known| {
+            let mut known = BTreeMap::clone(known);
+            let own = own.to_owned();
+            let near = known.iter().filter(|(_, it)| it.domain == domain).map(|(name, _)| name);
+            let names: BTreeSet<id::Node> = near.chain([&own]).cloned().collect();
+            for (name, evidence) in digest.evidence(&names) {
+                if let Some(peer) = known.get_mut(name) {
+                    peer.note(at, evidence);
+                }
+            }
+            known
+        });
+    }
 }
 
 /// Access
 impl Peer {
-    /// Tells whether the node answered lately and doesn't shut down.
+    /// Tells whether the node was heard of lately and doesn't shut down.
     pub fn is_live(&self, now: Duration) -> bool {
-        let word = self.word.as_ref();
-        word.is_some_and(|it| !it.draining && now.saturating_sub(it.at) <= LIVE)
+        let newest = self.newest();
+        newest.is_some_and(|it| !it.draining && now.saturating_sub(it.at) <= self.limit)
+    }
+
+    /// Tells whether the node may answer: it was heard of or listed lately.
+    pub fn is_hopeful(&self, now: Duration) -> bool {
+        let at = self.newest().map_or(self.since, |it| it.at.max(self.since));
+        now.saturating_sub(at) <= self.limit
+    }
+
+    /// Newest evidence of the node. Evidence through others counts only where the node isn't greeted
+    /// all the time.
+    pub fn newest(&self) -> Option<Evidence> {
+        let word = self.word.as_ref().map(|it| Evidence { at: it.at, draining: it.draining });
+        let others = self.evidence.filter(|_| self.limit > LIVE);
+        [word, others].into_iter().flatten().max_by_key(|it| it.at)
+    }
+}
+
+/// Mutation
+impl Peer {
+    /// Notes evidence that another node gave at a time.
+    fn note(&mut self, at: Duration, evidence: digest::Evidence) {
+        let Some(at) = at.checked_sub(evidence.age) else { return };
+        let evidence = Evidence { at, draining: evidence.draining };
+        if self.evidence.is_none_or(|it| it.at < at) {
+            self.evidence = Some(evidence);
+        }
+    }
+}
+
+/// Access
+impl Evidence {
+    /// The evidence with its age.
+    fn age(self, now: Duration) -> digest::Evidence {
+        digest::Evidence { age: now.saturating_sub(self.at), draining: self.draining }
     }
 }
--- a/cuminward-node/src/retiring.rs
+++ b/cuminward-node/src/retiring.rs
@@ -28,14 +28,15 @@
         self.lock().contains_key(&(replica.group.clone(), replica.generation))
     }
 
-    /// The groups, as other nodes are told of them.
+    /// The groups whose release isn't due yet, as other nodes are told of them. Nodes that passed on
+    /// later ones as well would remind each other of them for ever.
     pub fn list(&self, now: Duration) -> Vec<message::Retiring> {
         let retiring = |(formation, until): (&Formation, &Duration)| message::Retiring {
             group: formation.0.clone(),
             generation: formation.1,
             left: until.saturating_sub(now),
         };
-        self.lock().iter().map(retiring).collect()
+        self.lock().iter().filter(|(_, until)| now < **until).map(retiring).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Formation, Duration>> {
--- a/cuminward-peer/src/message.rs
+++ b/cuminward-peer/src/message.rs
@@ -9,14 +9,14 @@
 use cuminward_derive::record;
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::digest;
+
 /// What a node tells about itself.
 #[serde_as]
 #[record]
 pub struct Hello {
     /// Name of the node.
     pub node: id::Node,
-    /// Failure domain of the node.
-    pub domain: id::Domain,
     /// Tells this start of the node from others.
     pub incarnation: id::Incarnation,
     /// Revision of the configuration in force at the node.
@@ -25,14 +25,14 @@
     pub stamp: hlc::Stamp,
     /// Whether the node is shutting down and owns nothing any more.
     pub draining: bool,
-    /// Failure domains that the node has fresh knowledge of.
-    pub trusted: Vec<id::Domain>,
     /// IP address and port of the node's HTTP interface towards callers.
     pub callers: String,
     /// Requests that the node's failure domain could take in addition, as far as the node knows.
     pub free: u32,
     /// Groups that the node, as steward, is about to release; they get no new work.
     pub retiring: Vec<Retiring>,
+    /// What the node knows about the nodes of its failure domain; empty towards other domains.
+    pub digest: digest::Digest,
 }
 
 /// A group that is about to be released.
