feat: cuminward-standin: counts by request and by member of a replica

Experiments check promises at the stand-ins: which request ids began, what a replica with a leaving member received, and how far a replica was loaded beyond what it bore. The load tool may choose a target when a request starts, keeps the request's id and gives the figures of a span.

--- a/cuminward-standin/src/engine/counter.rs
+++ b/cuminward-standin/src/engine/counter.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cuminward_core::id;
+use cuminward_core::{host, id};
 use cuminward_derive::record;
 
 use crate::begun;
@@ -39,6 +39,8 @@
     pub cold_most_in_flight: u32,
     /// Bound of that replica at that time.
     pub cold_bound_then: u32,
+    /// Most requests in flight for each 1,000 that a replica bore when a request started in it.
+    pub most_load_permille: u32,
     /// Times a replica failed everything because it ran more than it bore.
     pub cold_overruns: u64,
     /// Orders that were accepted.
@@ -71,16 +73,27 @@
 pub(super) struct Book {
     pub(super) counters: Counters,
     pub(super) begun: begun::Times,
+    /// Times at which requests began, by every member of the replica.
+    pub(super) begun_with: begun::Times,
+    /// Requests begun, by request id; a resumed request begins again.
+    pub(super) requests: BTreeMap<id::Request, u64>,
 }
 
 /// Mutation
 impl Book {
     /// Counts a request that begins.
-    pub(super) fn begin(&mut self, domain: &str, host: &str, replica: &str) {
+    pub(super) fn begin(&mut self, domain: &str, formation: &host::Membership, replica: &str) {
         let counters = &mut self.counters;
         *counters.begun_by_domain.entry(domain.to_owned()).or_default() += 1;
-        *counters.begun_by_host.entry(host.to_owned()).or_default() += 1;
+        let head = formation.members.first().cloned().unwrap_or_default();
+        *counters.begun_by_host.entry(head).or_default() += 1;
         *counters.begun_by_replica.entry(replica.to_owned()).or_default() += 1;
         self.begun.add(domain);
+        formation.members.iter().for_each(|it| self.begun_with.add(it));
+    }
+
+    /// Counts a request by its id.
+    pub(super) fn note_request(&mut self, request: &str) {
+        *self.requests.entry(request.to_owned()).or_default() += 1;
     }
 }
--- a/cuminward-standin/src/engine/fleet.rs
+++ b/cuminward-standin/src/engine/fleet.rs
@@ -135,6 +135,16 @@
         self.shared.lock().book.begun.since(domain, since)
     }
 
+    /// Requests begun since a time in replicas that have a host as a member.
+    pub fn begun_with_since(&self, host: &str, since: Instant) -> u64 {
+        self.shared.lock().book.begun_with.since(host, since)
+    }
+
+    /// Requests begun, by request id; a resumed request begins again.
+    pub fn requests(&self) -> BTreeMap<id::Request, u64> {
+        self.shared.lock().book.requests.clone()
+    }
+
     /// Entries of all hosts, dead ones included.
     pub fn entries(&self) -> Vec<host::Entry> {
         self.shared.lock().machines.values().map(|it| it.entry.clone()).collect()
--- a/cuminward-standin/src/engine/generate.rs
+++ b/cuminward-standin/src/engine/generate.rs
@@ -113,7 +113,8 @@
     }
     let partial = !state.whole(&replica.membership);
     state.book.counters.partial_begun += u64::from(partial);
-    state.book.begin(&domain, host, &replica.name());
+    state.book.begin(&domain, &replica.membership, &replica.name());
+    state.book.note_request(&request.request);
     Ok(replica)
 }
 
@@ -179,6 +180,8 @@
         let mut state = self.fleet.lock();
         let counters = &mut state.book.counters;
         counters.cold_overruns += u64::from(start.overrun);
+        let load = start.in_flight * 1000 / start.bound.max(1);
+        counters.most_load_permille = counters.most_load_permille.max(load);
         if start.cold && start.in_flight > counters.cold_most_in_flight {
             counters.cold_most_in_flight = start.in_flight;
             counters.cold_bound_then = start.bound;
--- a/cuminward-standin/src/load.rs
+++ b/cuminward-standin/src/load.rs
@@ -15,7 +15,7 @@
 use derive_builder::Builder;
 use tokio::task::JoinSet;
 
-pub use tally::Report;
+pub use tally::{Figures, Report};
 
 /// Settings of a run.
 #[record]
@@ -106,6 +106,8 @@
 /// What became of one request.
 #[record]
 pub struct Sample {
+    /// Id that the node gave to the request; may be empty.
+    pub request: id::Request,
     /// Name of the team.
     pub team: id::Team,
     /// Intended start, in seconds since the start of the run.
@@ -146,13 +148,18 @@
 
 /// Runs the load and waits until every request has ended.
 pub async fn run(options: &Options) -> Report {
+    run_over(options, |index| options.targets[index % options.targets.len()].clone()).await
+}
+
+/// Runs the load like [`run`], with the target of each request chosen when it starts.
+pub async fn run_over(options: &Options, mut target: impl FnMut(usize) -> Target) -> Report {
     let client = client::Client::new(options);
     let start = tokio::time::Instant::now();
     let mut requests = JoinSet::new();
     for (index, arrival) in plan::Plan::new(options).enumerate() {
         let at = start + arrival.after;
         tokio::time::sleep_until(at).await;
-        let target = options.targets[index % options.targets.len()].clone();
+        let target = target(index);
         let client = client.clone();
         requests.spawn(async move { client.call(target, arrival, at).await });
     }
--- a/cuminward-standin/src/load/client.rs
+++ b/cuminward-standin/src/load/client.rs
@@ -30,6 +30,7 @@
 #[derive(Default)]
 struct Reply {
     status: u16,
+    request: String,
     detail: String,
     text: String,
     times: Vec<Instant>,
@@ -71,8 +72,12 @@
         let request = self.request(target, arrival);
         let response = self.http.request(request).await.map_err(|_| End::Failed)?;
         reply.status = response.status().as_u16();
-        let outcome = response.headers().get("cuminward-outcome");
-        reply.detail = outcome.and_then(|it| it.to_str().ok()).unwrap_or_default().to_owned();
+        let header = |name: &str| {
+            let value = response.headers().get(name).and_then(|it| it.to_str().ok());
+            value.unwrap_or_default().to_owned()
+        };
+        reply.request = header("cuminward-request");
+        reply.detail = header("cuminward-outcome");
         if reply.status != 200 {
             reply.refuse(response).await;
             return Err(End::Refused);
@@ -192,6 +197,7 @@
 fn sample(arrival: &Arrival, at: Instant, reply: &Reply, end: End) -> Sample {
     let seconds = |time: Duration| time.as_secs_f64();
     Sample {
+        request: reply.request.clone(),
         team: arrival.team.name.clone(),
         start_seconds: seconds(arrival.after),
         end,
--- a/cuminward-standin/src/load/tally.rs
+++ b/cuminward-standin/src/load/tally.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// Access
+impl Report {
+    /// Figures of the requests whose intended start is in a span, in seconds since the start.
+    pub fn between(&self, from: f64, to: f64) -> Figures {
+        let within = |it: &&Sample| from <= it.start_seconds && it.start_seconds < to;
+        Figures::new(&self.samples.iter().filter(within).collect::<Vec<_>>())
+    }
+}
+
 /// Life cycle
 impl Figures {
     fn new(samples: &[&Sample]) -> Figures {
--- a/cuminward-standin/src/plain.rs
+++ b/cuminward-standin/src/plain.rs
@@ -78,6 +78,7 @@
     taken: BTreeMap<String, u64>,
     counters: Counters,
     begun: begun::Times,
+    begun_at: begun::Times,
     next_incarnation: id::Incarnation,
 }
 
@@ -108,6 +109,7 @@
             taken: BTreeMap::new(),
             counters: Counters::default(),
             begun: begun::Times::default(),
+            begun_at: begun::Times::default(),
             next_incarnation: reply::wall_ms(),
         };
         let shared = Arc::new(Shared { options, inner: Mutex::new(inner) });
@@ -169,6 +171,11 @@
         self.shared.lock().begun.since(domain, since)
     }
 
+    /// Requests begun at a host since a time.
+    pub fn begun_at_since(&self, host: &str, since: Instant) -> u64 {
+        self.shared.lock().begun_at.since(host, since)
+    }
+
     /// Entries of all hosts, dead ones included.
     pub fn entries(&self) -> Vec<host::Entry> {
         self.shared.lock().hosts.values().map(|it| it.entry.clone()).collect()
--- a/cuminward-standin/src/plain/machine.rs
+++ b/cuminward-standin/src/plain/machine.rs
@@ -119,6 +119,7 @@
     machine.lose_answers = machine.lose_answers.saturating_sub(1);
     let domain = machine.entry.domain.clone();
     inner.begun.add(&domain);
+    inner.begun_at.add(&node.host);
     *inner.counters.begun_by_domain.entry(domain).or_default() += 1;
     *inner.counters.begun_by_host.entry(node.host.clone()).or_default() += 1;
     Ok(Run { node: node.clone(), failing, lost })
