--- a/cuminward-testkit/src/lib.rs
+++ b/cuminward-testkit/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod caller;
 pub mod cluster;
 pub mod declare;
+pub mod experiment;
