--- a/cuminward-testkit/src/lib.rs
+++ b/cuminward-testkit/src/lib.rs
@@ -8,5 +8,6 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod cpu;
 pub mod declare;
 pub mod experiment;
