--- a/cuminward-testkit/src/experiment/runner.rs
+++ b/cuminward-testkit/src/experiment/runner.rs
@@ -1,6 +1,10 @@
 //! Runs an experiment: cluster, mixed load, faults, counts.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use cuminward_core::id;
 use cuminward_standin::{
@@ -131,6 +135,8 @@
     if nodes == 0 {
         baseline::form_all(&cluster.world).await?;
     } else {
+        let known = || cluster.nodes().all(|(_, it)| it.state().configured.load(Ordering::Acquire));
+        ensure!(cluster::wait(FORMING, known).await, "the nodes didn't read the log in time");
         cluster.declare(REPLICAS, HOSTS_PER_REPLICA, &LIMITS).await?;
         cluster.wait_replicas(REPLICAS as usize, FORMING).await?;
     }
