--- a/cuminward-node/src/request/call.rs
+++ b/cuminward-node/src/request/call.rs
@@ -21,9 +21,6 @@
 /// Largest answer that is passed on, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// Time that a call waits for a slot of the own failure domain before another one is used.
-const SPILL: Duration = Duration::from_millis(100);
-
 /// One call on its way.
 struct Job {
     state: Arc<state::State>,
@@ -177,7 +174,12 @@
             deadline: self.deadline,
             target: search::Target::Plain(self.call.service.clone()),
             avoid,
-            spill: self.call.context.relay.is_none().then_some(self.begun + SPILL),
+            spill: self
+                .call
+                .context
+                .relay
+                .is_none()
+                .then_some(self.begun + self.state.settings.routing.spill),
         }
     }
 
--- a/cuminward-node/src/request/generate.rs
+++ b/cuminward-node/src/request/generate.rs
@@ -32,9 +32,6 @@
 /// Longest time that a whole generation may take.
 const LONGEST: Duration = Duration::from_secs(600);
 
-/// Time that a request waits for a slot of the own failure domain before another one is used.
-const SPILL: Duration = Duration::from_millis(100);
-
 /// Tokens of one generation.
 #[derive(Debug)]
 pub struct Tokens {
@@ -121,7 +118,7 @@
                 prefixes: Arc::new(prefixes),
             }),
             avoid: Vec::new(),
-            spill: request.context.relay.is_none().then_some(begun + SPILL),
+            spill: request.context.relay.is_none().then_some(begun + state.settings.routing.spill),
         };
         Job {
             fingerprint: fingerprint(&request),
--- a/cuminward-node/src/request/remote.rs
+++ b/cuminward-node/src/request/remote.rs
@@ -33,7 +33,9 @@
     let usable: Vec<(&id::Node, &peers::Peer)> = peers.iter().filter(usable).collect();
     let known: Vec<remote::Knowledge> =
         usable.iter().filter_map(|(_, peer)| knowledge(peer, &wish.target)).collect();
-    let domain = &remote::choose(&known, &view.catalog, now, remote::DEFAULT_MAX_AGE)?.domain;
+    let way = state.settings.routing.remote;
+    let (max_age, random) = (remote::DEFAULT_MAX_AGE, rand::random());
+    let domain = &remote::choose(way, &known, &view.catalog, now, max_age, random)?.domain;
     let nodes: Vec<_> = usable.iter().filter(|(_, peer)| peer.domain == *domain).collect();
     let (node, peer) = nodes.get(rand::random_range(0..nodes.len().max(1)))?;
     let word = peer.word.as_ref()?;
--- a/cuminward-node/src/settings.rs
+++ b/cuminward-node/src/settings.rs
@@ -7,6 +7,7 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use cuminward_core::id;
+use cuminward_route::route::remote;
 
 /// Time for which the log promises to keep records, unless the settings say otherwise.
 pub const RETENTION: Duration = Duration::from_secs(24 * 3_600);
@@ -28,10 +29,21 @@
     pub operators: Vec<Operator>,
     /// Bounds of the requests.
     pub limits: Limits,
+    /// Choice of upstreams.
+    pub routing: Routing,
     /// Intervals and bounds of the control work.
     pub timing: Timing,
 }
 
+/// Choice of upstreams.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Routing {
+    /// Way of choosing another failure domain.
+    pub remote: remote::Way,
+    /// Time that a request waits for a slot of the own failure domain before another one is used.
+    pub spill: Duration,
+}
+
 /// Addresses that a node listens at.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listen {
@@ -133,6 +145,12 @@
     }
 }
 
+impl Default for Routing {
+    fn default() -> Routing {
+        Routing { remote: remote::Way::Weighted, spill: Duration::from_millis(100) }
+    }
+}
+
 impl Default for Timing {
     fn default() -> Timing {
         Timing {
--- a/cuminward-node/src/settings/check.rs
+++ b/cuminward-node/src/settings/check.rs
@@ -62,6 +62,7 @@
             secret: self.secret(&file.secret),
             operators: file.operators.iter().map(|it| self.operator(it)).collect(),
             limits: self.limits(&file.limits),
+            routing: self.routing(&file.routing),
             timing: self.timing(&file.timing),
         };
         self.relations(file, &settings);
@@ -138,6 +139,14 @@
         }
     }
 
+    fn routing(&mut self, routing: &file::Routing) -> settings::Routing {
+        let default = settings::Routing::default();
+        settings::Routing {
+            remote: routing.remote.unwrap_or(default.remote),
+            spill: self.time(&routing.spill_ms, default.spill, 0),
+        }
+    }
+
     fn timing(&mut self, timing: &file::Timing) -> settings::Timing {
         let default = settings::Timing::default();
         settings::Timing {
--- a/cuminward-node/src/settings/file.rs
+++ b/cuminward-node/src/settings/file.rs
@@ -1,5 +1,6 @@
 //! The settings file as it is written; each checked value remembers its place.
 
+use cuminward_route::route::remote;
 use serde::Deserialize;
 use serde_saphyr::Spanned;
 
@@ -21,11 +22,25 @@
     /// Bounds of the requests.
     #[serde(default)]
     pub limits: Limits,
+    /// Choice of upstreams.
+    #[serde(default)]
+    pub routing: Routing,
     /// Intervals and bounds of the control work.
     #[serde(default)]
     pub timing: Timing,
 }
 
+/// Choice of upstreams.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Routing {
+    /// Way of choosing another failure domain: `never`, `nearest` or `weighted`.
+    pub remote: Option<remote::Way>,
+    /// Time that a request waits for a slot of the own failure domain before another one is used, in
+    /// milliseconds.
+    pub spill_ms: Option<Spanned<u64>>,
+}
+
 /// Who the node is.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/cuminward-route/src/route/remote.rs
+++ b/cuminward-route/src/route/remote.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cuminward_core::{catalog, id};
+use cuminward_derive::value;
 
 /// Age of the knowledge about a domain up to which the domain may be used.
 pub const DEFAULT_MAX_AGE: Duration = Duration::from_secs(2);
@@ -20,15 +21,50 @@
     pub round_trip: Duration,
 }
 
-/// Chooses another domain that may be used, the nearest with free capacity first.
+/// Way of choosing among the domains that may be used.
+#[value]
+#[serde(rename_all = "kebab-case")]
+pub enum Way {
+    /// No other domain is used.
+    Never,
+    /// The nearest domain with free capacity.
+    Nearest,
+    /// At random, in proportion to the free capacity.
+    Weighted,
+}
+
+/// Chooses another domain that may be used: it is in service, its state was confirmed within
+/// `max_age`, and it has free capacity. `random` is uniform.
 pub fn choose<'a>(
+    way: Way,
     known: &'a [Knowledge],
     catalog: &catalog::Catalog,
     now: Duration,
     max_age: Duration,
+    random: u64,
 ) -> Option<&'a Knowledge> {
     let usable = |it: &&Knowledge| {
         now.saturating_sub(it.confirmed) <= max_age && catalog.in_service(&it.domain) && it.free > 0
     };
-    known.iter().filter(usable).min_by_key(|it| (it.round_trip, std::cmp::Reverse(it.free)))
+    let usable = known.iter().filter(usable);
+    match way {
+        Way::Never => None,
+        Way::Nearest => usable.min_by_key(|it| (it.round_trip, std::cmp::Reverse(it.free))),
+        Way::Weighted => weighted(usable, random),
+    }
+}
+
+/// Chooses at random, in proportion to the free capacity.
+fn weighted<'a>(
+    usable: impl Iterator<Item = &'a Knowledge> + Clone,
+    random: u64,
+) -> Option<&'a Knowledge> {
+    let total: u64 = usable.clone().map(|it| u64::from(it.free)).sum();
+    let mut place = random.checked_rem(total)?;
+    usable.into_iter().find(|it| {
+        let free = u64::from(it.free);
+        let found = place < free;
+        place = place.saturating_sub(free);
+        found
+    })
 }
--- a/cuminward-route/tests/all/route.rs
+++ b/cuminward-route/tests/all/route.rs
@@ -163,9 +163,39 @@
         known("d1", 9_999, 0, 1),
     ];
     let now = Duration::from_secs(10);
-    let chosen = remote::choose(&list, &catalog(), now, remote::DEFAULT_MAX_AGE);
+    let chosen = choose_remote(remote::Way::Nearest, &list, now, 0);
     expect_that!(chosen.map(|it| it.domain.as_str()), some(eq("d2")));
     let later = now + Duration::from_millis(1);
-    let chosen = remote::choose(&list[..2], &catalog(), later, remote::DEFAULT_MAX_AGE);
+    let chosen = choose_remote(remote::Way::Nearest, &list[..2], later, 0);
     expect_that!(chosen.is_none(), eq(true));
 }
+
+#[gtest]
+fn remote_domains_are_chosen_in_proportion_to_their_free_capacity() {
+    let now = Duration::from_secs(10);
+    let knowledge = |domain: &str, free| remote::Knowledge {
+        domain: domain.to_owned(),
+        confirmed: now,
+        free,
+        round_trip: Duration::ZERO,
+    };
+    let list = [knowledge("d1", 1), knowledge("d2", 3)];
+    let counts = (0..400).fold([0, 0], |mut counts, random| {
+        let chosen = choose_remote(remote::Way::Weighted, &list, now, random);
+        counts[usize::from(chosen.is_some_and(|it| it.domain == "d2"))] += 1;
+        counts
+    });
+    expect_that!(counts, eq([100, 300]));
+    expect_that!(choose_remote(remote::Way::Never, &list, now, 0), none());
+    expect_that!(choose_remote(remote::Way::Weighted, &[], now, 0), none());
+}
+
+fn choose_remote(
+    way: remote::Way,
+    known: &[remote::Knowledge],
+    now: Duration,
+    random: u64,
+) -> Option<&remote::Knowledge> {
+    static CATALOG: std::sync::LazyLock<catalog::Catalog> = std::sync::LazyLock::new(catalog);
+    remote::choose(way, known, &CATALOG, now, remote::DEFAULT_MAX_AGE, random)
+}
--- a/cuminward-testkit/src/cluster.rs
+++ b/cuminward-testkit/src/cluster.rs
@@ -35,6 +35,7 @@
     views: Option<BTreeMap<id::Node, view::View>>,
     timing: settings::Timing,
     limits: settings::Limits,
+    routing: settings::Routing,
 }
 
 /// A node with threads of its own, as if it were a process of its own.
@@ -59,6 +60,8 @@
     pub timing: settings::Timing,
     /// Bounds of the nodes' requests.
     pub limits: settings::Limits,
+    /// The nodes' choice of upstreams.
+    pub routing: settings::Routing,
 }
 
 /// Life cycle
@@ -72,9 +75,9 @@
         let domains: Vec<id::Domain> =
             options.world.domains.iter().map(|it| it.name.clone()).collect();
         let world = world::World::start(options.world).await.into_diagnostic()?;
-        let (timing, limits) = (options.timing, options.limits);
+        let (timing, limits, routing) = (options.timing, options.limits, options.routing);
         let views = options.views.then(BTreeMap::new);
-        let mut cluster = Cluster { world, nodes: BTreeMap::new(), views, timing, limits };
+        let mut cluster = Cluster { world, nodes: BTreeMap::new(), views, timing, limits, routing };
         for domain in &domains {
             for index in 0..options.nodes_per_domain {
                 cluster.add(&format!("{domain}-{index}"), domain).await?;
@@ -267,6 +270,7 @@
                 role: settings::file::Role::Write,
             }],
             limits: self.limits.clone(),
+            routing: self.routing.clone(),
             timing: self.timing.clone(),
         }
     }
