feat: cuminward-node: fair shares, attempts with ids of their own, quarantine in force

Cause: a waiting request was taken and pushed back when nothing was free, which changed the order, and the queue knew no real capacity. A late cancel could reach the resumed request. A request that crashes replicas was repeated without end, and a slot was freed while its broken stream could still run. Change: the queue offers requests in place and knows the real slots and each team's running requests (atomics; no lock while nothing waits). Without any upstream a request is refused after 1.5 s, or waits until the deadline that its caller named. Each attempt has an id of its own, and its slot is held until the engine has answered the cancel or the formation is gone. Lost connections fall back to the reserve and are looked into; crashes are recorded in the stream `quarantine`, which all nodes fold; nodes take turns at isolated suspects.

--- a/cuminward-caller/src/backend.rs
+++ b/cuminward-caller/src/backend.rs
@@ -48,6 +48,15 @@
     pub relay: Option<id::Node>,
 }
 
+/// Access
+impl Context {
+    /// Tells whether the request waits until its deadline while no upstream is known: the caller
+    /// named a deadline, and no other node can look elsewhere in the meantime.
+    pub fn is_patient(&self) -> bool {
+        self.deadline.is_some() && self.relay.is_none()
+    }
+}
+
 /// A generation that a caller asks for.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Generation {
--- a/cuminward-node/src/control.rs
+++ b/cuminward-node/src/control.rs
@@ -6,4 +6,5 @@
 pub mod outage;
 pub mod peer;
 pub mod probe;
+pub mod quarantine;
 pub mod steward;
--- a/cuminward-node/src/control/admit.rs
+++ b/cuminward-node/src/control/admit.rs
@@ -33,6 +33,8 @@
         }
         let now = state.now();
         let nodes = (listed.update(&state, now), state.peers.live(&state));
+        state.desk.set_nodes(nodes.1.len());
+        state.view.load().usage.values().for_each(|it| it.update(now));
         let work = {
             let mut admission = state.admission();
             if nodes != known {
--- a/cuminward-node/src/operate.rs
+++ b/cuminward-node/src/operate.rs
@@ -12,7 +12,7 @@
 use cuminward_operator::{convert, outcome, proto, server, status};
 use futures::{Stream, StreamExt, stream};
 
-use crate::{control::configure, state};
+use crate::{control::configure, request::dispatch, state};
 
 /// Events of one answer.
 const MAX_EVENTS: usize = 10_000;
@@ -211,6 +211,6 @@
     BTreeMap::from([
         ("group_down_seconds".to_owned(), measures.down.as_secs_f64()),
         ("accelerators_stranded_seconds".to_owned(), measures.stranded.as_secs_f64()),
-        ("requests_waiting".to_owned(), f64::from(state.desk.waiting())),
+        ("requests_waiting".to_owned(), f64::from(dispatch::waiting(state))),
     ])
 }
--- a/cuminward-node/src/request.rs
+++ b/cuminward-node/src/request.rs
@@ -3,7 +3,10 @@
 pub mod backend;
 pub mod call;
 pub mod dispatch;
+pub mod flight;
 pub mod generate;
 pub mod lease;
 pub mod remote;
 pub mod search;
+pub mod suspect;
+pub mod usage;
--- a/cuminward-node/src/request/call.rs
+++ b/cuminward-node/src/request/call.rs
@@ -178,6 +178,7 @@
             target: search::Target::Plain(self.call.service.clone()),
             avoid,
             spill: self.call.context.relay.is_none().then_some(self.begun + SPILL),
+            patient: self.call.context.is_patient(),
         }
     }
 
--- a/cuminward-node/src/request/generate.rs
+++ b/cuminward-node/src/request/generate.rs
@@ -13,13 +13,13 @@
     replica,
 };
 use cuminward_event::kind::Kind;
-use cuminward_route::{attempt, prefix};
+use cuminward_route::{attempt, prefix, quarantine};
 use cuminward_upstream::{error, generate, relay};
 use futures::{Stream, StreamExt};
 use tokio::sync::mpsc;
 
 use crate::{
-    request::{dispatch, lease, remote, search},
+    request::{dispatch, flight, lease, remote, search},
     state,
 };
 
@@ -47,7 +47,6 @@
     state: Arc<state::State>,
     request: backend::Generation,
     wish: search::Wish,
-    fingerprint: String,
     begun: Duration,
     sink: mpsc::Sender<backend::Event>,
     attempts: u32,
@@ -119,12 +118,13 @@
                 model: request.model.clone(),
                 version: request.version.clone(),
                 prefixes: Arc::new(prefixes),
+                fingerprint: quarantine::fingerprint(&request.model, request.prompt.as_bytes()),
             }),
             avoid: Vec::new(),
             spill: request.context.relay.is_none().then_some(begun + SPILL),
+            patient: request.context.is_patient(),
         };
         Job {
-            fingerprint: fingerprint(&request),
             wish,
             begun,
             sink,
@@ -155,13 +155,13 @@
                 Ok(granted) => granted,
                 Err(refusal) => return self.refuse(self.truthful(refusal)).await,
             };
-            let end = self.attempt(&granted.upstream).await;
-            drop(granted.lease);
+            let name = granted.upstream.name().to_owned();
+            let end = self.attempt(granted).await;
             let failure = match end {
                 End::Complete | End::CallerLeft => return,
                 End::Failed(failure) => failure,
             };
-            self.wish.avoid = vec![granted.upstream.name().to_owned()];
+            self.wish.avoid = vec![name];
             if let Some(refusal) = self.decide(&failure) {
                 return self.refuse(refusal).await;
             }
@@ -169,20 +169,31 @@
     }
 
     /// Sends the request to an upstream and passes its tokens on.
-    async fn attempt(&mut self, upstream: &search::Upstream) -> End {
+    async fn attempt(&mut self, granted: search::Granted) -> End {
         self.attempts += 1;
+        let search::Granted { upstream, lease, entry } = granted;
+        let mut flight = match (&upstream, lease.zip(entry)) {
+            (search::Upstream::Replica(replica), Some(held)) => {
+                Some(flight::Flight::new(&self.state, replica.clone(), self.attempt_id(), held))
+            }
+            _ => None,
+        };
         self.emit(Kind::RequestRouted {
             upstream: upstream.name().to_owned(),
             domain: upstream.domain(&self.state).to_owned(),
             attempt: u64::from(self.attempts),
         });
-        match self.send(upstream).await {
-            Ok(chunks) => self.pass(chunks).await,
+        let (end, error) = match self.send(&upstream).await {
+            Ok(chunks) => self.pass(chunks, flight.as_mut()).await,
             Err(error) => {
                 self.may_have_run |= error.outcome() != Outcome::NotRun;
-                End::Failed(self.failure(&error))
+                (End::Failed(self.failure(&error)), Some(error))
             }
+        };
+        if let Some(flight) = flight {
+            land(flight, &end, error).await;
         }
+        end
     }
 
     async fn send(&self, upstream: &search::Upstream) -> Result<generate::Chunks, error::Error> {
@@ -202,12 +213,19 @@
         }
     }
 
-    async fn pass(&mut self, mut chunks: generate::Chunks) -> End {
+    async fn pass(
+        &mut self,
+        mut chunks: generate::Chunks,
+        mut flight: Option<&mut flight::Flight>,
+    ) -> (End, Option<error::Error>) {
         self.may_have_run = true;
         while let Some(chunk) = chunks.next().await {
             let event = match chunk {
                 Ok(generate::Chunk::Token(token)) => {
                     self.note_token(token.index);
+                    if let Some(flight) = &mut flight {
+                        flight.progress(chunks.tokens());
+                    }
                     backend::Event::Token(token.text)
                 }
                 Ok(generate::Chunk::Finish(finish)) => {
@@ -217,16 +235,16 @@
                     });
                     let event = backend::Event::Finish(self.finish(&finish));
                     let _ = self.sink.send(event).await;
-                    return End::Complete;
+                    return (End::Complete, None);
                 }
-                Err(error) => return End::Failed(self.failure(&error)),
+                Err(error) => return (End::Failed(self.failure(&error)), Some(error)),
             };
             if self.sink.send(event).await.is_err() {
-                return End::CallerLeft;
+                return (End::CallerLeft, None);
             }
         }
         let reason = "the stream ended without a finish".to_owned();
-        End::Failed(Failure { report: self.broken(), reason })
+        (End::Failed(Failure { report: self.broken(), reason }), None)
     }
 
     fn note_token(&mut self, index: u64) {
@@ -257,6 +275,7 @@
                 let upstream = self.wish.avoid.concat();
                 self.emit(Kind::RequestResumed { upstream, token: u64::from(at), reason });
                 self.wish.deadline = now + self.state.settings.limits.queue_timeout;
+                self.wish.patient = true;
                 None
             }
             attempt::Next::Refuse(refusal) => Some(refusal),
@@ -278,7 +297,7 @@
 impl Job {
     fn body(&self, replica: &replica::Replica) -> generate::Request {
         generate::Request {
-            request: self.request.context.request.clone(),
+            request: self.attempt_id(),
             group: replica.group.clone(),
             generation: replica.generation,
             version: replica.version.clone(),
@@ -286,7 +305,21 @@
             max_tokens: u64::from(self.request.max_tokens),
             priority: i64::from(self.request.context.priority),
             resume_at: self.next,
-            fingerprint: self.fingerprint.clone(),
+            fingerprint: self.fingerprint(),
+        }
+    }
+
+    /// Id of the present attempt: a late cancel of a former one can't reach it.
+    fn attempt_id(&self) -> String {
+        let (request, node) = (&self.request.context.request, &self.state.settings.node);
+        format!("{request}.{node}.{}", self.attempts)
+    }
+
+    /// Fingerprint of the request, in hexadecimal.
+    fn fingerprint(&self) -> String {
+        match &self.wish.target {
+            search::Target::Model(it) => quarantine::text(it.fingerprint),
+            search::Target::Plain(_) => String::new(),
         }
     }
 
@@ -344,11 +377,12 @@
     }
 }
 
-/// Identifies requests with the same content, for the search of those that crash engines.
-fn fingerprint(request: &backend::Generation) -> String {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(request.model.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(request.prompt.as_bytes());
-    hasher.finalize().to_hex()[..32].to_owned()
+/// Ends an attempt at an engine by how it went.
+async fn land(flight: flight::Flight, end: &End, error: Option<error::Error>) {
+    match (end, error) {
+        (End::Complete, _) => flight.complete(),
+        (_, Some(error)) if flight::is_disconnect(&error) => flight.disconnected().await,
+        (_, Some(error::Error::Refused(_))) => flight.not_run(),
+        _ => drop(flight),
+    }
 }
--- a/cuminward-node/src/request/lease.rs
+++ b/cuminward-node/src/request/lease.rs
@@ -7,13 +7,14 @@
 
 use cuminward_route::{admission, load};
 
-use crate::state;
+use crate::{request::usage, state};
 
 /// A slot of an upstream; dropping it lets a waiting request have it.
 pub struct Lease {
     state: Arc<state::State>,
     slot: Option<admission::Slot>,
     _load: Option<load::Guard>,
+    _running: usage::Running,
 }
 
 /// A request that its team's limit counts.
@@ -29,8 +30,19 @@
         state: &Arc<state::State>,
         slot: admission::Slot,
         load: Option<load::Guard>,
+        running: usage::Running,
     ) -> Lease {
-        Lease { state: Arc::clone(state), slot: Some(slot), _load: load }
+        Lease { state: Arc::clone(state), slot: Some(slot), _load: load, _running: running }
+    }
+}
+
+/// Mutation
+impl Lease {
+    /// Notes that a connection to the upstream was lost: it may have started anew.
+    pub fn disconnected(&self) {
+        if let Some(slot) = &self.slot {
+            slot.holder().disconnected();
+        }
     }
 }
 
--- a/cuminward-node/src/request/search.rs
+++ b/cuminward-node/src/request/search.rs
@@ -8,12 +8,12 @@
     replica,
 };
 use cuminward_route::{
-    prefix,
+    prefix, quarantine,
     route::{self, Candidate},
 };
 
 use crate::{
-    request::{lease, remote},
+    request::{lease, remote, suspect},
     state, view,
 };
 
@@ -33,6 +33,9 @@
     /// When other failure domains may be used although the own one serves the request, since the
     /// start of the process; `None` never uses them.
     pub spill: Option<Duration>,
+    /// Whether the request waits until its deadline while there is no upstream at all, such as for
+    /// a replica that is being formed.
+    pub patient: bool,
 }
 
 /// Kind of upstream that a request wants.
@@ -53,6 +56,8 @@
     pub version: Option<id::Version>,
     /// Ids of the prompt's blocks.
     pub prefixes: Arc<Vec<prefix::Id>>,
+    /// Identifies requests with the same content.
+    pub fingerprint: quarantine::Fingerprint,
 }
 
 /// An upstream with a slot for the request.
@@ -61,6 +66,8 @@
     pub upstream: Upstream,
     /// The slot, to be kept until the request has ended; other nodes need none.
     pub lease: Option<lease::Lease>,
+    /// The request among those in flight at a replica.
+    pub entry: Option<suspect::Entry>,
 }
 
 /// An upstream that a request is sent to.
@@ -77,7 +84,7 @@
 /// Whether a slot is to be had.
 pub enum Outcome {
     /// An upstream with a slot.
-    Granted(Granted),
+    Granted(Box<Granted>),
     /// Nothing is free now.
     Busy,
     /// The wish can't be fulfilled, however long the request waits.
@@ -116,12 +123,14 @@
 }
 
 /// Looks for an upstream that fits a wish and has a free slot: in the own failure domain first, in
-/// another one if the own one doesn't serve the request or has had no slot for too long.
-pub fn run(state: &Arc<state::State>, wish: &Wish) -> Outcome {
+/// another one if the own one doesn't serve the request or has had no slot for too long. Slots of
+/// the own failure domain are given only to `admitted` requests.
+pub fn run(state: &Arc<state::State>, wish: &Wish, admitted: bool) -> Outcome {
     let view = state.view.load();
     let local = match &wish.target {
-        Target::Model(model) => replica(state, &view, wish, model),
-        Target::Plain(service) => host(state, &view, service, &wish.avoid),
+        Target::Model(model) => replica(state, &view, wish, model, admitted),
+        Target::Plain(_) if !admitted => Outcome::Busy,
+        Target::Plain(service) => host(state, &view, wish, service),
     };
     if !matches!(local, Outcome::Busy) {
         return local;
@@ -131,10 +140,21 @@
         return Outcome::Busy;
     }
     remote::choose(state, &view, wish).map_or(Outcome::Busy, |node| {
-        Outcome::Granted(Granted { upstream: Upstream::Node(node), lease: None })
+        Outcome::Granted(Box::new(Granted {
+            upstream: Upstream::Node(node),
+            lease: None,
+            entry: None,
+        }))
     })
 }
 
+/// Tells whether no upstream is known anywhere that could serve a wish.
+pub fn is_hopeless(state: &state::State, wish: &Wish) -> bool {
+    let view = state.view.load();
+    let remote = || wish.spill.is_some() && remote::choose(state, &view, wish).is_some();
+    !is_served(&view, wish) && !remote()
+}
+
 /// Tells whether an upstream of the own failure domain could serve the wish when it has a slot.
 fn is_served(view: &view::View, wish: &Wish) -> bool {
     let usable = |name: &String| !wish.avoid.contains(name);
@@ -148,7 +168,17 @@
     }
 }
 
-fn replica(state: &Arc<state::State>, view: &view::View, wish: &Wish, model: &Model) -> Outcome {
+fn replica(
+    state: &Arc<state::State>,
+    view: &view::View,
+    wish: &Wish,
+    model: &Model,
+    admitted: bool,
+) -> Outcome {
+    let verdict = state.suspects.verdict(state.now(), model.fingerprint);
+    if verdict == quarantine::Verdict::Refused {
+        return Outcome::Refused(quarantined());
+    }
     let mut avoid = wish.avoid.clone();
     loop {
         let query = route::Query {
@@ -160,13 +190,14 @@
         };
         let choice = route::choose(&view.table, &query, &route::policy::Live, rand::random());
         let candidate = match choice {
+            route::Choice::Replica(_) if !admitted => return Outcome::Busy,
             route::Choice::Replica(candidate) => candidate,
             route::Choice::NotFound => return Outcome::Refused(not_found(&model.model)),
             route::Choice::Forbidden => return Outcome::Refused(forbidden(&model.model)),
             route::Choice::Unavailable => return Outcome::Busy,
         };
-        if let Some(granted) = grant(state, view, candidate, &model.prefixes) {
-            return Outcome::Granted(granted);
+        if let Some(granted) = grant(state, view, candidate, wish, (model, verdict)) {
+            return Outcome::Granted(Box::new(granted));
         }
         avoid.push(candidate.replica.group.clone());
     }
@@ -176,37 +207,41 @@
     state: &Arc<state::State>,
     view: &view::View,
     candidate: &Candidate,
-    prefixes: &[prefix::Id],
+    wish: &Wish,
+    (model, verdict): (&Model, quarantine::Verdict),
 ) -> Option<Granted> {
+    let running = view.usage.get(&model.model)?.run(&wish.team);
     let slot = view.slots.get(&candidate.replica.group)?.acquire(state.now())?;
-    candidate.gauge.prefixes().insert_all(prefixes);
-    let lease = lease::Lease::new(state, slot, Some(candidate.gauge.enter()));
-    Some(Granted { upstream: Upstream::Replica(candidate.replica.clone()), lease: Some(lease) })
+    let entry = state.suspects.enter(state, &candidate.replica, model.fingerprint, verdict)?;
+    candidate.gauge.prefixes().insert_all(&model.prefixes);
+    let lease = lease::Lease::new(state, slot, Some(candidate.gauge.enter()), running);
+    let upstream = Upstream::Replica(candidate.replica.clone());
+    Some(Granted { upstream, lease: Some(lease), entry: Some(entry) })
 }
 
 /// Looks among the hosts of a plain service, the least used one first.
-fn host(
-    state: &Arc<state::State>,
-    view: &view::View,
-    service: &str,
-    avoid: &[id::Host],
-) -> Outcome {
+fn host(state: &Arc<state::State>, view: &view::View, wish: &Wish, service: &str) -> Outcome {
+    let Some(usage) = view.usage.get(service) else { return Outcome::Busy };
     let hosts = view.plains.get(service).map_or(&[][..], Vec::as_slice);
     let mut usable: Vec<&view::Plain> =
-        hosts.iter().filter(|it| !avoid.contains(&it.host)).collect();
+        hosts.iter().filter(|it| !wish.avoid.contains(&it.host)).collect();
     usable.sort_by_key(|it| it.slots.in_use());
     let granted = usable.into_iter().find_map(|it| {
         let slot = it.slots.acquire(state.now())?;
-        let lease = lease::Lease::new(state, slot, None);
-        Some(Granted { upstream: Upstream::Plain(it.clone()), lease: Some(lease) })
+        let lease = lease::Lease::new(state, slot, None, usage.run(&wish.team));
+        Some(Granted { upstream: Upstream::Plain(it.clone()), lease: Some(lease), entry: None })
     });
-    granted.map_or(Outcome::Busy, Outcome::Granted)
+    granted.map_or(Outcome::Busy, |it| Outcome::Granted(Box::new(it)))
 }
 
 fn not_found(model: &str) -> Refusal {
     Refusal::not_run(Cause::NotFound, format!("the model `{model}` is not declared"))
 }
 
+fn quarantined() -> Refusal {
+    Refusal::not_run(Cause::Quarantined, "the request has crashed the replicas that ran it")
+}
+
 fn forbidden(model: &str) -> Refusal {
     Refusal::not_run(Cause::Forbidden, format!("the team may not use `{model}`"))
 }
--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -29,7 +29,7 @@
 use crate::{
     control::{configure, peer},
     measure, node, peers,
-    request::dispatch,
+    request::{dispatch, suspect},
     retiring, settings, view,
 };
 
@@ -76,6 +76,8 @@
     pub log_away: AtomicBool,
     /// Where requests ask for slots.
     pub desk: dispatch::Desk,
+    /// Requests in flight at replicas, and which of them may have crashed one.
+    pub suspects: Arc<suspect::Suspects>,
     /// Addresses that the node listens at.
     pub addresses: node::Addresses,
     /// Whether the host list was ever read.
@@ -124,6 +126,7 @@
             configured: AtomicBool::new(false),
             log_away: AtomicBool::new(false),
             desk: dispatch::Desk::default(),
+            suspects: Arc::default(),
             measures: Mutex::default(),
             addresses,
             listed: AtomicBool::new(false),
--- a/cuminward-node/src/view.rs
+++ b/cuminward-node/src/view.rs
@@ -12,7 +12,7 @@
 };
 use subtle::ConstantTimeEq;
 
-use crate::state;
+use crate::{request::usage, state};
 
 /// What requests read; replaced as a whole.
 #[derive(Debug, Default)]
@@ -25,6 +25,8 @@
     pub slots: HashMap<id::Group, Arc<admission::Holder>>,
     /// Hosts of each plain service.
     pub plains: HashMap<id::Service, Vec<Plain>>,
+    /// Use of each model and plain service, by name.
+    pub usage: HashMap<String, Arc<usage::Usage>>,
     /// Requests in flight of each team.
     pub teams: HashMap<id::Team, Arc<AtomicU32>>,
     keys: Vec<Key>,
@@ -54,6 +56,7 @@
     registry: Registry,
     teams: HashMap<id::Team, Arc<AtomicU32>>,
     upstreams: HashSet<admission::Upstream>,
+    usage: HashMap<String, Arc<usage::Usage>>,
 }
 
 /// Makes snapshots, one at a time.
@@ -66,6 +69,7 @@
             registry: Registry::new(prefix::Options { entries: PREFIXES }),
             teams: HashMap::new(),
             upstreams: HashSet::new(),
+            usage: HashMap::new(),
         }
     }
 }
@@ -98,7 +102,7 @@
         &mut kept.registry,
     );
     kept.registry.retain(&replicas.routable);
-    let slots = table
+    let slots: HashMap<id::Group, Arc<admission::Holder>> = table
         .candidates()
         .filter_map(|it| {
             let declared = catalog.models.get(&it.replica.service)?;
@@ -107,7 +111,7 @@
             Some((it.replica.group.clone(), holder(state, &mut used, upstream, limits)))
         })
         .collect();
-    let plains = catalog
+    let plains: HashMap<id::Service, Vec<Plain>> = catalog
         .plains
         .values()
         .map(|it| (it.name.clone(), plain_hosts(state, &mut used, it, &hosts.hosts, &catalog)))
@@ -115,10 +119,52 @@
     forget(state, &mut kept.upstreams, used);
     let teams = teams(&catalog, &mut kept.teams);
     let keys = keys(&catalog);
-    state.view.store(Arc::new(View { catalog, table, slots, plains, teams, keys }));
+    let usage = use_of_all(&catalog, &table, &slots, &plains, &kept.usage);
+    kept.usage.clone_from(&usage);
+    state.view.store(Arc::new(View { catalog, table, slots, plains, usage, teams, keys }));
     state.freed.notify_one();
 }
 
+/// Use of each declared model and plain service.
+fn use_of_all(
+    catalog: &catalog::Catalog,
+    table: &Table,
+    slots: &HashMap<id::Group, Arc<admission::Holder>>,
+    plains: &HashMap<id::Service, Vec<Plain>>,
+    former: &HashMap<String, Arc<usage::Usage>>,
+) -> HashMap<String, Arc<usage::Usage>> {
+    let mut upstreams: HashMap<String, Vec<usage::Upstream>> = HashMap::new();
+    for model in catalog.models.values() {
+        upstreams.entry(model.model.clone()).or_default();
+    }
+    for candidate in table.candidates() {
+        let replica = &candidate.replica;
+        let declared = catalog.models.get(&replica.service);
+        let (Some(declared), Some(slots)) = (declared, slots.get(&replica.group)) else { continue };
+        let upstream = usage::Upstream {
+            slots: Arc::clone(slots),
+            limits: declared.into(),
+            gauge: Some(Arc::clone(&candidate.gauge)),
+        };
+        upstreams.entry(replica.model.clone()).or_default().push(upstream);
+    }
+    for service in catalog.plains.values() {
+        let hosts = plains.get(&service.name).map_or(&[][..], Vec::as_slice);
+        let upstream = |it: &Plain| usage::Upstream {
+            slots: Arc::clone(&it.slots),
+            limits: service.into(),
+            gauge: None,
+        };
+        upstreams.entry(service.name.clone()).or_default().extend(hosts.iter().map(upstream));
+    }
+    let usage = |(name, upstreams): (String, Vec<usage::Upstream>)| {
+        let former = former.get(&name).map(AsRef::as_ref);
+        let usage = usage::Usage::new(&catalog.teams, upstreams, former);
+        (name, Arc::new(usage))
+    };
+    upstreams.into_iter().map(usage).collect()
+}
+
 /// Live hosts of a plain service in this failure domain.
 fn plain_hosts(
     state: &state::State,
--- a/cuminward-route/src/admission.rs
+++ b/cuminward-route/src/admission.rs
@@ -56,6 +56,19 @@
     pub warm_up: Duration,
 }
 
+/// Access
+impl Limits {
+    /// Requests that the upstream may run at the same time, so long after its start.
+    pub fn at(&self, age: Duration) -> u32 {
+        let cold = self.cold_slots.min(self.slots);
+        if age >= self.warm_up {
+            return self.slots;
+        }
+        let rise = u128::from(self.slots - cold) * age.as_nanos() / self.warm_up.as_nanos().max(1);
+        cold + rise as u32
+    }
+}
+
 /// Settings that all nodes have in common.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
--- a/cuminward-route/src/admission/holder.rs
+++ b/cuminward-route/src/admission/holder.rs
@@ -123,6 +123,12 @@
         unpack(self.slots.load(Ordering::Acquire)).1
     }
 
+    /// Time since the upstream began to warm up, as far as a grant told.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        let (started, at) = self.lock().started?;
+        Some(started.age + now.saturating_sub(at))
+    }
+
     /// Owner that the holder follows.
     pub fn owner(&self) -> Option<id::Node> {
         self.lock().owner.clone()
@@ -260,7 +266,8 @@
     fn idle(&self, control: &Control, now: Duration, in_use: u32, allowance: u32) -> bool {
         let keep = (in_use + SPARE).max(self.reserve.load(Ordering::Acquire));
         let since = control.last.map_or(Duration::ZERO, |it| now.saturating_sub(it.at));
-        control.session.is_some() && allowance > keep && since >= IDLE_INTERVAL
+        let wanted = self.waiting.load(Ordering::Acquire) > 0;
+        !wanted && control.session.is_some() && allowance > keep && since >= IDLE_INTERVAL
     }
 
     /// Gives idle slots back; returns the slots in use and the allowance that remains.
@@ -299,6 +306,14 @@
     }
 }
 
+/// Access
+impl Slot {
+    /// Where the slot came from.
+    pub fn holder(&self) -> &Holder {
+        &self.holder
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         self.holder.slots.fetch_sub(pack(1, 0), Ordering::AcqRel);
--- a/cuminward-route/src/admission/ramp.rs
+++ b/cuminward-route/src/admission/ramp.rs
@@ -27,14 +27,7 @@
 impl Ramp {
     /// Requests that the upstream may run at the same time.
     pub fn limit(&self, now: Duration) -> u32 {
-        let Limits { slots, cold_slots, warm_up } = self.limits;
-        let cold = cold_slots.min(slots);
-        let age = self.age(now);
-        if age >= warm_up {
-            return slots;
-        }
-        let rise = u128::from(slots - cold) * age.as_nanos() / warm_up.as_nanos().max(1);
-        cold + rise as u32
+        self.limits.at(self.age(now))
     }
 
     /// The start that the ramp counts from, once the upstream's incarnation is known.
--- a/cuminward-route/src/quarantine.rs
+++ b/cuminward-route/src/quarantine.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3;
 
 pub use self::{
-    isolation::{Busy, Isolation, Token},
+    isolation::{Busy, Isolation, Token, is_turn},
     ledger::Ledger,
 };
 
@@ -31,6 +31,10 @@
 /// Fingerprints that are remembered.
 pub const DEFAULT_ENTRIES: usize = 4096;
 
+/// Tokens after which an isolated suspect counts as harmless: one that crashes upstreams does so
+/// again where it did before.
+pub const HARMLESS_TOKENS: u64 = 8;
+
 /// What a node saw, for all nodes.
 #[record]
 #[serde(tag = "kind", rename_all = "kebab-case")]
--- a/cuminward-route/src/quarantine/isolation.rs
+++ b/cuminward-route/src/quarantine/isolation.rs
@@ -1,11 +1,34 @@
 //! Which suspect runs where at this node.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
 use cuminward_core::id;
 
+use crate::admission;
+
 use super::{Crash, Fingerprint, Record, Verdict, text};
 
+/// Time for which one node may begin suspects on an upstream.
+const TURN: Duration = Duration::from_secs(1);
+
+/// Part of a turn in which suspects may begin, in thousandths; the rest is for them to end or to
+/// prove harmless, and for differences between clocks.
+const BEGIN_PERMILLE: u128 = 750;
+
+/// Tells whether a node may begin a suspect on an upstream now. Turns go round among the nodes by
+/// hash, so that the suspects of two nodes hardly ever run on one upstream at the same time. `wall`
+/// is the time since the Unix epoch.
+pub fn is_turn(node: &str, nodes: &[id::Node], upstream: &str, wall: Duration) -> bool {
+    if nodes.len() < 2 {
+        return true;
+    }
+    let turn = wall.as_millis() / TURN.as_millis();
+    let begun = wall.as_millis() % TURN.as_millis() * 1000 / TURN.as_millis();
+    let place = format!("{upstream}/{turn}");
+    let owner = admission::owner(nodes.iter().map(String::as_str), &place);
+    begun < BEGIN_PERMILLE && owner == Some(node)
+}
+
 /// Suspects that this node runs, by upstream.
 #[derive(Debug, Clone, Default)]
 pub struct Isolation {
--- a/cuminward-route/src/share.rs
+++ b/cuminward-route/src/share.rs
@@ -26,9 +26,15 @@
 /// Intervals longer than this count as idleness and don't change the service rate.
 const MAX_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Waiting requests of one team that are offered at one time.
+const OFFERED: usize = 16;
+
 /// Longest retry time that a refusal gives, in seconds.
 const MAX_RETRY_SECONDS: u64 = 60;
 
+/// Part of the slots that a team far beyond its share leaves free, in thousandths.
+pub const DEFAULT_HEADROOM_PERMILLE: u32 = 100;
+
 /// Bounds of a queue.
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -109,7 +115,21 @@
 
 impl Default for Options {
     fn default() -> Options {
-        Options { waiting: 1024, headroom_permille: 100 }
+        Options { waiting: 1024, headroom_permille: DEFAULT_HEADROOM_PERMILLE }
+    }
+}
+
+/// Access
+impl Capacity {
+    /// Tells whether a slot is free for a team with so many requests running. Within its share any
+    /// slot is; the further a team is beyond its share, the more of the headroom has to stay free.
+    pub fn admits(&self, weight: u32, running: u32, headroom_permille: u32) -> bool {
+        let used = u64::from(running) * u64::from(self.weights);
+        let share = u64::from(self.slots) * u64::from(weight);
+        let headroom = u64::from(self.slots) * u64::from(headroom_permille) / 1000;
+        let beyond = (used + 1).saturating_sub(share.max(1));
+        let keep = (headroom * beyond).div_ceil(used.max(1));
+        u64::from(self.free) > keep
     }
 }
 
@@ -146,16 +166,10 @@
         self.teams.get(team).map_or(0, |it| it.running + it.waiting.len() as u32)
     }
 
-    /// Tells whether a slot is free for a team. Within its share any slot is; the further a team is
-    /// beyond its share, the more of the headroom has to stay free.
+    /// Tells whether a slot is free for a team that is known.
     fn admits(&self, team: &str, capacity: &Capacity) -> bool {
         let it = &self.teams[team];
-        let used = u64::from(it.running) * u64::from(capacity.weights);
-        let share = u64::from(capacity.slots) * u64::from(it.weight);
-        let headroom = u64::from(capacity.slots) * u64::from(self.options.headroom_permille) / 1000;
-        let beyond = (used + 1).saturating_sub(share.max(1));
-        let keep = (headroom * beyond).div_ceil(used.max(1));
-        u64::from(capacity.free) > keep
+        capacity.admits(it.weight, it.running, self.options.headroom_permille)
     }
 
     /// Time that a new request of the team would wait, from the recent service rate; `None` while
@@ -193,11 +207,35 @@
     /// Takes the request that goes next, if a slot is free for it; its team counts it as running
     /// until [`finish`](Queue::finish).
     pub fn pop(&mut self, now: Duration, capacity: &Capacity) -> Option<Entry<T>> {
-        let turn = self.order.keys().find(|(_, it)| self.admits(it, capacity))?.clone();
+        self.offer(now, capacity, |_, admitted| admitted.then_some(())).map(|(entry, ())| entry)
+    }
+
+    /// Offers the waiting requests in turn, a few of each team, and takes the first one that is
+    /// accepted. `accept` is told whether a slot is free for the request's team, and gives `None`
+    /// to leave the request in its place. The team counts the request as running until
+    /// [`finish`](Queue::finish).
+    pub fn offer<R>(
+        &mut self,
+        now: Duration,
+        capacity: &Capacity,
+        mut accept: impl FnMut(&Entry<T>, bool) -> Option<R>,
+    ) -> Option<(Entry<T>, R)> {
+        let (turn, place, accepted) = self.order.keys().find_map(|turn| {
+            let admitted = self.admits(&turn.1, capacity);
+            let mut offered = self.teams[&turn.1].waiting.iter().take(OFFERED);
+            let (place, accepted) =
+                offered.find_map(|(place, it)| Some((*place, accept(it, admitted)?)))?;
+            Some((turn.clone(), place, accepted))
+        })?;
+        Some((self.remove(now, turn, place), accepted))
+    }
+
+    /// Takes a waiting request out and advances its team's virtual time.
+    fn remove(&mut self, now: Duration, turn: (u64, id::Team), place: Place) -> Entry<T> {
         self.order.remove(&turn);
         let (start, name) = turn;
         let team = self.teams.get_mut(&name).expect("a team in the order is known");
-        let (_, entry) = team.waiting.pop_first().expect("a team in the order has a request");
+        let entry = team.waiting.remove(&place).expect("the request was offered");
         self.virtual_time = self.virtual_time.max(start);
         team.running += 1;
         team.start = start + u64::from(entry.cost.max(1)) * UNIT / u64::from(team.weight);
@@ -206,13 +244,27 @@
         }
         self.waiting -= 1;
         self.rate.note(now, self.waiting > 0);
-        Some(entry)
+        entry
+    }
+
+    /// Sets how many requests of a team run, where that is counted elsewhere.
+    pub fn set_running(&mut self, team: &str, running: u32) {
+        if let Some(it) = self.teams.get_mut(team) {
+            it.running = running;
+        }
+        self.settle(team);
     }
 
     /// Counts one running request of the team as ended.
     pub fn finish(&mut self, team: &str) {
         let Some(it) = self.teams.get_mut(team) else { return };
         it.running = it.running.saturating_sub(1);
+        self.settle(team);
+    }
+
+    /// Forgets a team that neither runs nor waits, once its virtual time has passed.
+    fn settle(&mut self, team: &str) {
+        let Some(it) = self.teams.get(team) else { return };
         let settled = it.start <= self.virtual_time;
         if it.running == 0 && it.waiting.is_empty() && settled {
             self.teams.remove(team);
--- a/cuminward-route/tests/all/quarantine.rs
+++ b/cuminward-route/tests/all/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cuminward_route::quarantine::{Busy, Isolation, Ledger, Record, Verdict};
+use cuminward_route::quarantine::{self, Busy, Isolation, Ledger, Record, Verdict};
 use googletest::prelude::*;
 
 const NOW: Duration = Duration::from_secs(10);
@@ -85,3 +85,18 @@
     let known = (0..500).filter(|&it| ledger.verdict(now, it) != Verdict::Clear);
     expect_that!(known.count(), eq(100));
 }
+
+#[gtest]
+fn one_node_at_a_time_begins_suspects_and_each_has_its_turn() {
+    let nodes = ["n0", "n1", "n2"].map(ToOwned::to_owned);
+    let mut turns = [0; 3];
+    for tick in 0..400 {
+        let wall = Duration::from_millis(1_700_000_000_000 + tick * 250);
+        let on_turn = |it: &usize| quarantine::is_turn(&nodes[*it], &nodes, "g#1", wall);
+        let having: Vec<usize> = (0..nodes.len()).filter(on_turn).collect();
+        expect_that!(having.len(), le(1));
+        having.iter().for_each(|it| turns[*it] += 1);
+    }
+    expect_that!(turns, each(gt(0)));
+    expect_that!(quarantine::is_turn("n0", &nodes[..1], "g#1", Duration::ZERO), eq(true));
+}
--- a/cuminward-route/tests/all/share.rs
+++ b/cuminward-route/tests/all/share.rs
@@ -122,3 +122,29 @@
         expect_that!(admitted, eq(case.admitted), "case {number}");
     }
 }
+
+#[gtest]
+fn a_request_that_is_not_accepted_keeps_its_place() {
+    let mut queue = Queue::new(Options::default());
+    for it in 0..3 {
+        queue.push(Duration::ZERO, entry("a", 1, it)).expect("there is room");
+    }
+    let second = |it: &Entry<u32>, admitted: bool| (admitted && it.item == 1).then_some("taken");
+    let (taken, how) = queue.offer(Duration::ZERO, &AMPLE, second).expect("one is accepted");
+    expect_that!((taken.item, how), eq((1, "taken")));
+    expect_that!(queue.offer(Duration::ZERO, &AMPLE, |_, _| None::<()>).is_none(), eq(true));
+    let rest: Vec<u32> =
+        std::iter::from_fn(|| queue.pop(Duration::ZERO, &AMPLE)).map(|it| it.item).collect();
+    expect_that!(rest, eq(&vec![0, 2]));
+}
+
+#[gtest]
+fn requests_that_run_elsewhere_count_for_the_share() {
+    let mut queue = Queue::new(Options::default());
+    queue.push(Duration::ZERO, entry("hot", 1, 0)).expect("there is room");
+    queue.set_running("hot", 8);
+    let capacity = Capacity { slots: 10, free: 1, weights: 2 };
+    expect_that!(queue.pop(Duration::ZERO, &capacity).is_none(), eq(true));
+    queue.set_running("hot", 4);
+    expect_that!(queue.pop(Duration::ZERO, &capacity).is_some(), eq(true));
+}
