test: cuminward-testkit: busy nodes get all slots of a warm replica

Cause: about 20 requests a second passed where the replicas could take 100: the owners' figures showed limit 16, committed 2 and every node informed, since no node said how many of its requests wait. Conclusion: demand has to reach the owners; the test shows it over sockets.

--- /dev/null
+++ b/cuminward-testkit/tests/admission.rs
@@ -0,0 +1,77 @@
+//! Slots of upstreams, over all nodes together.
+
+use std::time::Duration;
+
+use cuminward_route::admission;
+use cuminward_standin::world;
+use cuminward_testkit::{
+    caller::Caller,
+    cluster::{self, Cluster},
+    declare,
+};
+use googletest::prelude::*;
+
+/// Requests that the only replica runs at the same time.
+const SLOTS: u32 = 16;
+
+/// Time within which busy nodes have to have all slots of a warm replica.
+const GRANTS: Duration = Duration::from_secs(8);
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn busy_nodes_get_all_slots_of_a_warm_replica() -> Result<()> {
+    let options = cluster::Options {
+        world: world::Options {
+            domains: vec![world::Domain::new("a", "r", 4)],
+            ..world::Options::default()
+        },
+        nodes_per_domain: 3,
+        ..cluster::Options::default()
+    };
+    let cluster = Cluster::start(options).await.or_fail()?;
+    let limits =
+        declare::Limits { slots: SLOTS, cold_slots: 4, warm_up: Duration::from_millis(500) };
+    cluster.declare(1, 4, &limits).await.or_fail()?;
+    cluster.wait_replicas(1, GRANTS).await.or_fail()?;
+    let callers = cluster.callers();
+    let chats = (0..90).map(|index| {
+        let node = callers[index % callers.len()];
+        tokio::spawn(async move {
+            let caller = Caller::new(&declare::TEAMS[0]);
+            caller.chat(node, &format!("kite {index}"), 100).await
+        })
+    });
+    let chats: Vec<_> = chats.collect();
+    let used = || {
+        let views = cluster.nodes().map(|(_, it)| it.state().view.load_full());
+        views.map(|it| it.slots.values().map(|it| it.in_use()).sum::<u32>()).sum::<u32>()
+    };
+    let all = cluster::wait(GRANTS, || used() == SLOTS).await;
+    expect_that!(all, eq(true), "{} slots are in use; {}", used(), owners(&cluster));
+    for chat in chats {
+        let answer = chat.await.or_fail()?.or_fail()?;
+        expect_that!(answer.is_whole_chat(), eq(true), "{}", answer.body);
+    }
+    expect_that!(cluster.world.fleet().counters().cold_overruns, eq(0));
+    cluster.stop().await;
+    Ok(())
+}
+
+/// What the owner of the only replica knows.
+fn owners(cluster: &Cluster) -> String {
+    let describe = |(name, node): (&String, &cuminward_node::node::Node)| {
+        let state = node.state();
+        let replicas = state.replicas.load();
+        let replica = replicas.routable.first()?;
+        let upstream = admission::replica(&replica.group, replica.generation);
+        let admission = state.admission();
+        let owner = admission.owner(&upstream)?;
+        Some(format!(
+            "{name}: limit {}, committed {}, informed {}",
+            owner.limit(state.now()),
+            owner.committed(),
+            owner.informed()
+        ))
+    };
+    cluster.nodes().filter_map(describe).collect::<Vec<_>>().join("; ")
+}
