fix: cuminward-node: owners hear how many requests wait

Cause: a node whose reserve is 0 was never given a slot: nothing told the holders how many requests wait, and a report with 0 of 0 slots counts as full, so that it was never followed by another. Change: the dispatcher tells the holders of each model and service their part of the waiting requests.

--- a/cuminward-node/src/request/dispatch.rs
+++ b/cuminward-node/src/request/dispatch.rs
@@ -95,8 +95,9 @@
         while let Ok(waiting) = receiver.try_recv() {
             push(&state, &mut queues, waiting);
         }
-        for queue in queues.values_mut() {
+        for (target, queue) in &mut queues {
             serve(&state, queue);
+            ask(&state, target, queue.len());
         }
         queues.retain(|_, it| !it.is_empty());
     }
@@ -148,6 +149,20 @@
     }
 }
 
+/// Tells the holders of a model's or service's upstreams how many requests wait for them, so that
+/// their owners grant slots.
+fn ask(state: &state::State, target: &str, waiting: usize) {
+    let view = state.view.load();
+    let replicas = view.table.candidates().filter(|it| it.replica.model == target);
+    let replicas = replicas.filter_map(|it| view.slots.get(&it.replica.group));
+    let plains = view.plains.get(target).into_iter().flatten().map(|it| &it.slots);
+    let holders: Vec<_> = replicas.chain(plains).collect();
+    let each = waiting.div_ceil(holders.len().max(1));
+    for holder in holders {
+        holder.set_waiting(u32::try_from(each).unwrap_or(u32::MAX));
+    }
+}
+
 /// Slots of this node.
 fn capacity(state: &state::State) -> share::Capacity {
     let view = state.view.load();
