--- a/cuminward-testkit/src/experiment/report.rs
+++ b/cuminward-testkit/src/experiment/report.rs
@@ -25,7 +25,7 @@
 /// One run.
 #[record]
 pub struct Run {
-    /// Promises with their violations; empty in a baseline.
+    /// Promises with their violations.
     pub promises: Vec<promise::Count>,
     /// The users' measures.
     pub measures: Measures,
@@ -109,11 +109,14 @@
             ratios(&mut text, &self.run.measures, &baseline.measures);
         }
         line(&mut text, "\npromises: violations / cases");
-        for count in &self.run.promises {
+        for (index, count) in self.run.promises.iter().enumerate() {
             let verdict = if count.violations == 0 { "held  " } else { "BROKEN" };
+            let baseline = self.baseline.as_ref().and_then(|it| it.promises.get(index));
+            let baseline = baseline
+                .map_or(String::new(), |it| format!("; baseline {} / {}", it.violations, it.cases));
             let (promise, violations) = (&count.promise, count.violations);
-            let row =
-                format!("{verdict} {promise}: {violations} / {} ({})", count.cases, count.detail);
+            let (cases, detail) = (count.cases, &count.detail);
+            let row = format!("{verdict} {promise}: {violations} / {cases} ({detail}){baseline}");
             line(&mut text, &row);
         }
         text
--- a/cuminward-testkit/src/experiment/runner.rs
+++ b/cuminward-testkit/src/experiment/runner.rs
@@ -256,23 +256,19 @@
 
 impl Finished {
     async fn report(self, stage: Arc<stage::Stage>) -> miette::Result<(report::Run, load::Report)> {
-        let baseline = stage.is_baseline().await;
         let measures = self.measures(&stage).await;
         let Some(stage) = Arc::into_inner(stage) else {
             return Err(miette::miette!("a task still uses the cluster"));
         };
         let cluster = stage.cluster.into_inner();
         let mut marks = stage.marks.into_inner().unwrap_or_default();
-        let promises = match baseline {
-            true => Vec::new(),
-            false => promise::count(&promise::Evidence {
-                world: &cluster.world,
-                marks: &marks,
-                chats: &self.chats,
-                calls: &self.calls,
-                watch: &self.watch,
-            }),
-        };
+        let promises = promise::count(&promise::Evidence {
+            world: &cluster.world,
+            marks: &marks,
+            chats: &self.chats,
+            calls: &self.calls,
+            watch: &self.watch,
+        });
         let failed = self.calls.iter().filter(|it| it.end != desk::End::Complete);
         let happened = std::mem::take(&mut marks.happened);
         let run = report::Run {
