--- /dev/null
+++ b/cuminward-testkit/examples/spread.rs
@@ -0,0 +1,136 @@
+//! Bytes a second that a node spends on calls between nodes: greetings and the spread of
+//! configuration, idle and with one change a second.
+//!
+//! `cargo run --release -p cuminward-testkit --example spread -- --nodes 18 --domains 3`
+#![allow(clippy::print_stdout)]
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use clap::Parser;
+use cuminward_core::{catalog, change};
+use cuminward_node::{node, state};
+use cuminward_standin::world;
+use cuminward_testkit::cluster::{self, Cluster};
+use miette::ensure;
+
+/// Time that the nodes get to start and to find each other.
+const START: Duration = Duration::from_secs(60);
+
+/// Time between two looks at the evidence.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Time after the start that isn't measured.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Measures the bytes of calls between nodes.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Number of nodes over all failure domains.
+    #[arg(long, default_value_t = 9)]
+    nodes: u32,
+    /// Number of failure domains.
+    #[arg(long, default_value_t = 3)]
+    domains: u32,
+    /// Length of each measurement in seconds.
+    #[arg(long, default_value_t = 15)]
+    seconds: u32,
+}
+
+/// Bytes so far of one node.
+#[derive(Debug, Clone, Copy)]
+struct Bytes {
+    sent: u64,
+    received: u64,
+}
+
+#[tokio::main]
+async fn main() -> miette::Result<()> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("off")).init();
+    let arguments = Arguments::parse();
+    let cluster = Cluster::start(options(&arguments)).await?;
+    let each = (arguments.nodes / arguments.domains) as usize;
+    let found = |it: &node::Node| it.state().peers.live(it.state()).len() == each;
+    let all_found = || cluster.nodes().all(|(_, it)| found(it) && it.state().ready().is_ok());
+    ensure!(cluster::wait(START, all_found).await, "the nodes didn't find each other");
+    tokio::time::sleep(SETTLE).await;
+    let begun = bytes(&cluster);
+    let oldest = watch(&cluster, Duration::from_secs(arguments.seconds.into())).await;
+    show("idle", &arguments, &begun, &bytes(&cluster));
+    println!("oldest evidence of a live node of the same domain: {} ms", oldest.as_millis());
+    let begun = bytes(&cluster);
+    let mut second = tokio::time::interval(Duration::from_secs(1));
+    for number in 0..arguments.seconds {
+        second.tick().await;
+        cluster.apply([team(number)]).await?;
+    }
+    second.tick().await;
+    show("one change a second", &arguments, &begun, &bytes(&cluster));
+    Ok(())
+}
+
+fn options(arguments: &Arguments) -> cluster::Options {
+    let domain = |it: u32| world::Domain::new(&format!("domain-{it}"), "region", 0);
+    let domains = (0..arguments.domains).map(domain).collect();
+    cluster::Options {
+        world: world::Options { domains, ..world::Options::default() },
+        nodes_per_domain: arguments.nodes / arguments.domains,
+        ..cluster::Options::default()
+    }
+}
+
+fn team(number: u32) -> change::Action {
+    change::Action::DeclareTeam(catalog::Team {
+        name: format!("team-{}", number % 10),
+        keys: BTreeSet::new(),
+        weight: 1,
+        in_flight: 1 + number,
+    })
+}
+
+/// Largest age that the evidence of a live node of the same failure domain reaches within a time.
+async fn watch(cluster: &Cluster, time: Duration) -> Duration {
+    let begun = Instant::now();
+    let mut oldest = Duration::ZERO;
+    while begun.elapsed() < time {
+        oldest =
+            oldest.max(cluster.nodes().map(|(_, it)| age(it.state())).max().unwrap_or_default());
+        tokio::time::sleep(LOOK).await;
+    }
+    oldest
+}
+
+fn age(state: &state::State) -> Duration {
+    let evidence = state.peers.evidence(state);
+    evidence.values().map(|it| it.map_or(Duration::MAX, |it| it.age)).max().unwrap_or_default()
+}
+
+fn bytes(cluster: &Cluster) -> Vec<Bytes> {
+    cluster.nodes().map(|(_, it)| of(it.state())).collect()
+}
+
+fn of(state: &state::State) -> Bytes {
+    let (client, server) = (state.pool.counter(), &state.counter);
+    Bytes { sent: client.sent() + server.sent(), received: client.received() + server.received() }
+}
+
+/// Prints mean and maximum over the nodes, in bytes a second.
+fn show(what: &str, arguments: &Arguments, before: &[Bytes], after: &[Bytes]) {
+    let rate = |it: u64| it as f64 / f64::from(arguments.seconds);
+    let pairs = || before.iter().zip(after);
+    let sent: Vec<f64> = pairs().map(|(b, a)| rate(a.sent - b.sent)).collect();
+    let all: Vec<f64> =
+        pairs().map(|(b, a)| rate(a.sent + a.received - b.sent - b.received)).collect();
+    let mean = |it: &[f64]| it.iter().sum::<f64>() / it.len() as f64;
+    println!(
+        "{} nodes in {} domains, {what}: sent {:.0} B/s a node, sent and received {:.0} B/s a node, \
+         {:.0} B/s at the busiest",
+        arguments.nodes,
+        arguments.domains,
+        mean(&sent),
+        mean(&all),
+        all.iter().copied().fold(0.0, f64::max)
+    );
+}
