--- a/cuminward-testkit/src/lib.rs
+++ b/cuminward-testkit/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod cluster;
 pub mod cpu;
 pub mod declare;
+pub mod experiment;
