--- a/cuminward-group/src/assembly.rs
+++ b/cuminward-group/src/assembly.rs
@@ -17,6 +17,8 @@
 pub struct Input<'a> {
     /// Newest observation of each host.
     pub observations: &'a BTreeMap<id::Host, host::Observation>,
+    /// Hosts that were found silent; their reports confirm nothing.
+    pub silent: &'a BTreeSet<id::Host>,
     /// The platform's host list.
     pub hosts: &'a [host::Entry],
     /// What operators declared.
@@ -129,6 +131,7 @@
     let ready = formation.phase == host::Phase::Ready;
     fresh
         && ready
+        && !input.silent.contains(member)
         && seen.report.host == member
         && seen.report.membership.as_ref() == Some(formation)
 }
--- a/cuminward-group/tests/all/assembly.rs
+++ b/cuminward-group/tests/all/assembly.rs
@@ -1,6 +1,10 @@
 //! Cases of the assembly of whole replicas.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use cuminward_core::{catalog, host, id};
 use cuminward_group::assembly::{self, Cause};
@@ -72,6 +76,7 @@
         let mut view = View::new();
         change(&mut view);
         let outcome = assembly::assemble(&assembly::Input {
+            silent: &BTreeSet::new(),
             observations: &view.observations,
             hosts: &view.hosts,
             catalog: &view.catalog,
--- a/cuminward-group/tests/all/machine.rs
+++ b/cuminward-group/tests/all/machine.rs
@@ -285,6 +285,7 @@
     fn routable(&self) -> Vec<BTreeSet<id::Host>> {
         let observations: BTreeMap<id::Host, host::Observation> = self.world.observations(self.now);
         let outcome = assembly::assemble(&assembly::Input {
+            silent: &BTreeSet::new(),
             observations: &observations,
             hosts: &self.world.entries(),
             catalog: &self.world.catalog(SERVICES),
--- a/cuminward-group/tests/all/main.rs
+++ b/cuminward-group/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod placement;
 mod probe;
 mod steward;
+mod table;
--- a/cuminward-group/tests/all/steward.rs
+++ b/cuminward-group/tests/all/steward.rs
@@ -1,6 +1,6 @@
 //! Tests of the steward against fake hosts.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use cuminward_core::host;
 use cuminward_group::{assembly, placement::State, steward};
@@ -35,6 +35,7 @@
     let observations = world.observations(now);
     let catalog = world.catalog(services);
     let input = assembly::Input {
+        silent: &BTreeSet::new(),
         observations: &observations,
         hosts: &world.entries(),
         catalog: &catalog,
--- a/cuminward-node/src/control.rs
+++ b/cuminward-node/src/control.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod configure;
 pub mod list;
+pub mod observe;
 pub mod outage;
 pub mod peer;
 pub mod probe;
--- /dev/null
+++ b/cuminward-node/src/control/observe.rs
@@ -0,0 +1,101 @@
+//! Exchanges what the nodes of a failure domain know about its hosts.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use cuminward_core::id;
+use cuminward_group::{
+    probe::{pace, table},
+    steward,
+};
+use cuminward_peer::message;
+use tokio::{sync::mpsc, time};
+
+use crate::{control::probe, state};
+
+/// Time between two looks while every node probes every host.
+const IDLE: Duration = Duration::from_millis(500);
+
+/// Pulls until the node stops; what is new goes to the steward as hearsay.
+pub async fn run(state: Arc<state::State>, inputs: mpsc::Sender<steward::Input>) {
+    let mut mirrors: BTreeMap<id::Node, table::Mirror> = BTreeMap::new();
+    loop {
+        let nodes = state.peers.live(&state);
+        let interval = probe::pace(&state, nodes.len()).pull;
+        let (round, wait) = next_round(interval.unwrap_or(IDLE));
+        tokio::select! {
+            () = time::sleep(wait) => {}
+            () = state.stop.cancelled() => return,
+        }
+        let Some(interval) = interval else { continue };
+        mirrors.retain(|it, _| nodes.contains(it));
+        let Some(source) = pace::source(&state.settings.node, &nodes, round) else { continue };
+        let mirror = mirrors.entry(source.clone()).or_default();
+        let pulling = pull(&state, source, mirror);
+        let Ok(Some(news)) = time::timeout(interval * 2, pulling).await else { continue };
+        tell(&state, news, &inputs).await;
+    }
+}
+
+/// Number of the next round by the wall clock, and the time until it begins. Clocks that differ make
+/// news travel later.
+fn next_round(interval: Duration) -> (u32, Duration) {
+    let wall = state::wall().as_millis() as u64;
+    let interval = (interval.as_millis() as u64).max(1);
+    let round = wall / interval + 1;
+    (round as u32, Duration::from_millis(round * interval - wall))
+}
+
+async fn pull(
+    state: &state::State,
+    source: &str,
+    mirror: &mut table::Mirror,
+) -> Option<table::News> {
+    let asked = state.now();
+    let answer = state.pool.observations(source, mirror.incarnation, mirror.next).await.ok()?;
+    if mirror.incarnation != answer.incarnation {
+        *mirror = table::Mirror::new(answer.incarnation);
+    }
+    state.observations().merge(asked, mirror, &delta(answer))
+}
+
+/// Tells the admission and the steward what other nodes have found.
+async fn tell(state: &state::State, news: table::News, inputs: &mpsc::Sender<steward::Input>) {
+    for it in news.changed.iter().chain(&news.answering) {
+        probe::observe(state, &it.report, it.at);
+    }
+    for it in news.changed.into_iter().chain(news.answering) {
+        let _ = inputs.send(steward::Input::Heard(it)).await;
+    }
+}
+
+/// Answers another node's question for what changed since a position.
+pub fn answer(
+    state: &state::State,
+    incarnation: id::Incarnation,
+    since: message::Position,
+) -> message::Observations {
+    let since = if incarnation == state.incarnation { since } else { 0 };
+    let delta = state.observations().since(state.now(), since);
+    let silence = |it: table::Silence| message::Silence { host: it.host, age: it.age };
+    message::Observations {
+        incarnation: state.incarnation,
+        next: delta.next,
+        full: delta.full,
+        changed: delta.changed,
+        removed: delta.removed,
+        ages: delta.ages,
+        silent: delta.silent.into_iter().map(silence).collect(),
+    }
+}
+
+fn delta(answer: message::Observations) -> table::Delta {
+    let silence = |it: message::Silence| table::Silence { host: it.host, age: it.age };
+    table::Delta {
+        next: answer.next,
+        full: answer.full,
+        changed: answer.changed,
+        removed: answer.removed,
+        ages: answer.ages,
+        silent: answer.silent.into_iter().map(silence).collect(),
+    }
+}
--- a/cuminward-node/src/control/peer/answer.rs
+++ b/cuminward-node/src/control/peer/answer.rs
@@ -7,7 +7,7 @@
 use cuminward_peer::{answer, message};
 
 use crate::{
-    control::{configure, peer},
+    control::{configure, observe, peer},
     state,
 };
 
@@ -39,17 +39,10 @@
 
     async fn observations(
         &self,
-        _incarnation: id::Incarnation,
-        _since: message::Position,
+        incarnation: id::Incarnation,
+        since: message::Position,
     ) -> message::Observations {
-        message::Observations {
-            incarnation: self.state.incarnation,
-            next: 0,
-            full: false,
-            changed: Vec::new(),
-            confirmed: Vec::new(),
-            removed: Vec::new(),
-        }
+        observe::answer(&self.state, incarnation, since)
     }
 
     async fn admission(&self, admission: message::Admission) -> message::Admission {
--- a/cuminward-node/src/control/probe.rs
+++ b/cuminward-node/src/control/probe.rs
@@ -1,45 +1,143 @@
-//! Reads the state of the failure domain's upstreams and assembles the replicas from it.
+//! Probes the upstreams of the failure domain that are this node's share, and keeps what they report.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+mod assemble;
+mod schedule;
 
-use cuminward_core::{host, id, replica};
+use std::{sync::Arc, time::Duration};
+
+use cuminward_core::{host, id};
 use cuminward_event::kind::Kind;
-use cuminward_group::{assembly, steward};
+use cuminward_group::{
+    probe::{pace, suspicion},
+    steward,
+};
 use cuminward_route::admission;
-use futures::{StreamExt, stream};
-use tokio::sync::mpsc;
+use cuminward_upstream::error;
+use tokio::{sync::mpsc, time};
+
+use crate::{control::admit, state};
 
-use crate::{control::admit, state, view};
+/// Ended probes that may wait.
+const ENDED: usize = 1_024;
 
-/// Probes under way at the same time.
-const CONCURRENCY: usize = 32;
+/// Looks at the schedule in one interval of probes.
+const LOOKS: u32 = 3;
 
-/// Result of one probe.
-struct Probe {
+/// Bounds of the time that an answer to a probe may take.
+const TIMEOUT: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(1));
+
+/// An ended probe.
+struct Ended {
     host: id::Host,
     role: host::Role,
     asked: Duration,
-    report: Option<host::Report>,
+    after: Duration,
+    outcome: Result<host::Report, suspicion::Probe>,
 }
 
-/// Probes the hosts at the set interval until the node stops; engines' results go to the steward.
+/// Probes until the node stops; what engines report goes to the steward.
 pub async fn run(state: Arc<state::State>, inputs: mpsc::Sender<steward::Input>) {
-    let mut interval = tokio::time::interval(state.settings.timing.probe);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut silent = BTreeSet::new();
+    let mut tick = time::interval(state.settings.timing.probe / LOOKS);
+    tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let (results, mut ended) = mpsc::channel(ENDED);
+    let mut schedule = schedule::Schedule::default();
     loop {
         tokio::select! {
-            _ = interval.tick() => {}
+            _ = tick.tick() => turn(&state, &mut schedule, &results, &inputs).await,
+            Some(it) = ended.recv() => take(&state, &mut schedule, it, &inputs).await,
             () = state.stop.cancelled() => return,
         }
-        for probe in round(&state).await {
-            note(&state, &mut silent, &probe);
-            if probe.role == host::Role::Engine && inputs.send(input(&state, probe)).await.is_err()
-            {
-                return;
+    }
+}
+
+/// Intervals that hold for the present size of the failure domain.
+pub fn pace(state: &state::State, nodes: usize) -> pace::Pace {
+    let hosts = state.hosts.load();
+    let own = |it: &&host::Entry| it.role != host::Role::Node && it.domain == state.settings.domain;
+    let timing = &state.settings.timing;
+    let options = pace::Options {
+        probe: timing.probe,
+        freshness: timing.freshness,
+        ..pace::Options::default()
+    };
+    pace::pace(nodes, hosts.hosts.iter().filter(own).count(), &options)
+}
+
+/// Starts the probes that are due and assembles the replicas.
+async fn turn(
+    state: &Arc<state::State>,
+    schedule: &mut schedule::Schedule,
+    results: &mpsc::Sender<Ended>,
+    inputs: &mpsc::Sender<steward::Input>,
+) {
+    let now = state.now();
+    let nodes = state.peers.live(state);
+    let pace = pace(state, nodes.len());
+    schedule.update(state, now, nodes, pace);
+    for entry in schedule.due(now) {
+        let (state, results) = (Arc::clone(state), results.clone());
+        tokio::spawn(async move {
+            let _ = results.send(probe(&state, entry).await).await;
+        });
+    }
+    let silent = state.observations().silent(now, pace.patience);
+    for host in silent {
+        let _ = inputs.send(steward::Input::Unreachable(host)).await;
+    }
+    assemble::assemble(state, &pace);
+}
+
+async fn probe(state: &state::State, entry: host::Entry) -> Ended {
+    let asked = state.now();
+    let bound = (state.settings.timing.probe * 2).clamp(TIMEOUT.0, TIMEOUT.1);
+    let answer = time::timeout(bound, state.engines.report(&entry.address)).await;
+    let after = state.now().saturating_sub(asked);
+    let outcome = match answer {
+        Ok(Ok(report)) if report.host == entry.host => Ok(report),
+        Ok(Ok(_) | Err(error::Error::Connect { .. })) => Err(suspicion::Probe::Refused),
+        Ok(Err(_)) | Err(_) => Err(suspicion::Probe::Unanswered),
+    };
+    Ended { host: entry.host, role: entry.role, asked, after, outcome }
+}
+
+/// Takes in an ended probe.
+async fn take(
+    state: &state::State,
+    schedule: &mut schedule::Schedule,
+    ended: Ended,
+    inputs: &mpsc::Sender<steward::Input>,
+) {
+    let Ended { host, role, asked, after, outcome } = ended;
+    let shown = match &outcome {
+        Ok(_) => suspicion::Probe::Answered { after },
+        Err(it) => *it,
+    };
+    let Some(change) = schedule.ended(state.now(), &host, shown) else { return };
+    match outcome {
+        Ok(report) => {
+            if change == schedule::Change::Answers {
+                let incarnation = report.incarnation;
+                state.events.emit(Kind::HostRecovered { host, incarnation });
+            }
+            observe(state, &report, asked);
+            state.observations().observe(asked, report.clone());
+            if role == host::Role::Engine {
+                let observation = host::Observation { report, at: state.now() };
+                let _ = inputs.send(steward::Input::Observed { observation, asked }).await;
+            }
+        }
+        Err(probe) => {
+            if change == schedule::Change::Silent {
+                let message = match probe {
+                    suspicion::Probe::Refused => "refused".to_owned(),
+                    _ => "no answer".to_owned(),
+                };
+                state.events.emit(Kind::HostProbeFailed { host: host.clone(), message });
+            }
+            if schedule.is_silent(&host) {
+                state.observations().silence(asked, &host);
             }
         }
-        assemble(&state);
     }
 }
 
@@ -71,45 +169,8 @@
     Some((host.host.clone(), host.address.clone()))
 }
 
-/// Probes all upstreams of the failure domain once.
-async fn round(state: &Arc<state::State>) -> Vec<Probe> {
-    let hosts = state.hosts.load_full();
-    let mut probes = Vec::new();
-    for entry in &hosts.hosts {
-        if entry.role != host::Role::Node && entry.domain == state.settings.domain {
-            probes.push(probe(Arc::clone(state), entry.clone()));
-        }
-    }
-    stream::iter(probes).buffer_unordered(CONCURRENCY).collect().await
-}
-
-async fn probe(state: Arc<state::State>, entry: host::Entry) -> Probe {
-    let asked = state.now();
-    let report = state.engines.report(&entry.address).await.ok();
-    let report = report.filter(|it| it.host == entry.host);
-    Probe { host: entry.host, role: entry.role, asked, report }
-}
-
-/// Keeps an observation, and says when a host falls silent or answers again.
-fn note(state: &state::State, silent: &mut BTreeSet<id::Host>, probe: &Probe) {
-    let host = probe.host.clone();
-    let Some(report) = &probe.report else {
-        if silent.insert(host.clone()) {
-            state.events.emit(Kind::HostProbeFailed { host, message: "no answer".to_owned() });
-        }
-        return;
-    };
-    if silent.remove(&host) {
-        let incarnation = report.incarnation;
-        state.events.emit(Kind::HostRecovered { host: host.clone(), incarnation });
-    }
-    observe(state, report, probe.asked);
-    let observation = host::Observation { report: report.clone(), at: probe.asked };
-    state.observations().insert(host, observation);
-}
-
 /// Tells the admission and the routing what an upstream reported.
-fn observe(state: &state::State, report: &host::Report, asked: Duration) {
+pub fn observe(state: &state::State, report: &host::Report, asked: Duration) {
     let upstream = match &report.membership {
         None => report.host.clone(),
         Some(it) if it.members.first() == Some(&report.host) => {
@@ -127,67 +188,3 @@
     }
     state.admission().observe(state.now(), &upstream, report.incarnation, load, asked);
 }
-
-fn input(state: &state::State, probe: Probe) -> steward::Input {
-    match probe.report {
-        Some(report) => steward::Input::Observed {
-            observation: host::Observation { report, at: state.now() },
-            asked: probe.asked,
-        },
-        None => steward::Input::Unreachable(probe.host),
-    }
-}
-
-/// Replaces the replicas by those that are whole now.
-fn assemble(state: &state::State) {
-    let hosts = state.hosts.load();
-    let catalog = state.catalog.load();
-    let mut new = assembly::assemble(&assembly::Input {
-        observations: &state.observations(),
-        hosts: &hosts.hosts,
-        catalog: &catalog,
-        now: state.now(),
-        freshness: state.settings.timing.freshness,
-    });
-    new.routable.retain(|it| !state.retiring.contains(it));
-    state.measure(&catalog, &hosts.hosts, &new.routable);
-    let old = state.replicas.swap(Arc::new(new.clone()));
-    let before = formations(&old);
-    let after = formations(&new);
-    if before != after {
-        report(state, &before, &after);
-        view::refresh(state);
-    }
-}
-
-/// Identity of a routable replica.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Formation {
-    group: id::Group,
-    generation: id::Generation,
-    incarnation: id::Incarnation,
-    service: id::Service,
-}
-
-fn formations(outcome: &assembly::Outcome) -> BTreeSet<Formation> {
-    let formation = |it: &replica::Replica| Formation {
-        group: it.group.clone(),
-        generation: it.generation,
-        incarnation: it.incarnation,
-        service: it.service.clone(),
-    };
-    outcome.routable.iter().map(formation).collect()
-}
-
-/// Says which replicas became routable or unroutable.
-fn report(state: &state::State, before: &BTreeSet<Formation>, after: &BTreeSet<Formation>) {
-    for it in after.difference(before).cloned() {
-        let Formation { group, generation, service, .. } = it;
-        state.events.emit(Kind::ReplicaRoutable { group, generation, service });
-    }
-    for it in before.difference(after).cloned() {
-        let Formation { group, generation, service, .. } = it;
-        let reason = "not whole, or no new work".to_owned();
-        state.events.emit(Kind::ReplicaUnroutable { group, generation, service, reason });
-    }
-}
--- a/cuminward-node/src/control/steward.rs
+++ b/cuminward-node/src/control/steward.rs
@@ -1,6 +1,9 @@
 //! Drives the steward's decisions: reads its claims, sends its orders.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use cuminward_core::{host, id};
 use cuminward_event::kind::Kind;
@@ -26,6 +29,9 @@
 /// Pause after a failed read.
 const RETRY: Duration = Duration::from_millis(200);
 
+/// Renewals in one lease.
+const RENEWALS: u32 = 3;
+
 /// The steward with the ways in and out of it.
 struct Driver {
     state: Arc<state::State>,
@@ -34,7 +40,7 @@
     inputs: mpsc::Sender<steward::Input>,
 }
 
-/// Runs the steward until the node stops; then resigns.
+/// Runs the steward until the node ends; resigns if the node shuts down gracefully.
 pub async fn run(
     state: Arc<state::State>,
     inputs: mpsc::Sender<steward::Input>,
@@ -52,7 +58,9 @@
             () = state.stop.cancelled() => break,
         }
     }
-    driver.resign().await;
+    if state.draining.load(Ordering::Acquire) {
+        driver.resign().await;
+    }
 }
 
 /// Reads the claims in the log until the node stops.
@@ -112,7 +120,8 @@
         .incarnation(state.incarnation)
         .domain(state.settings.domain.clone())
         .lease(lease)
-        .renew_every(lease / 3)
+        .renew_every(lease / RENEWALS)
+        .log_fresh(lease)
         .build()
         .expect("all settings without a default are given")
 }
@@ -163,11 +172,12 @@
     fn send(&self, dispatch: steward::Dispatch) {
         let (state, inputs) = (Arc::clone(&self.state), self.inputs.clone());
         tokio::spawn(async move {
-            let outcome = order(&state, &dispatch).await;
-            let input = steward::Input::Ordered {
-                host: dispatch.host,
-                order: dispatch.order.order,
-                outcome,
+            let input = if dispatch.start_before <= state.now() || state.stop.is_cancelled() {
+                steward::expired(dispatch.host, dispatch.order.order)
+            } else {
+                let outcome = order(&state, &dispatch).await;
+                let (host, order) = (dispatch.host, dispatch.order.order);
+                steward::Input::Ordered { host, order, outcome }
             };
             let _ = inputs.send(input).await;
         });
@@ -205,11 +215,9 @@
     }
 }
 
-/// Sends one order and says what became of it.
+/// Sends one order and says what became of it; the connection of one that isn't answered in time is
+/// closed, since its future is dropped.
 async fn order(state: &state::State, dispatch: &steward::Dispatch) -> steward::Answer {
-    if dispatch.start_before <= state.now() {
-        return steward::Answer::Refused { code: steward::EXPIRED.to_owned() };
-    }
     let (action, group, generation) = describe(&dispatch.order.action);
     let host = dispatch.host.clone();
     state.events.emit(Kind::OrderSent {
--- a/cuminward-node/src/node.rs
+++ b/cuminward-node/src/node.rs
@@ -157,6 +157,7 @@
     tasks.spawn(control::list::run(Arc::clone(state)));
     tasks.spawn(control::configure::run(Arc::clone(state)));
     tasks.spawn(control::probe::run(Arc::clone(state), inputs.clone()));
+    tasks.spawn(control::observe::run(Arc::clone(state), inputs.clone()));
     tasks.spawn(control::steward::follow(Arc::clone(state), inputs.clone()));
     tasks.spawn(control::steward::run(Arc::clone(state), inputs, received));
     tasks.spawn(control::admit::run(Arc::clone(state)));
--- a/cuminward-node/src/operate.rs
+++ b/cuminward-node/src/operate.rs
@@ -169,7 +169,8 @@
 
 /// Groups of the failure domain as their members report them.
 fn groups(state: &state::State, service: &str) -> Vec<proto::Group> {
-    let observations = state.observations();
+    let table = state.observations();
+    let observations = table.observations();
     let replicas = state.replicas.load();
     let heads = observations.values().filter_map(|it| it.report.membership.as_ref());
     let mut groups: HashMap<(&str, id::Generation), &host::Membership> = HashMap::new();
--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -4,7 +4,6 @@
 //! control work.
 
 use std::{
-    collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
@@ -16,7 +15,7 @@
 use bytes::Bytes;
 use cuminward_core::{catalog, hlc, host, id, replica};
 use cuminward_event::sink;
-use cuminward_group::assembly;
+use cuminward_group::{assembly, probe::table};
 use cuminward_peer::count;
 use cuminward_platform::hosts;
 use cuminward_route::{admission, attempt, route::Candidate};
@@ -96,7 +95,7 @@
     pub maker: view::Maker,
     admission: Mutex<admission::Node>,
     measures: Mutex<measure::Measures>,
-    observations: Mutex<BTreeMap<id::Host, host::Observation>>,
+    observations: Mutex<table::Table>,
     started: Instant,
 }
 
@@ -147,8 +146,8 @@
         self.started.elapsed()
     }
 
-    /// Newest observation of each host of the failure domain.
-    pub fn observations(&self) -> MutexGuard<'_, BTreeMap<id::Host, host::Observation>> {
+    /// What is known about the hosts of the failure domain.
+    pub fn observations(&self) -> MutexGuard<'_, table::Table> {
         self.observations.lock().expect("no code panics while it has the lock")
     }
 
--- a/cuminward-peer/src/message.rs
+++ b/cuminward-peer/src/message.rs
@@ -83,36 +83,24 @@
     pub next: Position,
     /// Whether the answer holds every host, because the asked position wasn't valid.
     pub full: bool,
-    /// Hosts whose report changed.
-    pub changed: Vec<Observation>,
-    /// Hosts whose report is as before and was confirmed again.
-    pub confirmed: Vec<Confirmation>,
+    /// Reports that changed, without the load.
+    pub changed: Vec<host::Report>,
     /// Hosts that are not observed any more.
     pub removed: Vec<id::Host>,
+    /// Age of the confirmation of each observed host, by the order of the names, in units of 50 ms;
+    /// 255 stands for all that are larger.
+    pub ages: Vec<u8>,
+    /// Hosts that were found silent.
+    pub silent: Vec<Silence>,
 }
 
-/// A report of a host.
-#[serde_as]
-#[record]
-pub struct Observation {
-    /// The report.
-    pub report: host::Report,
-    /// Time since the report was received.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub age: Duration,
-}
-
-/// A confirmation that a host's report is as before.
-#[serde_as]
+/// A host that was found silent.
 #[record]
-pub struct Confirmation {
+pub struct Silence {
     /// The host.
     pub host: id::Host,
-    /// Incarnation that was reported.
-    pub incarnation: id::Incarnation,
-    /// Time since the report was received.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub age: Duration,
+    /// Age of that finding, in units of 50 ms; 255 stands for all that are larger.
+    pub age: u8,
 }
 
 /// Messages about the slots of upstreams.
--- a/cuminward-peer/tests/all/client.rs
+++ b/cuminward-peer/tests/all/client.rs
@@ -20,7 +20,8 @@
     let offsets: Vec<_> = config.records.iter().map(|it| it.offset).collect();
     expect_that!(offsets, elements_are![eq(&4), eq(&5), eq(&6)]);
     let observations = pool.observations(NAME, 7, 1).await.expect("the node answers");
-    expect_that!(observations.changed, elements_are![eq(&node::observation("h1"))]);
+    expect_that!(observations.changed, elements_are![eq(&node::report("h1"))]);
+    expect_that!(observations.ages, elements_are![eq(&7)]);
     let admission = message::Admission {
         from: String::from("n1"),
         incarnation: 1,
--- a/cuminward-peer/tests/all/node.rs
+++ b/cuminward-peer/tests/all/node.rs
@@ -33,7 +33,7 @@
     }
 }
 
-pub(crate) fn observation(host: &str) -> message::Observation {
+pub(crate) fn report(host: &str) -> host::Report {
     let membership = host::Membership {
         group: String::from("g"),
         generation: 4,
@@ -45,14 +45,13 @@
     };
     let load =
         host::Load { running: 1, queued: 2, cache_permille: 3, age: Duration::from_millis(40) };
-    let report = host::Report {
+    host::Report {
         host: host.to_owned(),
         incarnation: 5,
         fence: 6,
         membership: Some(membership),
         load: Some(load),
-    };
-    message::Observation { report, age: Duration::from_millis(250) }
+    }
 }
 
 impl Answer for Fixed {
@@ -75,9 +74,10 @@
             incarnation,
             next: since + 1,
             full: true,
-            changed: vec![observation("h1")],
-            confirmed: Vec::new(),
+            changed: vec![report("h1")],
             removed: Vec::new(),
+            ages: vec![7],
+            silent: Vec::new(),
         }
     }
 
