feat: cuminward-upstream, cuminward-node: hosts are polled by entity tag; octets are counted

Cause: a probe cost a whole report. At 44 nodes and 167 hosts a domain, probes and the exchange of observations may take 2.5 KB/s a node.

Change: `GET /v1/host` gives an entity tag for all but the load; an unchanged report is answered 304 with the load in a header. `engine::Client::poll` uses it and falls back to the whole report. Pools count octets.

--- a/cuminward-group/src/probe/pace.rs
+++ b/cuminward-group/src/probe/pace.rs
@@ -36,9 +36,9 @@
         Options {
             probe: Duration::from_millis(300),
             freshness: Duration::from_millis(1_500),
-            probe_octets: 300,
+            probe_octets: 160,
             probe_rate: 1_200,
-            pull_octets: 200,
+            pull_octets: 80,
             pull_rate: 1_300,
             undivided: 3,
             pull: Duration::from_millis(200),
--- a/cuminward-node/src/control/probe.rs
+++ b/cuminward-node/src/control/probe.rs
@@ -12,7 +12,7 @@
     steward,
 };
 use cuminward_route::admission;
-use cuminward_upstream::error;
+use cuminward_upstream::{error, poll};
 use tokio::{sync::mpsc, time};
 
 use crate::{control::admit, state};
@@ -32,7 +32,7 @@
     role: host::Role,
     asked: Duration,
     after: Duration,
-    outcome: Result<host::Report, suspicion::Probe>,
+    outcome: Result<poll::Tagged, suspicion::Probe>,
 }
 
 /// Probes until the node stops; what engines report goes to the steward.
@@ -74,10 +74,10 @@
     let nodes = state.peers.live(state);
     let pace = pace(state, nodes.len());
     schedule.update(state, now, nodes, pace);
-    for entry in schedule.due(now) {
+    for (entry, known) in schedule.due(now) {
         let (state, results) = (Arc::clone(state), results.clone());
         tokio::spawn(async move {
-            let _ = results.send(probe(&state, entry).await).await;
+            let _ = results.send(probe(&state, entry, known).await).await;
         });
     }
     let silent = state.observations().silent(now, pace.patience);
@@ -87,13 +87,13 @@
     assemble::assemble(state, &pace);
 }
 
-async fn probe(state: &state::State, entry: host::Entry) -> Ended {
+async fn probe(state: &state::State, entry: host::Entry, known: Option<poll::Tagged>) -> Ended {
     let asked = state.now();
     let bound = (state.settings.timing.probe * 2).clamp(TIMEOUT.0, TIMEOUT.1);
-    let answer = time::timeout(bound, state.engines.report(&entry.address)).await;
+    let answer = time::timeout(bound, state.engines.poll(&entry.address, known.as_ref())).await;
     let after = state.now().saturating_sub(asked);
     let outcome = match answer {
-        Ok(Ok(report)) if report.host == entry.host => Ok(report),
+        Ok(Ok(it)) if it.report.host == entry.host => Ok(it),
         Ok(Ok(_) | Err(error::Error::Connect { .. })) => Err(suspicion::Probe::Refused),
         Ok(Err(_)) | Err(_) => Err(suspicion::Probe::Unanswered),
     };
@@ -114,7 +114,9 @@
     };
     let Some(change) = schedule.ended(state.now(), &host, shown) else { return };
     match outcome {
-        Ok(report) => {
+        Ok(tagged) => {
+            let report = tagged.report.clone();
+            schedule.learned(&host, tagged);
             if change == schedule::Change::Answers {
                 let incarnation = report.incarnation;
                 state.events.emit(Kind::HostRecovered { host, incarnation });
--- a/cuminward-node/src/control/probe/schedule.rs
+++ b/cuminward-node/src/control/probe/schedule.rs
@@ -5,6 +5,7 @@
 use cuminward_core::{host, id, rendezvous};
 use cuminward_group::probe::{self, pace, suspicion};
 use cuminward_platform::hosts;
+use cuminward_upstream::poll;
 
 use crate::state;
 
@@ -30,6 +31,7 @@
     under_way: bool,
     suspicion: suspicion::Suspicion,
     silent: bool,
+    known: Option<poll::Tagged>,
 }
 
 /// What a probe changed.
@@ -85,23 +87,31 @@
                 under_way: false,
                 suspicion: suspicion::Suspicion::default(),
                 silent: false,
+                known: None,
             });
             self.watches.insert(host.clone(), watch);
         }
     }
 
-    /// Hosts to probe now.
-    pub(super) fn due(&mut self, now: Duration) -> Vec<host::Entry> {
+    /// Hosts to probe now, with what they last answered.
+    pub(super) fn due(&mut self, now: Duration) -> Vec<(host::Entry, Option<poll::Tagged>)> {
         let interval = self.interval;
         let due = self.watches.values_mut().filter(|it| !it.under_way && it.next <= now);
         due.map(|it| {
             it.under_way = true;
             it.next = now + it.shift.take().unwrap_or(interval);
-            it.entry.clone()
+            (it.entry.clone(), it.known.clone())
         })
         .collect()
     }
 
+    /// Keeps what a host answered.
+    pub(super) fn learned(&mut self, host: &str, known: poll::Tagged) {
+        if let Some(watch) = self.watches.get_mut(host) {
+            watch.known = Some(known);
+        }
+    }
+
     /// Takes in how a probe ended; `None` if the host isn't this node's any more.
     pub(super) fn ended(
         &mut self,
--- a/cuminward-standin/src/engine/machine.rs
+++ b/cuminward-standin/src/engine/machine.rs
@@ -5,12 +5,12 @@
 use axum::{
     Json, Router,
     extract::{DefaultBodyLimit, Path, Query, State},
-    response::{IntoResponse, Response},
+    response::{AppendHeaders, IntoResponse, Response},
     routing,
 };
 use bytes::Bytes;
 use cuminward_core::{host, id};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode, header};
 
 use super::{cache, control, fleet, generate, order, replica};
 use crate::reply;
@@ -59,8 +59,29 @@
         .with_state(Node { fleet, host })
 }
 
-async fn report(State(node): State<Node>) -> Json<host::Report> {
-    Json(node.fleet.lock().machines[&node.host].report())
+/// Answers with the report, or with the load alone where the caller knows the rest.
+async fn report(State(node): State<Node>, headers: HeaderMap) -> Response {
+    let report = node.fleet.lock().machines[&node.host].report();
+    let tag = tag(&report);
+    if headers.get(header::IF_NONE_MATCH).is_some_and(|it| it.as_bytes() == tag.as_bytes()) {
+        let load = report.load.iter().map(|it| {
+            let text = [it.running, it.queued, it.cache_permille, it.age.as_millis() as u32]
+                .map(|it| it.to_string())
+                .join(" ");
+            ("cuminward-load", text)
+        });
+        let headers = AppendHeaders(load.collect::<Vec<_>>());
+        return (StatusCode::NOT_MODIFIED, headers).into_response();
+    }
+    ([(header::ETAG, tag)], Json(report)).into_response()
+}
+
+/// Entity tag of a report; the load doesn't count.
+fn tag(report: &host::Report) -> String {
+    let formation = report.membership.as_ref().map(|it| (it.generation, it.phase as u8));
+    let (generation, phase) = formation.unwrap_or_default();
+    let member = u8::from(formation.is_some());
+    format!("\"{:x}.{:x}.{member}{phase}.{generation:x}\"", report.incarnation, report.fence)
 }
 
 async fn events(State(node): State<Node>, Query(since): Query<Since>) -> Json<cache::Events> {
--- a/cuminward-upstream/src/connection.rs
+++ b/cuminward-upstream/src/connection.rs
@@ -2,6 +2,7 @@
 
 use std::{
     error,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -14,7 +15,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::{net::TcpStream, task, time};
 
-use crate::pool;
+use crate::{count, pool};
 
 /// Time that a connection from the pool may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -68,8 +69,9 @@
         address: &str,
         options: &pool::Options,
         number: u64,
+        counter: &Arc<count::Counter>,
     ) -> Result<Connection<B>, Cause> {
-        let opening = Connection::handshake(address, options);
+        let opening = Connection::handshake(address, options, counter);
         let (sender, task) = time::timeout(options.connect, opening)
             .await
             .map_err(|_| format!("no connection within {} ms", options.connect.as_millis()))??;
@@ -79,10 +81,12 @@
     async fn handshake(
         address: &str,
         options: &pool::Options,
+        counter: &Arc<count::Counter>,
     ) -> Result<(Sender<B>, task::AbortHandle), Cause> {
         let stream = TcpStream::connect(address).await.map_err(|it| it.to_string())?;
         stream.set_nodelay(true).map_err(|it| it.to_string())?;
-        let io = TokioIo::new(stream);
+        let counter = Arc::clone(counter);
+        let io = TokioIo::new(count::Stream { inner: stream, counter });
         match options.protocol {
             Protocol::Http1 => {
                 let (sender, connection) =
--- a/cuminward-upstream/src/engine.rs
+++ b/cuminward-upstream/src/engine.rs
@@ -21,6 +21,9 @@
 /// Largest body of an answer other than a stream, in bytes.
 const MAX_BODY: usize = 1 << 20;
 
+/// Least time for which a connection that hosts are polled on is kept while idle.
+pub(crate) const POLL_IDLE: Duration = Duration::from_secs(10);
+
 /// Settings of the client.
 #[derive(Debug, Clone, PartialEq, Builder)]
 #[builder(default)]
@@ -84,6 +87,16 @@
         &self.streams
     }
 
+    /// Connections that carry everything but generation requests.
+    pub fn control(&self) -> &pool::Pool<Full<Bytes>> {
+        &self.control
+    }
+
+    /// Settings of the client.
+    pub fn options(&self) -> &Options {
+        &self.options
+    }
+
     /// Asks a host for its report.
     ///
     /// # Errors
@@ -273,7 +286,7 @@
 }
 
 /// Turns an error answer into an error.
-async fn accept(
+pub(crate) async fn accept(
     response: Response<Body<Full<Bytes>>>,
 ) -> Result<Response<Body<Full<Bytes>>>, Error> {
     if response.status().is_success() {
@@ -316,7 +329,7 @@
     )
 }
 
-async fn collect(body: Body<Full<Bytes>>) -> Result<Bytes, Error> {
+pub(crate) async fn collect(body: Body<Full<Bytes>>) -> Result<Bytes, Error> {
     match Limited::new(body, MAX_BODY).collect().await {
         Ok(it) => Ok(it.to_bytes()),
         Err(error) => match error.downcast::<Error>() {
--- a/cuminward-upstream/src/lib.rs
+++ b/cuminward-upstream/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod body;
 pub mod cache;
 pub mod connection;
+pub mod count;
 pub mod engine;
 pub mod error;
 pub mod generate;
 mod line;
 pub mod plain;
+pub mod poll;
 pub mod pool;
 pub mod relay;
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -21,6 +21,7 @@
 use crate::{
     body::Body,
     connection::{Connection, Payload, Protocol},
+    count::Counter,
     error::Error,
 };
 
@@ -84,6 +85,7 @@
     shards: Vec<Mutex<Shard<B>>>,
     opened: AtomicU64,
     silent: AtomicU64,
+    counter: Arc<Counter>,
 }
 
 type Shard<B> = HashMap<String, Vec<Connection<B>>>;
@@ -115,6 +117,7 @@
             shards,
             opened: AtomicU64::new(0),
             silent: AtomicU64::new(0),
+            counter: Arc::default(),
         };
         Pool { inner: Arc::new(inner) }
     }
@@ -132,6 +135,11 @@
         self.inner.opened.load(Ordering::Relaxed)
     }
 
+    /// Counts of octets.
+    pub fn counter(&self) -> &Counter {
+        &self.inner.counter
+    }
+
     /// Number of connections that were given up because they were silent.
     pub fn silent(&self) -> u64 {
         self.inner.silent.load(Ordering::Relaxed)
@@ -193,9 +201,10 @@
             kept.abort();
         }
         let number = self.inner.opened.fetch_add(1, Ordering::Relaxed);
-        let connection = Connection::open(address, &self.inner.options, number)
-            .await
-            .map_err(|message| Error::Connect { address: address.to_owned(), message })?;
+        let connection =
+            Connection::open(address, &self.inner.options, number, &self.inner.counter)
+                .await
+                .map_err(|message| Error::Connect { address: address.to_owned(), message })?;
         if let Some(shared) = connection.share() {
             self.inner.put(address, shared);
         }
