feat: cuminward-once: a request that provably did not run may be sent again at its node

A key was used up once its claim was recorded, also if no upstream had taken the request. The store keeps such a request for a minute, in which it can run at the node that holds the claim; another node's question ends that. Replies carry a fingerprint of their request, so that a key used for another one is noticed.

--- a/cuminward-once/src/claim.rs
+++ b/cuminward-once/src/claim.rs
@@ -8,9 +8,13 @@
 
 use crate::key;
 
-/// Longest time from making a claim to sending the request to an upstream.
+/// Longest time from making a claim to starting its request.
 pub const START_WITHIN: Duration = Duration::from_secs(5);
 
+/// Longest time from making a claim to the last attempt of its request, after one that provably did
+/// not run. Shorter than the window, so that the key is still known everywhere.
+pub const SEND_WITHIN: Duration = Duration::from_secs(60);
+
 /// A claim of a node that has a request with a key.
 #[serde_as]
 #[record]
--- a/cuminward-once/src/reply.rs
+++ b/cuminward-once/src/reply.rs
@@ -3,11 +3,31 @@
 use cuminward_derive::record;
 use serde_with::serde_as;
 
+/// Bytes of a request's fingerprint.
+const FINGERPRINT_BYTES: usize = 16;
+
+/// Hash of a request's content.
+pub type Fingerprint = [u8; FINGERPRINT_BYTES];
+
+/// Hashes the content of a request, to tell a repeat from another request with the same key.
+pub fn fingerprint(method: &str, path: &str, body: &[u8]) -> Fingerprint {
+    let mut hasher = blake3::Hasher::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut fingerprint = Fingerprint::default();
+    hasher.finalize_xof().fill(&mut fingerprint);
+    fingerprint
+}
+
 /// A complete reply.
 #[serde_as]
 #[record]
 #[derive(Default)]
 pub struct Reply {
+    /// Hash of the request that the reply answers.
+    pub fingerprint: Fingerprint,
     /// HTTP status.
     pub status: u16,
     /// Headers in order.
--- a/cuminward-once/src/store.rs
+++ b/cuminward-once/src/store.rs
@@ -60,8 +60,16 @@
         /// When the claim was made, since the start of the process.
         at: Duration,
     },
-    /// The request was sent.
-    Running,
+    /// The request may be sent.
+    Running {
+        /// Until when it may be sent.
+        until: Duration,
+    },
+    /// Every attempt of the request provably did not run.
+    Unsent {
+        /// Until when it may be sent again.
+        until: Duration,
+    },
     /// The reply is complete.
     Held(Arc<Reply>),
     /// The request was never sent and will never be.
@@ -74,11 +82,30 @@
     hash: key::Hash,
 }
 
+/// Mutation
+impl State {
+    /// Another request with the key of one that did not run.
+    fn resume(&mut self, now: Duration) -> Begin {
+        match *self {
+            State::Unsent { until } if now <= until => {
+                *self = State::Running { until };
+                Begin::Run
+            }
+            _ => {
+                *self = State::NotRun;
+                Begin::NotRun
+            }
+        }
+    }
+}
+
 /// What to do with a request that has a key.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Begin {
     /// Claim the key.
     Claim,
+    /// The key is claimed here and its request provably did not run: run it without another claim.
+    Run,
     /// Another request with the key is under way here: wait for its end.
     Wait,
     /// Answer with the reply.
@@ -102,13 +129,18 @@
     /// What is known about the request of a key.
     pub fn lookup(&self, hash: &key::Hash) -> Lookup {
         match self.requests.get(hash) {
-            Some(State::Claimed { .. } | State::Running) => Lookup::Running,
+            Some(State::Claimed { .. } | State::Running { .. }) => Lookup::Running,
             Some(State::Held(reply)) => Lookup::Held(reply.as_ref().clone()),
-            Some(State::NotRun) => Lookup::NotRun,
+            Some(State::NotRun | State::Unsent { .. }) => Lookup::NotRun,
             None => Lookup::Unknown,
         }
     }
 
+    /// Tells whether a started request may be sent to an upstream now.
+    pub fn may_send(&self, now: Duration, hash: &key::Hash) -> bool {
+        matches!(self.requests.get(hash), Some(State::Running { until }) if now <= *until)
+    }
+
     /// Memory of the replies, in bytes.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -130,10 +162,10 @@
     /// A request with a key arrived.
     pub fn begin(&mut self, now: Duration, hash: key::Hash) -> Begin {
         self.expire(now);
-        match self.requests.get(&hash) {
-            Some(State::Claimed { .. } | State::Running) => return Begin::Wait,
+        match self.requests.get_mut(&hash) {
+            Some(State::Claimed { .. } | State::Running { .. }) => return Begin::Wait,
             Some(State::Held(reply)) => return Begin::Held(Arc::clone(reply)),
-            Some(State::NotRun) => return Begin::NotRun,
+            Some(state) => return state.resume(now),
             None => {}
         }
         if self.requests.len() >= self.options.max_keys && !self.drop_oldest() {
@@ -150,7 +182,7 @@
         let Some(state) = self.requests.get_mut(hash) else { return false };
         let State::Claimed { at } = *state else { return false };
         if now.saturating_sub(at) <= claim::START_WITHIN {
-            *state = State::Running;
+            *state = State::Running { until: at + claim::SEND_WITHIN };
             return true;
         }
         self.end(now, *hash, State::NotRun);
@@ -178,7 +210,7 @@
 
     /// The request ended, with a complete reply or without one.
     pub fn finish(&mut self, now: Duration, hash: &key::Hash, reply: Option<Arc<Reply>>) {
-        if self.requests.get(hash) != Some(&State::Running) {
+        if !matches!(self.requests.get(hash), Some(State::Running { .. })) {
             return;
         }
         match reply.filter(|it| it.size() <= self.options.max_reply) {
@@ -189,6 +221,23 @@
         }
     }
 
+    /// The request ended and provably did not run; it may be sent again from here.
+    pub fn unsent(&mut self, now: Duration, hash: &key::Hash) {
+        if let Some(State::Running { until }) = self.requests.get(hash) {
+            let state = State::Unsent { until: *until };
+            self.end(now, *hash, state);
+        }
+    }
+
+    /// Answers another node that has a request with the key. A request that did not run will never
+    /// be sent from here after that.
+    pub fn close(&mut self, hash: &key::Hash) -> Lookup {
+        if let Some(state @ State::Unsent { .. }) = self.requests.get_mut(hash) {
+            *state = State::NotRun;
+        }
+        self.lookup(hash)
+    }
+
     fn end(&mut self, now: Duration, hash: key::Hash, state: State) {
         if let State::Held(reply) = &state {
             self.bytes += reply.size();
@@ -205,9 +254,13 @@
         }
     }
 
-    /// Drops the request that ended first; false if there is none.
+    /// Drops the request that ended first; false if there is none. One that is under way again stays.
     fn drop_oldest(&mut self) -> bool {
         let Some(ended) = self.ended.pop_front() else { return false };
+        let state = self.requests.get(&ended.hash);
+        if matches!(state, Some(State::Claimed { .. } | State::Running { .. })) {
+            return true;
+        }
         if let Some(State::Held(reply)) = self.requests.remove(&ended.hash) {
             self.bytes -= reply.size();
         }
--- a/cuminward-once/tests/all/store.rs
+++ b/cuminward-once/tests/all/store.rs
@@ -16,7 +16,7 @@
 }
 
 fn reply(bytes: usize) -> Arc<Reply> {
-    Arc::new(Reply { status: 201, headers: Vec::new(), body: vec![0; bytes] })
+    Arc::new(Reply { status: 201, body: vec![0; bytes], ..Reply::default() })
 }
 
 #[gtest]
@@ -141,3 +141,48 @@
     expect_that!(store.begin(seconds(5000), [3; 16]), eq(&Begin::Full));
     expect_that!(store.lookup(&[0; 16]), eq(&Lookup::Running));
 }
+
+#[gtest]
+fn a_request_that_did_not_run_may_be_sent_again_here() {
+    struct Case {
+        name: &'static str,
+        steps: fn(&mut Store),
+        at: Duration,
+        begin: Begin,
+        may_send: bool,
+    }
+    let cases = [
+        Case { name: "in time", steps: |_| (), at: seconds(59), begin: Begin::Run, may_send: true },
+        Case {
+            name: "too late",
+            steps: |_| (),
+            at: seconds(61),
+            begin: Begin::NotRun,
+            may_send: false,
+        },
+        Case {
+            name: "another node asked",
+            steps: |it| expect_that!(it.close(&HASH), eq(&Lookup::NotRun)),
+            at: seconds(3),
+            begin: Begin::NotRun,
+            may_send: false,
+        },
+        Case {
+            name: "under way again",
+            steps: |it| expect_that!(it.begin(seconds(3), HASH), eq(&Begin::Run)),
+            at: seconds(3),
+            begin: Begin::Wait,
+            may_send: true,
+        },
+    ];
+    for case in cases {
+        let mut store = Store::new(Options::default());
+        expect_that!(store.begin(seconds(0), HASH), eq(&Begin::Claim));
+        expect_that!(store.start(seconds(1), &HASH), eq(true));
+        store.unsent(seconds(2), &HASH);
+        expect_that!(store.may_send(seconds(2), &HASH), eq(false), "{}", case.name);
+        (case.steps)(&mut store);
+        expect_that!(store.begin(case.at, HASH), eq(&case.begin), "{}", case.name);
+        expect_that!(store.may_send(case.at, &HASH), eq(case.may_send), "{}", case.name);
+    }
+}
