feat: cuminward-node: calls with idempotency keys run at most once (tests in progress)

Calls with a key that aren't safe are claimed where they arrive first, through the ledgers of the node's failure domain (control::keys), and repeats get the first reply from the node that holds the claim (request::once). Minted keys come from POST /v1/idempotency-keys. The tests over sockets are not green yet: a cluster without models never serves a waiting call of a plain service, since the queue's capacity counts slots of replicas only.

spec: the search for cycles of the started keys has a bound of its own.

--- a/cuminward-caller/src/api.rs
+++ b/cuminward-caller/src/api.rs
@@ -177,6 +177,15 @@
     pub data: Vec<Model>,
 }
 
+/// Answer of `/v1/idempotency-keys`.
+#[derive(Debug, Serialize)]
+pub struct Key {
+    /// Always `idempotency_key`.
+    pub object: &'static str,
+    /// The key; only the node that made it accepts it.
+    pub key: cuminward_core::id::Key,
+}
+
 /// A model that the caller may use.
 #[derive(Debug, Serialize)]
 pub struct Model {
--- a/cuminward-caller/src/backend.rs
+++ b/cuminward-caller/src/backend.rs
@@ -26,6 +26,17 @@
     /// Executes a call of a plain service.
     fn call(&self, call: Call) -> impl Future<Output = Result<Answer, outcome::Refusal>> + Send;
 
+    /// Makes an idempotency key for a team, which this node accepts also while keys can't be
+    /// recorded.
+    ///
+    /// # Errors
+    ///
+    /// A refusal of a backend that makes no keys.
+    fn mint(&self, _team: &str) -> Result<id::Key, outcome::Refusal> {
+        let message = "this backend makes no keys";
+        Err(outcome::Refusal::not_run(outcome::Cause::Unavailable, message))
+    }
+
     /// Tells whether the node takes requests; the error names what is missing.
     fn ready(&self) -> Result<(), String>;
 
--- a/cuminward-caller/src/header.rs
+++ b/cuminward-caller/src/header.rs
@@ -13,6 +13,8 @@
 pub const PRIORITY: HeaderName = HeaderName::from_static("cuminward-priority");
 /// Key under which a non-idempotent call runs at most once.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Set to `true` on an answer that an earlier call with the same idempotency key got.
+pub const REPLAYED: HeaderName = HeaderName::from_static("cuminward-replayed");
 /// Node that relays the request from another failure domain; only trusted between nodes.
 pub const RELAY: HeaderName = HeaderName::from_static("cuminward-relay");
 /// Team of a relayed request; only trusted between nodes.
--- a/cuminward-caller/src/router.rs
+++ b/cuminward-caller/src/router.rs
@@ -32,6 +32,7 @@
         .route("/v1/chat/completions", post(chat::<B>))
         .route("/v1/completions", post(text::<B>))
         .route("/v1/models", get(models::<B>))
+        .route("/v1/idempotency-keys", post(mint::<B>))
         .route("/services/{service}", any(service_root::<B>))
         .route("/services/{service}/", any(service_root::<B>))
         .route("/services/{service}/{*path}", any(service::<B>))
@@ -140,6 +141,19 @@
     response
 }
 
+async fn mint<B: backend::Backend>(State(it): State<Shared<B>>, headers: HeaderMap) -> Response {
+    let id = new_id();
+    let made = it.context(&id, &headers).and_then(|context| it.backend.mint(&context.team));
+    let key = match made {
+        Ok(key) => key,
+        Err(refusal) => return refuse(id, refusal),
+    };
+    let body = axum::Json(api::Key { object: "idempotency_key", key });
+    let mut response = (StatusCode::CREATED, body).into_response();
+    failure::stamp(&mut response, &id, cuminward_core::outcome::Outcome::Complete);
+    response
+}
+
 async fn ready<B: backend::Backend>(State(it): State<Shared<B>>) -> Response {
     match it.backend.ready() {
         Ok(()) => "ready\n".into_response(),
--- /dev/null
+++ b/cuminward-node/src/control/keys.rs
@@ -0,0 +1,299 @@
+//! Records started idempotency keys in the platform's log.
+//!
+//! The nodes of a failure domain rank themselves by rendezvous hash. The first [`LEDGERS`] live ones
+//! read the stream of started keys; the first one takes the claims of all others, the second one is
+//! there to take over without having to read first. Whichever node records a claim, the order of the
+//! log decides, so two nodes that both take claims do no harm.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use cuminward_core::{id, rendezvous};
+use cuminward_once::{
+    claim,
+    ledger::{self, Input, Ledger, Output},
+    record,
+};
+use cuminward_platform::{call, journal};
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::state;
+
+/// Nodes of a failure domain that read the stream.
+pub const LEDGERS: usize = 2;
+
+/// What the nodes are ranked for.
+const ITEM: &str = "keys";
+
+/// Claims and answers that wait for the ledger.
+const INPUTS: usize = 1_024;
+
+/// Records of one read.
+const PAGE: usize = 500;
+
+/// Time that a read waits for a new record.
+const WAIT: Duration = Duration::from_secs(2);
+
+/// Time between two reads while the log is away.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Time between two looks at the ranks.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Where claims are handed in.
+pub struct Desk {
+    sender: mpsc::Sender<Event>,
+    receiver: Mutex<Option<mpsc::Receiver<Event>>>,
+    /// Offset that is read next.
+    position: AtomicU64,
+}
+
+/// What the ledger's task receives.
+enum Event {
+    Claim { claim: claim::Claim, answer: oneshot::Sender<claim::Verdict> },
+    Appended(ledger::Answer),
+    Read { epoch: u64, read: journal::Read<Value> },
+}
+
+/// The ledger and those who wait for its decisions.
+struct Task {
+    state: Arc<state::State>,
+    stream: journal::Stream,
+    ledger: Ledger,
+    waiting: std::collections::HashMap<ledger::Number, oneshot::Sender<claim::Verdict>>,
+    next: ledger::Number,
+    /// Whether the end of the stream was reached.
+    caught_up: bool,
+    /// Ends the reading when it is dropped.
+    reading: Option<DropGuard>,
+    /// Number of times that reading was begun; pages of earlier times are skipped.
+    epoch: u64,
+}
+
+/// Reads the stream for the ledger.
+struct Tail {
+    state: Arc<state::State>,
+    stream: journal::Stream,
+    /// Offset that is read next.
+    from: id::Offset,
+    epoch: u64,
+}
+
+/// Life cycle
+impl Default for Desk {
+    fn default() -> Desk {
+        let (sender, receiver) = mpsc::channel(INPUTS);
+        let receiver = Mutex::new(Some(receiver));
+        Desk { sender, receiver, position: AtomicU64::new(0) }
+    }
+}
+
+/// Access
+impl Desk {
+    /// Claims a key at this node's ledger.
+    pub async fn claim(&self, claim: claim::Claim) -> claim::Verdict {
+        let (answer, verdict) = oneshot::channel();
+        if self.sender.try_send(Event::Claim { claim, answer }).is_err() {
+            return claim::Verdict::Refused(claim::Reason::Overloaded);
+        }
+        verdict.await.unwrap_or(claim::Verdict::Refused(claim::Reason::Late))
+    }
+
+    /// Offset of the stream that is read next; 0 at nodes that don't read.
+    pub fn position(&self) -> id::Offset {
+        self.position.load(Ordering::Relaxed)
+    }
+}
+
+/// Nodes of the failure domain that may record claims, the first one first.
+pub fn ranked(state: &state::State) -> Vec<id::Node> {
+    let live = state.peers.live(state);
+    let ranked = rendezvous::owners(live.iter().map(String::as_str), ITEM, LEDGERS);
+    ranked.into_iter().map(ToOwned::to_owned).collect()
+}
+
+/// Runs the ledger until the node stops.
+pub async fn run(state: Arc<state::State>) {
+    let receiver = state.keys.receiver.lock().expect("no code panics while it has the lock").take();
+    let mut receiver = receiver.expect("the task is started once");
+    let mut task = Task::new(Arc::clone(&state));
+    let mut look = tokio::time::interval(LOOK);
+    look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let wake = task.until_wake();
+        tokio::select! {
+            Some(event) = receiver.recv() => task.take(event),
+            _ = look.tick() => task.look(),
+            () = tokio::time::sleep(wake) => task.step(Input::Tick),
+            () = state.stop.cancelled() => return,
+        }
+    }
+}
+
+/// Life cycle
+impl Task {
+    fn new(state: Arc<state::State>) -> Task {
+        let options = ledger::Options {
+            retention: state.settings.platform.retention,
+            ..ledger::Options::default()
+        };
+        Task {
+            stream: journal::Stream::new(&state.settings.platform.log, record::STREAM),
+            ledger: Ledger::new(state.settings.node.clone(), state.incarnation, options),
+            state,
+            waiting: std::collections::HashMap::new(),
+            next: 0,
+            caught_up: false,
+            reading: None,
+            epoch: 0,
+        }
+    }
+}
+
+/// Access
+impl Task {
+    fn until_wake(&self) -> Duration {
+        let wake = self.ledger.wake_at().map(|it| it.saturating_sub(self.state.now()));
+        wake.unwrap_or(LOOK).min(LOOK)
+    }
+}
+
+/// Mutation
+impl Task {
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Claim { claim, answer } => self.claim(claim, answer),
+            Event::Appended(answer) => self.step(Input::Appended(answer)),
+            Event::Read { epoch, read } if epoch == self.epoch => self.read(read),
+            Event::Read { .. } => {}
+        }
+    }
+
+    /// Takes a claim, if the stream was read up to its end.
+    fn claim(&mut self, claim: claim::Claim, answer: oneshot::Sender<claim::Verdict>) {
+        if !self.caught_up {
+            let _ = answer.send(claim::Verdict::Refused(claim::Reason::WindowIncomplete));
+            return;
+        }
+        let number = self.next;
+        self.next += 1;
+        self.waiting.insert(number, answer);
+        self.step(Input::Claim { number, claim });
+    }
+
+    fn read(&mut self, read: journal::Read<Value>) {
+        match read {
+            journal::Read::Trimmed { oldest } => {
+                self.caught_up = false;
+                self.step(Input::Trimmed { oldest });
+            }
+            journal::Read::Page(page) => {
+                let next = page.next;
+                self.step(Input::Read(decode(page)));
+                self.caught_up |= next <= self.ledger.position();
+            }
+        }
+        self.state.keys.position.store(self.ledger.position(), Ordering::Relaxed);
+    }
+
+    fn step(&mut self, input: Input) {
+        for output in self.ledger.step(self.state.now(), input) {
+            match output {
+                Output::Append(started) => self.append(started),
+                Output::Decide { number, verdict } => {
+                    if let Some(answer) = self.waiting.remove(&number) {
+                        let _ = answer.send(verdict);
+                    }
+                }
+            }
+        }
+    }
+
+    fn append(&self, started: record::Started) {
+        let stream = self.stream.clone();
+        let sender = self.state.keys.sender.clone();
+        tokio::spawn(async move {
+            let batch = started.batch.clone();
+            let outcome = match stream.append(&record::Record::Started(started)).await {
+                Ok(_) => ledger::Outcome::Stored,
+                Err(error) => outcome(&error),
+            };
+            let _ = sender.send(Event::Appended(ledger::Answer { batch, outcome })).await;
+        });
+    }
+
+    /// Begins or ends to read, by the node's rank.
+    fn look(&mut self) {
+        let wanted = ranked(&self.state).contains(&self.state.settings.node);
+        if wanted && self.reading.is_none() {
+            let stop = CancellationToken::new();
+            let (state, stream) = (Arc::clone(&self.state), self.stream.clone());
+            self.epoch += 1;
+            let tail = Tail { state, stream, from: self.ledger.position(), epoch: self.epoch };
+            tokio::spawn(tail.run(stop.clone()));
+            self.reading = Some(stop.drop_guard());
+        } else if !wanted && self.reading.is_some() && self.waiting.is_empty() {
+            self.reading = None;
+            self.epoch += 1;
+            self.caught_up = false;
+        }
+        self.step(Input::Tick);
+    }
+}
+
+/// What a failed append says about the record. A server error other than an outage leaves it open.
+fn outcome(error: &call::Error) -> ledger::Outcome {
+    match error {
+        call::Error::Refused(refusal) if refusal.status < 500 => ledger::Outcome::NotStored,
+        call::Error::Unavailable(_) => ledger::Outcome::NotStored,
+        call::Error::Refused(_) | call::Error::Unknown(_) => ledger::Outcome::Unknown,
+    }
+}
+
+fn decode(page: journal::Page<Value>) -> record::Page {
+    let entry = |it: journal::Record<Value>| record::Entry {
+        offset: it.offset,
+        at_ms: it.at_ms,
+        record: record::Record::read(it.value),
+    };
+    record::Page {
+        oldest: page.oldest,
+        next: page.next,
+        entries: page.records.into_iter().map(entry).collect(),
+    }
+}
+
+/// Life cycle
+impl Tail {
+    /// Reads the stream until it is told to stop.
+    async fn run(mut self, stop: CancellationToken) {
+        loop {
+            let read = tokio::select! {
+                read = self.stream.read::<Value>(self.from, PAGE, WAIT) => read,
+                () = stop.cancelled() => return,
+                () = self.state.stop.cancelled() => return,
+            };
+            let Ok(read) = read else {
+                tokio::time::sleep(RETRY).await;
+                continue;
+            };
+            self.from = match &read {
+                journal::Read::Trimmed { oldest } => *oldest,
+                journal::Read::Page(page) => {
+                    page.records.last().map_or(self.from, |it| it.offset + 1)
+                }
+            };
+            let event = Event::Read { epoch: self.epoch, read };
+            if self.state.keys.sender.send(event).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/cuminward-node/src/control/peer/answer.rs
+++ b/cuminward-node/src/control/peer/answer.rs
@@ -62,11 +62,12 @@
     }
 
     async fn claim_keys(&self, claims: Vec<claim::Claim>) -> Vec<claim::Verdict> {
-        claims.iter().map(|_| claim::Verdict::Refused(claim::Reason::Overloaded)).collect()
+        let claims = claims.into_iter().map(|it| self.state.keys.claim(it));
+        futures::future::join_all(claims).await
     }
 
-    async fn reply(&self, _hash: key::Hash, _wait: Duration) -> reply::Lookup {
-        reply::Lookup::Unknown
+    async fn reply(&self, hash: key::Hash, wait: Duration) -> reply::Lookup {
+        self.state.once.reply(&hash, wait).await
     }
 
     async fn events(&self, from: u64, max: u32, request: Option<id::Request>) -> message::Events {
--- a/cuminward-node/src/request.rs
+++ b/cuminward-node/src/request.rs
@@ -5,5 +5,6 @@
 pub mod dispatch;
 pub mod generate;
 pub mod lease;
+pub mod once;
 pub mod remote;
 pub mod search;
--- a/cuminward-node/src/request/backend.rs
+++ b/cuminward-node/src/request/backend.rs
@@ -53,6 +53,10 @@
         call::run(Arc::clone(&self.state), service, call, place).await
     }
 
+    fn mint(&self, team: &str) -> Result<id::Key, Refusal> {
+        Ok(self.state.once.mint(team))
+    }
+
     fn ready(&self) -> Result<(), String> {
         self.state.ready()
     }
--- a/cuminward-node/src/request/call.rs
+++ b/cuminward-node/src/request/call.rs
@@ -9,12 +9,13 @@
     outcome::{Cause, Outcome, Refusal},
 };
 use cuminward_event::kind::Kind;
+use cuminward_once::key;
 use cuminward_route::attempt;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 
 use crate::{
-    request::{dispatch, lease, remote, search},
+    request::{dispatch, lease, once, remote, search},
     state,
 };
 
@@ -34,6 +35,8 @@
     deadline: Duration,
     attempts: u32,
     may_have_run: bool,
+    /// Hash of the idempotency key that was claimed for the call.
+    key: Option<key::Hash>,
     _place: lease::Place,
 }
 
@@ -43,7 +46,8 @@
     reason: String,
 }
 
-/// Runs a call until it is answered or refused.
+/// Runs a call until it is answered or refused. One with an idempotency key that isn't safe goes
+/// through the claim of its key, at the node where it arrived first.
 ///
 /// # Errors
 ///
@@ -53,16 +57,37 @@
     service: &catalog::Plain,
     call: backend::Call,
     place: lease::Place,
+) -> Result<backend::Answer, Refusal> {
+    let claims = !call.method.is_safe() && call.context.relay.is_none();
+    match call.key.clone().filter(|_| claims) {
+        Some(key) => once::run(state, service.timeout, call, key, place).await,
+        None => attempt(state, service.timeout, call, None, place).await,
+    }
+}
+
+/// Makes attempts until one is answered or none may follow; `key` is the hash of a key that was
+/// claimed for the call.
+///
+/// # Errors
+///
+/// The refusal, which says truthfully whether the call ran.
+pub async fn attempt(
+    state: Arc<state::State>,
+    timeout: Duration,
+    call: backend::Call,
+    key: Option<key::Hash>,
+    place: lease::Place,
 ) -> Result<backend::Answer, Refusal> {
     let begun = state.now();
     let limit = state.settings.limits.queue_timeout;
     let mut job = Job {
         work: work(&call.method),
-        timeout: service.timeout,
+        timeout,
         begun,
         deadline: begun + call.context.deadline.unwrap_or(limit),
         attempts: 0,
         may_have_run: false,
+        key,
         _place: place,
         state,
         call,
@@ -85,6 +110,7 @@
             let wish = self.wish(avoid);
             let granted = dispatch::acquire(&self.state, wish).await;
             let granted = granted.map_err(|it| self.truthful(it))?;
+            self.check_key()?;
             let failure = match self.attempt(&granted.upstream).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
@@ -94,6 +120,16 @@
         }
     }
 
+    /// Checks that the claim of the call's key still holds.
+    fn check_key(&self) -> Result<(), Refusal> {
+        let now = self.state.now();
+        if self.key.is_none_or(|it| self.state.once.may_send(now, &it)) {
+            return Ok(());
+        }
+        let message = "the claim of the idempotency key is too old";
+        Err(self.truthful(Refusal::not_run(Cause::KeyRefused, message)))
+    }
+
     async fn attempt(&mut self, upstream: &search::Upstream) -> Result<backend::Answer, Failure> {
         self.attempts += 1;
         self.emit(Kind::RequestRouted {
--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -27,9 +27,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    control::{configure, peer},
+    control::{configure, keys, peer},
     measure, node, peers,
-    request::dispatch,
+    request::{dispatch, once},
     retiring, settings, view,
 };
 
@@ -76,6 +76,10 @@
     pub log_away: AtomicBool,
     /// Where requests ask for slots.
     pub desk: dispatch::Desk,
+    /// Where idempotency keys are claimed.
+    pub keys: keys::Desk,
+    /// Calls with idempotency keys of this node.
+    pub once: once::Once,
     /// Addresses that the node listens at.
     pub addresses: node::Addresses,
     /// Whether the host list was ever read.
@@ -124,6 +128,8 @@
             configured: AtomicBool::new(false),
             log_away: AtomicBool::new(false),
             desk: dispatch::Desk::default(),
+            keys: keys::Desk::default(),
+            once: once::Once::new(&settings.node),
             measures: Mutex::default(),
             addresses,
             listed: AtomicBool::new(false),
--- a/cuminward-standin/src/plain.rs
+++ b/cuminward-standin/src/plain.rs
@@ -92,6 +92,7 @@
     delay: Duration,
     lose_answers: u32,
     not_run: u32,
+    empty_answers: u32,
     server: Option<server::Server>,
 }
 
@@ -139,6 +140,7 @@
             delay: Duration::ZERO,
             lose_answers: 0,
             not_run: 0,
+            empty_answers: 0,
             server: Some(server),
         };
         inner.hosts.insert(name, machine);
@@ -205,6 +207,9 @@
             Fault::Slow { host, delay_ms } => self.set(host, |it| it.delay = *delay_ms),
             Fault::LoseAnswers { host, count } => self.set(host, |it| it.lose_answers = *count),
             Fault::NotRun { host, count } => self.set(host, |it| it.not_run = *count),
+            Fault::EmptyAnswers { host, count } => {
+                self.set(host, |it| it.empty_answers = *count);
+            }
         }
     }
 
--- a/cuminward-standin/src/plain/fault.rs
+++ b/cuminward-standin/src/plain/fault.rs
@@ -58,4 +58,11 @@
         /// Number of requests.
         count: u32,
     },
+    /// The next look-ups at a host are answered 200 with an empty body.
+    EmptyAnswers {
+        /// Name of the host.
+        host: id::Host,
+        /// Number of requests.
+        count: u32,
+    },
 }
--- a/cuminward-standin/src/plain/machine.rs
+++ b/cuminward-standin/src/plain/machine.rs
@@ -86,7 +86,12 @@
     };
     let taken = node.shared.lock().taken.get(&item).copied().unwrap_or_default();
     let free = node.shared.options.stock.saturating_sub(taken);
-    run.finish(&connection, Json(json!({"item": item, "free": free})).into_response()).await
+    let answer = if node.takes_empty() {
+        StatusCode::OK.into_response()
+    } else {
+        Json(json!({"item": item, "free": free})).into_response()
+    };
+    run.finish(&connection, answer).await
 }
 
 /// Starts a request, or refuses it with nothing run.
@@ -125,6 +130,15 @@
 }
 
 impl Node {
+    /// Takes one of the empty answers that are due.
+    fn takes_empty(&self) -> bool {
+        let mut inner = self.shared.lock();
+        let machine = inner.hosts.get_mut(&self.host).expect("hosts are never removed");
+        let is_due = machine.empty_answers > 0;
+        machine.empty_answers = machine.empty_answers.saturating_sub(1);
+        is_due
+    }
+
     /// Reserves and counts the run; returns the reservation's number.
     fn reserve(&self, headers: &HeaderMap, reservation: &Reservation) -> u64 {
         let header = |name: &str| {
--- a/spec/once.pml
+++ b/spec/once.pml
@@ -18,6 +18,7 @@
  * Every step uses up a budget, so that there are no cycles; the loops are marked as progress.
  *
  * bounds: ATTEMPTS=3 TICKS=5 RESTARTS=1 TRIMS=1
+ * cycle-bounds: ATTEMPTS=3 TICKS=3 RESTARTS=1 TRIMS=1
  * mutant: NO_READ_BACK    a claim counts as the first when its append is answered
  * mutant: NO_PLACE        a claim counts as the first when it is read back, whatever stands before it
  * mutant: NO_START_BOUND  a request is sent whenever the verdict arrives
