--- a/cuminward-group/src/probe/pace.rs
+++ b/cuminward-group/src/probe/pace.rs
@@ -94,7 +94,10 @@
     (source != node).then_some(source)
 }
 
-/// Time in which so many octets may be sent at a rate.
+/// Microseconds in one second.
+const MICROS: u64 = 1_000_000;
+
+/// Time in which so many octets may be sent at a rate, rounded up.
 fn spent(octets: u32, rate: u32) -> Duration {
-    Duration::from_secs_f64(f64::from(octets) / f64::from(rate.max(1)))
+    Duration::from_micros((u64::from(octets) * MICROS).div_ceil(u64::from(rate.max(1))))
 }
--- a/cuminward-group/src/steward/hosts.rs
+++ b/cuminward-group/src/steward/hosts.rs
@@ -19,6 +19,8 @@
     pub(super) leaving: bool,
     /// Newest report that this node read by itself.
     pub(super) report: Option<host::Report>,
+    /// When `report` was asked for.
+    pub(super) read_at: Option<Duration>,
     /// Whether `report` was read under the present term, with all earlier orders settled.
     pub(super) confirmed: bool,
     /// Whether `report` was read under the present term, maybe with earlier orders under way.
--- a/cuminward-group/src/steward/options.rs
+++ b/cuminward-group/src/steward/options.rs
@@ -52,9 +52,12 @@
     /// Time between two plans.
     #[builder(default = "Duration::from_millis(500)")]
     pub plan_every: Duration,
-    /// Time for which a whole group finishes its work before it is released.
+    /// Longest time for which a whole group finishes its work before it is released.
     #[builder(default = "Duration::from_secs(30)")]
     pub drain_for: Duration,
+    /// Time after which all nodes know that a group retires; a load of zero counts from then on.
+    #[builder(default = "Duration::from_secs(2)")]
+    pub drain_notice: Duration,
     /// Detection of dark fabric domains.
     #[builder(default)]
     pub dark: dark::Options,
--- a/cuminward-group/src/steward/orders.rs
+++ b/cuminward-group/src/steward/orders.rs
@@ -35,7 +35,11 @@
     fn unconfirmed(&self, now: Duration) -> impl Iterator<Item = id::Host> {
         let options = &self.options;
         let due = move |it: &hosts::Host| {
-            let sweep = if it.loads() { options.retry_after } else { options.sweep_every };
+            let sweep = if it.loads() || self.drains(it) {
+                options.retry_after
+            } else {
+                options.sweep_every
+            };
             let stale = it.asked.is_none_or(|asked| now >= asked + sweep);
             let rests = it.open.is_some() || now < it.next;
             let confirmable = self.allowed(now, it.enforces) && (!it.confirmed || stale);
--- a/cuminward-group/src/steward/reports.rs
+++ b/cuminward-group/src/steward/reports.rs
@@ -73,6 +73,7 @@
         let Some(known) = self.hosts.get_mut(&name) else { return };
         let incarnation = report.incarnation;
         let membership = report.membership.clone();
+        known.read_at = Some(asked);
         let restarted = known.learn(report);
         let first = confirms && !known.confirmed;
         known.confirmed = confirms;
--- a/cuminward-group/src/steward/retiring.rs
+++ b/cuminward-group/src/steward/retiring.rs
@@ -4,11 +4,24 @@
 
 use cuminward_core::id;
 
-use super::{Output, Steward, event};
+use super::{Output, Steward, event, hosts};
 use crate::{placement, probe::dark};
 
-/// Groups whose release is decided, with the time of the release and its cause.
-pub(super) type Retiring = BTreeMap<(id::Group, id::Generation), (Duration, placement::Cause)>;
+/// Groups whose release is decided.
+pub(super) type Retiring = BTreeMap<(id::Group, id::Generation), Entry>;
+
+/// A group whose release is decided.
+#[derive(Debug, Clone)]
+pub(super) struct Entry {
+    /// When the group began to retire.
+    since: Duration,
+    /// When the group is released at the latest.
+    until: Duration,
+    /// Why the group is released.
+    cause: placement::Cause,
+    /// First member, which reports the load.
+    head: Option<id::Host>,
+}
 
 /// Retiring groups
 impl Steward {
@@ -22,22 +35,23 @@
     ) {
         let key = (release.group.clone(), release.generation);
         let own = |it: &&placement::Group| it.group == key.0 && it.generation == key.1;
-        let whole =
-            input.groups.iter().find(own).is_some_and(|it| it.health == placement::Health::Whole);
-        if !whole {
+        let whole = |it: &&placement::Group| it.health == placement::Health::Whole;
+        let Some(group) = input.groups.iter().find(own).filter(whole) else {
             return self.release(now, fence, release);
-        }
+        };
         if self.retiring.contains_key(&key) {
             return;
         }
         let until = now + self.options.drain_for;
-        self.retiring.insert(key, (until, release.cause));
+        let (cause, head) = (release.cause, group.members.first().cloned());
+        self.retiring.insert(key, Entry { since: now, until, cause, head });
         let (group, generation) = (release.group.clone(), release.generation);
         self.out.push(Output::Retire { group, generation, until });
         self.event(event::Event::GroupRetiring { release });
     }
 
-    /// Releases the groups whose time is over, and forgets those that are gone.
+    /// Releases the groups that run nothing any more or whose time is over, and forgets those that are
+    /// gone.
     pub(super) fn release_retired(
         &mut self,
         now: Duration,
@@ -51,11 +65,11 @@
         let due: Vec<placement::Release> = self
             .retiring
             .iter()
-            .filter(|it| now >= it.1.0)
-            .map(|((group, generation), (_, cause))| placement::Release {
+            .filter(|it| now >= it.1.until || self.is_idle(it.1))
+            .map(|((group, generation), it)| placement::Release {
                 group: group.clone(),
                 generation: *generation,
-                cause: *cause,
+                cause: it.cause,
             })
             .collect();
         for release in due {
@@ -64,6 +78,29 @@
     }
 }
 
+/// Loads of retiring groups
+impl Steward {
+    /// Tells whether a host heads a retiring group, so that its load is wanted.
+    pub(super) fn drains(&self, known: &hosts::Host) -> bool {
+        let Some(formation) = known.membership() else { return false };
+        let head = formation.members.first();
+        let key = (formation.group.clone(), formation.generation);
+        let own = known.report.as_ref().map(|it| &it.host);
+        head == own && self.retiring.contains_key(&key)
+    }
+
+    /// Tells whether the head reported, after all nodes could know of the retirement, that nothing runs.
+    fn is_idle(&self, entry: &Entry) -> bool {
+        let Some(known) = entry.head.as_ref().and_then(|it| self.hosts.get(it)) else {
+            return false;
+        };
+        let load = known.report.as_ref().and_then(|it| it.load.as_ref());
+        let (Some(load), Some(read)) = (load, known.read_at) else { return false };
+        let measured = read.saturating_sub(load.age);
+        measured >= entry.since + self.options.drain_notice && load.running + load.queued == 0
+    }
+}
+
 /// Dark fabric domains
 impl Steward {
     /// Notes which fabric domains have gone dark and come back.
--- a/cuminward-testkit/tests/groups.rs
+++ b/cuminward-testkit/tests/groups.rs
@@ -40,6 +40,9 @@
 /// Tokens of each reply under load.
 const TOKENS: u32 = 20;
 
+/// Tokens of a reply that takes longer than the nodes need to hear of a retirement.
+const LONG: u32 = 1_000;
+
 /// Time within which a replica with a dead member may receive no new request.
 const OUT: Duration = Duration::from_secs(1);
 
@@ -431,3 +434,31 @@
     }
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn retiring_group_is_released_once_it_runs_nothing() -> Result<()> {
+    let scene = Scene { hosts: 6, ..Scene::default() };
+    let cluster = scene.start().await;
+    let chats = cluster.callers().into_iter().map(|node| async move {
+        let caller = caller::Caller::new(&declare::TEAMS[0]);
+        caller.chat(node, "a long tail", LONG).await
+    });
+    let chats = tokio::spawn(futures::future::join_all(chats));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let begun = Instant::now();
+    Scene { replicas: 1, ..scene }.declare(&cluster).await;
+    let free = || reports(&cluster).iter().filter(|it| it.membership.is_none()).count() == 3;
+    expect_that!(cluster::wait(BACK, free).await, eq(true), "well before the bound of 30 s");
+    ::log::info!("retiring: released after {:?}", begun.elapsed());
+    for answer in chats.await.or_fail()? {
+        let answer = answer.or_fail()?;
+        let good = answer.is_whole_chat() || answer.outcome() == "not-run";
+        expect_that!(good, eq(true), "{answer:?}");
+    }
+    let counters = cluster.world.fleet().counters();
+    expect_that!(counters.cut_off, eq(0), "the release cut requests off");
+    check(&cluster, "retiring");
+    cluster.stop().await;
+    Ok(())
+}
