--- a/cuminward-testkit/tests/groups.rs
+++ b/cuminward-testkit/tests/groups.rs
@@ -40,6 +40,9 @@
 /// Tokens of each reply under load.
 const TOKENS: u32 = 20;
 
+/// Time within which every node of a domain that divides the probes has to notice a loss.
+const HEARD: Duration = Duration::from_secs(3);
+
 /// Tokens of a reply that takes longer than the nodes need to hear of a retirement.
 const LONG: u32 = 1_000;
 
@@ -462,3 +465,25 @@
     cluster.stop().await;
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_divide_the_probes_notice_losses_and_raise_no_alarm() -> Result<()> {
+    let scene = Scene { nodes: 5, ..Scene::default() };
+    let mut cluster = scene.start().await;
+    // All nodes have to hear of each other before they divide the probes.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    // A prober dies: the other prober of its hosts confirms them until they are divided anew.
+    cluster.take("a-4").or_fail()?.kill();
+    let count = |it: &node::Node| it.state().replicas.load().routable.len();
+    let fewer = || cluster.nodes().any(|it| count(it.1) < scene.replicas as usize);
+    expect_that!(cluster::wait(Duration::from_secs(4), fewer).await, eq(false), "false alarm");
+    let host = members(&cluster).into_iter().next().or_fail()?;
+    cluster.world.fleet().fault(&Fault::Kill { host }).await;
+    let noticed = || cluster.nodes().all(|it| count(it.1) < scene.replicas as usize);
+    expect_that!(cluster::wait(HEARD, noticed).await, eq(true), "all nodes notice");
+    back(&cluster, scene.replicas, BACK, "divided").await;
+    check(&cluster, "divided");
+    cluster.stop().await;
+    Ok(())
+}
