--- a/cuminward-node/src/control.rs
+++ b/cuminward-node/src/control.rs
@@ -2,9 +2,11 @@
 
 pub mod admit;
 pub mod configure;
+pub mod keys;
 pub mod list;
 pub mod observe;
 pub mod outage;
 pub mod peer;
 pub mod probe;
+pub mod quarantine;
 pub mod steward;
--- a/cuminward-node/src/node.rs
+++ b/cuminward-node/src/node.rs
@@ -92,12 +92,6 @@
         self.state.events.emit(Kind::NodeStopped { in_flight: self.state.in_flight(), after_ms });
         finished
     }
-
-    /// Ends the node at once, as if its process were killed; requests are cut off.
-    pub fn kill(self) {
-        self.state.stop.cancel();
-        self.callers.abort();
-    }
 }
 
 /// Access
@@ -155,13 +149,17 @@
 fn spawn_control(state: &Arc<state::State>, tasks: &TaskTracker, peers: TcpListener) {
     let (inputs, received) = mpsc::channel(control::steward::INPUTS);
     tasks.spawn(control::list::run(Arc::clone(state)));
-    tasks.spawn(control::configure::run(Arc::clone(state)));
+    tasks.spawn(control::configure::follow::run(Arc::clone(state)));
+    tasks.spawn(control::configure::snapshot::run(Arc::clone(state)));
     tasks.spawn(control::probe::run(Arc::clone(state), inputs.clone()));
     tasks.spawn(control::observe::run(Arc::clone(state), inputs.clone()));
     tasks.spawn(control::steward::follow(Arc::clone(state), inputs.clone()));
     tasks.spawn(control::steward::run(Arc::clone(state), inputs, received));
+    tasks.spawn(control::keys::run(Arc::clone(state)));
     tasks.spawn(control::admit::run(Arc::clone(state)));
+    tasks.spawn(control::quarantine::run(Arc::clone(state)));
     tasks.spawn(control::peer::greet::run(Arc::clone(state)));
+    tasks.spawn(control::peer::pull::run(Arc::clone(state)));
     tasks.spawn(control::peer::run(Arc::clone(state), peers));
     tasks.spawn(request::dispatch::run(Arc::clone(state)));
 }
--- a/cuminward-node/src/request.rs
+++ b/cuminward-node/src/request.rs
@@ -3,7 +3,11 @@
 pub mod backend;
 pub mod call;
 pub mod dispatch;
+pub mod flight;
 pub mod generate;
 pub mod lease;
+pub mod once;
 pub mod remote;
 pub mod search;
+pub mod suspect;
+pub mod usage;
--- a/cuminward-route/tests/all/admission.rs
+++ b/cuminward-route/tests/all/admission.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use cuminward_core::id;
-use cuminward_route::admission::{Holder, Limits, Node, Options, Slot, message, reserve};
+use cuminward_route::admission::{
+    Holder, Input, Limits, Node, Options, Owner, Slot, message, reserve,
+};
 use googletest::prelude::*;
 use proptest::{prelude::*, test_runner};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -29,6 +31,7 @@
     connected: id::Incarnation,
     side: u32,
     demand: u32,
+    leaving: bool,
 }
 
 /// A failure domain with one upstream.
@@ -36,11 +39,12 @@
     random: Pcg64,
     now: Duration,
     members: Vec<Member>,
-    messages: Vec<(Duration, usize, message::Batch)>,
-    observations: Vec<(Duration, usize, id::Incarnation, Duration)>,
+    messages: Vec<(Duration, id::Node, message::Batch)>,
+    observations: Vec<(Duration, id::Node, id::Incarnation, Duration)>,
     incarnation: id::Incarnation,
     started: Duration,
     loss: f64,
+    named: usize,
     most: u32,
     served: u64,
 }
@@ -56,6 +60,8 @@
     Demand(u64),
     Replace(usize),
     Loss(bool),
+    Join(u64),
+    Leave(usize, u64),
 }
 
 impl Domain {
@@ -70,6 +76,7 @@
             incarnation: 1,
             started: Duration::ZERO,
             loss: 0.0,
+            named: count,
             most: 0,
             served: 0,
         };
@@ -95,7 +102,7 @@
         let listed: Vec<id::Node> = self.members.iter().map(|it| it.name.clone()).collect();
         for index in 0..self.members.len() {
             let side = self.members[index].side;
-            let live = self.members.iter().filter(|it| it.side == side);
+            let live = self.members.iter().filter(|it| it.side == side && !it.leaving);
             let live = live.map(|it| it.name.clone()).collect();
             let node = &mut self.members[index].node;
             node.set_nodes(self.now, listed.clone(), live);
@@ -112,6 +119,8 @@
             Event::Restart => self.restart(),
             Event::Demand(seed) => self.demand(seed),
             Event::Replace(index) => self.replace(index),
+            Event::Join(seed) => self.join(seed),
+            Event::Leave(index, seed) => self.leave(index, seed),
             Event::Loss(on) => self.loss = if on { 0.3 } else { 0.0 },
         }
     }
@@ -122,20 +131,46 @@
         for member in &mut self.members {
             member.side = random.random_range(0..sides);
         }
-        // Nodes notice a split one after the other.
+        self.spread(&mut random);
+    }
+
+    /// The nodes notice a change one after the other.
+    fn spread(&mut self, random: &mut Pcg64) {
         let listed: Vec<id::Node> = self.members.iter().map(|it| it.name.clone()).collect();
-        let sides: Vec<(id::Node, u32)> =
-            self.members.iter().map(|it| (it.name.clone(), it.side)).collect();
-        for index in 0..self.members.len() {
-            let own = self.members[index].side;
-            let live = sides.iter().filter(|it| it.1 == own).map(|it| it.0.clone()).collect();
-            self.members[index].node.set_nodes(self.now, listed.clone(), live);
+        let stay = self.members.iter().filter(|it| !it.leaving);
+        let sides: Vec<(id::Node, u32)> = stay.map(|it| (it.name.clone(), it.side)).collect();
+        for name in &listed {
+            let Some(member) = self.members.iter_mut().find(|it| it.name == *name) else {
+                continue;
+            };
+            let live = sides.iter().filter(|it| it.1 == member.side).map(|it| it.0.clone());
+            member.node.set_nodes(self.now, listed.clone(), live.collect());
             if random.random_bool(0.3) {
                 self.step();
             }
         }
     }
 
+    /// A new node is listed.
+    fn join(&mut self, seed: u64) {
+        let side = self.members.first().map_or(0, |it| it.side);
+        let mut new = Member { side, demand: 20, ..member(self.named, 1) };
+        self.named += 1;
+        new.node.set_upstream(self.now, UPSTREAM, options());
+        self.members.push(new);
+        self.spread(&mut Pcg64::seed_from_u64(seed));
+    }
+
+    /// A node shuts down: it owns nothing more, finishes its requests and leaves the list.
+    fn leave(&mut self, index: usize, seed: u64) {
+        if self.members.len() == 1 {
+            return;
+        }
+        let index = index % self.members.len();
+        self.members[index].leaving = true;
+        self.spread(&mut Pcg64::seed_from_u64(seed));
+    }
+
     /// Nodes lose each other for a moment, shorter than messages may take.
     fn flap(&mut self, seed: u64) {
         for seed in [seed, 0, seed.rotate_left(7), 0] {
@@ -163,7 +198,9 @@
         let index = index % self.members.len();
         let epoch = 2 + self.now.as_millis() as u32;
         let (side, demand) = (self.members[index].side, self.members[index].demand);
-        self.members[index] = Member { side, demand, ..member(index, epoch) };
+        let name = self.members[index].name.clone();
+        let node = Node::new(name.clone(), epoch);
+        self.members[index] = Member { name, node, side, demand, ..member(index, epoch) };
         self.relist();
     }
 
@@ -175,6 +212,10 @@
             self.members[index].node.tick(self.now);
             self.post(index);
         }
+        let ended = |it: &Member| it.leaving && it.running.is_empty();
+        if self.members.iter().any(|it| !ended(it)) {
+            self.members.retain(|it| !ended(it));
+        }
         let running = self.running();
         self.most = self.most.max(running);
         assert!(
@@ -195,6 +236,9 @@
             holder.disconnected();
             member.connected = self.incarnation;
         }
+        if member.leaving {
+            member.demand = 0;
+        }
         while (member.running.len() as u32) < member.demand {
             let Some(slot) = holder.acquire(now) else { break };
             let end = now + Duration::from_millis(self.random.random_range(50..4_000));
@@ -210,15 +254,17 @@
         let polled = self.random.random_bool(0.05);
         if !work.probes.is_empty() || polled {
             let due = self.now + self.delay();
-            self.observations.push((due, index, self.incarnation, asked));
+            let name = self.members[index].name.clone();
+            self.observations.push((due, name, self.incarnation, asked));
         }
         for (to, batch) in work.batches {
-            let to = self.members.iter().position(|it| it.name == to).expect("it is listed");
+            let Some(other) = self.members.iter().find(|it| it.name == to) else { continue };
+            let cut = other.side != self.members[index].side;
             for _ in 0..1 + u32::from(self.random.random_bool(0.05)) {
                 let lost = self.random.random_bool(self.loss);
                 let due = self.now + self.delay();
-                if !lost && self.members[to].side == self.members[index].side {
-                    self.messages.push((due, to, batch.clone()));
+                if !lost && !cut {
+                    self.messages.push((due, to.clone(), batch.clone()));
                 }
             }
         }
@@ -232,11 +278,15 @@
         let now = self.now;
         let due: Vec<_> = self.messages.extract_if(.., |it| it.0 <= now).collect();
         for (_, to, batch) in due {
-            self.members[to].node.receive(now, batch);
+            if let Some(member) = self.members.iter_mut().find(|it| it.name == to) {
+                member.node.receive(now, batch);
+            }
         }
         let due: Vec<_> = self.observations.extract_if(.., |it| it.0 <= now).collect();
         for (_, to, incarnation, asked) in due {
-            self.members[to].node.observe(now, UPSTREAM, incarnation, None, asked);
+            if let Some(member) = self.members.iter_mut().find(|it| it.name == to) {
+                member.node.observe(now, UPSTREAM, incarnation, None, asked);
+            }
         }
     }
 }
@@ -252,7 +302,7 @@
 fn member(index: usize, epoch: u32) -> Member {
     let name = format!("node-{index}");
     let node = Node::new(name.clone(), epoch);
-    Member { name, node, running: Vec::new(), connected: 0, side: 0, demand: 0 }
+    Member { name, node, running: Vec::new(), connected: 0, side: 0, demand: 0, leaving: false }
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -265,6 +315,8 @@
         1 => Just(Event::Restart),
         1 => any::<usize>().prop_map(Event::Replace),
         1 => any::<bool>().prop_map(Event::Loss),
+        1 => any::<u64>().prop_map(Event::Join),
+        1 => any::<(usize, u64)>().prop_map(|(index, seed)| Event::Leave(index, seed)),
     ]
 }
 
@@ -442,3 +494,62 @@
         expect_that!(slots.len(), eq(2), "the lease of case {number} has lapsed");
     }
 }
+
+/// In a split without any message, a new upstream is used within the reserves, by nodes that all
+/// others know to be listed.
+#[gtest]
+fn a_new_upstream_is_used_within_the_reserves() {
+    for (listed_for, expected) in [(29, 0), (30, options().reserved())] {
+        let now = Duration::from_secs(listed_for);
+        let names: Vec<id::Node> = (0..9).map(|it| format!("node-{it}")).collect();
+        let allowance = |name: &id::Node| {
+            let mut node = Node::new(name.clone(), 1);
+            let alone = vec![name.clone()];
+            node.set_nodes(Duration::ZERO, names.clone(), alone);
+            let holder = node.set_upstream(now, "desk-2", options());
+            node.observe(now, "desk-2", 1, None, now);
+            (0..100).for_each(|it| node.tick(now + STEP * it));
+            holder.allowance()
+        };
+        let sum: u32 = names.iter().map(allowance).sum();
+        expect_that!(sum, eq(expected), "listed for {listed_for} s");
+    }
+}
+
+/// A reserve has no lease: it counts until the node says that it is lower, also when the node is
+/// silent, hasn't acknowledged it, or turned to another owner.
+#[gtest]
+fn reserves_count_until_the_node_lowers_them() {
+    for released in [false, true] {
+        let now = Duration::from_secs(1);
+        let mut owner = Owner::new(UPSTREAM.to_owned(), 1, options(), now);
+        let node = "a".to_owned();
+        owner.step(now, Input::Listed(vec![node.clone()]));
+        let holdings = message::Holdings {
+            upstream: UPSTREAM.to_owned(),
+            join: 1,
+            session: Some(1),
+            report: 1,
+            ack: 0,
+            reset: 0,
+            in_use: 0,
+            allowance: 0,
+            reserve: 0,
+            waiting: 0,
+            sent: now,
+            started: None,
+        };
+        owner.step(now, Input::Holdings(node.clone(), holdings));
+        owner.step(now, Input::Observed { incarnation: 1, load: None, asked: now });
+        let all = (0..9).map(|it| format!("node-{it}")).chain([node.clone()]);
+        owner.step(now, Input::Listed(all.collect()));
+        if released {
+            let upstream = UPSTREAM.to_owned();
+            let release = message::Release { upstream, join: 1, in_use: 0, reserve: 3 };
+            owner.step(now, Input::Release(node.clone(), release));
+        }
+        expect_that!(owner.committed(), ge(options().reserved()), "released: {released}");
+        owner.step(now + Duration::from_secs(9), Input::Tick);
+        expect_that!(owner.committed(), ge(options().reserved()), "released: {released}");
+    }
+}
--- a/cuminward-standin/src/plain.rs
+++ b/cuminward-standin/src/plain.rs
@@ -78,6 +78,7 @@
     taken: BTreeMap<String, u64>,
     counters: Counters,
     begun: begun::Times,
+    begun_at: begun::Times,
     next_incarnation: id::Incarnation,
 }
 
@@ -92,6 +93,7 @@
     delay: Duration,
     lose_answers: u32,
     not_run: u32,
+    empty_answers: u32,
     server: Option<server::Server>,
 }
 
@@ -108,6 +110,7 @@
             taken: BTreeMap::new(),
             counters: Counters::default(),
             begun: begun::Times::default(),
+            begun_at: begun::Times::default(),
             next_incarnation: reply::wall_ms(),
         };
         let shared = Arc::new(Shared { options, inner: Mutex::new(inner) });
@@ -139,6 +142,7 @@
             delay: Duration::ZERO,
             lose_answers: 0,
             not_run: 0,
+            empty_answers: 0,
             server: Some(server),
         };
         inner.hosts.insert(name, machine);
@@ -169,6 +173,11 @@
         self.shared.lock().begun.since(domain, since)
     }
 
+    /// Requests begun at a host since a time.
+    pub fn begun_at_since(&self, host: &str, since: Instant) -> u64 {
+        self.shared.lock().begun_at.since(host, since)
+    }
+
     /// Entries of all hosts, dead ones included.
     pub fn entries(&self) -> Vec<host::Entry> {
         self.shared.lock().hosts.values().map(|it| it.entry.clone()).collect()
@@ -205,6 +214,9 @@
             Fault::Slow { host, delay_ms } => self.set(host, |it| it.delay = *delay_ms),
             Fault::LoseAnswers { host, count } => self.set(host, |it| it.lose_answers = *count),
             Fault::NotRun { host, count } => self.set(host, |it| it.not_run = *count),
+            Fault::EmptyAnswers { host, count } => {
+                self.set(host, |it| it.empty_answers = *count);
+            }
         }
     }
 
--- a/cuminward-testkit/tests/groups.rs
+++ b/cuminward-testkit/tests/groups.rs
@@ -220,7 +220,7 @@
 
 /// A node whose paths can be cut, and its view.
 struct Viewed {
-    node: node::Node,
+    member: cluster::Member,
     view: view::View,
 }
 
@@ -232,11 +232,12 @@
             log: view.log_address().to_string(),
             hosts: view.hosts_address().to_string(),
             weights: view.weights_address().to_string(),
+            ..settings.platform
         };
-        let node = node::Node::start(settings).await.expect("the settings are right");
-        let address = node.addresses().peers.to_string();
+        let member = cluster::Member::start(settings).await.expect("the settings are right");
+        let address = member.node().addresses().peers.to_string();
         cluster.world.add_node(world::node_entry("viewed", DOMAIN, &address));
-        Viewed { node, view }
+        Viewed { member, view }
     }
 
     fn cut(&self) {
@@ -280,7 +281,7 @@
         tokio::time::sleep(LEASE * 2).await;
         back(&cluster, scene.replicas, kind.back, kind.name).await;
         check(&cluster, kind.name);
-        viewed.node.kill();
+        viewed.member.kill();
         cluster.stop().await;
     }
     Ok(())
