--- a/cuminward-caller/src/plain.rs
+++ b/cuminward-caller/src/plain.rs
@@ -1,4 +1,8 @@
 //! Passes calls to plain services.
+//!
+//! A call that isn't safe and has the header `idempotency-key` runs at most once. A repeat gets the
+//! first reply with `cuminward-replayed: true`; the key itself is passed on to the service. Headers
+//! that belong to one connection, and those between the caller and cuminward, are not passed on.
 
 use axum::response::Response;
 use bytes::Bytes;
--- a/cuminward-node/src/request/once.rs
+++ b/cuminward-node/src/request/once.rs
@@ -348,9 +348,10 @@
     Refusal::unknown(Cause::KeyStarted, "started; outcome unknown")
 }
 
-/// The key can't be started any more, and this call did not run.
+/// The key can't be started any more, and this call did not run. The verdict may be lost, so that
+/// nothing is said about earlier calls.
 fn used_up() -> Refusal {
-    let message = "the key is used up and its call did not run; send it with another key";
+    let message = "this call did not run, and the key can't be started any more";
     Refusal::not_run(Cause::KeyRefused, message)
 }
 
--- a/spec/once.pml
+++ b/spec/once.pml
@@ -17,7 +17,8 @@
  *
  * Every step uses up a budget, so that there are no cycles; the loops are marked as progress.
  *
- * bounds: ATTEMPTS=3 TICKS=5 RESTARTS=1 TRIMS=1
+ * bounds: ATTEMPTS=3 TICKS=4 RESTARTS=1 TRIMS=1
+ * deep-bounds: ATTEMPTS=3 TICKS=5 RESTARTS=1 TRIMS=1
  * cycle-bounds: ATTEMPTS=3 TICKS=3 RESTARTS=1 TRIMS=1
  * mutant: NO_READ_BACK    a claim counts as the first when its append is answered
  * mutant: NO_PLACE        a claim counts as the first when it is read back, whatever stands before it
