--- a/cuminward-node/src/control.rs
+++ b/cuminward-node/src/control.rs
@@ -5,6 +5,7 @@
 pub mod list;
 pub mod outage;
 pub mod peer;
+pub mod prefix;
 pub mod probe;
 pub mod quarantine;
 pub mod steward;
--- a/cuminward-node/src/control/admit.rs
+++ b/cuminward-node/src/control/admit.rs
@@ -68,7 +68,7 @@
 /// Sends messages and asks upstreams whose state is wanted.
 pub fn carry_out(state: &Arc<state::State>, work: admission::Work) {
     for (node, batch) in work.batches {
-        crate::control::peer::send_batch(state, node, &batch);
+        crate::control::peer::send_batch(state, node, batch);
     }
     for upstream in work.probes {
         crate::control::probe::now(state, &upstream);
--- a/cuminward-node/src/control/peer.rs
+++ b/cuminward-node/src/control/peer.rs
@@ -39,29 +39,28 @@
 }
 
 /// Sends messages of the admission; what the other node answers is taken in at once.
-pub fn send_batch(state: &Arc<state::State>, node: id::Node, batch: &admission::message::Batch) {
+pub fn send_batch(state: &Arc<state::State>, node: id::Node, batch: admission::message::Batch) {
     let message = wrap(state, batch);
     let state = Arc::clone(state);
     tokio::spawn(async move {
         if let Ok(answer) = state.pool.admission(&node, message).await {
-            receive(&state, &answer);
+            receive(&state, answer);
         }
     });
 }
 
-fn wrap(state: &state::State, batch: &admission::message::Batch) -> message::Admission {
-    let json = serde_json::to_string(batch).expect("batches have string keys only");
+fn wrap(state: &state::State, batch: admission::message::Batch) -> message::Admission {
     message::Admission {
         from: state.settings.node.clone(),
         incarnation: state.incarnation,
-        messages: vec![json],
+        messages: vec![batch],
     }
 }
 
-/// Takes in messages of another node; messages of other versions that can't be read are skipped.
-fn receive(state: &Arc<state::State>, message: &message::Admission) {
-    let batches = message.messages.iter().filter_map(|it| serde_json::from_str(it).ok());
-    let batches = batches.filter(|it: &admission::message::Batch| it.node == message.from);
+/// Takes in messages of another node.
+fn receive(state: &Arc<state::State>, message: message::Admission) {
+    let from = message.from;
+    let batches = message.messages.into_iter().filter(|it| it.node == from);
     let work = {
         let mut admission = state.admission();
         batches.for_each(|it| admission.receive(state.now(), it));
--- a/cuminward-node/src/control/peer/answer.rs
+++ b/cuminward-node/src/control/peer/answer.rs
@@ -53,7 +53,7 @@
     }
 
     async fn admission(&self, admission: message::Admission) -> message::Admission {
-        peer::receive(&self.state, &admission);
+        peer::receive(&self.state, admission);
         message::Admission {
             from: self.state.settings.node.clone(),
             incarnation: self.state.incarnation,
--- a/cuminward-node/src/request/dispatch.rs
+++ b/cuminward-node/src/request/dispatch.rs
@@ -177,6 +177,7 @@
 ) -> bool {
     usage.teams().for_each(|(team, running)| queue.set_running(team, running));
     let capacity = usage.capacity(state.desk.nodes());
+    queue.set_headroom(capacity.headroom_permille());
     let accept = |entry: &share::Entry<Waiting>, admitted: bool| {
         let outcome = match now < entry.item.since + AVOIDANCE || entry.item.wish.avoid.is_empty() {
             true => search::run(state, &entry.item.wish, admitted),
--- a/cuminward-node/src/request/usage.rs
+++ b/cuminward-node/src/request/usage.rs
@@ -112,7 +112,7 @@
     /// Tells whether a team may take a slot now.
     pub fn admits(&self, team: &str, capacity: &share::Capacity) -> bool {
         let (weight, running) = (self.weight(team), self.running(team));
-        capacity.admits(weight, running, share::DEFAULT_HEADROOM_PERMILLE)
+        capacity.admits(weight, running, capacity.headroom_permille())
     }
 }
 
--- a/cuminward-peer/src/message.rs
+++ b/cuminward-peer/src/message.rs
@@ -7,6 +7,7 @@
 
 use cuminward_core::{hlc, host, id};
 use cuminward_derive::record;
+use cuminward_route::admission;
 use serde_with::{DurationMilliSeconds, serde_as};
 
 /// What a node tells about itself.
@@ -121,8 +122,8 @@
     pub from: id::Node,
     /// Incarnation of the sending node.
     pub incarnation: id::Incarnation,
-    /// The messages as JSON, in order.
-    pub messages: Vec<String>,
+    /// The messages in order.
+    pub messages: Vec<admission::message::Batch>,
 }
 
 /// Events of a node.
--- a/cuminward-peer/tests/all/client.rs
+++ b/cuminward-peer/tests/all/client.rs
@@ -4,6 +4,7 @@
 
 use cuminward_once::claim;
 use cuminward_peer::{client, handshake, message, server};
+use cuminward_route::admission;
 use googletest::prelude::*;
 use tokio::{net::TcpListener, time};
 
@@ -21,11 +22,8 @@
     expect_that!(offsets, elements_are![eq(&4), eq(&5), eq(&6)]);
     let observations = pool.observations(NAME, 7, 1).await.expect("the node answers");
     expect_that!(observations.changed, elements_are![eq(&node::observation("h1"))]);
-    let admission = message::Admission {
-        from: String::from("n1"),
-        incarnation: 1,
-        messages: vec![String::from("{\"grant\":1}")],
-    };
+    let admission =
+        message::Admission { from: String::from("n1"), incarnation: 1, messages: vec![batch()] };
     expect_that!(pool.admission(NAME, admission.clone()).await, ok(eq(&admission)));
     let claim = claim::Claim { hash: [1; 16], issuer: String::from("n1") };
     let verdicts = pool.claim_keys(NAME, vec![claim; 4]).await.expect("the node answers");
@@ -127,3 +125,29 @@
     expect_that!(answer, err(eq(&client::Error::Timeout)));
     expect_that!(pool.hello(NAME, node::hello("n1")).await, ok(anything()));
 }
+
+/// Messages about slots with everything that can be absent both ways.
+fn batch() -> admission::message::Batch {
+    let started = Some(admission::message::Started { incarnation: 3, age: Duration::from_secs(4) });
+    let holdings = admission::message::Holdings {
+        upstream: String::from("g#1"),
+        join: 1,
+        session: None,
+        report: 2,
+        ack: 3,
+        reset: 4,
+        in_use: 5,
+        allowance: 6,
+        reserve: 7,
+        waiting: 8,
+        sent: Duration::from_millis(9),
+        started,
+    };
+    let joined =
+        admission::message::Holdings { session: Some(1), started: None, ..holdings.clone() };
+    admission::message::Batch {
+        node: String::from("n1"),
+        holdings: vec![holdings, joined],
+        ..admission::message::Batch::default()
+    }
+}
--- a/cuminward-route/src/share.rs
+++ b/cuminward-route/src/share.rs
@@ -121,6 +121,13 @@
 
 /// Access
 impl Capacity {
+    /// Headroom that holds a usual burst of the other teams, in thousandths: the default, or the
+    /// square root of the slots where that is more.
+    pub fn headroom_permille(&self) -> u32 {
+        let burst = self.slots.isqrt() * 1000 / self.slots.max(1);
+        burst.max(DEFAULT_HEADROOM_PERMILLE)
+    }
+
     /// Tells whether a slot is free for a team with so many requests running. Within its share any
     /// slot is; the further a team is beyond its share, the more of the headroom has to stay free.
     pub fn admits(&self, weight: u32, running: u32, headroom_permille: u32) -> bool {
@@ -247,6 +254,11 @@
         entry
     }
 
+    /// Changes the part of the slots that a team far beyond its share leaves free.
+    pub fn set_headroom(&mut self, permille: u32) {
+        self.options.headroom_permille = permille;
+    }
+
     /// Sets how many requests of a team run, where that is counted elsewhere.
     pub fn set_running(&mut self, team: &str, running: u32) {
         if let Some(it) = self.teams.get_mut(team) {
--- /dev/null
+++ b/cuminward-testkit/examples/hot_team.rs
@@ -0,0 +1,145 @@
+//! What one team at ten times its share does to another one: the first-token times of the quiet team
+//! alone, and beside the hot one.
+//!
+//! `cargo run --release -p cuminward-testkit --example hot_team -- --seed 1`
+#![allow(clippy::print_stdout)]
+
+use std::time::Duration;
+
+use clap::Parser;
+use cuminward_standin::{engine, load, world};
+use cuminward_testkit::{
+    cluster::{self, Cluster},
+    declare,
+};
+use miette::ensure;
+
+/// Replicas of the only failure domain.
+const REPLICAS: u32 = 2;
+
+/// Hosts of each replica.
+const HOSTS_PER_REPLICA: u32 = 2;
+
+/// Nodes of the only failure domain.
+const NODES: u32 = 2;
+
+/// Slots of each replica.
+const SLOTS: u32 = 16;
+
+/// Time within which all replicas have to be formed.
+const FORMING: Duration = Duration::from_secs(30);
+
+/// Part of its share that the quiet team uses.
+const QUIET: f64 = 0.6;
+
+/// Times its share that the hot team asks for.
+const HOT: f64 = 10.0;
+
+/// Most that the quiet team's 95th percentile may grow, as a part of its value alone.
+const BOUND: f64 = 1.1;
+
+/// Measures what a hot team does to a quiet one.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Seed of arrivals and prompts.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Length of each run in seconds.
+    #[arg(long, default_value_t = 20)]
+    seconds: u64,
+    /// Time of a token in milliseconds.
+    #[arg(long, default_value_t = 10)]
+    decode_ms: u64,
+    /// Tokens of each reply, at most.
+    #[arg(long, default_value_t = 64)]
+    tokens: u64,
+}
+
+#[tokio::main]
+async fn main() -> miette::Result<()> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("off")).init();
+    let arguments = Arguments::parse();
+    let cluster = Cluster::start(options(&arguments)).await?;
+    let limits =
+        declare::Limits { slots: SLOTS, cold_slots: SLOTS, warm_up: Duration::from_millis(1) };
+    cluster.declare(REPLICAS, HOSTS_PER_REPLICA, &limits).await?;
+    cluster.wait_replicas(REPLICAS as usize, FORMING).await?;
+    let [quiet, hot] = &declare::TEAMS;
+    let (slow, fast) = (rate(&arguments, quiet, QUIET), rate(&arguments, hot, HOT));
+    let alone = load::run(&plan(&arguments, &cluster, quiet, slow)).await;
+    let plans = [plan(&arguments, &cluster, quiet, slow), plan(&arguments, &cluster, hot, fast)];
+    let (beside, flood) = tokio::join!(load::run(&plans[0]), load::run(&plans[1]));
+    println!(
+        "{:<26} {:>6} {:>9} {:>8} {:>8} {:>8}",
+        "", "sent", "complete", "refused", "p50", "p95"
+    );
+    row("quiet team alone", &alone);
+    row("quiet team beside hot one", &beside);
+    row("hot team", &flood);
+    let growth = beside.all.first_token.p95_ms / alone.all.first_token.p95_ms;
+    println!("first token p95 of the quiet team: {growth:.3} times that alone");
+    println!("the hot team's other ends: {:?}", flood.all.details);
+    cluster.stop().await;
+    ensure!(beside.all.complete == beside.all.sent, "a quiet request was not answered");
+    ensure!(growth <= BOUND, "the quiet team's first token came later than the bound");
+    Ok(())
+}
+
+fn options(arguments: &Arguments) -> cluster::Options {
+    cluster::Options {
+        world: world::Options {
+            domains: vec![world::Domain::new("a", "r", REPLICAS * HOSTS_PER_REPLICA)],
+            engine: engine::Options {
+                slots: SLOTS,
+                cold_bound: SLOTS,
+                warm_up: Duration::from_millis(1),
+                prefill_per_byte: Duration::from_micros(100),
+                decode: Duration::from_millis(arguments.decode_ms),
+                decode_growth_permille: 0,
+                ..engine::Options::default()
+            },
+            ..world::Options::default()
+        },
+        nodes_per_domain: NODES,
+        ..cluster::Options::default()
+    }
+}
+
+/// Requests a second with which a team uses a multiple of its share of all slots.
+fn rate(arguments: &Arguments, team: &declare::Team, times: f64) -> f64 {
+    let weights: u32 = declare::TEAMS.iter().map(|it| it.weight).sum();
+    let share = f64::from(REPLICAS * SLOTS * team.weight) / f64::from(weights);
+    let seconds = (arguments.decode_ms * arguments.tokens) as f64 / 1000.0;
+    share * times / seconds
+}
+
+fn plan(
+    arguments: &Arguments,
+    cluster: &Cluster,
+    team: &declare::Team,
+    rate: f64,
+) -> load::Options {
+    let targets = cluster.callers().into_iter().map(|address| load::Target::Chat { address });
+    load::Options {
+        seed: arguments.seed,
+        rate,
+        duration: Duration::from_secs(arguments.seconds),
+        timeout: Duration::from_secs(60),
+        targets: targets.collect(),
+        teams: vec![load::Team {
+            name: team.name.to_owned(),
+            key: team.key.to_owned(),
+            weight: 1.0,
+        }],
+        model: declare::MODEL.to_owned(),
+        versions: vec![declare::VERSION.to_owned()],
+        max_tokens: arguments.tokens,
+        ..load::Options::default()
+    }
+}
+
+fn row(name: &str, report: &load::Report) {
+    let (sent, complete, refused) = (report.all.sent, report.all.complete, report.all.refused);
+    let (p50, p95) = (report.all.first_token.p50_ms, report.all.first_token.p95_ms);
+    println!("{name:<26} {sent:>6} {complete:>9} {refused:>8} {p50:>8.1} {p95:>8.1}");
+}
