--- a/cuminward-node/src/control.rs
+++ b/cuminward-node/src/control.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod configure;
+pub mod eject;
 pub mod list;
 pub mod outage;
 pub mod peer;
--- a/cuminward-node/src/node.rs
+++ b/cuminward-node/src/node.rs
@@ -155,6 +155,7 @@
     tasks.spawn(control::steward::follow(Arc::clone(state), inputs.clone()));
     tasks.spawn(control::steward::run(Arc::clone(state), inputs, received));
     tasks.spawn(control::admit::run(Arc::clone(state)));
+    tasks.spawn(control::eject::run(Arc::clone(state)));
     tasks.spawn(control::prefix::run(Arc::clone(state)));
     tasks.spawn(control::quarantine::run(Arc::clone(state)));
     tasks.spawn(control::peer::greet::run(Arc::clone(state)));
--- a/cuminward-node/src/request/flight.rs
+++ b/cuminward-node/src/request/flight.rs
@@ -1,7 +1,7 @@
 //! One attempt at an engine, until the engine has certainly ended it.
 //!
 //! An attempt that was given up, or whose stream broke, may still run. Its slot stays in use until the
-//! engine has answered a cancel, or the replica is no longer routed to: a new formation has slots of
+//! engine has answered a cancel, or its head reports another formation: a new formation has slots of
 //! its own.
 
 use std::{sync::Arc, time::Duration};
@@ -18,6 +18,9 @@
 /// Time between two tries to cancel an attempt.
 const RETRY: Duration = Duration::from_millis(500);
 
+/// Longest time that an attempt is taken to run on.
+const LONGEST: Duration = Duration::from_secs(600);
+
 /// An attempt at an engine; dropping it cancels the attempt.
 pub struct Flight {
     held: Option<Held>,
@@ -86,6 +89,7 @@
 impl Held {
     /// Cancels the attempt and holds its slot until it has ended.
     async fn end(self) {
+        let begun = self.state.now();
         loop {
             let cancelled = self.state.engines.cancel(&self.replica.address, &self.request).await;
             match cancelled {
@@ -99,19 +103,18 @@
                 () = tokio::time::sleep(RETRY) => {}
                 () = self.state.stop.cancelled() => return,
             }
-            if !self.is_routed() {
+            if !self.is_formed() || begun + LONGEST < self.state.now() {
                 return;
             }
         }
     }
 
-    /// Tells whether the replica is still routed to.
-    fn is_routed(&self) -> bool {
-        let view = self.state.view.load();
-        view.table.candidates().any(|it| {
-            it.replica.group == self.replica.group
-                && it.replica.generation == self.replica.generation
-        })
+    /// Tells whether the head last reported the formation that the attempt was sent to.
+    fn is_formed(&self) -> bool {
+        let observations = self.state.observations();
+        let head = self.replica.members.first();
+        let report = head.and_then(|it| observations.get(it)).map(|it| &it.report);
+        report.is_some_and(|it| suspect::is_serving(it, &self.replica))
     }
 }
 
--- a/cuminward-node/src/request/generate.rs
+++ b/cuminward-node/src/request/generate.rs
@@ -13,7 +13,7 @@
     replica,
 };
 use cuminward_event::kind::Kind;
-use cuminward_route::{attempt, prefix, quarantine};
+use cuminward_route::{attempt, eject, prefix, quarantine};
 use cuminward_upstream::{error, generate, relay};
 use futures::{Stream, StreamExt};
 use tokio::sync::mpsc;
@@ -51,6 +51,8 @@
     sink: mpsc::Sender<backend::Event>,
     attempts: u32,
     next: u64,
+    /// When the present attempt's first token arrived.
+    first: Option<Duration>,
     may_have_run: bool,
     _place: lease::Place,
 }
@@ -130,6 +132,7 @@
             sink,
             attempts: 0,
             next: request.resume_at,
+            first: None,
             may_have_run: 0 < request.resume_at,
             _place: place,
             state,
@@ -183,6 +186,7 @@
             domain: upstream.domain(&self.state).to_owned(),
             attempt: u64::from(self.attempts),
         });
+        let sent = self.state.now();
         let (end, error) = match self.send(&upstream).await {
             Ok(chunks) => self.pass(chunks, flight.as_mut()).await,
             Err(error) => {
@@ -191,6 +195,7 @@
             }
         };
         if let Some(flight) = flight {
+            self.judge(upstream.name(), sent, error.as_ref());
             land(flight, &end, error).await;
         }
         end
@@ -247,7 +252,21 @@
         (End::Failed(Failure { report: self.broken(), reason }), None)
     }
 
+    /// Notes how the attempt at a replica went. Lost and silent connections are nobody's fault as
+    /// long as the host answers, and it isn't routed to if it doesn't.
+    fn judge(&mut self, group: &str, sent: Duration, error: Option<&error::Error>) {
+        let sample = match (error, self.first.take()) {
+            (Some(error::Error::Answer(_) | error::Error::Malformed { .. }), _) => {
+                eject::Sample::Failed
+            }
+            (_, Some(first)) => eject::Sample::Answered(first.saturating_sub(sent)),
+            (_, None) => return,
+        };
+        self.state.outliers.note(&self.request.model, group, sample);
+    }
+
     fn note_token(&mut self, index: u64) {
+        self.first.get_or_insert(self.state.now());
         if self.next == self.request.resume_at {
             self.emit(Kind::RequestFirstToken { after_ms: self.age_ms() });
         }
--- a/cuminward-node/src/request/search.rs
+++ b/cuminward-node/src/request/search.rs
@@ -180,6 +180,7 @@
         return Outcome::Refused(quarantined());
     }
     let mut avoid = wish.avoid.clone();
+    avoid.extend(state.outliers.ejected().iter().cloned());
     loop {
         let query = route::Query {
             model: &model.model,
--- a/cuminward-node/src/request/suspect.rs
+++ b/cuminward-node/src/request/suspect.rs
@@ -21,10 +21,10 @@
 /// Parts of the requests in flight that have locks of their own.
 const PARTS: usize = 16;
 
-/// Tries to reach a host before its replica counts as crashed.
+/// Questions to a host that decide whether its replica has crashed.
 const TRIES: u32 = 3;
 
-/// Time between two tries to reach a host.
+/// Time between two questions to a host.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// What a node knows about requests that crash replicas.
@@ -219,19 +219,24 @@
 }
 
 /// Tells whether the replica isn't there any more: its host can't be reached, has started anew, or
-/// serves no such formation. A host that is silent has not crashed.
+/// serves no such formation. A host that is silent has not crashed. A stream may end a little before
+/// its host does, so the last of some answers counts.
 async fn has_crashed(state: &state::State, replica: &replica::Replica) -> bool {
+    let mut crashed = false;
     for _ in 0..TRIES {
         match state.engines.report(&replica.address).await {
-            Ok(report) => return !is_serving(&report, replica),
+            Ok(report) if is_serving(&report, replica) => crashed = false,
+            Ok(_) => return true,
             Err(error::Error::Silent { .. }) => return false,
-            Err(_) => tokio::time::sleep(PAUSE).await,
+            Err(_) => crashed = true,
         }
+        tokio::time::sleep(PAUSE).await;
     }
-    true
+    crashed
 }
 
-fn is_serving(report: &host::Report, replica: &replica::Replica) -> bool {
+/// Tells whether a head reports the formation of a replica.
+pub fn is_serving(report: &host::Report, replica: &replica::Replica) -> bool {
     let formation = report.membership.as_ref();
     let same =
         |it: &host::Membership| it.group == replica.group && it.generation == replica.generation;
--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -27,7 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    control::{configure, peer},
+    control::{configure, eject, peer},
     measure, node, peers,
     request::{dispatch, suspect},
     retiring, settings, view,
@@ -76,6 +76,8 @@
     pub log_away: AtomicBool,
     /// Where requests ask for slots.
     pub desk: dispatch::Desk,
+    /// Replicas that get no new work because they fail or are slow.
+    pub outliers: eject::Outliers,
     /// Requests in flight at replicas, and which of them may have crashed one.
     pub suspects: Arc<suspect::Suspects>,
     /// Addresses that the node listens at.
@@ -126,6 +128,7 @@
             configured: AtomicBool::new(false),
             log_away: AtomicBool::new(false),
             desk: dispatch::Desk::default(),
+            outliers: eject::Outliers::default(),
             suspects: Arc::default(),
             measures: Mutex::default(),
             addresses,
--- a/cuminward-node/src/view.rs
+++ b/cuminward-node/src/view.rs
@@ -204,15 +204,19 @@
     holder
 }
 
-/// Forgets the upstreams that are no longer used.
+/// Forgets the upstreams that are no longer used and run no request of this node.
 fn forget(
     state: &state::State,
     known: &mut HashSet<admission::Upstream>,
-    used: HashSet<admission::Upstream>,
+    mut used: HashSet<admission::Upstream>,
 ) {
     let mut admission = state.admission();
-    for upstream in known.difference(&used) {
-        admission.remove_upstream(upstream);
+    for upstream in known.difference(&used).cloned().collect::<Vec<_>>() {
+        if admission.holder(&upstream).is_some_and(|it| it.in_use() > 0) {
+            used.insert(upstream);
+        } else {
+            admission.remove_upstream(&upstream);
+        }
     }
     *known = used;
 }
--- a/cuminward-testkit/examples/hot_team.rs
+++ b/cuminward-testkit/examples/hot_team.rs
@@ -23,9 +23,6 @@
 /// Nodes of the only failure domain.
 const NODES: u32 = 2;
 
-/// Slots of each replica.
-const SLOTS: u32 = 16;
-
 /// Time within which all replicas have to be formed.
 const FORMING: Duration = Duration::from_secs(30);
 
@@ -50,6 +47,9 @@
     /// Time of a token in milliseconds.
     #[arg(long, default_value_t = 10)]
     decode_ms: u64,
+    /// Slots of each replica.
+    #[arg(long, default_value_t = 64)]
+    slots: u32,
     /// Tokens of each reply, at most.
     #[arg(long, default_value_t = 64)]
     tokens: u64,
@@ -60,8 +60,11 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("off")).init();
     let arguments = Arguments::parse();
     let cluster = Cluster::start(options(&arguments)).await?;
-    let limits =
-        declare::Limits { slots: SLOTS, cold_slots: SLOTS, warm_up: Duration::from_millis(1) };
+    let limits = declare::Limits {
+        slots: arguments.slots,
+        cold_slots: arguments.slots,
+        warm_up: Duration::from_millis(1),
+    };
     cluster.declare(REPLICAS, HOSTS_PER_REPLICA, &limits).await?;
     cluster.wait_replicas(REPLICAS as usize, FORMING).await?;
     let [quiet, hot] = &declare::TEAMS;
@@ -90,8 +93,8 @@
         world: world::Options {
             domains: vec![world::Domain::new("a", "r", REPLICAS * HOSTS_PER_REPLICA)],
             engine: engine::Options {
-                slots: SLOTS,
-                cold_bound: SLOTS,
+                slots: arguments.slots,
+                cold_bound: arguments.slots,
                 warm_up: Duration::from_millis(1),
                 prefill_per_byte: Duration::from_micros(100),
                 decode: Duration::from_millis(arguments.decode_ms),
@@ -108,7 +111,7 @@
 /// Requests a second with which a team uses a multiple of its share of all slots.
 fn rate(arguments: &Arguments, team: &declare::Team, times: f64) -> f64 {
     let weights: u32 = declare::TEAMS.iter().map(|it| it.weight).sum();
-    let share = f64::from(REPLICAS * SLOTS * team.weight) / f64::from(weights);
+    let share = f64::from(REPLICAS * arguments.slots * team.weight) / f64::from(weights);
     let seconds = (arguments.decode_ms * arguments.tokens) as f64 / 1000.0;
     share * times / seconds
 }
--- a/cuminward-testkit/tests/requests.rs
+++ b/cuminward-testkit/tests/requests.rs
@@ -26,6 +26,12 @@
 /// Most times that a request may crash replicas when its caller sends it again and again.
 const MOST_CRASHES: u64 = 2;
 
+/// How many times slower the slow replica is.
+const SLOW: f64 = 30.0;
+
+/// Time within which a slow replica is ejected, and after which it gets work again.
+const EJECTION: Duration = Duration::from_secs(12);
+
 /// Tokens of a long reply.
 const LONG: u32 = 180;
 
@@ -161,6 +167,33 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_replica_gets_no_new_work_and_comes_back() -> Result<()> {
+    let cluster = start(4, 1).await;
+    let nodes = cluster.callers();
+    let host = cluster.world.fleet().ready().into_iter().find_map(|it| {
+        let membership = it.membership?;
+        (membership.members.first() == Some(&it.host)).then_some(it.host)
+    });
+    let host = host.or_fail()?;
+    let slow = engine::control::Fault::Slow { host: host.clone(), factor: SLOW };
+    cluster.world.fleet().fault(&slow).await;
+    let outliers = &cluster.node("a-0").state().outliers;
+    let begun = Instant::now();
+    while outliers.ejected().is_empty() && begun.elapsed() < EJECTION {
+        expect_that!(wrong(chats(&nodes, "slow", 8, 4), 4).await, is_empty());
+    }
+    expect_that!(outliers.ejected().len(), eq(1));
+    let count = || cluster.world.fleet().counters().begun_by_host.get(&host).copied();
+    let before = count();
+    expect_that!(wrong(chats(&nodes, "else", 8, 4), 4).await, is_empty());
+    expect_that!(count(), eq(before));
+    expect_that!(cluster::wait(EJECTION, || outliers.ejected().is_empty()).await, eq(true));
+    cluster.stop().await;
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_engine_ends_what_its_caller_left() -> Result<()> {
