--- a/cuminward-node/src/node.rs
+++ b/cuminward-node/src/node.rs
@@ -157,6 +157,8 @@
     tasks.spawn(control::steward::run(Arc::clone(state), inputs, received));
     tasks.spawn(control::keys::run(Arc::clone(state)));
     tasks.spawn(control::admit::run(Arc::clone(state)));
+    tasks.spawn(control::eject::run(Arc::clone(state)));
+    tasks.spawn(control::prefix::run(Arc::clone(state)));
     tasks.spawn(control::quarantine::run(Arc::clone(state)));
     tasks.spawn(control::peer::greet::run(Arc::clone(state)));
     tasks.spawn(control::peer::pull::run(Arc::clone(state)));
--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -26,7 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    control::{configure, keys, peer},
+    control::{configure, eject, keys, peer},
     measure, node, peers,
     request::{dispatch, once, suspect},
     retiring, settings, view,
@@ -75,6 +75,8 @@
     pub log_away: AtomicBool,
     /// Where requests ask for slots.
     pub desk: dispatch::Desk,
+    /// Replicas that get no new work because they fail or are slow.
+    pub outliers: eject::Outliers,
     /// Requests in flight at replicas, and which of them may have crashed one.
     pub suspects: Arc<suspect::Suspects>,
     /// Where idempotency keys are claimed.
@@ -129,6 +131,7 @@
             configured: AtomicBool::new(false),
             log_away: AtomicBool::new(false),
             desk: dispatch::Desk::default(),
+            outliers: eject::Outliers::default(),
             suspects: Arc::default(),
             keys: keys::Desk::default(),
             once: once::Once::new(&settings.node),
