--- a/cuminward-testkit/src/experiment/desk.rs
+++ b/cuminward-testkit/src/experiment/desk.rs
@@ -79,7 +79,7 @@
 
 fn wish(seed: u64, index: usize) -> Wish {
     let item = format!("bolt-{}", index % 7);
-    let reservation = index % 3 != 0;
+    let reservation = !index.is_multiple_of(3);
     let key = Some(format!("order-{seed}-{index}")).filter(|_| reservation && index % 6 != 5);
     let call = match reservation {
         true => Call {
