--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -4,7 +4,6 @@
 //! control work.
 
 use std::{
-    collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
@@ -16,7 +15,7 @@
 use bytes::Bytes;
 use cuminward_core::{catalog, hlc, host, id, replica};
 use cuminward_event::sink;
-use cuminward_group::assembly;
+use cuminward_group::{assembly, probe::table};
 use cuminward_peer::count;
 use cuminward_platform::hosts;
 use cuminward_route::{admission, attempt, route::Candidate};
@@ -27,9 +26,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    control::{configure, peer},
+    control::{configure, keys, peer},
     measure, node, peers,
-    request::dispatch,
+    request::{dispatch, once, suspect},
     retiring, settings, view,
 };
 
@@ -76,6 +75,12 @@
     pub log_away: AtomicBool,
     /// Where requests ask for slots.
     pub desk: dispatch::Desk,
+    /// Requests in flight at replicas, and which of them may have crashed one.
+    pub suspects: Arc<suspect::Suspects>,
+    /// Where idempotency keys are claimed.
+    pub keys: keys::Desk,
+    /// Calls with idempotency keys of this node.
+    pub once: once::Once,
     /// Addresses that the node listens at.
     pub addresses: node::Addresses,
     /// Whether the host list was ever read.
@@ -96,7 +101,7 @@
     pub maker: view::Maker,
     admission: Mutex<admission::Node>,
     measures: Mutex<measure::Measures>,
-    observations: Mutex<BTreeMap<id::Host, host::Observation>>,
+    observations: Mutex<table::Table>,
     started: Instant,
 }
 
@@ -124,6 +129,9 @@
             configured: AtomicBool::new(false),
             log_away: AtomicBool::new(false),
             desk: dispatch::Desk::default(),
+            suspects: Arc::default(),
+            keys: keys::Desk::default(),
+            once: once::Once::new(&settings.node),
             measures: Mutex::default(),
             addresses,
             listed: AtomicBool::new(false),
@@ -147,8 +155,8 @@
         self.started.elapsed()
     }
 
-    /// Newest observation of each host of the failure domain.
-    pub fn observations(&self) -> MutexGuard<'_, BTreeMap<id::Host, host::Observation>> {
+    /// What is known about the hosts of the failure domain.
+    pub fn observations(&self) -> MutexGuard<'_, table::Table> {
         self.observations.lock().expect("no code panics while it has the lock")
     }
 
