fix: cuminward-node: a generation avoids every upstream that failed it

Cause: only the last failed upstream was avoided, so that the third attempt went back to the first dead replica and the stream was cut off. Change: all failed upstreams are avoided, unless nothing else is left.

--- a/cuminward-node/src/request/generate.rs
+++ b/cuminward-node/src/request/generate.rs
@@ -158,13 +158,21 @@
                 End::Complete | End::CallerLeft => return,
                 End::Failed(failure) => failure,
             };
-            self.wish.avoid = vec![name];
+            self.avoid(name);
             if let Some(refusal) = self.decide(&failure) {
                 return self.refuse(refusal).await;
             }
         }
     }
 
+    /// Avoids every upstream that failed the request; only the last one where nothing else is left.
+    fn avoid(&mut self, failed: String) {
+        self.wish.avoid.push(failed.clone());
+        if search::is_hopeless(&self.state, &self.wish) {
+            self.wish.avoid = vec![failed];
+        }
+    }
+
     /// Sends the request to an upstream and passes its tokens on.
     async fn attempt(&mut self, granted: search::Granted) -> End {
         self.attempts += 1;
@@ -269,7 +277,7 @@
                 None
             }
             attempt::Next::Resume { at } => {
-                let upstream = self.wish.avoid.concat();
+                let upstream = self.wish.avoid.last().cloned().unwrap_or_default();
                 self.emit(Kind::RequestResumed { upstream, token: u64::from(at), reason });
                 self.wish.deadline = now + self.state.settings.limits.queue_timeout;
                 self.wish.patient = true;
--- /dev/null
+++ b/cuminward-testkit/tests/resume.rs
@@ -0,0 +1,52 @@
+//! A stream goes on in another failure domain when all replicas of its own one are lost.
+
+use std::time::Duration;
+
+use cuminward_standin::{
+    engine::{self, control::Fault},
+    world,
+};
+use cuminward_testkit::{
+    caller::Caller,
+    cluster::{self, Cluster},
+    declare,
+};
+use googletest::prelude::*;
+
+/// Time within which replicas have to be formed.
+const FORMING: Duration = Duration::from_secs(15);
+
+/// Tokens of the chat: longer than the loss takes to be noticed.
+const TOKENS: u32 = 120;
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_the_loss_of_both_replicas_of_its_domain() -> Result<()> {
+    let options = cluster::Options {
+        world: world::Options {
+            domains: vec![world::Domain::new("a", "r", 2), world::Domain::new("b", "r", 2)],
+            ..world::Options::default()
+        },
+        nodes_per_domain: 1,
+        ..cluster::Options::default()
+    };
+    let cluster = Cluster::start(options).await.expect("loopback ports are free");
+    cluster.declare(2, 1, &declare::Limits::default()).await.or_fail()?;
+    cluster.wait_replicas(2, FORMING).await.or_fail()?;
+    let node = cluster.node("a-0").addresses().callers;
+    let caller = Caller::new(&declare::TEAMS[0]);
+    let text = "a long tail";
+    let chat = tokio::spawn(async move { caller.chat(node, text, TOKENS).await });
+    let runs = || cluster.world.fleet().counters().tokens > 5;
+    expect_that!(cluster::wait(FORMING, runs).await, eq(true));
+    for host in ["a-f0-h0", "a-f0-h1"] {
+        cluster.world.fleet().fault(&Fault::Kill { host: host.to_owned() }).await;
+    }
+    let answer = chat.await.or_fail()?.or_fail()?;
+    let prompt = format!("user: {text}\n");
+    let expected = engine::token::reply_text(declare::VERSION, &prompt, u64::from(TOKENS));
+    expect_that!(answer.is_whole_chat(), eq(true), "{}", answer.body);
+    expect_that!(answer.chat_text(), eq(&expected));
+    cluster.stop().await;
+    Ok(())
+}
