--- a/cuminward-node/src/request/flight.rs
+++ b/cuminward-node/src/request/flight.rs
@@ -113,7 +113,8 @@
     fn is_formed(&self) -> bool {
         let observations = self.state.observations();
         let head = self.replica.members.first();
-        let report = head.and_then(|it| observations.get(it)).map(|it| &it.report);
+        let seen = head.and_then(|it| observations.observations().get(it));
+        let report = seen.map(|it| &it.report);
         report.is_some_and(|it| suspect::is_serving(it, &self.replica))
     }
 }
