--- a/cuminward-testkit/tests/cold_start.rs
+++ b/cuminward-testkit/tests/cold_start.rs
@@ -79,7 +79,8 @@
     expect_that!(counters.cold_most_in_flight, le(counters.cold_bound_then));
     expect_that!(counters.formed, ge(u64::from(REPLICAS) + 2));
     expect_that!(report.all.wrong + report.all.cut_off, eq(0), "{:?}", report.all.details);
-    let not_run = |it: &load::Sample| it.end == load::End::Refused && it.detail == "not-run";
+    let not_run =
+        |it: &load::Sample| it.end == load::End::Refused && it.detail.starts_with("not-run");
     let refused = report.samples.iter().filter(|it| not_run(it)).count() as u64;
     expect_that!(report.all.complete + refused, eq(report.all.sent), "{:?}", report.all.details);
     cluster.stop().await;
--- a/cuminward-testkit/tests/requests.rs
+++ b/cuminward-testkit/tests/requests.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use cuminward_standin::{engine, world};
+use cuminward_standin::{engine, hosts, world};
 use cuminward_testkit::{
     caller::{Answer, Caller},
     cluster::{self, Cluster},
@@ -26,6 +26,9 @@
 /// Most times that a request may crash replicas when its caller sends it again and again.
 const MOST_CRASHES: u64 = 2;
 
+/// Time after which a leaving upstream may receive no new request.
+const LEAVING: Duration = Duration::from_secs(3);
+
 /// How many times slower the slow replica is.
 const SLOW: f64 = 30.0;
 
@@ -194,6 +197,29 @@
     Ok(())
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_replica_gets_no_new_work_and_is_not_cut_off() -> Result<()> {
+    let cluster = start(2, 2).await;
+    let nodes = cluster.callers();
+    let running = chats(&nodes, "leaving", 6, LONG);
+    let fleet = cluster.world.fleet();
+    let used = || busy_head(&cluster).is_some();
+    expect_that!(cluster::wait(LIMIT, used).await, eq(true));
+    let host = busy_head(&cluster).or_fail()?;
+    let state = cuminward_core::host::State::Leaving;
+    cluster.world.list().change_now(hosts::Change::SetState { host: host.clone(), state });
+    tokio::time::sleep(LEAVING).await;
+    let count = || fleet.counters().begun_by_host.get(&host).copied();
+    let before = count();
+    expect_that!(wrong(chats(&nodes, "later", 8, 8), 8).await, is_empty());
+    expect_that!(count(), eq(before));
+    expect_that!(wrong(running, LONG).await, is_empty());
+    expect_that!(fleet.counters().cut_off, eq(0));
+    cluster.stop().await;
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_engine_ends_what_its_caller_left() -> Result<()> {
