--- a/cuminward-node/src/control.rs
+++ b/cuminward-node/src/control.rs
@@ -3,7 +3,9 @@
 pub mod admit;
 pub mod configure;
 pub mod eject;
+pub mod keys;
 pub mod list;
+pub mod observe;
 pub mod outage;
 pub mod peer;
 pub mod prefix;
--- a/cuminward-node/src/control/peer/answer.rs
+++ b/cuminward-node/src/control/peer/answer.rs
@@ -7,7 +7,7 @@
 use cuminward_peer::{answer, message};
 
 use crate::{
-    control::{configure, peer},
+    control::{configure, observe, peer},
     state,
 };
 
@@ -29,8 +29,8 @@
 
 impl answer::Answer for Answerer {
     async fn hello(&self, hello: message::Hello) -> message::Hello {
-        self.state.events.clock().observe(hello.stamp);
-        peer::greet::hello(&self.state)
+        peer::greet::note_others(&self.state, &hello, self.state.now());
+        peer::greet::answer(&self.state, &hello)
     }
 
     async fn config(&self, from: id::Revision, max: u32) -> message::Config {
@@ -39,17 +39,10 @@
 
     async fn observations(
         &self,
-        _incarnation: id::Incarnation,
-        _since: message::Position,
+        incarnation: id::Incarnation,
+        since: message::Position,
     ) -> message::Observations {
-        message::Observations {
-            incarnation: self.state.incarnation,
-            next: 0,
-            full: false,
-            changed: Vec::new(),
-            confirmed: Vec::new(),
-            removed: Vec::new(),
-        }
+        observe::answer(&self.state, incarnation, since)
     }
 
     async fn admission(&self, admission: message::Admission) -> message::Admission {
@@ -62,11 +55,12 @@
     }
 
     async fn claim_keys(&self, claims: Vec<claim::Claim>) -> Vec<claim::Verdict> {
-        claims.iter().map(|_| claim::Verdict::Refused(claim::Reason::Overloaded)).collect()
+        let claims = claims.into_iter().map(|it| self.state.keys.claim(it));
+        futures::future::join_all(claims).await
     }
 
-    async fn reply(&self, _hash: key::Hash, _wait: Duration) -> reply::Lookup {
-        reply::Lookup::Unknown
+    async fn reply(&self, hash: key::Hash, wait: Duration) -> reply::Lookup {
+        self.state.once.reply(&hash, wait).await
     }
 
     async fn events(&self, from: u64, max: u32, request: Option<id::Request>) -> message::Events {
--- a/cuminward-node/src/operate.rs
+++ b/cuminward-node/src/operate.rs
@@ -148,7 +148,8 @@
 
 /// Groups of the failure domain as their members report them.
 fn groups(state: &state::State, service: &str) -> Vec<proto::Group> {
-    let observations = state.observations();
+    let table = state.observations();
+    let observations = table.observations();
     let replicas = state.replicas.load();
     let heads = observations.values().filter_map(|it| it.report.membership.as_ref());
     let mut groups: HashMap<(&str, id::Generation), &host::Membership> = HashMap::new();
--- a/cuminward-node/src/request.rs
+++ b/cuminward-node/src/request.rs
@@ -6,6 +6,7 @@
 pub mod flight;
 pub mod generate;
 pub mod lease;
+pub mod once;
 pub mod remote;
 pub mod search;
 pub mod suspect;
--- a/cuminward-node/src/request/generate.rs
+++ b/cuminward-node/src/request/generate.rs
@@ -32,9 +32,6 @@
 /// Longest time that a whole generation may take.
 const LONGEST: Duration = Duration::from_secs(600);
 
-/// Time that a request waits for a slot of the own failure domain before another one is used.
-const SPILL: Duration = Duration::from_millis(100);
-
 /// Tokens of one generation.
 #[derive(Debug)]
 pub struct Tokens {
@@ -123,7 +120,7 @@
                 fingerprint: quarantine::fingerprint(&request.model, request.prompt.as_bytes()),
             }),
             avoid: Vec::new(),
-            spill: request.context.relay.is_none().then_some(begun + SPILL),
+            spill: request.context.relay.is_none().then_some(begun + state.settings.routing.spill),
             patient: request.context.is_patient(),
         };
         Job {
@@ -164,13 +161,21 @@
                 End::Complete | End::CallerLeft => return,
                 End::Failed(failure) => failure,
             };
-            self.wish.avoid = vec![name];
+            self.avoid(name);
             if let Some(refusal) = self.decide(&failure) {
                 return self.refuse(refusal).await;
             }
         }
     }
 
+    /// Avoids every upstream that failed the request; only the last one where nothing else is left.
+    fn avoid(&mut self, failed: String) {
+        self.wish.avoid.push(failed.clone());
+        if search::is_hopeless(&self.state, &self.wish) {
+            self.wish.avoid = vec![failed];
+        }
+    }
+
     /// Sends the request to an upstream and passes its tokens on.
     async fn attempt(&mut self, granted: search::Granted) -> End {
         self.attempts += 1;
@@ -291,7 +296,7 @@
                 None
             }
             attempt::Next::Resume { at } => {
-                let upstream = self.wish.avoid.concat();
+                let upstream = self.wish.avoid.last().cloned().unwrap_or_default();
                 self.emit(Kind::RequestResumed { upstream, token: u64::from(at), reason });
                 self.wish.deadline = now + self.state.settings.limits.queue_timeout;
                 self.wish.patient = true;
--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -4,7 +4,6 @@
 //! control work.
 
 use std::{
-    collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
@@ -16,7 +15,7 @@
 use bytes::Bytes;
 use cuminward_core::{catalog, hlc, host, id, replica};
 use cuminward_event::sink;
-use cuminward_group::assembly;
+use cuminward_group::{assembly, probe::table};
 use cuminward_peer::count;
 use cuminward_platform::hosts;
 use cuminward_route::{admission, attempt, route::Candidate};
@@ -27,9 +26,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    control::{configure, eject, peer},
+    control::{configure, eject, keys, peer},
     measure, node, peers,
-    request::{dispatch, suspect},
+    request::{dispatch, once, suspect},
     retiring, settings, view,
 };
 
@@ -80,6 +79,10 @@
     pub outliers: eject::Outliers,
     /// Requests in flight at replicas, and which of them may have crashed one.
     pub suspects: Arc<suspect::Suspects>,
+    /// Where idempotency keys are claimed.
+    pub keys: keys::Desk,
+    /// Calls with idempotency keys of this node.
+    pub once: once::Once,
     /// Addresses that the node listens at.
     pub addresses: node::Addresses,
     /// Whether the host list was ever read.
@@ -100,7 +103,7 @@
     pub maker: view::Maker,
     admission: Mutex<admission::Node>,
     measures: Mutex<measure::Measures>,
-    observations: Mutex<BTreeMap<id::Host, host::Observation>>,
+    observations: Mutex<table::Table>,
     started: Instant,
 }
 
@@ -130,6 +133,8 @@
             desk: dispatch::Desk::default(),
             outliers: eject::Outliers::default(),
             suspects: Arc::default(),
+            keys: keys::Desk::default(),
+            once: once::Once::new(&settings.node),
             measures: Mutex::default(),
             addresses,
             listed: AtomicBool::new(false),
@@ -153,8 +158,8 @@
         self.started.elapsed()
     }
 
-    /// Newest observation of each host of the failure domain.
-    pub fn observations(&self) -> MutexGuard<'_, BTreeMap<id::Host, host::Observation>> {
+    /// What is known about the hosts of the failure domain.
+    pub fn observations(&self) -> MutexGuard<'_, table::Table> {
         self.observations.lock().expect("no code panics while it has the lock")
     }
 
--- a/cuminward-peer/src/message.rs
+++ b/cuminward-peer/src/message.rs
@@ -10,14 +10,14 @@
 use cuminward_route::admission;
 use serde_with::{DurationMilliSeconds, serde_as};
 
+use crate::digest;
+
 /// What a node tells about itself.
 #[serde_as]
 #[record]
 pub struct Hello {
     /// Name of the node.
     pub node: id::Node,
-    /// Failure domain of the node.
-    pub domain: id::Domain,
     /// Tells this start of the node from others.
     pub incarnation: id::Incarnation,
     /// Revision of the configuration in force at the node.
@@ -26,14 +26,14 @@
     pub stamp: hlc::Stamp,
     /// Whether the node is shutting down and owns nothing any more.
     pub draining: bool,
-    /// Failure domains that the node has fresh knowledge of.
-    pub trusted: Vec<id::Domain>,
     /// IP address and port of the node's HTTP interface towards callers.
     pub callers: String,
     /// Requests that the node's failure domain could take in addition, as far as the node knows.
     pub free: u32,
     /// Groups that the node, as steward, is about to release; they get no new work.
     pub retiring: Vec<Retiring>,
+    /// What the node knows about the nodes of its failure domain; empty towards other domains.
+    pub digest: digest::Digest,
 }
 
 /// A group that is about to be released.
@@ -83,36 +83,24 @@
     pub next: Position,
     /// Whether the answer holds every host, because the asked position wasn't valid.
     pub full: bool,
-    /// Hosts whose report changed.
-    pub changed: Vec<Observation>,
-    /// Hosts whose report is as before and was confirmed again.
-    pub confirmed: Vec<Confirmation>,
+    /// Reports that changed, without the load.
+    pub changed: Vec<host::Report>,
     /// Hosts that are not observed any more.
     pub removed: Vec<id::Host>,
+    /// Age of the confirmation of each observed host, by the order of the names, in units of 50 ms;
+    /// 255 stands for all that are larger.
+    pub ages: Vec<u8>,
+    /// Hosts that were found silent.
+    pub silent: Vec<Silence>,
 }
 
-/// A report of a host.
-#[serde_as]
+/// A host that was found silent.
 #[record]
-pub struct Observation {
-    /// The report.
-    pub report: host::Report,
-    /// Time since the report was received.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub age: Duration,
-}
-
-/// A confirmation that a host's report is as before.
-#[serde_as]
-#[record]
-pub struct Confirmation {
+pub struct Silence {
     /// The host.
     pub host: id::Host,
-    /// Incarnation that was reported.
-    pub incarnation: id::Incarnation,
-    /// Time since the report was received.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    pub age: Duration,
+    /// Age of that finding, in units of 50 ms; 255 stands for all that are larger.
+    pub age: u8,
 }
 
 /// Messages about the slots of upstreams.
--- a/cuminward-peer/tests/all/node.rs
+++ b/cuminward-peer/tests/all/node.rs
@@ -5,7 +5,9 @@
 use cuminward_core::{hlc, host, id};
 use cuminward_event::sink::Sink;
 use cuminward_once::{claim, key, reply};
-use cuminward_peer::{answer::Answer, client, count, handshake::Secret, message, server, stream};
+use cuminward_peer::{
+    answer::Answer, client, count, digest, handshake::Secret, message, server, stream,
+};
 use tokio::{net::TcpListener, task};
 
 /// Node name in these tests.
@@ -17,12 +19,10 @@
 pub(crate) fn hello(node: &str) -> message::Hello {
     message::Hello {
         node: node.to_owned(),
-        domain: String::from("d"),
         incarnation: 7,
         revision: 12,
         stamp: 99,
         draining: false,
-        trusted: vec![String::from("d"), String::from("e")],
         callers: String::from("127.0.0.1:80"),
         free: 3,
         retiring: vec![message::Retiring {
@@ -30,10 +30,11 @@
             generation: 4,
             left: Duration::from_millis(250),
         }],
+        digest: digest::Digest { list: 3, names: vec![5], ages: vec![1] },
     }
 }
 
-pub(crate) fn observation(host: &str) -> message::Observation {
+pub(crate) fn report(host: &str) -> host::Report {
     let membership = host::Membership {
         group: String::from("g"),
         generation: 4,
@@ -45,14 +46,13 @@
     };
     let load =
         host::Load { running: 1, queued: 2, cache_permille: 3, age: Duration::from_millis(40) };
-    let report = host::Report {
+    host::Report {
         host: host.to_owned(),
         incarnation: 5,
         fence: 6,
         membership: Some(membership),
         load: Some(load),
-    };
-    message::Observation { report, age: Duration::from_millis(250) }
+    }
 }
 
 impl Answer for Fixed {
@@ -75,9 +75,10 @@
             incarnation,
             next: since + 1,
             full: true,
-            changed: vec![observation("h1")],
-            confirmed: Vec::new(),
+            changed: vec![report("h1")],
             removed: Vec::new(),
+            ages: vec![7],
+            silent: Vec::new(),
         }
     }
 
