fix: cuminward-node: an attempt without a connection crashed nothing

Cause: an attempt at a replica that was already dead counted as a crash of the isolated suspect, so a stream that lost both replicas of its domain was refused as quarantined. Change: an attempt for which there was no connection gives its slot and its isolation back and is not looked into. Conclusion: only requests that reached a replica are suspected.

--- a/cuminward-node/src/request/flight.rs
+++ b/cuminward-node/src/request/flight.rs
@@ -67,6 +67,13 @@
         self.held = None;
     }
 
+    /// Ends an attempt for which there was no connection: it didn't run, so it crashed nothing.
+    pub fn unreachable(mut self) {
+        if let Some(held) = self.held.take() {
+            held.lease.disconnected();
+        }
+    }
+
     /// Ends an attempt whose connection was lost; returns once it is known whether the engine
     /// crashed.
     pub async fn disconnected(mut self) {
--- a/cuminward-node/src/request/generate.rs
+++ b/cuminward-node/src/request/generate.rs
@@ -405,6 +405,7 @@
 async fn land(flight: flight::Flight, end: &End, error: Option<error::Error>) {
     match (end, error) {
         (End::Complete, _) => flight.complete(),
+        (_, Some(error::Error::Connect { .. })) => flight.unreachable(),
         (_, Some(error)) if flight::is_disconnect(&error) => flight.disconnected().await,
         (_, Some(error::Error::Refused(_))) => flight.not_run(),
         _ => drop(flight),
