feat: cuminward-node: nodes that end say farewell, so that slots are granted at once

Change: a node that ends without slots in use tells the others, who pass it on with their greetings; owners free what it had.

--- a/cuminward-node/src/control/admit.rs
+++ b/cuminward-node/src/control/admit.rs
@@ -20,25 +20,37 @@
     seen: BTreeMap<id::Node, Duration>,
 }
 
+/// Nodes of the failure domain, as the admission has to know them.
+#[derive(Debug, Default, PartialEq)]
+struct Nodes {
+    /// In the host list now or until lately, this one included, but for those that have ended.
+    listed: Vec<id::Node>,
+    /// Those that answer and don't shut down.
+    live: Vec<id::Node>,
+    /// Those that have ended regularly.
+    ended: Vec<id::Node>,
+}
+
 /// Runs the admission until the node stops.
 pub async fn run(state: Arc<state::State>) {
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut listed = Listed::default();
-    let mut known = (Vec::new(), Vec::new());
+    let mut known = Nodes::default();
     loop {
         tokio::select! {
             _ = tick.tick() => {}
             () = state.stop.cancelled() => return,
         }
         let now = state.now();
-        let nodes = (listed.update(&state, now), state.peers.live(&state));
-        state.desk.set_nodes(nodes.1.len());
+        let nodes = listed.update(&state, now);
+        state.desk.set_nodes(nodes.live.len());
         state.view.load().usage.values().for_each(|it| it.update(now));
         let work = {
             let mut admission = state.admission();
             if nodes != known {
-                admission.set_nodes(now, nodes.0.clone(), nodes.1.clone());
+                admission.set_nodes(now, nodes.listed.clone(), nodes.live.clone());
+                nodes.ended.iter().for_each(|it| admission.ended(now, it));
                 known = nodes;
             }
             admission.tick(now);
@@ -50,8 +62,8 @@
 }
 
 impl Listed {
-    /// Nodes of the failure domain in the host list now or until lately, this one included.
-    fn update(&mut self, state: &state::State, now: Duration) -> Vec<id::Node> {
+    /// Nodes of the failure domain as they are now.
+    fn update(&mut self, state: &state::State, now: Duration) -> Nodes {
         let hosts = state.hosts.load();
         let nodes = hosts
             .hosts
@@ -61,7 +73,10 @@
             self.seen.insert(node.host.clone(), now);
         }
         self.seen.retain(|_, seen| now.saturating_sub(*seen) <= LIST_LAG);
-        self.seen.keys().cloned().collect()
+        state.farewells.retain(now, |it| self.seen.contains_key(it));
+        let (ended, seen): (Vec<id::Node>, Vec<id::Node>) =
+            self.seen.keys().cloned().partition(|it| state.farewells.contains(it));
+        Nodes { listed: seen, live: state.peers.live(state), ended }
     }
 }
 
--- a/cuminward-node/src/control/peer.rs
+++ b/cuminward-node/src/control/peer.rs
@@ -40,6 +40,16 @@
     }
 }
 
+/// Tells the other nodes of the failure domain that this one has ended its requests.
+pub async fn farewell(state: &state::State) {
+    let known = state.peers.known();
+    let near = known.iter().filter(|(_, it)| it.domain == state.settings.domain);
+    let incarnation = state.incarnation;
+    let ended = message::Ended { node: state.settings.node.clone(), incarnation };
+    let calls = near.map(|(node, _)| state.pool.farewell(node, ended.clone()));
+    futures::future::join_all(calls).await;
+}
+
 /// Sends messages of the admission; what the other node answers is taken in at once.
 pub fn send_batch(state: &Arc<state::State>, node: id::Node, batch: admission::message::Batch) {
     let message = wrap(state, batch);
--- a/cuminward-node/src/control/peer/answer.rs
+++ b/cuminward-node/src/control/peer/answer.rs
@@ -33,6 +33,10 @@
         peer::greet::answer(&self.state, &hello)
     }
 
+    async fn farewell(&self, ended: message::Ended) {
+        self.state.farewells.add(self.state.now(), &ended);
+    }
+
     async fn config(&self, from: id::Revision, max: u32) -> message::Config {
         configure::spread::since(&self.state, from, max)
     }
--- a/cuminward-node/src/control/peer/greet.rs
+++ b/cuminward-node/src/control/peer/greet.rs
@@ -90,11 +90,13 @@
 
 /// Keeps what another node says beside that it answers; `at` is when it knew that, or earlier.
 pub fn note_others(state: &state::State, hello: &message::Hello, at: Duration) {
+    state.farewells.heard(&hello.node, hello.incarnation);
     state.events.clock().observe(hello.stamp);
     let settings = &state.settings;
     if !hello.digest.ages.is_empty() {
         state.peers.heard_of(at, &settings.node, &settings.domain, &hello.digest);
     }
+    hello.ended.iter().for_each(|it| state.farewells.add(state.now(), it));
     for it in &hello.retiring {
         let until = state.now() + it.left;
         state.retiring.add(state.now(), it.group.clone(), it.generation, until);
@@ -129,6 +131,7 @@
         callers: state.addresses.callers.to_string(),
         free: state.free(),
         retiring: if list.is_some() { state.retiring.list(state.now()) } else { Vec::new() },
+        ended: if list.is_some() { state.farewells.list(state.now()) } else { Vec::new() },
         digest: digest.unwrap_or_default(),
     }
 }
--- a/cuminward-node/src/lib.rs
+++ b/cuminward-node/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod control;
+pub mod farewell;
 pub mod measure;
 pub mod metrics;
 pub mod node;
--- a/cuminward-node/src/node.rs
+++ b/cuminward-node/src/node.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cuminward_caller::{auth, body, router, server};
@@ -19,6 +19,12 @@
 /// Time between turning unready and closing the listeners, so that the balancer sees it.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Time that a shutdown waits for slots of requests that upstreams may still run.
+const SLOTS_GRACE: Duration = Duration::from_secs(2);
+
+/// Time between two looks at the slots during a shutdown.
+const SLOTS_LOOK: Duration = Duration::from_millis(20);
+
 /// A running node.
 pub struct Node {
     state: Arc<state::State>,
@@ -85,6 +91,7 @@
         tokio::time::sleep(LINGER).await;
         self.close.cancel();
         let finished = self.callers.await.unwrap_or(false);
+        say_farewell(&self.state).await;
         self.state.stop.cancel();
         self.tasks.close();
         self.tasks.wait().await;
@@ -107,6 +114,19 @@
     }
 }
 
+/// Tells the other nodes that this one holds no slots, unless an upstream may still run some of its
+/// requests.
+async fn say_farewell(state: &state::State) {
+    let begun = Instant::now();
+    while state.holds_slots() {
+        if SLOTS_GRACE < begun.elapsed() {
+            return;
+        }
+        tokio::time::sleep(SLOTS_LOOK).await;
+    }
+    control::peer::farewell(state).await;
+}
+
 impl Listeners {
     async fn bind(listen: &settings::Listen) -> miette::Result<Listeners> {
         Ok(Listeners {
--- a/cuminward-node/src/state.rs
+++ b/cuminward-node/src/state.rs
@@ -27,7 +27,7 @@
 
 use crate::{
     control::{configure, eject, keys, peer},
-    measure, node, peers,
+    farewell, measure, node, peers,
     request::{dispatch, once, suspect},
     retiring, settings, view,
 };
@@ -57,6 +57,8 @@
     pub hosts: ArcSwap<hosts::List>,
     /// Replicas that were whole at the last look.
     pub replicas: ArcSwap<assembly::Outcome>,
+    /// Nodes that have ended regularly.
+    pub farewells: farewell::Farewells,
     /// Groups that get no new work because they are about to be released.
     pub retiring: retiring::Retiring,
     /// Other nodes, as they were last heard of.
@@ -124,6 +126,7 @@
             view: ArcSwap::default(),
             hosts: ArcSwap::default(),
             replicas: ArcSwap::default(),
+            farewells: farewell::Farewells::default(),
             retiring: retiring::Retiring::default(),
             peers: peers::Peers::default(),
             revision: watch::Sender::new(0),
@@ -168,6 +171,13 @@
         self.admission.lock().expect("no code panics while it has the lock")
     }
 
+    /// Tells whether requests of this node may still run at an upstream.
+    pub fn holds_slots(&self) -> bool {
+        let view = self.view.load();
+        let plains = view.plains.values().flatten().map(|it| &it.slots);
+        view.slots.values().chain(plains).any(|it| 0 < it.in_use())
+    }
+
     /// Requests of all teams that are in flight.
     pub fn in_flight(&self) -> u64 {
         let view = self.view.load();
--- a/cuminward-peer/src/answer.rs
+++ b/cuminward-peer/src/answer.rs
@@ -17,6 +17,9 @@
     /// See [`Peer::hello`].
     fn hello(&self, hello: message::Hello) -> impl Future<Output = message::Hello> + Send;
 
+    /// See [`Peer::farewell`].
+    fn farewell(&self, ended: message::Ended) -> impl Future<Output = ()> + Send;
+
     /// See [`Peer::config`].
     fn config(&self, from: id::Revision, max: u32) -> impl Future<Output = message::Config> + Send;
 
@@ -73,6 +76,10 @@
         self.answer.hello(hello).await
     }
 
+    async fn farewell(self, _: Context, ended: message::Ended) {
+        self.answer.farewell(ended).await;
+    }
+
     async fn config(self, _: Context, from: id::Revision, max: u32) -> message::Config {
         self.answer.config(from, max).await
     }
--- a/cuminward-peer/src/client.rs
+++ b/cuminward-peer/src/client.rs
@@ -169,6 +169,20 @@
         .await
     }
 
+    /// See [`Peer::farewell`](crate::service::Peer::farewell).
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    pub async fn farewell(&self, to: &str, ended: message::Ended) -> Result<(), Error> {
+        self.call(
+            to,
+            self.options.call,
+            |it, context| async move { it.farewell(context, ended).await },
+        )
+        .await
+    }
+
     /// See [`Peer::config`](crate::service::Peer::config).
     ///
     /// # Errors
--- a/cuminward-peer/src/message.rs
+++ b/cuminward-peer/src/message.rs
@@ -32,10 +32,21 @@
     pub free: u32,
     /// Groups that the node, as steward, is about to release; they get no new work.
     pub retiring: Vec<Retiring>,
+    /// Nodes that have ended and hold no slots.
+    pub ended: Vec<Ended>,
     /// What the node knows about the nodes of its failure domain; empty towards other domains.
     pub digest: digest::Digest,
 }
 
+/// A start of a node that has ended regularly.
+#[record]
+pub struct Ended {
+    /// Name of the node.
+    pub node: id::Node,
+    /// The start that ended.
+    pub incarnation: id::Incarnation,
+}
+
 /// A group that is about to be released.
 #[serde_as]
 #[record]
--- a/cuminward-peer/src/service.rs
+++ b/cuminward-peer/src/service.rs
@@ -14,6 +14,9 @@
     /// Exchanges what the nodes are.
     async fn hello(hello: message::Hello) -> message::Hello;
 
+    /// Takes note that a node has ended and holds no slots.
+    async fn farewell(ended: message::Ended);
+
     /// Returns records of the configuration stream from a revision on, at most `max`.
     async fn config(from: id::Revision, max: u32) -> message::Config;
 
--- a/cuminward-peer/tests/all/node.rs
+++ b/cuminward-peer/tests/all/node.rs
@@ -30,6 +30,7 @@
             generation: 4,
             left: Duration::from_millis(250),
         }],
+        ended: vec![message::Ended { node: String::from("n9"), incarnation: 3 }],
         digest: digest::Digest { list: 3, names: vec![5], ages: vec![1] },
     }
 }
@@ -56,6 +57,8 @@
 }
 
 impl Answer for Fixed {
+    async fn farewell(&self, _ended: message::Ended) {}
+
     async fn hello(&self, _: message::Hello) -> message::Hello {
         hello(NAME)
     }
--- a/cuminward-route/src/admission/node.rs
+++ b/cuminward-route/src/admission/node.rs
@@ -150,6 +150,15 @@
         self.step(now, upstream, Input::Failing);
     }
 
+    /// Notes that a node has ended regularly: it holds no slots and sends no more work. It must not be
+    /// among the listed nodes any more.
+    pub fn ended(&mut self, now: Duration, node: &str) {
+        let upstreams: Vec<Upstream> = self.owned().cloned().collect();
+        for upstream in upstreams {
+            self.step(now, &upstream, Input::Ended(node.to_owned()));
+        }
+    }
+
     /// Takes the messages of another node into account.
     pub fn receive(&mut self, now: Duration, batch: message::Batch) {
         let from = batch.node;
--- a/cuminward-route/src/admission/owner.rs
+++ b/cuminward-route/src/admission/owner.rs
@@ -37,6 +37,8 @@
     Listed(Vec<id::Node>),
     /// A node reports what it holds.
     Holdings(id::Node, message::Holdings),
+    /// A node has ended and holds nothing any more.
+    Ended(id::Node),
     /// A node has turned to another owner.
     Release(id::Node, message::Release),
     /// The upstream was asked for its state.
@@ -120,6 +122,7 @@
         match input {
             Input::Listed(nodes) => self.list(now, nodes),
             Input::Holdings(node, it) => self.note(now, &node, &it, &mut outputs),
+            Input::Ended(node) => self.end(&node),
             Input::Release(node, it) => self.release(&node, &it),
             Input::Observed { incarnation, load, asked } => {
                 self.observe(now, incarnation, load, asked);
@@ -145,6 +148,13 @@
         self.reserves();
     }
 
+    /// Frees everything that an ended node had.
+    fn end(&mut self, node: &str) {
+        if !self.listed.iter().any(|it| it == node) {
+            self.accounts.remove(node);
+        }
+    }
+
     fn limits(&mut self, limits: Limits) {
         self.options.limits = limits;
         self.ramp.set_limits(limits);
