--- a/cuminward-caller/src/plain.rs
+++ b/cuminward-caller/src/plain.rs
@@ -10,23 +10,11 @@
     id,
     outcome::{Outcome, Refusal},
 };
+use cuminward_upstream::plain as upstream;
 use http::{HeaderMap, HeaderName, Method, Uri, header};
 
 use crate::{auth, backend, failure, header as names};
 
-/// Headers that belong to one connection and aren't passed on; see RFC 9110, section 7.6.1.
-const CONNECTION_HEADERS: [HeaderName; 9] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::CONTENT_LENGTH,
-    header::HOST,
-];
-
 /// Headers between the caller and cuminward.
 const OWN_HEADERS: [HeaderName; 6] = [
     header::AUTHORIZATION,
@@ -78,14 +66,8 @@
 
 /// Removes the headers that aren't passed on.
 fn passed_on(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|it| it.to_str().ok())
-        .flat_map(|it| it.split(','))
-        .filter_map(|it| it.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&CONNECTION_HEADERS).chain(&OWN_HEADERS) {
+    upstream::strip(&mut headers);
+    for name in [header::CONTENT_LENGTH, header::HOST].iter().chain(&OWN_HEADERS) {
         headers.remove(name);
     }
     headers
--- a/cuminward-upstream/src/plain.rs
+++ b/cuminward-upstream/src/plain.rs
@@ -81,8 +81,8 @@
     }
 }
 
-/// Removes the headers that hold for one connection only.
-fn strip(headers: &mut HeaderMap) {
+/// Removes the headers that hold for one connection only; see RFC 9110, section 7.6.1.
+pub fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
