change: one type for cache events, one place that corrects and reports refusals

Cause: the events of an engine's cache stood in three packages, and the node copied one form into the other field by field; the rule that a later refusal can't say "not run" after an attempt that may have run stood in call and generate, as did the event of a refusal. Change: cuminward_core::cache holds the events; Refusal::after_attempts holds the rule; request::report::refused makes the event. Behaviour and tests' assertions are as before. Conclusion: the rule about truthful refusals has one place.

--- a/cuminward-core/src/lib.rs
+++ b/cuminward-core/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod cache;
 pub mod catalog;
 pub mod change;
 pub mod hlc;
--- a/cuminward-core/src/outcome.rs
+++ b/cuminward-core/src/outcome.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Says that the request may have run, if an earlier attempt of it may have: a later refusal's "not
+    /// run" speaks of its own attempt only.
+    pub fn after_attempts(mut self, may_have_run: bool) -> Refusal {
+        if may_have_run {
+            self.outcome = Outcome::Unknown;
+        }
+        self
+    }
+
     /// Says after how many seconds a new try may succeed.
     pub fn retry_after(mut self, seconds: u32) -> Refusal {
         self.retry_after_seconds = Some(seconds);
--- a/cuminward-node/src/control/prefix.rs
+++ b/cuminward-node/src/control/prefix.rs
@@ -3,8 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use cuminward_core::id;
-use cuminward_route::{prefix, route::Candidate};
-use cuminward_upstream::cache;
+use cuminward_route::route::Candidate;
 
 use crate::state;
 
@@ -53,23 +52,7 @@
 async fn ask(state: &state::State, candidate: &Candidate) {
     let prefixes = candidate.gauge.prefixes();
     let answer = state.engines.cache_events(&candidate.replica.address, prefixes.next()).await;
-    if let Ok(events) = answer {
-        prefixes.apply(&batch(events));
-    }
-}
-
-fn batch(events: cache::Events) -> prefix::Batch {
-    let event = |it: cache::Event| prefix::Event {
-        seq: it.seq,
-        kind: match it.kind {
-            cache::Kind::Stored => prefix::Kind::Stored,
-            cache::Kind::Removed => prefix::Kind::Removed,
-        },
-        prefix: it.prefix,
-    };
-    prefix::Batch {
-        next: events.next,
-        gap: events.gap,
-        events: events.events.into_iter().map(event).collect(),
+    if let Ok(batch) = answer {
+        prefixes.apply(&batch);
     }
 }
--- a/cuminward-node/src/request.rs
+++ b/cuminward-node/src/request.rs
@@ -8,6 +8,7 @@
 pub mod lease;
 pub mod once;
 pub mod remote;
+pub mod report;
 pub mod search;
 pub mod suspect;
 pub mod usage;
--- a/cuminward-node/src/request/call.rs
+++ b/cuminward-node/src/request/call.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 
 use crate::{
-    request::{dispatch, lease, once, remote, search},
+    request::{dispatch, lease, once, remote, report, search},
     state,
 };
 
@@ -106,7 +106,7 @@
         loop {
             let wish = self.wish(avoid);
             let granted = dispatch::acquire(&self.state, wish).await;
-            let granted = granted.map_err(|it| self.truthful(it))?;
+            let granted = granted.map_err(|it| it.after_attempts(self.may_have_run))?;
             self.check_key()?;
             let failure = match self.attempt(&granted.upstream).await {
                 Ok(answer) => return Ok(answer),
@@ -124,7 +124,7 @@
             return Ok(());
         }
         let message = "the claim of the idempotency key is too old";
-        Err(self.truthful(Refusal::not_run(Cause::KeyRefused, message)))
+        Err(Refusal::not_run(Cause::KeyRefused, message).after_attempts(self.may_have_run))
     }
 
     async fn attempt(&mut self, upstream: &search::Upstream) -> Result<backend::Answer, Failure> {
@@ -248,27 +248,13 @@
         self.call.method == Method::GET && status == StatusCode::OK && body.is_empty()
     }
 
-    /// A refusal of a slot says "not run"; that is wrong after an attempt that may have run.
-    fn truthful(&self, mut refusal: Refusal) -> Refusal {
-        if self.may_have_run {
-            refusal.outcome = Outcome::Unknown;
-        }
-        refusal
-    }
-
     fn report(&self, answer: &Result<backend::Answer, Refusal>) {
         match answer {
             Ok(_) => {
                 let after_ms = self.state.now().saturating_sub(self.begun).as_millis() as u64;
                 self.emit(Kind::RequestCompleted { tokens: 0, after_ms });
             }
-            Err(refusal) => {
-                let (cause, message) = (refusal.cause.as_str().to_owned(), refusal.message.clone());
-                match refusal.outcome {
-                    Outcome::NotRun => self.emit(Kind::RequestRefused { cause, message }),
-                    _ => self.emit(Kind::RequestUnknown { cause, message }),
-                }
-            }
+            Err(refusal) => self.emit(report::refused(refusal)),
         }
     }
 
--- a/cuminward-node/src/request/generate.rs
+++ b/cuminward-node/src/request/generate.rs
@@ -19,7 +19,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    request::{dispatch, flight, lease, remote, search},
+    request::{dispatch, flight, lease, remote, report, search},
     state,
 };
 
@@ -153,7 +153,9 @@
         loop {
             let granted = match dispatch::acquire(&self.state, self.wish.clone()).await {
                 Ok(granted) => granted,
-                Err(refusal) => return self.refuse(self.truthful(refusal)).await,
+                Err(refusal) => {
+                    return self.refuse(refusal.after_attempts(self.may_have_run)).await;
+                }
             };
             let name = granted.upstream.name().to_owned();
             let end = self.attempt(granted).await;
@@ -308,11 +310,7 @@
     }
 
     async fn refuse(&self, refusal: Refusal) {
-        let (cause, message) = (refusal.cause.as_str().to_owned(), refusal.message.clone());
-        match refusal.outcome {
-            Outcome::NotRun => self.emit(Kind::RequestRefused { cause, message }),
-            _ => self.emit(Kind::RequestUnknown { cause, message }),
-        }
+        self.emit(report::refused(&refusal));
         let _ = self.sink.send(backend::Event::Failed(refusal)).await;
     }
 }
@@ -370,14 +368,6 @@
         attempt::Report::Broken(u32::try_from(self.next).unwrap_or(u32::MAX))
     }
 
-    /// A refusal of a slot says "not run"; that is wrong after an attempt that may have run.
-    fn truthful(&self, mut refusal: Refusal) -> Refusal {
-        if self.may_have_run {
-            refusal.outcome = Outcome::Unknown;
-        }
-        refusal
-    }
-
     fn finish(&self, finish: &generate::Finish) -> backend::Finish {
         let count = |it: u64| u32::try_from(it).unwrap_or(u32::MAX);
         let reason = match finish.reason {
--- a/cuminward-route/examples/policies/routing.rs
+++ b/cuminward-route/examples/policies/routing.rs
@@ -8,9 +8,9 @@
     time::Duration,
 };
 
-use cuminward_core::{catalog, host, replica};
+use cuminward_core::{cache, catalog, host, replica};
 use cuminward_route::{
-    load, prefix,
+    load,
     route::{self, Choice, Excluded, Query, Registry, Table, policy},
 };
 use rand::{RngExt, SeedableRng};
@@ -50,7 +50,7 @@
     cache: HashMap<u64, u64>,
     order: VecDeque<(u64, u64)>,
     clock: u64,
-    events: Vec<prefix::Event>,
+    events: Vec<cache::Event>,
     seq: u64,
 }
 
@@ -66,7 +66,7 @@
     Arrival,
     End { engine: usize, request: usize },
     Report,
-    Events { node: usize, batches: Vec<prefix::Batch> },
+    Events { node: usize, batches: Vec<cache::Batch> },
     Load { loads: Vec<u32> },
     Poll,
 }
@@ -111,7 +111,7 @@
     fn touch(&mut self, id: u64) {
         self.clock += 1;
         if self.cache.insert(id, self.clock).is_none() {
-            self.note(prefix::Kind::Stored, id);
+            self.note(cache::Kind::Stored, id);
         }
         self.order.push_back((id, self.clock));
     }
@@ -120,12 +120,12 @@
         let Some((id, clock)) = self.order.pop_front() else { return };
         if self.cache.get(&id) == Some(&clock) {
             self.cache.remove(&id);
-            self.note(prefix::Kind::Removed, id);
+            self.note(cache::Kind::Removed, id);
         }
     }
 
-    fn note(&mut self, kind: prefix::Kind, id: u64) {
-        self.events.push(prefix::Event { seq: self.seq, kind, prefix: format!("{id:016x}") });
+    fn note(&mut self, kind: cache::Kind, id: u64) {
+        self.events.push(cache::Event { seq: self.seq, kind, prefix: format!("{id:016x}") });
         self.seq += 1;
     }
 }
@@ -237,12 +237,12 @@
                 }
             }
             What::Poll => {
-                let batches: Vec<(Vec<prefix::Event>, u64)> =
+                let batches: Vec<(Vec<cache::Event>, u64)> =
                     engines.iter_mut().map(|it| (std::mem::take(&mut it.events), it.seq)).collect();
                 for node in 0..NODES {
                     let batches = batches
                         .iter()
-                        .map(|(events, next)| prefix::Batch {
+                        .map(|(events, next)| cache::Batch {
                             next: *next,
                             gap: random.random_bool(GAP * 0.2),
                             events: events.clone(),
--- a/cuminward-route/src/prefix.rs
+++ b/cuminward-route/src/prefix.rs
@@ -6,7 +6,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use cuminward_derive::{record, value};
+use cuminward_core::cache;
+use cuminward_derive::value;
 use xxhash_rust::xxh3;
 
 /// Id of a prefix: XXH3-64 of the bytes from the start of the prompt to the end of a block.
@@ -31,38 +32,6 @@
     pub entries: usize,
 }
 
-/// A change of an engine's cache.
-#[record]
-pub struct Event {
-    /// Number of the event; consecutive events have consecutive numbers.
-    pub seq: u64,
-    /// What happened to the prefix.
-    pub kind: Kind,
-    /// Id of the prefix, as 16 hexadecimal digits.
-    pub prefix: String,
-}
-
-/// What happened to a prefix.
-#[value]
-#[serde(rename_all = "lowercase")]
-pub enum Kind {
-    /// The cache now holds the prefix.
-    Stored,
-    /// The cache no longer holds the prefix.
-    Removed,
-}
-
-/// An engine's answer to a request for its cache events.
-#[record]
-pub struct Batch {
-    /// Number of the next event.
-    pub next: u64,
-    /// Whether events between the requested number and the first given one are lost.
-    pub gap: bool,
-    /// The events, by number.
-    pub events: Vec<Event>,
-}
-
 /// What became of the index when events were applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -122,7 +91,7 @@
 /// Mutation
 impl Index {
     /// Applies a batch of events; one caller at a time.
-    pub fn apply(&self, batch: &Batch) -> Outcome {
+    pub fn apply(&self, batch: &cache::Batch) -> Outcome {
         let expected = self.next();
         let mut outcome = Outcome::Applied;
         if batch.gap || batch.next < expected {
@@ -173,11 +142,11 @@
         self.slots.iter().for_each(|it| it.store(EMPTY, Ordering::Relaxed));
     }
 
-    fn change(&self, event: &Event) {
+    fn change(&self, event: &cache::Event) {
         let Ok(id) = Id::from_str_radix(&event.prefix, 16) else { return };
         match event.kind {
-            Kind::Stored => self.insert(id),
-            Kind::Removed => self.remove(id),
+            cache::Kind::Stored => self.insert(id),
+            cache::Kind::Removed => self.remove(id),
         }
     }
 }
--- a/cuminward-route/tests/all/prefix.rs
+++ b/cuminward-route/tests/all/prefix.rs
@@ -1,6 +1,7 @@
 //! Tests of the prefix index.
 
-use cuminward_route::prefix::{self, Batch, Event, Index, Kind, Options, Outcome};
+use cuminward_core::cache::{Batch, Event, Kind};
+use cuminward_route::prefix::{self, Index, Options, Outcome};
 use googletest::prelude::*;
 use xxhash_rust::xxh3;
 
--- a/cuminward-standin/src/engine/cache.rs
+++ b/cuminward-standin/src/engine/cache.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use cuminward_derive::{record, value};
+use cuminward_core::cache::{Batch, Event, Kind};
 use xxhash_rust::xxh3;
 
 /// Size of a block, in bytes.
@@ -16,38 +16,6 @@
 /// Hash of a run of whole blocks from the start of a prompt.
 pub type Prefix = u64;
 
-/// A change of the cache.
-#[record]
-pub struct Event {
-    /// Number of the event, counted from 0 since the replica started.
-    pub seq: u64,
-    /// What happened.
-    pub kind: Kind,
-    /// Hash of the prefix, 16 hexadecimal digits.
-    pub prefix: String,
-}
-
-/// What happened to a prefix.
-#[value]
-#[serde(rename_all = "lowercase")]
-pub enum Kind {
-    /// The prefix was stored.
-    Stored,
-    /// The prefix was removed.
-    Removed,
-}
-
-/// Answer to a reader of events.
-#[record]
-pub struct Events {
-    /// Number to ask from next time.
-    pub next: u64,
-    /// Whether events between the asked number and `next` are missing.
-    pub gap: bool,
-    /// The events.
-    pub events: Vec<Event>,
-}
-
 /// A prefix cache with limited memory.
 #[derive(Debug)]
 pub struct Cache {
@@ -106,7 +74,7 @@
     }
 
     /// Events from a number on that are older than a lag.
-    pub fn events(&self, from: u64, lag: Duration) -> Events {
+    pub fn events(&self, from: u64, lag: Duration) -> Batch {
         let due = |at: &Instant| at.elapsed() >= lag;
         let events: Vec<Event> = self
             .events
@@ -115,7 +83,7 @@
             .map(|(_, it)| it.clone())
             .collect();
         let next = events.last().map_or(from, |it| it.seq + 1);
-        Events { next, gap: next - from != events.len() as u64, events }
+        Batch { next, gap: next - from != events.len() as u64, events }
     }
 }
 
--- a/cuminward-standin/src/engine/machine.rs
+++ b/cuminward-standin/src/engine/machine.rs
@@ -9,7 +9,7 @@
     routing,
 };
 use bytes::Bytes;
-use cuminward_core::{host, id};
+use cuminward_core::{cache::Batch, host, id};
 use http::{HeaderMap, StatusCode, header};
 
 use super::{cache, control, fleet, generate, order, replica};
@@ -84,9 +84,9 @@
     format!("\"{:x}.{:x}.{member}{phase}.{generation:x}\"", report.incarnation, report.fence)
 }
 
-async fn events(State(node): State<Node>, Query(since): Query<Since>) -> Json<cache::Events> {
+async fn events(State(node): State<Node>, Query(since): Query<Since>) -> Json<Batch> {
     let lag = node.fleet.options.event_lag;
-    let none = cache::Events { next: since.from, gap: false, events: Vec::new() };
+    let none = Batch { next: since.from, gap: false, events: Vec::new() };
     let events = node.replica().map(|it| it.cache(|cache| cache.events(since.from, lag)));
     Json(events.unwrap_or(none))
 }
--- a/cuminward-upstream/src/engine.rs
+++ b/cuminward-upstream/src/engine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cuminward_core::{host, id, outcome};
+use cuminward_core::{cache, host, id, outcome};
 use derive_builder::Builder;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,7 +12,6 @@
 
 use crate::{
     body::Body,
-    cache,
     connection::Protocol,
     error::{Answer, Error, Wire},
     generate, pool, relay,
@@ -111,7 +110,7 @@
     /// # Errors
     ///
     /// Any [`Error`]; nothing on the host changes.
-    pub async fn cache_events(&self, address: &str, from: u64) -> Result<cache::Events, Error> {
+    pub async fn cache_events(&self, address: &str, from: u64) -> Result<cache::Batch, Error> {
         self.read(address, &format!("/v1/cache-events?from={from}")).await
     }
 
--- a/cuminward-upstream/src/lib.rs
+++ b/cuminward-upstream/src/lib.rs
@@ -8,7 +8,6 @@
 #![forbid(unsafe_code)]
 
 pub mod body;
-pub mod cache;
 pub mod connection;
 pub mod count;
 pub mod engine;
