--- /dev/null
+++ b/cuminward-gateway/src/control/follow.rs
@@ -0,0 +1,214 @@
+//! Follows the declarations and the list of hosts in the store.
+
+use std::{sync::Arc, time::Duration};
+
+use cuminward_adapter::{store, topic};
+use cuminward_serving::table::Record;
+use tokio::time;
+
+use crate::{control::duty::Duty, state::State};
+
+/// Time that a read of the declarations waits for a change.
+const DECLARATION_WAIT: Duration = Duration::from_millis(2200);
+
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Interval at which nodes read the list of hosts.
+const LISTING_INTERVAL: Duration = Duration::from_millis(600);
+
+/// The same for a steward, and for one whose orders are under way.
+const STEWARD_INTERVAL: Duration = Duration::from_millis(300);
+const BUSY_STEWARD_INTERVAL: Duration = Duration::from_millis(120);
+
+/// Failures of the store after which lapsed entries may come back.
+const OUTAGE: Duration = Duration::from_millis(800);
+
+/// Time after an outage within which hosts that live are back in the list.
+const LAPSE_GRACE: Duration = Duration::from_millis(2500);
+
+/// Follows the declarations until the task is dropped.
+pub(crate) async fn declarations(state: Arc<State>) {
+    let mut needs_all = true;
+    let mut health = Health::new("declarations");
+    loop {
+        let read = if needs_all { all_declarations(&state).await } else { next(&state).await };
+        needs_all = match &read {
+            Ok(()) => false,
+            Err(store::Error::Trimmed) => true,
+            Err(_) => needs_all,
+        };
+        health.note(state.now(), read.as_ref().err());
+        if read.is_err() && !needs_all {
+            time::sleep(RETRY_PAUSE).await;
+        } else if read.is_err() {
+            time::sleep(RETRY_PAUSE / 2).await;
+        }
+    }
+}
+
+async fn all_declarations(state: &State) -> Result<(), store::Error> {
+    let page = state.store.newest(topic::DECLARATIONS).await?;
+    state.knowledge().declare_all(page.records, page.end);
+    state.publish();
+    Ok(())
+}
+
+async fn next(state: &State) -> Result<(), store::Error> {
+    let from = state.knowledge().declarations.end();
+    let page = state.store.read(topic::DECLARATIONS, from, DECLARATION_WAIT).await?;
+    let mut is_changed = false;
+    for record in page.records {
+        is_changed |= state.knowledge().declare(record);
+    }
+    if is_changed {
+        state.publish();
+    }
+    Ok(())
+}
+
+/// Follows the list of hosts until the task is dropped.
+pub(crate) async fn listing(state: Arc<State>, duty: Arc<Duty>) {
+    let mut follower = Follower::new();
+    loop {
+        let read = follower.read(&state).await;
+        follower.note(state.now(), read.err());
+        time::sleep(follower.interval(&duty)).await;
+    }
+}
+
+/// Progress of the reader of the list of hosts.
+struct Follower {
+    needs_all: bool,
+    health: Health,
+    /// Until when deletions are put off, as hosts may come back.
+    lapses_until: Duration,
+    /// Deletions that are put off.
+    lapsed: Vec<Record>,
+}
+
+/// Life cycle
+impl Follower {
+    fn new() -> Follower {
+        Follower {
+            needs_all: true,
+            health: Health::new("list of hosts"),
+            lapses_until: Duration::ZERO,
+            lapsed: Vec::new(),
+        }
+    }
+}
+
+/// Mutation
+impl Follower {
+    async fn read(&mut self, state: &State) -> Result<(), store::Error> {
+        let is_changed = if self.needs_all {
+            self.read_all(state).await?
+        } else {
+            self.read_next(state).await?
+        };
+        if is_changed | self.apply_lapsed(state) {
+            state.publish();
+        }
+        Ok(())
+    }
+
+    async fn read_all(&mut self, state: &State) -> Result<bool, store::Error> {
+        let page = state.store.newest(topic::HOSTS).await?;
+        let now = state.now();
+        let mut knowledge = state.knowledge();
+        if now < self.lapses_until {
+            for record in page.records {
+                knowledge.list(now, record);
+            }
+            return Ok(true);
+        }
+        knowledge.list_all(now, page.records, page.end);
+        self.needs_all = false;
+        Ok(true)
+    }
+
+    async fn read_next(&mut self, state: &State) -> Result<bool, store::Error> {
+        let from = state.knowledge().listing.end();
+        let page = state.store.read(topic::HOSTS, from, Duration::ZERO).await?;
+        let now = state.now();
+        let mut knowledge = state.knowledge();
+        let mut is_changed = false;
+        for record in page.records {
+            if record.value.is_none() && now < self.lapses_until {
+                knowledge.listing.advance(record.offset + 1);
+                self.lapsed.push(record);
+            } else {
+                is_changed |= knowledge.list(now, record);
+            }
+        }
+        knowledge.listing.advance(page.end);
+        Ok(is_changed)
+    }
+
+    /// Carries out deletions that were put off, unless the host has written since.
+    fn apply_lapsed(&mut self, state: &State) -> bool {
+        let now = state.now();
+        if now < self.lapses_until || self.lapsed.is_empty() {
+            return false;
+        }
+        let mut knowledge = state.knowledge();
+        let lapsed = std::mem::take(&mut self.lapsed);
+        lapsed.into_iter().fold(false, |changed, it| knowledge.list(now, it) | changed)
+    }
+
+    fn note(&mut self, now: Duration, error: Option<store::Error>) {
+        if error == Some(store::Error::Trimmed) {
+            self.needs_all = true;
+        }
+        let outage = self.health.note(now, error.as_ref());
+        if outage > OUTAGE {
+            self.lapses_until = now + LAPSE_GRACE;
+        }
+    }
+
+    fn interval(&self, duty: &Duty) -> Duration {
+        if self.health.failing_since.is_some() {
+            return RETRY_PAUSE;
+        }
+        match (duty.is_held(), duty.is_busy()) {
+            (true, true) => BUSY_STEWARD_INTERVAL,
+            (true, false) => STEWARD_INTERVAL,
+            (false, _) => LISTING_INTERVAL,
+        }
+    }
+}
+
+/// Whether reads of a topic succeed; logs each change.
+struct Health {
+    topic: &'static str,
+    failing_since: Option<Duration>,
+}
+
+/// Life cycle
+impl Health {
+    fn new(topic: &'static str) -> Health {
+        Health { topic, failing_since: None }
+    }
+}
+
+/// Mutation
+impl Health {
+    /// Notes the result of a read. Returns how long reads had failed if this one ends an outage.
+    fn note(&mut self, now: Duration, error: Option<&store::Error>) -> Duration {
+        match (error, self.failing_since) {
+            (None, Some(since)) => {
+                let outage = now.saturating_sub(since);
+                log::info!("the {} can be read again after {outage:?}", self.topic);
+                self.failing_since = None;
+                outage
+            }
+            (Some(error), None) => {
+                log::warn!("the {} can't be read: {error}", self.topic);
+                self.failing_since = Some(now);
+                Duration::ZERO
+            }
+            _ => Duration::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/cuminward-gateway/src/control/steward.rs
@@ -0,0 +1,129 @@
+//! Carries out the steward's duties that this node holds.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use cuminward_serving::{
+    engine, id,
+    placement::{
+        Options, Steward, Survey,
+        order::{Order, Outcome},
+    },
+};
+use tokio::{sync::mpsc, time};
+
+use super::{duty::Duty, inspect};
+use crate::state::State;
+
+/// Interval of the decisions.
+const INTERVAL: Duration = Duration::from_millis(80);
+
+/// Longest time for a report before an order.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time beyond the stall of a head for which members without a head are left alone.
+const STALL_MARGIN: Duration = Duration::from_millis(1500);
+
+/// Orders whose outcomes wait to be taken in.
+const OUTCOMES: usize = 256;
+
+/// What came of an order of a service.
+type Settled = (id::Service, Order, Outcome);
+
+/// Carries out the duties until the task is dropped.
+pub(crate) async fn run(state: Arc<State>, duty: Arc<Duty>) {
+    let (sender, mut outcomes) = mpsc::channel::<Settled>(OUTCOMES);
+    let mut stewards: HashMap<id::Service, Steward> = HashMap::new();
+    loop {
+        time::sleep(INTERVAL).await;
+        while let Ok((service, order, outcome)) = outcomes.try_recv() {
+            settle(&state, &duty, &mut stewards, &service, &order, outcome);
+        }
+        let mut is_busy = false;
+        let engines = state.knowledge().engines();
+        for (index, (service, engine)) in engines.into_iter().enumerate() {
+            let partitions = state.settings.store.partitions;
+            let Some(token) = duty.token(state.now(), index, partitions) else {
+                stewards.remove(&service);
+                continue;
+            };
+            let steward = stewards.entry(service.clone());
+            let steward = steward.or_insert_with(|| begin(&state, &service, token));
+            steward.renew(token);
+            let orders = decide(&state, &service, &engine, steward);
+            is_busy |= steward.is_active();
+            for order in orders {
+                let deliver = deliver(Arc::clone(&state), service.clone(), token, order);
+                let sender = sender.clone();
+                tokio::spawn(async move {
+                    let settled = deliver.await;
+                    // The receiver lives as long as the task that gives orders.
+                    let _ = sender.send(settled).await;
+                });
+            }
+        }
+        duty.set_busy(is_busy);
+    }
+}
+
+fn begin(state: &State, service: &str, token: id::Token) -> Steward {
+    log::info!("steward service={service} token={token}");
+    let options = Options {
+        stall: state.settings.timing.member_stall,
+        stall_margin: STALL_MARGIN,
+        spare_permille: state.settings.placement.spare_permille,
+    };
+    Steward::new(options, service.to_owned(), token)
+}
+
+fn decide(
+    state: &State,
+    service: &str,
+    engine: &engine::Engine,
+    steward: &mut Steward,
+) -> Vec<Order> {
+    let now = state.now();
+    let knowledge = state.knowledge();
+    let hosts = knowledge.hosts_of(service);
+    let lost = knowledge.lost(now);
+    let evacuated = knowledge.evacuated.clone();
+    drop(knowledge);
+    let survey = Survey { hosts: &hosts, lost: &lost, evacuated: &evacuated, engine };
+    steward.tick(now, &survey)
+}
+
+fn settle(
+    state: &State,
+    duty: &Duty,
+    stewards: &mut HashMap<id::Service, Steward>,
+    service: &str,
+    order: &Order,
+    outcome: Outcome,
+) {
+    let Some(steward) = stewards.get_mut(service) else { return };
+    log::info!("order host={} action={:?} outcome={outcome:?}", order.host, order.action);
+    if outcome == Outcome::Fenced {
+        duty.forfeit(steward.token());
+    }
+    steward.settle(state.now(), order, outcome);
+}
+
+/// Gives an order under the number of orders that the host reports, so that an order that is carried
+/// out late can't follow a newer one.
+async fn deliver(
+    state: Arc<State>,
+    service: id::Service,
+    token: id::Token,
+    order: Order,
+) -> Settled {
+    let host = state.knowledge().hosts.get(&order.host).cloned();
+    let Some(host) = host else { return (service, order, Outcome::Unreachable) };
+    let report = inspect::report(&state, &host.id, &host.address, REPORT_TIMEOUT).await;
+    let outcome = match report {
+        Ok(status) => {
+            state.knowledge().set_pace(&host.id, status.pace);
+            inspect::order(&state, &host.id, &host.address, &order.action, token, status.seq).await
+        }
+        Err(_) => Outcome::Unreachable,
+    };
+    (service, order, outcome)
+}
--- /dev/null
+++ b/cuminward-gateway/src/control/watch.rs
@@ -0,0 +1,91 @@
+//! Watches the replicas that serve requests of this node: one that makes no progress has its members
+//! asked whether they live.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use futures::future;
+use tokio::{sync::mpsc, time};
+
+use super::inspect;
+use crate::state::{
+    State,
+    view::{Key, Upstream},
+};
+
+/// Interval of the checks.
+const INTERVAL: Duration = Duration::from_millis(40);
+
+/// Silence of a busy replica after which requests that it hasn't begun go elsewhere.
+const STALL: Duration = Duration::from_millis(180);
+
+/// Silence of a busy replica after which its members are asked whether they live.
+const INSPECT_AFTER: Duration = Duration::from_millis(240);
+
+/// Silence after which a replica is given up although all its members answer.
+const GIVE_UP_AFTER: Duration = Duration::from_millis(1500);
+
+/// Longest time for the answer of a member, on a kept and again on a new connection.
+const MEMBER_TIMEOUT: Duration = Duration::from_millis(160);
+
+/// Inspections whose ends wait to be noted.
+const ENDED: usize = 64;
+
+/// Watches replicas until the task is dropped.
+pub(crate) async fn run(state: Arc<State>) {
+    let (sender, mut ended) = mpsc::channel::<Key>(ENDED);
+    let mut inspected: HashSet<Key> = HashSet::new();
+    loop {
+        time::sleep(INTERVAL).await;
+        while let Ok(key) = ended.try_recv() {
+            inspected.remove(&key);
+        }
+        let view = state.view.load_full();
+        let now = state.now();
+        for upstream in view.all().filter(|it| it.members.len() > 1) {
+            let Some(silence) = upstream.gauge.silence(now) else { continue };
+            if silence > STALL {
+                upstream.gauge.alarm.notify_waiters();
+            }
+            if silence > INSPECT_AFTER && inspected.insert(upstream.key) {
+                let (state, upstream) = (Arc::clone(&state), Arc::clone(upstream));
+                let sender = sender.clone();
+                tokio::spawn(async move {
+                    inspect_members(&state, &upstream).await;
+                    // The receiver lives as long as the task that watches.
+                    let _ = sender.send(upstream.key).await;
+                });
+            }
+        }
+    }
+}
+
+/// Asks the members of a replica whether they live.
+async fn inspect_members(state: &State, upstream: &Upstream) {
+    let asked = upstream.members.iter().map(|it| async move {
+        let report = inspect::report(state, &it.host, &it.address, MEMBER_TIMEOUT).await;
+        (it, report)
+    });
+    let answers = future::join_all(asked).await;
+    let now = state.now();
+    let mut is_changed = false;
+    for (member, report) in answers {
+        match report {
+            Ok(status) => state.knowledge().set_pace(&member.host, status.pace),
+            Err(error) => {
+                log::info!("member host={} of {} lost: {error:?}", member.host, upstream.name);
+                is_changed |= state.knowledge().lose(now, &member.host);
+            }
+        }
+    }
+    let silence = upstream.gauge.silence(now).unwrap_or_default();
+    if is_changed {
+        upstream.gauge.note_loss(now);
+        state.publish();
+    } else if silence > GIVE_UP_AFTER {
+        log::info!("replica {} stalled for {silence:?}", upstream.name);
+        upstream.gauge.note_failure(now);
+        upstream.gauge.note_loss(now);
+    } else {
+        time::sleep(INSPECT_AFTER).await;
+    }
+}
--- /dev/null
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -0,0 +1,91 @@
+//! Whether a request may be served, and its body.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cuminward_adapter::header;
+use cuminward_serving::catalog::{Catalog, Limits, Route, Team};
+use http::{HeaderMap, Request, StatusCode, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::{
+    job::{Content, Job},
+    reply::Denial,
+};
+use crate::state::State;
+
+/// When callers may come again while the node knows no catalog.
+const STARTING: Duration = Duration::from_millis(500);
+
+/// When callers may come again with a request that crashes hosts.
+const CRASHING: Duration = Duration::from_secs(30);
+
+/// Admits a request and reads its body.
+pub(crate) async fn admit(state: &State, request: Request<Incoming>) -> Result<Job, Denial> {
+    let started = Instant::now();
+    let view = state.view.load_full();
+    let catalog = view.catalog.as_ref().ok_or(Denial::later(STARTING))?;
+    let (parts, body) = request.into_parts();
+    let meta = header::read(&parts.headers);
+    check_headers(&parts.headers, &catalog.limits)?;
+    let route = route(catalog, &parts)?.clone();
+    let team = team(catalog, &route, meta.key.as_deref())?.cloned();
+    let hides_key = !catalog.teams.is_empty();
+    let body = read(body, &catalog.limits).await?;
+    let target = route.target(rand::random()).ok_or(Denial::later(STARTING))?;
+    let service = target.service.clone();
+    let content = Content { parts, body, meta, route, service, team, hides_key, started };
+    let job = Job::new(content);
+    if state.crashes().is_refused(state.now(), job.fingerprint) {
+        log::info!("request={} refused: it crashes the hosts that run it", job.id());
+        return Err(Denial::later(CRASHING));
+    }
+    Ok(job)
+}
+
+fn check_headers(headers: &HeaderMap, limits: &Limits) -> Result<(), Denial> {
+    /// Bytes of a header line beside its name and value.
+    const LINE_BYTES: usize = 4;
+    let size = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        name.as_str().len() + value.len() + LINE_BYTES
+    };
+    let bytes: usize = headers.iter().map(size).sum();
+    if bytes > limits.header_bytes {
+        return Err(Denial::of(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+    }
+    Ok(())
+}
+
+fn route<'a>(catalog: &'a Catalog, parts: &Parts) -> Result<&'a Route, Denial> {
+    let named = parts.headers.get(http::header::HOST).and_then(|it| it.to_str().ok());
+    let host = parts.uri.host().or(named).unwrap_or_default();
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+    catalog.route(&host, parts.uri.path()).ok_or(Denial::of(StatusCode::NOT_FOUND))
+}
+
+fn team<'a>(
+    catalog: &'a Catalog,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<&'a Team>, Denial> {
+    let team = key.and_then(|it| catalog.team(it));
+    if team.is_some() || route.is_anonymous || catalog.teams.is_empty() {
+        return Ok(team);
+    }
+    Err(Denial::of(StatusCode::UNAUTHORIZED))
+}
+
+async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Denial> {
+    match Limited::new(body, limits.body_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(Denial::of(StatusCode::PAYLOAD_TOO_LARGE))
+        }
+        Err(error) => {
+            log::debug!("a body broke off: {error}");
+            Err(Denial::of(StatusCode::BAD_REQUEST))
+        }
+    }
+}
--- /dev/null
+++ b/cuminward-gateway/src/forward/call.rs
@@ -0,0 +1,143 @@
+//! Requests with a single answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cuminward_serving::{
+    attempt::{self, Failure, Next},
+    catalog::Repeat,
+    id,
+};
+use http::{Response, StatusCode, response::Parts};
+use http_body_util::{BodyExt, Limited};
+use tokio::time::{self, Instant};
+
+use super::{
+    exchange::{self, Fault},
+    job::Job,
+    reply::{self, Body, Denial},
+    slot::{self, Slot},
+};
+use crate::state::State;
+
+/// Largest answer that is read as a whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Time for an attempt after which an idempotent request is sent elsewhere, in objectives of the route.
+const ATTEMPT_OBJECTIVES: f64 = 1.2;
+
+/// When callers may come again.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// A whole answer of an upstream.
+struct Whole {
+    head: Parts,
+    body: Bytes,
+}
+
+/// Answers a request.
+pub(crate) async fn run(state: &Arc<State>, job: &Arc<Job>) -> Response<Body> {
+    let mut attempts = attempt::State::default();
+    let mut tried: Vec<id::Host> = Vec::new();
+    let mut failed: Option<Whole> = None;
+    let budget = state.budget(&job.service);
+    budget.deposit();
+    loop {
+        let wait = job.route.objective.mul_f64(state.settings.admission.wait);
+        let until = (Instant::now() + wait).min(job.limit);
+        let Ok(slot) = slot::acquire(state, job, &tried, until).await else {
+            return give_up(job, failed, attempts, "no upstream has room");
+        };
+        tried.push(slot.upstream.host.clone());
+        let is_last = attempts.ran + 1 >= job.route.max_attempts;
+        let fault = match attempt(state, job, &slot, is_last).await {
+            Ok(whole) if is_final(job, &whole, is_last) => return answer(whole),
+            Ok(whole) => {
+                let cause = format!("the upstream answered {}", whole.head.status);
+                failed = Some(whole);
+                Fault { failure: Failure::Unknown, cause }
+            }
+            Err(fault) => fault,
+        };
+        drop(slot);
+        attempts.add(fault.failure);
+        let next = attempt::next(attempts, fault.failure, &job.bounds());
+        log::info!(
+            "request={} host={} failure={:?} next={next:?} cause={}",
+            job.id(),
+            tried.last().map_or("-", String::as_str),
+            fault.failure,
+            fault.cause
+        );
+        if next != Next::Again || !budget.withdraw() {
+            return give_up(job, failed, attempts, &fault.cause);
+        }
+    }
+}
+
+/// An answer is final unless it is a failure of a server that may be tried elsewhere.
+fn is_final(job: &Job, whole: &Whole, is_last: bool) -> bool {
+    is_last || job.route.repeat != Repeat::Idempotent || !whole.head.status.is_server_error()
+}
+
+async fn attempt(
+    state: &Arc<State>,
+    job: &Job,
+    slot: &Slot,
+    is_last: bool,
+) -> Result<Whole, Fault> {
+    let left = job.left();
+    let patience = match job.route.repeat {
+        Repeat::Idempotent if !is_last => {
+            left.min(job.route.objective.mul_f64(ATTEMPT_OBJECTIVES))
+        }
+        _ => left,
+    };
+    let sent = time::timeout(patience, exchange_whole(state, job, slot, patience)).await;
+    let result = sent.unwrap_or_else(|_| {
+        let cause = String::from("no whole answer in time");
+        Err(Fault { failure: Failure::Unknown, cause })
+    });
+    match &result {
+        Ok(_) => slot.upstream.gauge.note_success(),
+        Err(_) => slot.upstream.gauge.note_failure(state.now()),
+    }
+    result
+}
+
+async fn exchange_whole(
+    state: &Arc<State>,
+    job: &Job,
+    slot: &Slot,
+    patience: Duration,
+) -> Result<Whole, Fault> {
+    let answer = exchange::send(state, job, slot, None, patience).await?;
+    let body = Limited::new(answer.body, MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|error| {
+        exchange::suspect_crash(state, job, &slot.upstream.address);
+        Fault { failure: Failure::Unknown, cause: error.to_string() }
+    })?;
+    Ok(Whole { head: exchange::head(answer.head), body: body.to_bytes() })
+}
+
+fn answer(whole: Whole) -> Response<Body> {
+    Response::from_parts(whole.head, Body::whole(whole.body))
+}
+
+fn give_up(
+    job: &Job,
+    failed: Option<Whole>,
+    attempts: attempt::State,
+    cause: &str,
+) -> Response<Body> {
+    if let Some(whole) = failed {
+        return answer(whole);
+    }
+    let denial = if attempts.ran == 0 {
+        Denial::later(RETRY_AFTER)
+    } else {
+        Denial::of(StatusCode::BAD_GATEWAY)
+    };
+    log::info!("request={} status={} cause={cause}", job.id(), denial.status);
+    reply::refuse(&denial, job.meta.id.as_deref())
+}
--- /dev/null
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -0,0 +1,47 @@
+//! The path of a request: admitted, sent to an upstream, answered.
+
+mod admit;
+mod call;
+mod exchange;
+mod job;
+pub(crate) mod reply;
+mod slot;
+mod source;
+mod stream;
+
+use std::sync::Arc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::time;
+
+use crate::state::State;
+use job::Job;
+use reply::Body;
+
+/// Answers a request.
+pub(crate) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let id = cuminward_adapter::header::read(request.headers()).id;
+    let job = match admit::admit(&state, request).await {
+        Ok(it) => Arc::new(it),
+        Err(denial) => return reply::refuse(&denial, id.as_deref()),
+    };
+    let answered = time::timeout_at(job.limit, answer(&state, &job)).await;
+    answered.unwrap_or_else(|_| {
+        let status = if job.may_have_run() {
+            StatusCode::GATEWAY_TIMEOUT
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        log::info!("request={} route={} status={status} cause=timeout", job.id(), job.route.name);
+        reply::refuse(&reply::Denial::of(status), job.meta.id.as_deref())
+    })
+}
+
+async fn answer(state: &Arc<State>, job: &Arc<Job>) -> Response<Body> {
+    if job.route.repeat.is_stream() {
+        stream::run(state, job).await
+    } else {
+        call::run(state, job).await
+    }
+}
--- /dev/null
+++ b/cuminward-gateway/src/gateway.rs
@@ -0,0 +1,116 @@
+//! A node as a whole: its tasks, start and stop.
+
+use std::{io, sync::Arc, time::Duration};
+
+use tokio::{net::UdpSocket, task::JoinSet, time};
+
+use crate::{
+    control::{duty, follow, steward, watch},
+    ingress::{connection, listener, ready},
+    peer::{gossip, pull, register},
+    settings::Settings,
+    state::State,
+};
+
+/// Interval at which a stopping node looks whether requests are under way.
+const STOP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Shortest time from the begin of a stop to its end: callers may still send requests until the
+/// platform has noticed that the node isn't ready.
+const MIN_STOP: Duration = Duration::from_millis(3200);
+
+/// Time before the end of the grace period at which the node ends with requests under way.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
+/// Longest time to give up the duties.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A running node.
+pub struct Gateway {
+    state: Arc<State>,
+    member: cuminward_adapter::store::Member,
+    tasks: JoinSet<()>,
+}
+
+/// Life cycle
+impl Gateway {
+    /// Starts a node.
+    ///
+    /// # Errors
+    ///
+    /// An address can't be used.
+    pub async fn start(settings: Settings) -> io::Result<Gateway> {
+        log::info!("start node={} domain={}", settings.node.name, settings.node.domain);
+        let state = Arc::new(State::new(settings));
+        let member = duty::member(&state);
+        let mut gateway = Gateway { state, member, tasks: JoinSet::new() };
+        gateway.listen().await?;
+        gateway.meet().await?;
+        gateway.control();
+        Ok(gateway)
+    }
+
+    /// Stops the node: it stops being ready, finishes the requests under way and ends.
+    pub async fn stop(mut self) {
+        log::info!("stop node={}", self.state.settings.node.name);
+        self.state.stop();
+        let begun = self.state.now();
+        let leaving = time::timeout(LEAVE_TIMEOUT, self.state.store.leave(&self.member)).await;
+        if !matches!(leaving, Ok(Ok(()))) {
+            log::warn!("the duties weren't given up: their lease has to end");
+        }
+        let grace = self.state.settings.timing.shutdown_grace.saturating_sub(STOP_MARGIN);
+        loop {
+            time::sleep(STOP_INTERVAL).await;
+            let passed = self.state.now().saturating_sub(begun);
+            let requests = self.state.requests.load(std::sync::atomic::Ordering::Relaxed);
+            if passed >= grace || (passed >= MIN_STOP && requests == 0) {
+                log::info!("stopped with {requests} requests under way");
+                break;
+            }
+        }
+        self.tasks.abort_all();
+    }
+
+    async fn listen(&mut self) -> io::Result<()> {
+        let listen = self.state.settings.listen.clone();
+        let callers = listener::open(listen.callers).await?;
+        let checks = listener::open(listen.ready).await?;
+        let state = Arc::clone(&self.state);
+        let serve = move |stream| connection::serve(Arc::clone(&state), stream);
+        self.tasks.spawn(listener::accept(callers, serve));
+        let state = Arc::clone(&self.state);
+        let serve = move |stream| ready::serve(Arc::clone(&state), stream);
+        self.tasks.spawn(listener::accept(checks, serve));
+        Ok(())
+    }
+
+    /// Starts the exchange with other nodes.
+    async fn meet(&mut self) -> io::Result<()> {
+        let peers = Arc::new(gossip::Peers::default());
+        let socket = Arc::new(UdpSocket::bind(self.state.settings.listen.peers).await?);
+        let answering = pull::serve(Arc::clone(&self.state)).await?;
+        self.tasks.spawn(answering);
+        let (state, socket_, peers_) =
+            (Arc::clone(&self.state), Arc::clone(&socket), Arc::clone(&peers));
+        self.tasks.spawn(gossip::receive(state, peers_, socket_));
+        let start = rand::random();
+        let state = Arc::clone(&self.state);
+        self.tasks.spawn(gossip::send(state, Arc::clone(&peers), socket, start));
+        self.tasks.spawn(pull::run(Arc::clone(&self.state), Arc::clone(&peers)));
+        self.tasks.spawn(register::run(Arc::clone(&self.state), peers));
+        Ok(())
+    }
+
+    /// Starts the control tasks.
+    fn control(&mut self) {
+        let duty = Arc::new(duty::Duty::default());
+        let (state, member) = (Arc::clone(&self.state), self.member.clone());
+        let held = Arc::clone(&duty);
+        self.tasks.spawn(async move { duty::run(&state, &held, &member).await });
+        self.tasks.spawn(follow::declarations(Arc::clone(&self.state)));
+        self.tasks.spawn(follow::listing(Arc::clone(&self.state), Arc::clone(&duty)));
+        self.tasks.spawn(steward::run(Arc::clone(&self.state), duty));
+        self.tasks.spawn(watch::run(Arc::clone(&self.state)));
+    }
+}
--- /dev/null
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -0,0 +1,60 @@
+//! What nodes tell each other often.
+
+use std::net::SocketAddr;
+
+use cuminward_derive::record;
+use cuminward_serving::{crash::Fingerprint, id};
+
+use crate::state::{State, view::Key};
+
+/// What a node tells the others.
+#[record]
+pub(crate) struct Digest {
+    /// Node that sends it.
+    pub(crate) node: id::Node,
+    /// Number of this start of the node.
+    pub(crate) start: u64,
+    /// Number of the digest within this start.
+    pub(crate) number: u64,
+    /// Where the node takes calls of other nodes.
+    pub(crate) address: SocketAddr,
+    /// Offset that follows the newest declaration it knows.
+    pub(crate) declarations: id::Offset,
+    /// Offset that follows the newest entry of the list of hosts it knows.
+    pub(crate) listing: id::Offset,
+    /// Its requests in flight by upstream.
+    pub(crate) flights: Vec<(Key, u32)>,
+    /// Hosts that didn't answer it, with the milliseconds for which they count as lost.
+    pub(crate) lost: Vec<(id::Host, u64)>,
+    /// Crashes that it saw, by fingerprint of the request.
+    pub(crate) crashes: Vec<(Fingerprint, u32)>,
+}
+
+/// Which start of which node sends digests.
+#[derive(Debug, Clone)]
+pub(crate) struct Sender {
+    pub(crate) start: u64,
+    pub(crate) number: u64,
+}
+
+/// Mutation
+impl Sender {
+    /// Makes the next digest.
+    pub(crate) fn next(&mut self, state: &State) -> Digest {
+        self.number += 1;
+        let now = state.now();
+        let flights = state.view.load().all().map(|it| (it.key, it.gauge.in_flight())).collect();
+        let knowledge = state.knowledge();
+        Digest {
+            node: state.settings.node.name.clone(),
+            start: self.start,
+            number: self.number,
+            address: state.settings.listen.peers,
+            declarations: knowledge.declarations.end(),
+            listing: knowledge.listing.end(),
+            flights,
+            lost: knowledge.own_losses(now),
+            crashes: state.crashes().own(now).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -0,0 +1,197 @@
+//! Sends digests to the other nodes and takes theirs in.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use cuminward_serving::{crash::Fingerprint, id};
+use tokio::{net::UdpSocket, time};
+
+use super::digest::{Digest, Sender};
+use crate::state::{State, view::Key};
+
+/// Shortest and longest time between two digests.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+const MAX_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Age beyond which what a node said about its load doesn't count.
+const FRESH: Duration = Duration::from_millis(1500);
+
+/// Silence after which a node gets digests only now and then.
+const SILENT: Duration = Duration::from_secs(10);
+
+/// Digests to reachable nodes for each one to a silent node.
+const RARELY: u64 = 10;
+
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM: usize = 60_000;
+
+/// Nodes that this node knows.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    peers: Mutex<HashMap<id::Node, Peer>>,
+}
+
+/// Another node.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    pub(crate) address: SocketAddr,
+    /// When something was last heard of it.
+    pub(crate) heard: Duration,
+    pub(crate) digest: Option<Digest>,
+}
+
+/// Access
+impl Peers {
+    /// Nodes that were heard of lately.
+    pub(crate) fn fresh(&self, now: Duration) -> Vec<Peer> {
+        let peers = self.lock();
+        peers.values().filter(|it| now.saturating_sub(it.heard) < FRESH).cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<id::Node, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Mutation
+impl Peers {
+    /// Adds a node that the store lists. Returns the number of nodes, this one included.
+    pub(crate) fn add(&self, now: Duration, node: &str, address: SocketAddr) -> usize {
+        let mut peers = self.lock();
+        let peer = peers.entry(node.to_owned()).or_insert(Peer { address, heard: now, digest: None });
+        peer.address = address;
+        peers.len() + 1
+    }
+
+    /// Takes in a digest; false if it is older than one that was taken in before.
+    fn hear(&self, now: Duration, digest: Digest) -> bool {
+        let mut peers = self.lock();
+        let known = peers.get(&digest.node).and_then(|it| it.digest.as_ref());
+        let is_old = known
+            .is_some_and(|it| (it.start, it.number) >= (digest.start, digest.number));
+        if is_old {
+            return false;
+        }
+        let peer = Peer { address: digest.address, heard: now, digest: Some(digest.clone()) };
+        peers.insert(digest.node, peer);
+        true
+    }
+
+    fn addresses(&self, now: Duration, number: u64) -> Vec<SocketAddr> {
+        let is_due = |it: &&Peer| {
+            now.saturating_sub(it.heard) < SILENT || number.is_multiple_of(RARELY)
+        };
+        self.lock().values().filter(is_due).map(|it| it.address).collect()
+    }
+}
+
+/// Sends digests until the task is dropped.
+pub(crate) async fn send(state: Arc<State>, peers: Arc<Peers>, socket: Arc<UdpSocket>, start: u64) {
+    let mut sender = Sender { start, number: 0 };
+    loop {
+        let digest = sender.next(&state);
+        match bincode::serialize(&digest) {
+            Ok(bytes) => {
+                for address in peers.addresses(state.now(), digest.number) {
+                    if let Err(error) = socket.send_to(&bytes, address).await {
+                        log::debug!("a digest to {address} wasn't sent: {error}");
+                    }
+                }
+            }
+            Err(error) => log::error!("the digest can't be encoded: {error}"),
+        }
+        time::sleep(MIN_INTERVAL).await;
+        sum_flights(&state, &peers);
+        let rest = MAX_INTERVAL - MIN_INTERVAL;
+        if state.view.load().all().all(|it| it.gauge.in_flight() == 0) {
+            // Nothing to tell about load: wait for other news.
+            let _ = time::timeout(rest, state.news.notified()).await;
+        }
+    }
+}
+
+/// Takes digests in until the task is dropped.
+pub(crate) async fn receive(state: Arc<State>, peers: Arc<Peers>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let received = socket.recv_from(&mut buffer).await;
+        match received.and_then(|(length, _)| decode(&buffer[..length])) {
+            Ok(digest) => take_in(&state, &peers, digest),
+            Err(error) => {
+                log::debug!("a digest wasn't received: {error}");
+                time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> io::Result<Digest> {
+    bincode::deserialize(bytes).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+}
+
+fn take_in(state: &State, peers: &Peers, digest: Digest) {
+    if digest.node == state.settings.node.name {
+        return;
+    }
+    let now = state.now();
+    let (lost, crashes) = (digest.lost.clone(), digest.crashes.clone());
+    if !peers.hear(now, digest) {
+        return;
+    }
+    state.set_nodes(peers.lock().len() + 1);
+    lose(state, now, &lost);
+    if !crashes.is_empty() {
+        count_crashes(state, peers, now);
+    }
+}
+
+/// Takes in the hosts that didn't answer another node.
+fn lose(state: &State, now: Duration, lost: &[(id::Host, u64)]) {
+    let mut is_changed = false;
+    for (host, left_ms) in lost {
+        let until = now + Duration::from_millis(*left_ms);
+        is_changed |= state.knowledge().hear_loss(now, host, until);
+    }
+    if !is_changed {
+        return;
+    }
+    let is_lost = |host: &str| lost.iter().any(|(it, _)| it == host);
+    for upstream in state.view.load().all() {
+        if upstream.members.len() > 1 && upstream.members.iter().any(|it| is_lost(&it.host)) {
+            upstream.gauge.note_loss(now);
+        }
+    }
+    state.publish();
+}
+
+fn count_crashes(state: &State, peers: &Peers, now: Duration) {
+    let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
+    for peer in peers.lock().values() {
+        let crashes = peer.digest.iter().flat_map(|it| &it.crashes);
+        for (fingerprint, count) in crashes {
+            *counts.entry(*fingerprint).or_default() += count;
+        }
+    }
+    let mut ledger = state.crashes();
+    for (fingerprint, count) in counts {
+        ledger.set_others(now, fingerprint, count);
+    }
+}
+
+/// Adds up the requests in flight from other nodes.
+fn sum_flights(state: &State, peers: &Peers) {
+    let mut sums: HashMap<Key, u32> = HashMap::new();
+    for peer in peers.fresh(state.now()) {
+        for (key, count) in peer.digest.into_iter().flat_map(|it| it.flights) {
+            *sums.entry(key).or_default() += count;
+        }
+    }
+    for upstream in state.view.load().all() {
+        upstream.gauge.set_others(sums.get(&upstream.key).copied().unwrap_or(0));
+    }
+}
--- /dev/null
+++ b/cuminward-gateway/src/peer/register.rs
@@ -0,0 +1,55 @@
+//! Finds the other nodes through the store.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use cuminward_adapter::{store, topic};
+use tokio::time;
+
+use super::gossip::Peers;
+use crate::state::State;
+
+/// Pauses between the first looks at the list of nodes.
+const FIRST_PAUSES: [Duration; 3] =
+    [Duration::from_millis(300), Duration::from_millis(700), Duration::from_secs(2)];
+
+/// Pause between later looks.
+const PAUSE: Duration = Duration::from_secs(10);
+
+/// Puts this node into the list and looks for others until the task is dropped.
+pub(crate) async fn run(state: Arc<State>, peers: Arc<Peers>) {
+    let mut is_listed = false;
+    let mut pauses = FIRST_PAUSES.into_iter();
+    loop {
+        if !is_listed {
+            is_listed = enter(&state).await;
+        }
+        if let Err(error) = look(&state, &peers).await {
+            log::debug!("the list of nodes can't be read: {error}");
+        }
+        let pause = if is_listed { pauses.next().unwrap_or(PAUSE) } else { FIRST_PAUSES[0] };
+        time::sleep(pause).await;
+    }
+}
+
+async fn enter(state: &State) -> bool {
+    let address = state.settings.listen.peers.to_string();
+    let node = &state.settings.node.name;
+    match state.store.put(topic::NODES, node, address.as_bytes()).await {
+        Ok(()) => true,
+        Err(error) => {
+            log::warn!("the node can't be put into the list: {error}");
+            false
+        }
+    }
+}
+
+async fn look(state: &State, peers: &Peers) -> Result<(), store::Error> {
+    let page = state.store.newest(topic::NODES).await?;
+    for record in page.records.iter().filter(|it| it.key != state.settings.node.name) {
+        let address = record.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
+        let Some(address) = address.and_then(|it| it.parse::<SocketAddr>().ok()) else { continue };
+        let nodes = peers.add(state.now(), &record.key, address);
+        state.set_nodes(nodes);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/cuminward-gateway/src/settings.rs
@@ -0,0 +1,154 @@
+//! Settings of a gateway node, in YAML.
+
+use std::{fs, io, net::SocketAddr, path::Path, time::Duration};
+
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
+
+/// Checked settings.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Who the node is.
+    pub node: Node,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: Store,
+    /// Times that the platform promises or asks for.
+    pub timing: Timing,
+    /// Bounds on repeats.
+    pub retry: Retry,
+    /// Choice of hosts for groups.
+    #[serde(default)]
+    pub placement: Placement,
+    /// Where requests wait and when they are turned away.
+    #[serde(default)]
+    pub admission: Admission,
+}
+
+/// Who the node is.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Node {
+    /// Name, unique over all nodes.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+}
+
+/// Where the node listens.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Readiness checks.
+    pub ready: SocketAddr,
+    /// Datagrams and calls between nodes.
+    pub peers: SocketAddr,
+}
+
+/// The platform's store.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Store {
+    /// Address.
+    pub address: SocketAddr,
+    /// Shortest lease that it grants, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "min_lease_ms")]
+    pub min_lease: Duration,
+    /// Partitions of a topic.
+    pub partitions: u32,
+}
+
+/// Times that the platform promises or asks for.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Timing {
+    /// Time from SIGTERM to SIGKILL, in seconds.
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    #[serde(rename = "shutdown_grace_s")]
+    pub shutdown_grace: Duration,
+    /// Time after which the head of a group notices that a member is missing, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "member_stall_ms")]
+    pub member_stall: Duration,
+    /// Time between two entries of a host in the store's list, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "heartbeat_ms")]
+    pub heartbeat: Duration,
+}
+
+/// Bounds on repeats.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retry {
+    /// Repeats that all nodes together may send for each request.
+    pub ratio: f64,
+    /// Repeats beyond that which all nodes together may send at any time.
+    pub reserve: u32,
+}
+
+/// Choice of hosts for groups.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Placement {
+    /// Share of the hosts that stay outside groups as spares, in thousandths.
+    pub spare_permille: u32,
+}
+
+impl Default for Placement {
+    fn default() -> Placement {
+        Placement { spare_permille: 60 }
+    }
+}
+
+/// Where requests wait and when they are turned away.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Admission {
+    /// Requests in flight at a replica, as a multiple of its slots, from which requests wait here.
+    pub fill: f64,
+    /// Longest wait here, as a multiple of the route's objective.
+    pub wait: f64,
+}
+
+impl Default for Admission {
+    fn default() -> Admission {
+        Admission { fill: 1.0, wait: 1.0 }
+    }
+}
+
+/// Why settings can't be used.
+#[derive(Debug, miette::Diagnostic)]
+pub enum Error {
+    /// The file can't be read.
+    Read(io::Error),
+    /// The file isn't a correct settings file.
+    Malformed(String),
+}
+
+/// Reads a settings file.
+///
+/// # Errors
+///
+/// [`Error`] says what is wrong and where.
+pub fn load(path: &Path) -> Result<Settings, Error> {
+    let text = fs::read_to_string(path).map_err(Error::Read)?;
+    serde_saphyr::from_str(&text).map_err(|error| Error::Malformed(error.to_string()))
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Error::Read(error) => write!(f, "the settings can't be read: {error}"),
+            Error::Malformed(message) => write!(f, "the settings are wrong: {message}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/cuminward-gateway/src/state/knowledge.rs
@@ -0,0 +1,299 @@
+//! What the control tasks know: declarations, hosts and their losses.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use cuminward_adapter::{catalog as declared, host as listed, topic};
+use cuminward_serving::{
+    catalog, engine, host, id,
+    replica::{self, Group},
+    table::{Record, Table},
+};
+
+use super::{
+    gauge::Gauge,
+    view::{self, Member, Pool, Upstream, View},
+};
+
+/// Time for which a host that didn't answer counts as lost.
+const LOST_FOR: Duration = Duration::from_secs(4);
+
+/// A host that counts as lost.
+struct Loss {
+    until: Duration,
+    /// Whether this node found out by itself.
+    is_own: bool,
+}
+
+/// What a node knows.
+#[derive(Default)]
+pub(crate) struct Knowledge {
+    /// Declarations as they were written.
+    pub(crate) declarations: Table,
+    /// The list of hosts as they wrote it.
+    pub(crate) listing: Table,
+    pub(crate) catalog: Option<Arc<catalog::Catalog>>,
+    pub(crate) evacuated: BTreeSet<id::Domain>,
+    pub(crate) hosts: BTreeMap<id::Host, host::Host>,
+    /// Until when hosts are cold.
+    cold: BTreeMap<id::Host, Duration>,
+    /// Hosts that count as lost.
+    lost: BTreeMap<id::Host, Loss>,
+    gauges: HashMap<String, Arc<Gauge>>,
+}
+
+/// Access
+impl Knowledge {
+    /// Hosts that don't answer.
+    pub(crate) fn lost(&self, now: Duration) -> BTreeSet<id::Host> {
+        let lost = self.lost.iter().filter(|(_, it)| it.until > now);
+        lost.map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Hosts that didn't answer this node, with the milliseconds for which they count as lost.
+    pub(crate) fn own_losses(&self, now: Duration) -> Vec<(id::Host, u64)> {
+        let own = self.lost.iter().filter(|(_, it)| it.is_own && it.until > now);
+        own.map(|(host, it)| (host.clone(), (it.until - now).as_millis() as u64)).collect()
+    }
+
+    /// Services with a model engine.
+    pub(crate) fn engines(&self) -> Vec<(id::Service, engine::Engine)> {
+        let Some(catalog) = &self.catalog else { return Vec::new() };
+        let engines = catalog.services.iter();
+        engines.filter_map(|(name, it)| Some((name.clone(), it.engine.clone()?))).collect()
+    }
+
+    /// Hosts of a service.
+    pub(crate) fn hosts_of(&self, service: &str) -> BTreeMap<id::Host, host::Host> {
+        let hosts = self.hosts.iter().filter(|(_, it)| it.service == service);
+        hosts.map(|(id, it)| (id.clone(), it.clone())).collect()
+    }
+}
+
+/// Mutation
+impl Knowledge {
+    /// Takes in a declaration; tells whether anything changed.
+    pub(crate) fn declare(&mut self, record: Record) -> bool {
+        if !self.declarations.apply(record.clone()) {
+            return false;
+        }
+        self.read_declaration(&record.key, record.value.as_deref());
+        true
+    }
+
+    /// Takes in all declarations up to an offset.
+    pub(crate) fn declare_all(&mut self, records: Vec<Record>, end: id::Offset) {
+        for record in &records {
+            self.declare(record.clone());
+        }
+        for key in self.declarations.replace(records, end) {
+            self.read_declaration(&key, None);
+        }
+    }
+
+    fn read_declaration(&mut self, key: &str, value: Option<&[u8]>) {
+        if let Some(domain) = topic::evacuated_domain(key) {
+            match value {
+                Some(_) => self.evacuated.insert(domain.to_owned()),
+                None => self.evacuated.remove(domain),
+            };
+            return;
+        }
+        let Some(value) = value.filter(|_| key == topic::CATALOG_KEY) else { return };
+        match declared::decode(value) {
+            Ok(catalog) => self.set_catalog(catalog),
+            Err(error) => log::error!("the declared configuration can't be read: {error}"),
+        }
+    }
+
+    fn set_catalog(&mut self, catalog: catalog::Catalog) {
+        if self.catalog.as_ref().is_none_or(|it| it.version < catalog.version) {
+            log::info!("catalog version={} routes={}", catalog.version, catalog.routes.len());
+            self.catalog = Some(Arc::new(catalog));
+        }
+    }
+
+    /// Takes in an entry of the list of hosts; tells whether anything changed.
+    pub(crate) fn list(&mut self, now: Duration, record: Record) -> bool {
+        if !self.listing.apply(record.clone()) {
+            return false;
+        }
+        self.read_entry(now, &record.key, record.value.as_deref());
+        true
+    }
+
+    /// Takes in the whole list of hosts up to an offset.
+    pub(crate) fn list_all(&mut self, now: Duration, records: Vec<Record>, end: id::Offset) {
+        for record in &records {
+            self.list(now, record.clone());
+        }
+        for key in self.listing.replace(records, end) {
+            self.read_entry(now, &key, None);
+        }
+    }
+
+    fn read_entry(&mut self, now: Duration, id: &str, value: Option<&[u8]>) {
+        let Some(value) = value else {
+            if self.hosts.remove(id).is_some() {
+                log::info!("host {id} left the list");
+            }
+            return;
+        };
+        match listed::decode(id, value) {
+            Ok(host) => self.set_host(now, host),
+            Err(error) => {
+                log::warn!("the entry of host {id} can't be used: {error}");
+                self.hosts.remove(id);
+            }
+        }
+    }
+
+    fn set_host(&mut self, now: Duration, mut host: host::Host) {
+        let id = host.id.clone();
+        if host.cold > Duration::ZERO {
+            self.cold.insert(id.clone(), now + host.cold);
+        }
+        let known = self.hosts.get(&id).filter(|it| it.started_ms == host.started_ms);
+        match known {
+            Some(known) => host.pace = known.pace,
+            None => {
+                self.lost.remove(&id);
+            }
+        }
+        self.hosts.insert(id, host);
+    }
+
+    /// Notes how slow a host is.
+    pub(crate) fn set_pace(&mut self, id: &str, pace: f64) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.pace = pace;
+        }
+    }
+
+    /// Notes that a host didn't answer this node; tells whether that is new.
+    pub(crate) fn lose(&mut self, now: Duration, id: &str) -> bool {
+        self.note_loss(now, id, Loss { until: now + LOST_FOR, is_own: true })
+    }
+
+    /// Notes that a host didn't answer another node and counts as lost until a time; tells whether
+    /// that is new.
+    pub(crate) fn hear_loss(&mut self, now: Duration, id: &str, until: Duration) -> bool {
+        let is_known = self.lost.get(id).is_some_and(|it| it.until > now);
+        !is_known && self.note_loss(now, id, Loss { until, is_own: false })
+    }
+
+    fn note_loss(&mut self, now: Duration, id: &str, loss: Loss) -> bool {
+        self.lost.retain(|_, it| it.until > now);
+        self.lost.insert(id.to_owned(), loss).is_none()
+    }
+
+    /// Makes the view of requests.
+    pub(crate) fn view(&mut self, now: Duration) -> View {
+        let Some(catalog) = self.catalog.clone() else { return View::default() };
+        let lost = self.lost(now);
+        let mut services: HashMap<id::Service, Pool> = HashMap::new();
+        for (name, service) in &catalog.services {
+            let pool = match &service.engine {
+                Some(engine) => self.replicas(now, name, service, engine, &lost),
+                None => self.plain(now, name, service),
+            };
+            services.insert(name.clone(), pool);
+        }
+        let view = View { catalog: Some(catalog), services };
+        let used: BTreeSet<String> = view.all().map(|it| it.name.clone()).collect();
+        self.gauges.retain(|name, it| used.contains(name) || it.in_flight() > 0);
+        view
+    }
+
+    fn replicas(
+        &mut self,
+        now: Duration,
+        name: &str,
+        service: &catalog::Service,
+        engine: &engine::Engine,
+        lost: &BTreeSet<id::Host>,
+    ) -> Pool {
+        let hosts: Vec<host::Host> =
+            self.hosts.values().filter(|it| it.service == name).cloned().collect();
+        let mut pool = Pool::default();
+        for model in &engine.models {
+            pool.models.insert(model.name.clone(), Vec::new());
+        }
+        for group in replica::groups(&hosts) {
+            let Some(model) = group.declared(engine) else { continue };
+            let is_usable = group.is_open(model.size)
+                && group.is_staying()
+                && !group.members.values().any(|it| lost.contains(&it.id));
+            let Some(head) = group.head().filter(|_| is_usable) else { continue };
+            if self.evacuated.contains(&head.domain) {
+                continue;
+            }
+            let upstream = self.replica(now, service, engine, &group, head);
+            if let Some(replicas) = pool.models.get_mut(&model.name) {
+                replicas.push(Arc::new(upstream));
+            }
+        }
+        pool
+    }
+
+    fn replica(
+        &mut self,
+        now: Duration,
+        service: &catalog::Service,
+        engine: &engine::Engine,
+        group: &Group<'_>,
+        head: &host::Host,
+    ) -> Upstream {
+        let name = format!("{}/{}", group.name, group.epoch);
+        let members = group.members.values();
+        let members = members.map(|it| Member { host: it.id.clone(), address: it.address.clone() });
+        Upstream {
+            key: view::key(&name),
+            host: head.id.clone(),
+            address: head.address.clone(),
+            domain: head.domain.clone(),
+            slots: engine.slots,
+            members: members.collect(),
+            cold_rate: service.cold_rate,
+            gauge: self.gauge(now, &name, &head.id),
+            name,
+        }
+    }
+
+    fn plain(&mut self, now: Duration, name: &str, service: &catalog::Service) -> Pool {
+        let usable = self.hosts.values().filter(|it| {
+            it.service == name
+                && it.state == host::State::Ready
+                && !self.evacuated.contains(&it.domain)
+        });
+        let hosts: Vec<host::Host> = usable.cloned().collect();
+        let mut pool = Pool::default();
+        for host in hosts {
+            let name = format!("{}/{}", host.id, host.started_ms);
+            let member = Member { host: host.id.clone(), address: host.address.clone() };
+            pool.plain.push(Arc::new(Upstream {
+                key: view::key(&name),
+                gauge: self.gauge(now, &name, &host.id),
+                name,
+                host: host.id,
+                address: host.address,
+                domain: host.domain,
+                slots: host.slots,
+                members: vec![member],
+                cold_rate: service.cold_rate,
+            }));
+        }
+        pool
+    }
+
+    fn gauge(&mut self, now: Duration, name: &str, host: &str) -> Arc<Gauge> {
+        let gauge = Arc::clone(self.gauges.entry(name.to_owned()).or_default());
+        if let Some(until) = self.cold.get(host).filter(|until| **until > now) {
+            gauge.set_cold(*until);
+        }
+        gauge
+    }
+}
--- /dev/null
+++ b/cuminward-gateway/src/state/mod.rs
@@ -0,0 +1,160 @@
+//! What the tasks of a node share.
+
+pub(crate) mod gauge;
+pub(crate) mod knowledge;
+pub(crate) mod view;
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use cuminward_adapter::store;
+use cuminward_route::attempt::Budget;
+use cuminward_serving::{crash, id};
+use cuminward_upstream::pool;
+use http_body_util::Full;
+use tokio::sync::Notify;
+
+use crate::settings::Settings;
+
+/// Longest time to connect to an upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest time for a call to the store, beside the time that it is asked to wait.
+const STORE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Longest silence within an answer. Replicas are watched more closely.
+const SILENCE: Duration = Duration::from_secs(20);
+
+/// Longest time that a connection to an upstream is kept idle.
+const MAX_IDLE: Duration = Duration::from_secs(10);
+
+/// State of a node.
+pub(crate) struct State {
+    pub(crate) settings: Settings,
+    started: Instant,
+    /// What requests read.
+    pub(crate) view: ArcSwap<view::View>,
+    /// What the control tasks know.
+    knowledge: Mutex<knowledge::Knowledge>,
+    /// Connections to upstreams.
+    pub(crate) upstreams: pool::Pool<Full<Bytes>>,
+    pub(crate) store: store::Client,
+    crashes: Mutex<crash::Ledger>,
+    budgets: Mutex<HashMap<id::Service, Arc<Budget>>>,
+    /// Nodes that are known, this one included.
+    nodes: AtomicUsize,
+    is_stopping: AtomicBool,
+    /// Requests of callers under way.
+    pub(crate) requests: AtomicUsize,
+    /// Wakes requests that wait for an upstream.
+    pub(crate) capacity: Notify,
+    /// Wakes the exchange with other nodes.
+    pub(crate) news: Notify,
+}
+
+/// Life cycle
+impl State {
+    /// Makes the state of a node that knows nothing yet.
+    pub(crate) fn new(settings: Settings) -> State {
+        let store = store::Client::new(settings.store.address.to_string(), STORE_TIMEOUT);
+        let options = pool::Options {
+            connect: CONNECT_TIMEOUT,
+            silence: SILENCE,
+            idle: MAX_IDLE,
+            ..pool::Options::default()
+        };
+        State {
+            settings,
+            started: Instant::now(),
+            view: ArcSwap::from_pointee(view::View::default()),
+            knowledge: Mutex::default(),
+            upstreams: pool::Pool::new(options),
+            store,
+            crashes: Mutex::default(),
+            budgets: Mutex::default(),
+            nodes: AtomicUsize::new(1),
+            is_stopping: AtomicBool::new(false),
+            requests: AtomicUsize::new(0),
+            capacity: Notify::new(),
+            news: Notify::new(),
+        }
+    }
+}
+
+/// Access
+impl State {
+    /// Time since the start.
+    pub(crate) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Tells whether the node can serve: it knows a catalog and isn't stopping.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.view.load().catalog.is_some()
+    }
+
+    /// Tells whether the node is about to end.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Nodes that are known, this one included.
+    pub(crate) fn nodes(&self) -> usize {
+        self.nodes.load(Ordering::Relaxed)
+    }
+
+    /// What the control tasks know.
+    pub(crate) fn knowledge(&self) -> MutexGuard<'_, knowledge::Knowledge> {
+        self.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Requests that crash hosts.
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, crash::Ledger> {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// This node's part of the repeats of a service.
+    pub(crate) fn budget(&self, service: &str) -> Arc<Budget> {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(it) = budgets.get(service) {
+            return Arc::clone(it);
+        }
+        let retry = &self.settings.retry;
+        let reserve = (retry.reserve as usize / self.nodes().max(1)).max(1);
+        let budget = Arc::new(Budget::new((retry.ratio * 1000.0) as u32, reserve as u32));
+        budgets.insert(service.to_owned(), Arc::clone(&budget));
+        budget
+    }
+}
+
+/// Mutation
+impl State {
+    /// Notes that the node is about to end.
+    pub(crate) fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Sets the number of nodes. Parts of shared budgets are divided anew if it grew.
+    pub(crate) fn set_nodes(&self, nodes: usize) {
+        if self.nodes.swap(nodes, Ordering::Relaxed) < nodes {
+            self.budgets.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        }
+    }
+
+    /// Makes the next view from what is known, and wakes the requests that wait for it.
+    pub(crate) fn publish(&self) {
+        let now = self.now();
+        let view = self.knowledge().view(now);
+        self.view.store(Arc::new(view));
+        self.capacity.notify_waiters();
+        self.news.notify_one();
+    }
+}
--- /dev/null
+++ b/cuminward-gateway/src/state/view.rs
@@ -0,0 +1,79 @@
+//! What requests read: a snapshot that is replaced as a whole.
+
+use std::{collections::HashMap, sync::Arc};
+
+use cuminward_serving::{catalog, id};
+use xxhash_rust::xxh3;
+
+use super::gauge::Gauge;
+
+/// Identity of an upstream between nodes: hash of its name.
+pub(crate) type Key = u64;
+
+/// Snapshot of what requests need.
+#[derive(Default)]
+pub(crate) struct View {
+    /// The newest catalog; `None` before the first one is known.
+    pub(crate) catalog: Option<Arc<catalog::Catalog>>,
+    /// Upstreams of each service.
+    pub(crate) services: HashMap<id::Service, Pool>,
+}
+
+/// Upstreams of a service.
+#[derive(Default)]
+pub(crate) struct Pool {
+    /// Hosts of a plain service.
+    pub(crate) plain: Vec<Arc<Upstream>>,
+    /// Whole replicas by model.
+    pub(crate) models: HashMap<id::Model, Vec<Arc<Upstream>>>,
+}
+
+/// What takes requests: a host of a plain service, or the head of a replica.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    /// Name: that of the host, or of the group and its formation.
+    pub(crate) name: String,
+    pub(crate) key: Key,
+    /// Host that takes the requests.
+    pub(crate) host: id::Host,
+    pub(crate) address: String,
+    pub(crate) domain: id::Domain,
+    /// Requests that it runs at once.
+    pub(crate) slots: u32,
+    /// Hosts that have to live for it to serve.
+    pub(crate) members: Vec<Member>,
+    /// Rate of requests that it bears while it is cold, from all nodes together.
+    pub(crate) cold_rate: Option<f64>,
+    pub(crate) gauge: Arc<Gauge>,
+}
+
+/// A host that has to live for an upstream to serve.
+#[derive(Debug, Clone)]
+pub(crate) struct Member {
+    pub(crate) host: id::Host,
+    pub(crate) address: String,
+}
+
+/// Identity of an upstream between nodes.
+pub(crate) fn key(name: &str) -> Key {
+    xxh3::xxh3_64(name.as_bytes())
+}
+
+/// Access
+impl View {
+    /// Upstreams of a service that can answer for a model, or for none.
+    pub(crate) fn upstreams(&self, service: &str, model: Option<&str>) -> &[Arc<Upstream>] {
+        let Some(pool) = self.services.get(service) else { return &[] };
+        match model {
+            Some(model) if !pool.models.is_empty() => {
+                pool.models.get(model).map_or(&[], Vec::as_slice)
+            }
+            _ => &pool.plain,
+        }
+    }
+
+    /// All upstreams.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.services.values().flat_map(|it| it.plain.iter().chain(it.models.values().flatten()))
+    }
+}
--- /dev/null
+++ b/cuminward-serving/src/crash.rs
@@ -0,0 +1,95 @@
+//! Requests that crash the hosts that run them.
+//!
+//! Every node counts the crashes that it saw for a fingerprint and tells the others. A fingerprint
+//! that has crashed too many hosts isn't sent any more for a while.
+
+use std::{collections::HashMap, time::Duration};
+
+use xxhash_rust::xxh3::Xxh3;
+
+/// Hash of what stays the same when a caller sends a request again.
+pub type Fingerprint = u64;
+
+/// Crashes from which a request is refused.
+pub const MAX_CRASHES: u32 = 2;
+
+/// Time for which a crash counts.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// Fingerprints that are remembered.
+const MAX_ENTRIES: usize = 1024;
+
+/// Crashes by fingerprint.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    entries: HashMap<Fingerprint, Entry>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    own: u32,
+    others: u32,
+    at: Duration,
+}
+
+/// Hashes the path, the caller's key and the body of a request.
+pub fn fingerprint(path: &str, key: &str, body: &[u8]) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    for part in [path.as_bytes(), key.as_bytes(), body] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
+
+/// Access
+impl Ledger {
+    /// Tells whether a request has crashed too many hosts.
+    pub fn is_refused(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|it| it.is_fresh(now) && it.own + it.others >= MAX_CRASHES)
+    }
+
+    /// Crashes that this node saw, for other nodes.
+    pub fn own(&self, now: Duration) -> impl Iterator<Item = (Fingerprint, u32)> {
+        let fresh = self.entries.iter().filter(move |(_, it)| it.own > 0 && it.is_fresh(now));
+        fresh.map(|(fingerprint, it)| (*fingerprint, it.own))
+    }
+}
+
+/// Mutation
+impl Ledger {
+    /// Counts a crash that this node saw.
+    pub fn add(&mut self, now: Duration, fingerprint: Fingerprint) {
+        let entry = self.entry(now, fingerprint);
+        entry.own += 1;
+        entry.at = now;
+    }
+
+    /// Takes in the crashes of other nodes, summed over all of them.
+    pub fn set_others(&mut self, now: Duration, fingerprint: Fingerprint, count: u32) {
+        let entry = self.entry(now, fingerprint);
+        if count > entry.others {
+            entry.others = count;
+            entry.at = now;
+        }
+    }
+
+    fn entry(&mut self, now: Duration, fingerprint: Fingerprint) -> &mut Entry {
+        if self.entries.len() >= MAX_ENTRIES {
+            self.entries.retain(|_, it| it.is_fresh(now));
+        }
+        let fresh = Entry { own: 0, others: 0, at: now };
+        let entry = self.entries.entry(fingerprint).or_insert(fresh);
+        if !entry.is_fresh(now) {
+            *entry = fresh;
+        }
+        entry
+    }
+}
+
+impl Entry {
+    fn is_fresh(&self, now: Duration) -> bool {
+        now.saturating_sub(self.at) < MEMORY
+    }
+}
--- /dev/null
+++ b/cuminward-serving/src/placement/mod.rs
@@ -0,0 +1,296 @@
+//! Which groups are formed, opened and dissolved, and which hosts load weights ahead.
+//!
+//! The steward of a service is the node that holds the service's duty at the store. It reads what hosts
+//! report and gives orders; everything that a successor needs stands in those reports.
+
+pub mod load;
+pub mod order;
+mod plan;
+mod survey;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use crate::{engine, host::Host, id, replica};
+use order::{Action, Formation, Order, Outcome};
+
+/// Formations that one fencing token may number.
+const EPOCHS_PER_TOKEN: id::Epoch = 100_000;
+
+/// Time after which an order that shows no effect is given again.
+const REPEAT_AFTER: Duration = Duration::from_millis(700);
+
+/// Time for which a host that didn't answer gets no orders.
+const UNREACHABLE_FOR: Duration = Duration::from_millis(1500);
+
+/// Time that joins may take beside the load of weights.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// Settings of a steward.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// Time after which a head notices by itself that a member is missing.
+    pub stall: Duration,
+    /// Time beyond that for which members without a head are left alone.
+    pub stall_margin: Duration,
+    /// Share of the hosts that stay outside groups as spares, in thousandths.
+    pub spare_permille: u32,
+}
+
+/// What the steward knows when it decides.
+#[derive(Debug, Clone, Copy)]
+pub struct Survey<'a> {
+    /// Hosts of the service that the store lists.
+    pub hosts: &'a BTreeMap<id::Host, Host>,
+    /// Hosts that don't answer.
+    pub lost: &'a BTreeSet<id::Host>,
+    /// Failure domains that get no work.
+    pub evacuated: &'a BTreeSet<id::Domain>,
+    /// Engine of the service.
+    pub engine: &'a engine::Engine,
+}
+
+/// Forms the groups of one service, under one fencing token.
+#[derive(Debug, Clone)]
+pub struct Steward {
+    options: Options,
+    service: id::Service,
+    token: id::Token,
+    counter: id::Epoch,
+    /// Formations under way.
+    forming: BTreeMap<id::Group, Forming>,
+    /// When the head of a group was first missed.
+    headless: BTreeMap<id::Group, Duration>,
+    /// Hosts that get no orders until a time.
+    held: BTreeMap<id::Host, Duration>,
+    /// Orders without an outcome, and when the last one was given.
+    pending: BTreeMap<id::Host, Duration>,
+    /// Last order of each kind that a host got, so that it isn't repeated at once.
+    given: BTreeMap<id::Host, (Action, Duration)>,
+    loads: load::Loads,
+}
+
+/// A formation under way.
+#[derive(Debug, Clone)]
+struct Forming {
+    epoch: id::Epoch,
+    model: id::Model,
+    members: Vec<id::Host>,
+    deadline: Duration,
+    is_opening: bool,
+}
+
+/// Life cycle
+impl Steward {
+    /// Makes a steward that knows nothing yet.
+    pub fn new(options: Options, service: id::Service, token: id::Token) -> Steward {
+        Steward {
+            options,
+            service,
+            token,
+            counter: 0,
+            forming: BTreeMap::new(),
+            headless: BTreeMap::new(),
+            held: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            given: BTreeMap::new(),
+            loads: load::Loads::default(),
+        }
+    }
+}
+
+/// Access
+impl Steward {
+    /// Fencing token of the orders.
+    pub fn token(&self) -> id::Token {
+        self.token
+    }
+
+    /// Tells whether formations or loads are under way.
+    pub fn is_active(&self) -> bool {
+        !self.forming.is_empty() || !self.pending.is_empty()
+    }
+}
+
+/// Mutation
+impl Steward {
+    /// Takes a newer fencing token.
+    pub fn renew(&mut self, token: id::Token) {
+        self.token = self.token.max(token);
+    }
+
+    /// Takes in what came of an order.
+    pub fn settle(&mut self, now: Duration, order: &Order, outcome: Outcome) {
+        self.pending.remove(&order.host);
+        match outcome {
+            Outcome::Accepted | Outcome::Fenced => return,
+            Outcome::Refused | Outcome::Unanswered => {}
+            Outcome::Unreachable => {
+                self.held.insert(order.host.clone(), now + UNREACHABLE_FOR);
+            }
+        }
+        if matches!(order.action, Action::Stage { .. }) {
+            self.loads.end(&order.host);
+        }
+    }
+
+    /// Decides which orders to give now.
+    pub fn tick(&mut self, now: Duration, survey: &Survey<'_>) -> Vec<Order> {
+        self.held.retain(|_, until| *until > now);
+        self.given.retain(|_, (_, at)| now.saturating_sub(*at) < REPEAT_AFTER);
+        self.loads.expire(now, |host, model| {
+            survey.hosts.get(host).is_none_or(|it| it.has_staged(model))
+        });
+        let groups = replica::groups(survey.hosts.values());
+        let mut orders = Vec::new();
+        self.adopt(now, survey, &groups);
+        self.advance(now, survey, &mut orders);
+        let occupied = self.dissolve(now, survey, &groups, &mut orders);
+        self.plan(now, survey, &groups, &occupied, &mut orders);
+        orders.retain(|it| self.may_give(now, it));
+        orders
+    }
+
+    /// Notes an order that is about to be given; false if the host has one under way or got the same
+    /// one a moment ago.
+    fn may_give(&mut self, now: Duration, order: &Order) -> bool {
+        if self.pending.contains_key(&order.host) {
+            return false;
+        }
+        if self.given.get(&order.host).is_some_and(|(action, _)| *action == order.action) {
+            return false;
+        }
+        self.pending.insert(order.host.clone(), now);
+        self.given.insert(order.host.clone(), (order.action.clone(), now));
+        true
+    }
+
+    /// Continues formations that an earlier steward began and whose members are all there.
+    fn adopt(&mut self, now: Duration, survey: &Survey<'_>, groups: &[replica::Group<'_>]) {
+        for group in groups {
+            let Some(model) = group.declared(survey.engine) else { continue };
+            let is_forming = group.members.values().all(|it| survey::is_forming(it));
+            let is_fit = group.members.values().all(|it| self.is_fit(now, survey, it));
+            if !is_forming
+                || !is_fit
+                || !group.is_complete(model.size)
+                || self.forming.contains_key(group.name)
+            {
+                continue;
+            }
+            let forming = Forming {
+                epoch: group.epoch,
+                model: model.name.clone(),
+                members: group.members.values().map(|it| it.id.clone()).collect(),
+                deadline: now + model.load_time + JOIN_TIMEOUT,
+                is_opening: false,
+            };
+            self.forming.insert(group.name.to_owned(), forming);
+        }
+    }
+
+    /// Carries the formations under way further.
+    fn advance(&mut self, now: Duration, survey: &Survey<'_>, orders: &mut Vec<Order>) {
+        let forming = std::mem::take(&mut self.forming);
+        for (group, mut it) in forming {
+            match self.step(now, survey, &group, &it) {
+                survey::Step::Join(missing) => {
+                    orders.extend(missing.into_iter().map(|host| join(&group, &it, host)));
+                }
+                survey::Step::Open => {
+                    it.is_opening = true;
+                    let formation = Formation { group: group.clone(), epoch: it.epoch };
+                    let head = it.members[0].clone();
+                    orders.push(Order { host: head, action: Action::Open(formation) });
+                }
+                survey::Step::Wait => {}
+                survey::Step::Done => continue,
+                survey::Step::Abandon => {
+                    self.abandon(now, survey, &group, &it, orders);
+                    continue;
+                }
+            }
+            self.forming.insert(group, it);
+        }
+    }
+
+    /// Gives a formation up. A head that may have been told to open could do so late, so its members
+    /// are left alone until it would notice by itself that one of them is missing.
+    fn abandon(
+        &mut self,
+        now: Duration,
+        survey: &Survey<'_>,
+        group: &str,
+        forming: &Forming,
+        orders: &mut Vec<Order>,
+    ) {
+        let formation = Formation { group: group.to_owned(), epoch: forming.epoch };
+        let present = forming.members.iter().filter(|it| survey.hosts.contains_key(*it));
+        for host in present {
+            let action = Action::Leave(formation.clone());
+            orders.push(Order { host: host.clone(), action });
+            if forming.is_opening {
+                self.held.insert(host.clone(), now + self.patience());
+            }
+        }
+    }
+
+    /// Dissolves groups that aren't whole. Returns the hosts that are in groups and can't be used.
+    fn dissolve(
+        &mut self,
+        now: Duration,
+        survey: &Survey<'_>,
+        groups: &[replica::Group<'_>],
+        orders: &mut Vec<Order>,
+    ) -> BTreeSet<id::Host> {
+        let mut occupied = BTreeSet::new();
+        self.headless.retain(|name, _| groups.iter().any(|it| it.name == name));
+        for group in groups {
+            if self.forming.contains_key(group.name) {
+                continue;
+            }
+            let members = group.members.values().map(|it| it.id.clone());
+            match self.judge(now, survey, group) {
+                survey::Verdict::Keep => occupied.extend(members),
+                survey::Verdict::Free => {}
+                survey::Verdict::Dissolve(action) => {
+                    occupied.extend(members);
+                    let head = group.members[&0].id.clone();
+                    orders.push(Order { host: head, action });
+                }
+                survey::Verdict::Scatter => {
+                    occupied.extend(members);
+                    let formation =
+                        Formation { group: group.name.to_owned(), epoch: group.epoch };
+                    orders.extend(group.members.values().map(|it| Order {
+                        host: it.id.clone(),
+                        action: Action::Leave(formation.clone()),
+                    }));
+                }
+            }
+        }
+        occupied
+    }
+
+    /// Time after which a head without one of its members has surely stopped.
+    fn patience(&self) -> Duration {
+        self.options.stall + self.options.stall_margin
+    }
+
+    fn next_epoch(&mut self) -> id::Epoch {
+        self.counter += 1;
+        self.token * EPOCHS_PER_TOKEN + self.counter
+    }
+}
+
+fn join(group: &str, forming: &Forming, host: id::Host) -> Order {
+    let action = Action::Join {
+        group: group.to_owned(),
+        epoch: forming.epoch,
+        model: forming.model.clone(),
+        members: forming.members.clone(),
+    };
+    Order { host, action }
+}
--- /dev/null
+++ b/cuminward-serving/src/placement/survey.rs
@@ -0,0 +1,126 @@
+//! What the steward makes of the state of formations and groups.
+
+use std::time::Duration;
+
+use super::{
+    Forming, Steward, Survey,
+    order::{Action, Formation},
+};
+use crate::{
+    host::{Host, Phase, State},
+    id, replica,
+};
+
+/// What a formation needs next.
+pub(super) enum Step {
+    /// These members have to be told to join.
+    Join(Vec<id::Host>),
+    /// All members are ready: the head can open.
+    Open,
+    /// Nothing; members are loading or the head is opening.
+    Wait,
+    /// The head is open.
+    Done,
+    /// A member is gone, or it took too long.
+    Abandon,
+}
+
+/// What becomes of a group that isn't being formed.
+pub(super) enum Verdict {
+    /// It serves, or its members have to be left alone.
+    Keep,
+    /// Its members can be used for other groups.
+    Free,
+    /// Its head gets this order first.
+    Dissolve(Action),
+    /// Its head is missing: the other members leave, and are left alone until the head would have
+    /// noticed.
+    Scatter,
+}
+
+/// Slowness from which a host isn't used for groups.
+const MAX_PACE: f64 = 2.0;
+
+/// Tells whether a host waits for its group to open.
+pub(super) fn is_forming(host: &Host) -> bool {
+    host.membership.as_ref().is_some_and(|it| matches!(it.phase, Phase::Joining | Phase::Ready))
+}
+
+/// Access
+impl Steward {
+    /// Tells whether a host can be part of a group.
+    pub(super) fn is_fit(&self, now: Duration, survey: &Survey<'_>, host: &Host) -> bool {
+        host.state == State::Ready
+            && host.pace < MAX_PACE
+            && !survey.lost.contains(&host.id)
+            && !survey.evacuated.contains(&host.domain)
+            && self.held.get(&host.id).is_none_or(|until| *until <= now)
+    }
+
+    /// What a formation needs next.
+    pub(super) fn step(
+        &self,
+        now: Duration,
+        survey: &Survey<'_>,
+        group: &str,
+        forming: &Forming,
+    ) -> Step {
+        if now > forming.deadline {
+            return Step::Abandon;
+        }
+        let mut missing = Vec::new();
+        let mut is_ready = true;
+        for (rank, id) in forming.members.iter().enumerate() {
+            let Some(host) = survey.hosts.get(id) else { return Step::Abandon };
+            if !self.is_fit(now, survey, host) {
+                return Step::Abandon;
+            }
+            let membership = host.membership.as_ref();
+            let own = membership.filter(|it| it.group == group && it.epoch == forming.epoch);
+            match own.map(|it| it.phase) {
+                None => missing.push(id.clone()),
+                Some(Phase::Open) if rank == 0 => return Step::Done,
+                Some(Phase::Ready) => {}
+                Some(_) => is_ready = false,
+            }
+        }
+        if !missing.is_empty() {
+            return Step::Join(missing);
+        }
+        if is_ready { Step::Open } else { Step::Wait }
+    }
+
+    /// What becomes of a group that isn't being formed.
+    pub(super) fn judge(
+        &mut self,
+        now: Duration,
+        survey: &Survey<'_>,
+        group: &replica::Group<'_>,
+    ) -> Verdict {
+        let head = group.head().filter(|it| !survey.lost.contains(&it.id));
+        let Some(head) = head else { return self.judge_headless(now, group) };
+        self.headless.remove(group.name);
+        let formation = Formation { group: group.name.to_owned(), epoch: group.epoch };
+        let size = group.declared(survey.engine).map_or(usize::MAX, |it| it.size);
+        let is_lost = |it: &&Host| survey.lost.contains(&it.id);
+        let is_whole = group.is_complete(size) && !group.members.values().any(is_lost);
+        match group.phase() {
+            Some(Phase::Open) if !is_whole => Verdict::Dissolve(Action::Leave(formation)),
+            Some(Phase::Open) if head.state == State::Draining || !group.is_staying() => {
+                Verdict::Dissolve(Action::Close(formation))
+            }
+            Some(Phase::Closing) if !is_whole => Verdict::Dissolve(Action::Leave(formation)),
+            Some(Phase::Open | Phase::Closing) => Verdict::Keep,
+            _ => Verdict::Free,
+        }
+    }
+
+    fn judge_headless(&mut self, now: Duration, group: &replica::Group<'_>) -> Verdict {
+        let patience = self.patience();
+        let since = *self.headless.entry(group.name.to_owned()).or_insert(now);
+        if now.saturating_sub(since) >= patience {
+            return Verdict::Free;
+        }
+        Verdict::Scatter
+    }
+}
--- /dev/null
+++ b/cuminward-serving/src/table.rs
@@ -0,0 +1,115 @@
+//! The newest record of each key of a topic, with the offset of each, so that copies can be brought up
+//! to date from the store or from another node in any order.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use cuminward_derive::record;
+
+use crate::id;
+
+/// Deleted keys that are remembered, so that other nodes hear of the deletion.
+const MAX_DELETED: usize = 512;
+
+/// A record of a key.
+#[record]
+#[derive(Eq)]
+pub struct Record {
+    /// Position in the partition.
+    pub offset: id::Offset,
+    /// Key.
+    pub key: String,
+    /// Value; `None` if the key was deleted.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Newest records of the keys of a topic.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    rows: BTreeMap<String, Row>,
+    end: id::Offset,
+}
+
+#[derive(Debug, Clone)]
+struct Row {
+    offset: id::Offset,
+    value: Option<Bytes>,
+}
+
+/// Access
+impl Table {
+    /// Offset that follows the newest record that was seen.
+    pub fn end(&self) -> id::Offset {
+        self.end
+    }
+
+    /// Keys with their values.
+    pub fn rows(&self) -> impl Iterator<Item = (&str, &Bytes)> {
+        self.rows.iter().filter_map(|(key, row)| Some((key.as_str(), row.value.as_ref()?)))
+    }
+
+    /// Records at an offset or later, deletions included.
+    pub fn since(&self, from: id::Offset) -> Vec<Record> {
+        let newer = self.rows.iter().filter(|(_, row)| row.offset >= from);
+        newer
+            .map(|(key, row)| Record {
+                offset: row.offset,
+                key: key.clone(),
+                value: row.value.as_ref().map(|it| it.to_vec()),
+            })
+            .collect()
+    }
+}
+
+/// Mutation
+impl Table {
+    /// Takes in a record; tells whether it is newer than what was known of its key.
+    pub fn apply(&mut self, record: Record) -> bool {
+        self.end = self.end.max(record.offset + 1);
+        let known = self.rows.get(&record.key);
+        if known.is_some_and(|it| it.offset >= record.offset) {
+            return false;
+        }
+        let row = Row { offset: record.offset, value: record.value.map(Bytes::from) };
+        self.rows.insert(record.key, row);
+        self.forget_deleted();
+        true
+    }
+
+    /// Takes in a full list of the newest records up to `end`: a known key that is missing from it was
+    /// deleted, unless its record is as new as the list. Returns the keys that are missing.
+    pub fn replace(&mut self, records: Vec<Record>, end: id::Offset) -> Vec<String> {
+        let listed: std::collections::HashSet<String> =
+            records.iter().map(|it| it.key.clone()).collect();
+        for record in records {
+            self.apply(record);
+        }
+        let mut missing = Vec::new();
+        for (key, row) in &mut self.rows {
+            if row.value.is_some() && row.offset < end && !listed.contains(key) {
+                row.value = None;
+                row.offset = end.saturating_sub(1).max(row.offset);
+                missing.push(key.clone());
+            }
+        }
+        self.end = self.end.max(end);
+        missing
+    }
+
+    /// Notes that everything before `end` has been seen.
+    pub fn advance(&mut self, end: id::Offset) {
+        self.end = self.end.max(end);
+    }
+
+    fn forget_deleted(&mut self) {
+        let deleted = self.rows.values().filter(|it| it.value.is_none()).count();
+        if deleted <= MAX_DELETED {
+            return;
+        }
+        let oldest = self.rows.iter().filter(|(_, it)| it.value.is_none());
+        let oldest = oldest.min_by_key(|(_, it)| it.offset).map(|(key, _)| key.clone());
+        if let Some(key) = oldest {
+            self.rows.remove(&key);
+        }
+    }
+}
--- a/cuminward-upstream/src/connection.rs
+++ b/cuminward-upstream/src/connection.rs
@@ -176,12 +176,13 @@
     }
 }
 
-/// Puts the path alone into the request line and the address into the `host` header.
+/// Puts the path alone into the request line, and the address into the `host` header unless the caller
+/// set one.
 fn address_http1<B>(request: &mut Request<B>, address: &str) {
     let path = request.uri().path_and_query().map_or("/", |it| it.as_str()).to_owned();
     *request.uri_mut() = path.parse().expect("the path comes from a valid URI");
     if let Ok(host) = header::HeaderValue::from_str(address) {
-        request.headers_mut().insert(header::HOST, host);
+        request.headers_mut().entry(header::HOST).or_insert(host);
     }
     *request.version_mut() = http::Version::HTTP_11;
 }
--- a/cuminward/src/main.rs
+++ b/cuminward/src/main.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
+use cuminward_gateway::{gateway, settings as gateway_settings};
 use cuminward_node::{node, settings};
 use miette::IntoDiagnostic;
 use tokio::signal::unix::{self, SignalKind};
@@ -22,10 +23,17 @@
 enum Command {
     /// Run a node until SIGTERM or SIGINT; requests under way are finished first.
     Run(Source),
+    /// Run a gateway node on a platform until SIGTERM or SIGINT; requests under way are finished first.
+    Gateway(Source),
+    /// Check a gateway's settings file and say what is wrong with it.
+    CheckGateway(Source),
     /// Check a settings file and say everything that is wrong with it.
     Check(Source),
 }
 
+/// Threads of a gateway, which runs on a part of a core.
+const GATEWAY_THREADS: usize = 2;
+
 /// Where the settings come from.
 #[derive(Debug, clap::Args)]
 struct Source {
@@ -39,6 +47,8 @@
     match Arguments::parse().command {
         Command::Run(source) => run(&source),
         Command::Check(source) => check(&source),
+        Command::Gateway(source) => run_gateway(&source),
+        Command::CheckGateway(source) => check_gateway(&source),
     }
 }
 
@@ -62,6 +72,27 @@
     Ok(())
 }
 
+fn check_gateway(source: &Source) -> miette::Result<()> {
+    let settings = gateway_settings::load(&source.settings)?;
+    log::info!("the settings of node {} are correct", settings.node.name);
+    Ok(())
+}
+
+fn run_gateway(source: &Source) -> miette::Result<()> {
+    let settings = gateway_settings::load(&source.settings)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(GATEWAY_THREADS)
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    runtime.block_on(async {
+        let gateway = gateway::Gateway::start(settings).await.into_diagnostic()?;
+        stop_signal().await.into_diagnostic()?;
+        gateway.stop().await;
+        Ok(())
+    })
+}
+
 /// Waits for SIGTERM or SIGINT.
 async fn stop_signal() -> std::io::Result<()> {
     let mut terminate = unix::signal(SignalKind::terminate())?;
