--- a/cuminward-gateway/src/control/duty.rs
+++ b/cuminward-gateway/src/control/duty.rs
@@ -18,7 +18,7 @@
 const GROUP: &str = "stewards";
 
 /// Lease of a duty.
-const LEASE: Duration = Duration::from_millis(1500);
+const LEASE: Duration = Duration::from_millis(1200);
 
 /// Calls a lease.
 const CALLS_PER_LEASE: u32 = 3;
--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -87,7 +87,8 @@
     let lost = knowledge.lost(now);
     let evacuated = knowledge.evacuated.clone();
     drop(knowledge);
-    let survey = Survey { hosts: &hosts, lost: &lost, evacuated: &evacuated, engine };
+    let has_traffic = state.has_traffic();
+    let survey = Survey { hosts: &hosts, lost: &lost, evacuated: &evacuated, engine, has_traffic };
     steward.tick(now, &survey)
 }
 
--- a/cuminward-gateway/src/control/watch.rs
+++ b/cuminward-gateway/src/control/watch.rs
@@ -16,10 +16,10 @@
 const INTERVAL: Duration = Duration::from_millis(40);
 
 /// Silence of a busy replica after which requests that it hasn't begun go elsewhere.
-const STALL: Duration = Duration::from_millis(180);
+const STALL: Duration = Duration::from_millis(450);
 
 /// Silence of a busy replica after which its members are asked whether they live.
-const INSPECT_AFTER: Duration = Duration::from_millis(240);
+const INSPECT_AFTER: Duration = Duration::from_millis(300);
 
 /// Silence after which a replica is given up although all its members answer.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(1500);
--- a/cuminward-gateway/src/forward/mod.rs
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -21,6 +21,7 @@
 
 /// Answers a request.
 pub(crate) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    state.note_traffic();
     let id = cuminward_adapter::header::read(request.headers()).id;
     let job = match admit::admit(&state, request).await {
         Ok(it) => Arc::new(it),
--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -18,6 +18,8 @@
     pub(crate) number: u64,
     /// Where the node takes calls of other nodes.
     pub(crate) address: SocketAddr,
+    /// Whether callers may have sent requests since the system first started.
+    pub(crate) has_traffic: bool,
     /// Offset that follows the newest declaration it knows.
     pub(crate) declarations: id::Offset,
     /// Offset that follows the newest entry of the list of hosts it knows.
@@ -50,6 +52,7 @@
             start: self.start,
             number: self.number,
             address: state.settings.listen.peers,
+            has_traffic: state.has_traffic(),
             declarations: knowledge.declarations.end(),
             listing: knowledge.listing.end(),
             flights,
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -138,6 +138,9 @@
     if digest.node == state.settings.node.name {
         return;
     }
+    if digest.has_traffic {
+        state.note_traffic();
+    }
     let now = state.now();
     let (lost, crashes) = (digest.lost.clone(), digest.crashes.clone());
     if !peers.hear(now, digest) {
--- a/cuminward-gateway/src/settings.rs
+++ b/cuminward-gateway/src/settings.rs
@@ -35,6 +35,9 @@
     pub name: String,
     /// Failure domain.
     pub domain: String,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    pub is_first_start: bool,
 }
 
 /// Where the node listens.
--- a/cuminward-gateway/src/state/gauge.rs
+++ b/cuminward-gateway/src/state/gauge.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 
 /// Time without progress after which a busy upstream gets no new requests if others can take them.
-const DOUBT_AFTER: Duration = Duration::from_millis(150);
+const DOUBT_AFTER: Duration = Duration::from_millis(350);
 
 /// Shortest and longest time for which an upstream that failed gets no requests if others can.
 const MIN_PAUSE: Duration = Duration::from_millis(500);
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -52,6 +52,8 @@
     /// Nodes that are known, this one included.
     nodes: AtomicUsize,
     is_stopping: AtomicBool,
+    /// Whether callers may have sent requests, to any node, since the system first started.
+    has_traffic: AtomicBool,
     /// Requests of callers under way.
     pub(crate) requests: AtomicUsize,
     /// Wakes requests that wait for an upstream.
@@ -71,8 +73,10 @@
             idle: MAX_IDLE,
             ..pool::Options::default()
         };
+        let has_traffic = AtomicBool::new(!settings.node.is_first_start);
         State {
             settings,
+            has_traffic,
             started: Instant::now(),
             view: ArcSwap::from_pointee(view::View::default()),
             knowledge: Mutex::default(),
@@ -106,6 +110,11 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
+    /// Tells whether callers may have sent requests since the system first started.
+    pub(crate) fn has_traffic(&self) -> bool {
+        self.has_traffic.load(Ordering::Relaxed)
+    }
+
     /// Nodes that are known, this one included.
     pub(crate) fn nodes(&self) -> usize {
         self.nodes.load(Ordering::Relaxed)
@@ -142,6 +151,11 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Notes that a caller sent a request, to this node or another one.
+    pub(crate) fn note_traffic(&self) {
+        self.has_traffic.store(true, Ordering::Relaxed);
+    }
+
     /// Sets the number of nodes. Parts of shared budgets are divided anew if it grew.
     pub(crate) fn set_nodes(&self, nodes: usize) {
         if self.nodes.swap(nodes, Ordering::Relaxed) < nodes {
--- a/cuminward-serving/src/placement/load.rs
+++ b/cuminward-serving/src/placement/load.rs
@@ -30,8 +30,11 @@
 
 /// Access
 impl Loads {
-    /// Loads that may begin now.
-    pub fn available(&self, engine: &engine::Engine) -> usize {
+    /// Loads that may begin now. Before the first request of any caller there is no bound.
+    pub fn available(&self, engine: &engine::Engine, has_traffic: bool) -> usize {
+        if !has_traffic {
+            return usize::MAX;
+        }
         let rate = bound(engine.loads_per_second.floor() as usize).saturating_sub(self.begun.len());
         let at_once = bound(engine.loads_at_once as usize).saturating_sub(self.running.len());
         rate.min(at_once)
--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -50,6 +50,8 @@
     pub evacuated: &'a BTreeSet<id::Domain>,
     /// Engine of the service.
     pub engine: &'a engine::Engine,
+    /// Whether callers may have sent requests since the system first started.
+    pub has_traffic: bool,
 }
 
 /// Forms the groups of one service, under one fencing token.
@@ -63,8 +65,10 @@
     forming: BTreeMap<id::Group, Forming>,
     /// When the head of a group was first missed.
     headless: BTreeMap<id::Group, Duration>,
-    /// Hosts that get no orders until a time.
+    /// Hosts that are in no new group until a time.
     held: BTreeMap<id::Host, Duration>,
+    /// Hosts that didn't answer and get no orders until a time.
+    unreachable: BTreeMap<id::Host, Duration>,
     /// Orders without an outcome, and when the last one was given.
     pending: BTreeMap<id::Host, Duration>,
     /// Last order of each kind that a host got, so that it isn't repeated at once.
@@ -94,6 +98,7 @@
             forming: BTreeMap::new(),
             headless: BTreeMap::new(),
             held: BTreeMap::new(),
+            unreachable: BTreeMap::new(),
             pending: BTreeMap::new(),
             given: BTreeMap::new(),
             loads: load::Loads::default(),
@@ -128,7 +133,7 @@
             Outcome::Accepted | Outcome::Fenced => return,
             Outcome::Refused | Outcome::Unanswered => {}
             Outcome::Unreachable => {
-                self.held.insert(order.host.clone(), now + UNREACHABLE_FOR);
+                self.unreachable.insert(order.host.clone(), now + UNREACHABLE_FOR);
             }
         }
         if matches!(order.action, Action::Stage { .. }) {
@@ -139,6 +144,7 @@
     /// Decides which orders to give now.
     pub fn tick(&mut self, now: Duration, survey: &Survey<'_>) -> Vec<Order> {
         self.held.retain(|_, until| *until > now);
+        self.unreachable.retain(|_, until| *until > now);
         self.given.retain(|_, (_, at)| now.saturating_sub(*at) < REPEAT_AFTER);
         self.loads.expire(now, |host, model| {
             survey.hosts.get(host).is_none_or(|it| it.has_staged(model))
@@ -156,7 +162,7 @@
     /// Notes an order that is about to be given; false if the host has one under way or got the same
     /// one a moment ago.
     fn may_give(&mut self, now: Duration, order: &Order) -> bool {
-        if self.pending.contains_key(&order.host) {
+        if self.pending.contains_key(&order.host) || self.unreachable.contains_key(&order.host) {
             return false;
         }
         if self.given.get(&order.host).is_some_and(|(action, _)| *action == order.action) {
--- a/cuminward-serving/src/placement/plan.rs
+++ b/cuminward-serving/src/placement/plan.rs
@@ -161,7 +161,7 @@
             if host.has_staged(&model.name) || host.is_busy {
                 continue;
             }
-            if self.loads.model(&host.id).is_none() && self.loads.available(survey.engine) > 0 {
+            if self.loads.model(&host.id).is_none() && self.may_load(survey) {
                 orders.push(self.stage(now, host, model));
             }
         }
@@ -179,8 +179,7 @@
         for (fabric, hosts) in free {
             let empty = hosts.iter().filter(|it| it.staged.is_empty() && !it.is_busy);
             for host in empty {
-                if self.loads.model(&host.id).is_some() || self.loads.available(survey.engine) == 0
-                {
+                if self.loads.model(&host.id).is_some() || !self.may_load(survey) {
                     continue;
                 }
                 if let Some(model) = self.spare_model(survey, groups, fabric, hosts) {
@@ -213,6 +212,10 @@
         survey.engine.models.iter().max_by(|a, b| need(a).total_cmp(&need(b)))
     }
 
+    fn may_load(&self, survey: &Survey<'_>) -> bool {
+        self.loads.available(survey.engine, survey.has_traffic) > 0
+    }
+
     fn stage(&mut self, now: Duration, host: &Host, model: &engine::Model) -> Order {
         self.loads.begin(now, host.id.clone(), model);
         Order { host: host.id.clone(), action: Action::Stage { model: model.name.clone() } }
--- a/cuminward-serving/src/placement/survey.rs
+++ b/cuminward-serving/src/placement/survey.rs
@@ -55,6 +55,7 @@
             && !survey.lost.contains(&host.id)
             && !survey.evacuated.contains(&host.domain)
             && self.held.get(&host.id).is_none_or(|until| *until <= now)
+            && self.unreachable.get(&host.id).is_none_or(|until| *until <= now)
     }
 
     /// What a formation needs next.
