feat: cuminward-serving: each fabric domain serves one model, and its spare hosts have that model

Cause: members lost left three hosts of the larger model in each fabric domain and none to complete them.

--- a/cuminward-gateway/src/control/duty.rs
+++ b/cuminward-gateway/src/control/duty.rs
@@ -27,6 +27,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Duty {
     share: Mutex<Option<Share>>,
+    /// Whether a duty is one of a service's steward.
+    is_steward: AtomicBool,
     is_busy: AtomicBool,
 }
 
@@ -41,9 +43,9 @@
 
 /// Access
 impl Duty {
-    /// Tells whether the node holds any duty.
-    pub(crate) fn is_held(&self) -> bool {
-        self.share().is_some_and(|it| !it.parts.is_empty())
+    /// Tells whether the node is the steward of a service.
+    pub(crate) fn is_steward(&self) -> bool {
+        self.is_steward.load(Ordering::Relaxed)
     }
 
     /// Tells whether orders are under way.
@@ -65,8 +67,9 @@
 
 /// Mutation
 impl Duty {
-    /// Notes whether orders are under way.
-    pub(crate) fn set_busy(&self, is_busy: bool) {
+    /// Notes whether the node is the steward of a service, and whether orders are under way.
+    pub(crate) fn set_work(&self, is_steward: bool, is_busy: bool) {
+        self.is_steward.store(is_steward, Ordering::Relaxed);
         self.is_busy.store(is_busy, Ordering::Relaxed);
     }
 
--- a/cuminward-gateway/src/control/follow.rs
+++ b/cuminward-gateway/src/control/follow.rs
@@ -171,7 +171,7 @@
         if self.health.failing_since.is_some() {
             return RETRY_PAUSE;
         }
-        match (duty.is_held(), duty.is_busy()) {
+        match (duty.is_steward(), duty.is_busy()) {
             (true, true) => BUSY_STEWARD_INTERVAL,
             (true, false) => STEWARD_INTERVAL,
             (false, _) => LISTING_INTERVAL,
--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -61,7 +61,7 @@
                 });
             }
         }
-        duty.set_busy(is_busy);
+        duty.set_work(!stewards.is_empty(), is_busy);
     }
 }
 
@@ -88,8 +88,22 @@
     let evacuated = knowledge.evacuated.clone();
     drop(knowledge);
     let has_traffic = state.has_traffic();
+    let before = steward.levels().to_vec();
     let survey = Survey { hosts: &hosts, lost: &lost, evacuated: &evacuated, engine, has_traffic };
-    steward.tick(now, &survey)
+    let orders = steward.tick(now, &survey);
+    if before != steward.levels() {
+        log::info!("groups service={service} {}", levels(steward));
+    }
+    orders
+}
+
+/// Levels of the models, for the log.
+fn levels(steward: &Steward) -> String {
+    let levels = steward.levels().iter().map(|it| {
+        let free = &it.free_by_fabric;
+        format!("{}={}+{}/{} free={free:?}", it.model, it.open, it.forming, it.target)
+    });
+    levels.collect::<Vec<_>>().join(" ")
 }
 
 fn settle(
--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -3,6 +3,7 @@
 //! The steward of a service is the node that holds the service's duty at the store. It reads what hosts
 //! report and gives orders; everything that a successor needs stands in those reports.
 
+mod allot;
 pub mod load;
 pub mod order;
 mod plan;
@@ -74,6 +75,22 @@
     /// Last order of each kind that a host got, so that it isn't repeated at once.
     given: BTreeMap<id::Host, (Action, Duration)>,
     loads: load::Loads,
+    levels: Vec<Level>,
+}
+
+/// Groups of a model.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Level {
+    /// Model.
+    pub model: id::Model,
+    /// Groups that serve.
+    pub open: usize,
+    /// Groups that are being formed.
+    pub forming: usize,
+    /// Groups that the model should have.
+    pub target: usize,
+    /// Hosts outside groups that have the model, by fabric domain.
+    pub free_by_fabric: BTreeMap<id::Fabric, usize>,
 }
 
 /// A formation under way.
@@ -102,6 +119,7 @@
             pending: BTreeMap::new(),
             given: BTreeMap::new(),
             loads: load::Loads::default(),
+            levels: Vec::new(),
         }
     }
 }
@@ -113,6 +131,11 @@
         self.token
     }
 
+    /// Groups of each model when the last decisions were taken.
+    pub fn levels(&self) -> &[Level] {
+        &self.levels
+    }
+
     /// Tells whether formations or loads are under way.
     pub fn is_active(&self) -> bool {
         !self.forming.is_empty() || !self.pending.is_empty()
--- a/cuminward-serving/src/placement/plan.rs
+++ b/cuminward-serving/src/placement/plan.rs
@@ -6,7 +6,9 @@
 };
 
 use super::{
-    Forming, JOIN_TIMEOUT, Steward, Survey, join,
+    Forming, JOIN_TIMEOUT, Level, Steward, Survey,
+    allot::{self, Allotment, Fabric},
+    join,
     order::{Action, Order},
 };
 use crate::{engine, host::Host, id, replica};
@@ -14,14 +16,6 @@
 /// Hosts that can be used, by fabric domain.
 type Free<'a> = BTreeMap<&'a str, Vec<&'a Host>>;
 
-/// A group that could be formed.
-struct Choice<'a> {
-    fabric: &'a str,
-    hosts: Vec<&'a Host>,
-    /// Hosts that have yet to load the model.
-    loads: usize,
-}
-
 /// Mutation
 impl Steward {
     /// Forms groups where models have too few, then lets spare hosts load weights.
@@ -34,23 +28,21 @@
         orders: &mut Vec<Order>,
     ) {
         let mut free = self.free(now, survey, occupied);
-        let targets = self.targets(now, survey);
-        let mut counts = self.counts(survey, groups);
-        let mut exhausted: BTreeSet<&str> = BTreeSet::new();
-        while let Some(model) = neediest(survey.engine, &targets, &counts, &exhausted) {
-            let Some(choice) = self.choose(&free, model) else {
-                exhausted.insert(&model.name);
-                continue;
-            };
-            take(&mut free, &choice);
-            *counts.entry(&model.name).or_default() += 1;
-            if choice.loads == 0 {
-                orders.extend(self.form(now, model, &choice.hosts));
-            } else {
-                self.load_missing(now, survey, model, &choice.hosts, orders);
+        let allotments = allot::run(survey.engine, self.fabrics(now, survey));
+        self.levels = self.levels_of(survey, groups, &allotments, &free);
+        for allotment in &allotments {
+            let Some(hosts) = free.get_mut(allotment.fabric.as_str()) else { continue };
+            let has = self.count(survey, groups, allotment.model, Some(&allotment.fabric));
+            for _ in has..allotment.groups {
+                let Some(chosen) = self.choose(hosts, allotment.model) else { break };
+                if chosen.iter().all(|it| it.has_staged(&allotment.model.name)) {
+                    orders.extend(self.form(now, allotment.model, &chosen));
+                } else {
+                    self.load_missing(now, survey, allotment.model, &chosen, orders);
+                }
             }
         }
-        self.stage_spares(now, survey, groups, &free, orders);
+        self.stage_spares(now, survey, &allotments, &free, orders);
     }
 
     /// Hosts that are in no group and can be used.
@@ -75,50 +67,84 @@
         free
     }
 
-    /// Groups that each model should have.
-    fn targets<'e>(&self, now: Duration, survey: &Survey<'e>) -> BTreeMap<&'e str, f64> {
-        let fit = survey.hosts.values().filter(|it| self.is_fit(now, survey, it)).count();
-        let used = fit as f64 * f64::from(1000 - self.options.spare_permille) / 1000.0;
-        let shares: f64 = survey.engine.models.iter().map(|it| it.share).sum();
-        let target = |it: &'e engine::Model| {
-            let hosts = used * it.share / shares.max(f64::MIN_POSITIVE);
-            (it.name.as_str(), hosts / it.size.max(1) as f64)
+    /// The fabric domains with the hosts that can be used.
+    fn fabrics(&self, now: Duration, survey: &Survey<'_>) -> Vec<Fabric> {
+        let mut fabrics: BTreeMap<&str, Fabric> = BTreeMap::new();
+        for host in survey.hosts.values().filter(|it| self.is_fit(now, survey, it)) {
+            let Some(name) = host.fabric.as_deref() else { continue };
+            let fabric = fabrics.entry(name).or_insert_with(|| Fabric {
+                name: name.to_owned(),
+                domain: host.domain.clone(),
+                hosts: 0,
+                staged: BTreeMap::new(),
+            });
+            fabric.hosts += 1;
+            let loading = self.loads.model(&host.id).map(str::to_owned);
+            for model in loading.as_ref().map_or(host.staged.as_slice(), std::slice::from_ref) {
+                *fabric.staged.entry(model.clone()).or_default() += 1;
+            }
+        }
+        fabrics.into_values().collect()
+    }
+
+    /// Groups that a model has or is about to have, in one fabric domain or in all.
+    fn count(
+        &self,
+        survey: &Survey<'_>,
+        groups: &[replica::Group<'_>],
+        model: &engine::Model,
+        fabric: Option<&str>,
+    ) -> usize {
+        let is_here = |host: Option<&Host>| {
+            fabric.is_none_or(|it| host.is_some_and(|host| host.fabric.as_deref() == Some(it)))
         };
-        survey.engine.models.iter().map(target).collect()
+        let open = groups.iter().filter(|it| {
+            it.model() == Some(&model.name)
+                && it.is_open(model.size)
+                && it.is_staying()
+                && is_here(it.head())
+                && !it.members.values().any(|it| survey.lost.contains(&it.id))
+                && !self.forming.contains_key(it.name)
+        });
+        let forming = self.forming.values().filter(|it| {
+            it.model == model.name && is_here(survey.hosts.get(&it.members[0]))
+        });
+        open.count() + forming.count()
     }
 
-    /// Groups that each model has or is about to have.
-    fn counts<'e>(
+    fn levels_of(
         &self,
-        survey: &Survey<'e>,
+        survey: &Survey<'_>,
         groups: &[replica::Group<'_>],
-    ) -> BTreeMap<&'e str, usize> {
-        let mut counts = BTreeMap::new();
-        for model in &survey.engine.models {
-            let open = groups.iter().filter(|it| {
-                it.model() == Some(&model.name)
-                    && it.is_open(model.size)
-                    && it.is_staying()
-                    && !it.members.values().any(|it| survey.lost.contains(&it.id))
-                    && !self.forming.contains_key(it.name)
+        allotments: &[Allotment<'_>],
+        free: &Free<'_>,
+    ) -> Vec<Level> {
+        let level = |model: &engine::Model| {
+            let name = model.name.as_str();
+            let forming = self.forming.values().filter(|it| it.model == name).count();
+            let staged = free.iter().map(|(fabric, hosts)| {
+                let count = hosts.iter().filter(|it| it.has_staged(name)).count();
+                ((*fabric).to_owned(), count)
             });
-            let forming = self.forming.values().filter(|it| it.model == model.name);
-            counts.insert(model.name.as_str(), open.count() + forming.count());
-        }
-        counts
+            let allotted = allotments.iter().filter(|it| it.model.name == name);
+            Level {
+                model: model.name.clone(),
+                open: self.count(survey, groups, model, None).saturating_sub(forming),
+                forming,
+                target: allotted.map(|it| it.groups).sum(),
+                free_by_fabric: staged.filter(|(_, count)| *count > 0).collect(),
+            }
+        };
+        survey.engine.models.iter().map(level).collect()
     }
 
-    /// The hosts for a new group of a model that need the fewest loads.
-    fn choose<'a>(&self, free: &Free<'a>, model: &engine::Model) -> Option<Choice<'a>> {
-        let choices = free.iter().filter(|(_, hosts)| hosts.len() >= model.size);
-        let choices = choices.map(|(fabric, hosts)| {
-            let mut hosts = hosts.clone();
-            hosts.sort_by_key(|it| (self.readiness(it, &model.name), it.id.clone()));
-            hosts.truncate(model.size);
-            let loads = hosts.iter().filter(|it| !it.has_staged(&model.name)).count();
-            Choice { fabric, hosts, loads }
-        });
-        choices.min_by_key(|it| (it.loads, std::cmp::Reverse(free[it.fabric].len())))
+    /// Takes the hosts for a new group of a model, those that can join soonest.
+    fn choose<'a>(&self, free: &mut Vec<&'a Host>, model: &engine::Model) -> Option<Vec<&'a Host>> {
+        if free.len() < model.size {
+            return None;
+        }
+        free.sort_by_key(|it| (self.readiness(it, &model.name), it.id.clone()));
+        Some(free.drain(..model.size).collect())
     }
 
     /// Order in which hosts are taken for a model: the sooner they can join, the earlier.
@@ -167,51 +193,21 @@
         }
     }
 
-    /// Lets hosts that are left over load the model that will most probably need them.
+    /// Lets hosts that are left over load the first model of their fabric domain.
     fn stage_spares(
         &mut self,
         now: Duration,
         survey: &Survey<'_>,
-        groups: &[replica::Group<'_>],
+        allotments: &[Allotment<'_>],
         free: &Free<'_>,
         orders: &mut Vec<Order>,
     ) {
         for (fabric, hosts) in free {
-            let empty = hosts.iter().filter(|it| it.staged.is_empty() && !it.is_busy);
-            for host in empty {
-                if self.loads.model(&host.id).is_some() || !self.may_load(survey) {
-                    continue;
-                }
-                if let Some(model) = self.spare_model(survey, groups, fabric, hosts) {
-                    orders.push(self.stage(now, host, model));
-                }
-            }
+            let Some(first) = allotments.iter().find(|it| it.fabric == *fabric) else { continue };
+            self.load_missing(now, survey, first.model, hosts, orders);
         }
     }
 
-    /// The model whose groups in a fabric domain have the fewest spares for the hosts they use.
-    fn spare_model<'e>(
-        &self,
-        survey: &Survey<'e>,
-        groups: &[replica::Group<'_>],
-        fabric: &str,
-        free: &[&Host],
-    ) -> Option<&'e engine::Model> {
-        let need = |model: &engine::Model| {
-            let used = groups.iter().filter(|it| {
-                it.model() == Some(&model.name)
-                    && it.head().is_some_and(|it| it.fabric.as_deref() == Some(fabric))
-            });
-            let hosts = used.count() * model.size;
-            let is_spare = |it: &&&Host| {
-                it.has_staged(&model.name) || self.loads.model(&it.id) == Some(&model.name)
-            };
-            let spares = free.iter().filter(is_spare).count();
-            hosts as f64 / (spares + 1) as f64
-        };
-        survey.engine.models.iter().max_by(|a, b| need(a).total_cmp(&need(b)))
-    }
-
     fn may_load(&self, survey: &Survey<'_>) -> bool {
         self.loads.available(survey.engine, survey.has_traffic) > 0
     }
@@ -221,25 +217,3 @@
         Order { host: host.id.clone(), action: Action::Stage { model: model.name.clone() } }
     }
 }
-
-/// The model that lacks the largest part of its groups.
-fn neediest<'e>(
-    engine: &'e engine::Engine,
-    targets: &BTreeMap<&str, f64>,
-    counts: &BTreeMap<&str, usize>,
-    exhausted: &BTreeSet<&str>,
-) -> Option<&'e engine::Model> {
-    let filled = |it: &engine::Model| {
-        let count = counts.get(it.name.as_str()).copied().unwrap_or(0);
-        (count + 1) as f64 / targets.get(it.name.as_str()).copied().unwrap_or(0.0).max(0.01)
-    };
-    let open = engine.models.iter().filter(|it| !exhausted.contains(it.name.as_str()));
-    let lacking = open.filter(|it| filled(it) <= 1.0);
-    lacking.min_by(|a, b| filled(a).total_cmp(&filled(b)))
-}
-
-fn take(free: &mut Free<'_>, choice: &Choice<'_>) {
-    if let Some(hosts) = free.get_mut(choice.fabric) {
-        hosts.retain(|it| !choice.hosts.iter().any(|chosen| chosen.id == it.id));
-    }
-}
