fix: cuminward-serving: members of a lost head stay alone until it has surely stopped

Cause: hosts that had left a group joined another one while their former head, cut off, might still serve; a refused load was never asked again. Found by a simulated fleet under proptest. Also: streams of replicas that left the view are watched further, and a broken stream is marked once.

--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -70,7 +70,6 @@
     let options = Options {
         stall: state.settings.timing.member_stall,
         stall_margin: STALL_MARGIN,
-        spare_permille: state.settings.placement.spare_permille,
     };
     Steward::new(options, service.to_owned(), token)
 }
--- a/cuminward-gateway/src/control/watch.rs
+++ b/cuminward-gateway/src/control/watch.rs
@@ -41,7 +41,7 @@
         }
         let view = state.view.load_full();
         let now = state.now();
-        for upstream in view.all().filter(|it| it.members.len() > 1) {
+        for upstream in view.watched().filter(|it| it.members.len() > 1) {
             let Some(silence) = upstream.gauge.silence(now) else { continue };
             if silence > STALL {
                 upstream.gauge.alarm.notify_waiters();
--- a/cuminward-gateway/src/forward/job.rs
+++ b/cuminward-gateway/src/forward/job.rs
@@ -22,7 +22,6 @@
     pub(crate) hides_key: bool,
     pub(crate) priority: u8,
     pub(crate) fingerprint: crash::Fingerprint,
-    pub(crate) started: Instant,
     /// When the caller or the route gives it up.
     pub(crate) limit: Instant,
     may_have_run: AtomicBool,
@@ -56,7 +55,6 @@
             team: it.team.map(|it| it.name),
             fingerprint,
             limit: it.started + patience.saturating_sub(MARGIN),
-            started: it.started,
             parts: it.parts,
             body: it.body,
             meta: it.meta,
--- a/cuminward-gateway/src/forward/stream.rs
+++ b/cuminward-gateway/src/forward/stream.rs
@@ -59,21 +59,21 @@
             item = time::timeout_at(job.limit, source.next()) => item,
             () = sender.closed() => return,
         };
-        let sent = match item {
-            Ok(Ok(Item::Bytes(bytes))) => sender.send(Ok(bytes)).await,
-            Ok(Ok(Item::End)) => return,
-            Ok(Err(Stop::Refused(cause) | Stop::Failed(cause))) => {
-                log::info!("request={} broken off: {cause}", job.id());
-                sender.send(Err(Broken)).await
-            }
-            Err(_) => {
-                log::info!("request={} broken off: its time is up", job.id());
-                sender.send(Err(Broken)).await
+        let cause = match item {
+            Ok(Ok(Item::Bytes(bytes))) => {
+                if sender.send(Ok(bytes)).await.is_err() {
+                    return;
+                }
+                continue;
             }
+            Ok(Ok(Item::End)) => return,
+            Ok(Err(Stop::Refused(cause) | Stop::Failed(cause))) => cause,
+            Err(_) => String::from("its time is up"),
         };
-        if sent.is_err() {
-            return;
-        }
+        log::info!("request={} broken off: {cause}", job.id());
+        // A caller that has left needs no mark of a broken answer.
+        let _ = sender.send(Err(Broken)).await;
+        return;
     }
 }
 
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -164,7 +164,7 @@
         return;
     }
     let is_lost = |host: &str| lost.iter().any(|(it, _)| it == host);
-    for upstream in state.view.load().all() {
+    for upstream in state.view.load().watched() {
         if upstream.members.len() > 1 && upstream.members.iter().any(|it| is_lost(&it.host)) {
             upstream.gauge.note_loss(now);
         }
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -32,14 +32,13 @@
 
 /// What a node knows since two offsets.
 #[record]
-pub struct Delta {
+pub(crate) struct Delta {
     /// Declarations.
     pub declarations: Vec<Record>,
     /// Entries of the list of hosts.
     pub listing: Vec<Record>,
 }
 
-#[expect(missing_docs, reason = "the macro makes public items that it doesn't document")]
 mod service {
     use cuminward_serving::id;
 
--- a/cuminward-gateway/src/settings.rs
+++ b/cuminward-gateway/src/settings.rs
@@ -19,9 +19,6 @@
     pub timing: Timing,
     /// Bounds on repeats.
     pub retry: Retry,
-    /// Choice of hosts for groups.
-    #[serde(default)]
-    pub placement: Placement,
     /// Where requests wait and when they are turned away.
     #[serde(default)]
     pub admission: Admission,
@@ -96,20 +93,6 @@
     pub reserve: u32,
 }
 
-/// Choice of hosts for groups.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Placement {
-    /// Share of the hosts that stay outside groups as spares, in thousandths.
-    pub spare_permille: u32,
-}
-
-impl Default for Placement {
-    fn default() -> Placement {
-        Placement { spare_permille: 60 }
-    }
-}
-
 /// Where requests wait and when they are turned away.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/cuminward-gateway/src/state/knowledge.rs
+++ b/cuminward-gateway/src/state/knowledge.rs
@@ -142,6 +142,7 @@
             }
             return;
         };
+        log::trace!("entry of host {id}: {}", String::from_utf8_lossy(value));
         match listed::decode(id, value) {
             Ok(host) => self.set_host(now, host),
             Err(error) => {
@@ -202,7 +203,7 @@
             };
             services.insert(name.clone(), pool);
         }
-        let view = View { catalog: Some(catalog), services };
+        let view = View::new(catalog, services);
         let used: BTreeSet<String> = view.all().map(|it| it.name.clone()).collect();
         self.gauges.retain(|name, it| used.contains(name) || it.in_flight() > 0);
         view
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -166,8 +166,12 @@
     /// Makes the next view from what is known, and wakes the requests that wait for it.
     pub(crate) fn publish(&self) {
         let now = self.now();
-        let view = self.knowledge().view(now);
+        // The lock is held until the view is stored, so that views replace each other in order.
+        let mut knowledge = self.knowledge();
+        let mut view = knowledge.view(now);
+        view.retire(&self.view.load());
         self.view.store(Arc::new(view));
+        drop(knowledge);
         self.capacity.notify_waiters();
         self.news.notify_one();
     }
--- a/cuminward-gateway/src/state/view.rs
+++ b/cuminward-gateway/src/state/view.rs
@@ -1,6 +1,9 @@
 //! What requests read: a snapshot that is replaced as a whole.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use cuminward_serving::{catalog, id};
 use xxhash_rust::xxh3;
@@ -17,6 +20,8 @@
     pub(crate) catalog: Option<Arc<catalog::Catalog>>,
     /// Upstreams of each service.
     pub(crate) services: HashMap<id::Service, Pool>,
+    /// Upstreams that get no new requests and still serve some.
+    retired: Vec<Arc<Upstream>>,
 }
 
 /// Upstreams of a service.
@@ -59,6 +64,17 @@
     xxh3::xxh3_64(name.as_bytes())
 }
 
+/// Life cycle
+impl View {
+    /// Makes a view without retired upstreams.
+    pub(crate) fn new(
+        catalog: Arc<catalog::Catalog>,
+        services: HashMap<id::Service, Pool>,
+    ) -> View {
+        View { catalog: Some(catalog), services, retired: Vec::new() }
+    }
+}
+
 /// Access
 impl View {
     /// Upstreams of a service that can answer for a model, or for none.
@@ -72,8 +88,23 @@
         }
     }
 
+    /// All upstreams, and those that only finish requests.
+    pub(crate) fn watched(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.all().chain(&self.retired)
+    }
+
     /// All upstreams.
     pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.services.values().flat_map(|it| it.plain.iter().chain(it.models.values().flatten()))
     }
 }
+
+/// Mutation
+impl View {
+    /// Takes over the upstreams of an earlier view that still serve requests.
+    pub(crate) fn retire(&mut self, earlier: &View) {
+        let current: HashSet<Key> = self.all().map(|it| it.key).collect();
+        let busy = earlier.watched().filter(|it| it.gauge.in_flight() > 0);
+        self.retired = busy.filter(|it| !current.contains(&it.key)).cloned().collect();
+    }
+}
--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -36,8 +36,6 @@
     pub stall: Duration,
     /// Time beyond that for which members without a head are left alone.
     pub stall_margin: Duration,
-    /// Share of the hosts that stay outside groups as spares, in thousandths.
-    pub spare_permille: u32,
 }
 
 /// What the steward knows when it decides.
@@ -64,6 +62,8 @@
     counter: id::Epoch,
     /// Formations under way.
     forming: BTreeMap<id::Group, Forming>,
+    /// Heads that were told to leave their groups.
+    dissolving: BTreeMap<id::Group, id::Host>,
     /// When the head of a group was first missed.
     headless: BTreeMap<id::Group, Duration>,
     /// Hosts that are in no new group until a time.
@@ -76,6 +76,8 @@
     given: BTreeMap<id::Host, (Action, Duration)>,
     loads: load::Loads,
     levels: Vec<Level>,
+    /// Whether the hosts that an earlier steward may have left alone were noted.
+    has_taken_over: bool,
 }
 
 /// Groups of a model.
@@ -113,6 +115,7 @@
             token,
             counter: 0,
             forming: BTreeMap::new(),
+            dissolving: BTreeMap::new(),
             headless: BTreeMap::new(),
             held: BTreeMap::new(),
             unreachable: BTreeMap::new(),
@@ -120,6 +123,7 @@
             given: BTreeMap::new(),
             loads: load::Loads::default(),
             levels: Vec::new(),
+            has_taken_over: false,
         }
     }
 }
@@ -172,28 +176,47 @@
         self.loads.expire(now, |host, model| {
             survey.hosts.get(host).is_none_or(|it| it.has_staged(model))
         });
+        if !self.has_taken_over && !survey.hosts.is_empty() {
+            self.take_over(now, survey);
+        }
         let groups = replica::groups(survey.hosts.values());
         let mut orders = Vec::new();
         self.adopt(now, survey, &groups);
         self.advance(now, survey, &mut orders);
         let occupied = self.dissolve(now, survey, &groups, &mut orders);
         self.plan(now, survey, &groups, &occupied, &mut orders);
-        orders.retain(|it| self.may_give(now, it));
+        orders.retain(|it| self.may_give(it));
+        for order in &orders {
+            self.note_given(now, order, survey.engine);
+        }
         orders
     }
 
-    /// Notes an order that is about to be given; false if the host has one under way or got the same
-    /// one a moment ago.
-    fn may_give(&mut self, now: Duration, order: &Order) -> bool {
-        if self.pending.contains_key(&order.host) || self.unreachable.contains_key(&order.host) {
-            return false;
-        }
-        if self.given.get(&order.host).is_some_and(|(action, _)| *action == order.action) {
-            return false;
-        }
+    /// Leaves hosts alone that have left a group under an earlier steward, as its head may still serve.
+    fn take_over(&mut self, now: Duration, survey: &Survey<'_>) {
+        self.has_taken_over = true;
+        let until = now + self.patience();
+        let left = survey.hosts.values().filter(|it| it.membership.is_none() && it.model.is_some());
+        self.held.extend(left.map(|it| (it.id.clone(), until)));
+    }
+
+    /// Tells whether an order may be given: its host answers, has none under way, and didn't get the
+    /// same one a moment ago.
+    fn may_give(&self, order: &Order) -> bool {
+        let is_repeated = self.given.get(&order.host).is_some_and(|it| it.0 == order.action);
+        !is_repeated
+            && !self.pending.contains_key(&order.host)
+            && !self.unreachable.contains_key(&order.host)
+    }
+
+    fn note_given(&mut self, now: Duration, order: &Order, engine: &engine::Engine) {
         self.pending.insert(order.host.clone(), now);
         self.given.insert(order.host.clone(), (order.action.clone(), now));
-        true
+        if let Action::Stage { model } = &order.action
+            && let Some(model) = engine.model(model)
+        {
+            self.loads.begin(now, order.host.clone(), model);
+        }
     }
 
     /// Continues formations that an earlier steward began and whose members are all there.
@@ -275,7 +298,9 @@
         orders: &mut Vec<Order>,
     ) -> BTreeSet<id::Host> {
         let mut occupied = BTreeSet::new();
-        self.headless.retain(|name, _| groups.iter().any(|it| it.name == name));
+        let is_there = |name: &str| groups.iter().any(|it| it.name == name);
+        self.headless.retain(|name, _| is_there(name));
+        self.dissolving.retain(|name, _| is_there(name));
         for group in groups {
             if self.forming.contains_key(group.name) {
                 continue;
@@ -287,9 +312,12 @@
                 survey::Verdict::Dissolve(action) => {
                     occupied.extend(members);
                     let head = group.members[&0].id.clone();
+                    self.dissolving.insert(group.name.to_owned(), head.clone());
                     orders.push(Order { host: head, action });
                 }
                 survey::Verdict::Scatter => {
+                    let until = now + self.patience();
+                    self.held.extend(members.clone().map(|it| (it, until)));
                     occupied.extend(members);
                     let formation =
                         Formation { group: group.name.to_owned(), epoch: group.epoch };
--- a/cuminward-serving/src/placement/plan.rs
+++ b/cuminward-serving/src/placement/plan.rs
@@ -38,11 +38,11 @@
                 if chosen.iter().all(|it| it.has_staged(&allotment.model.name)) {
                     orders.extend(self.form(now, allotment.model, &chosen));
                 } else {
-                    self.load_missing(now, survey, allotment.model, &chosen, orders);
+                    self.load_missing(survey, allotment.model, &chosen, orders);
                 }
             }
         }
-        self.stage_spares(now, survey, &allotments, &free, orders);
+        self.stage_spares(survey, &allotments, &free, orders);
     }
 
     /// Hosts that are in no group and can be used.
@@ -176,27 +176,32 @@
 
     /// Lets the hosts of a future group load its model, as far as the bounds on loads allow.
     fn load_missing(
-        &mut self,
-        now: Duration,
+        &self,
         survey: &Survey<'_>,
         model: &engine::Model,
         hosts: &[&Host],
         orders: &mut Vec<Order>,
     ) {
+        let is_stage = |it: &&Order| matches!(it.action, Action::Stage { .. });
+        let mut planned = orders.iter().filter(is_stage).count();
         for host in hosts {
-            if host.has_staged(&model.name) || host.is_busy {
+            let is_loading = self.loads.model(&host.id).is_some();
+            if host.has_staged(&model.name) || host.is_busy || is_loading {
                 continue;
             }
-            if self.loads.model(&host.id).is_none() && self.may_load(survey) {
-                orders.push(self.stage(now, host, model));
+            let action = Action::Stage { model: model.name.clone() };
+            let order = Order { host: host.id.clone(), action };
+            let available = self.loads.available(survey.engine, survey.has_traffic);
+            if planned < available && self.may_give(&order) {
+                planned += 1;
+                orders.push(order);
             }
         }
     }
 
     /// Lets hosts that are left over load the first model of their fabric domain.
     fn stage_spares(
-        &mut self,
-        now: Duration,
+        &self,
         survey: &Survey<'_>,
         allotments: &[Allotment<'_>],
         free: &Free<'_>,
@@ -204,16 +209,7 @@
     ) {
         for (fabric, hosts) in free {
             let Some(first) = allotments.iter().find(|it| it.fabric == *fabric) else { continue };
-            self.load_missing(now, survey, first.model, hosts, orders);
+            self.load_missing(survey, first.model, hosts, orders);
         }
     }
-
-    fn may_load(&self, survey: &Survey<'_>) -> bool {
-        self.loads.available(survey.engine, survey.has_traffic) > 0
-    }
-
-    fn stage(&mut self, now: Duration, host: &Host, model: &engine::Model) -> Order {
-        self.loads.begin(now, host.id.clone(), model);
-        Order { host: host.id.clone(), action: Action::Stage { model: model.name.clone() } }
-    }
 }
--- a/cuminward-serving/src/placement/survey.rs
+++ b/cuminward-serving/src/placement/survey.rs
@@ -99,7 +99,10 @@
         group: &replica::Group<'_>,
     ) -> Verdict {
         let head = group.head().filter(|it| !survey.lost.contains(&it.id));
-        let Some(head) = head else { return self.judge_headless(now, group) };
+        let Some(head) = head else {
+            let has_left = self.has_head_left(survey, group);
+            return if has_left { Verdict::Free } else { self.judge_headless(now, group) };
+        };
         self.headless.remove(group.name);
         let formation = Formation { group: group.name.to_owned(), epoch: group.epoch };
         let size = group.declared(survey.engine).map_or(usize::MAX, |it| it.size);
@@ -116,6 +119,14 @@
         }
     }
 
+    /// Tells whether the head of a group was told to leave it and reports that it has.
+    fn has_head_left(&self, survey: &Survey<'_>, group: &replica::Group<'_>) -> bool {
+        let head = self.dissolving.get(group.name).and_then(|it| survey.hosts.get(it));
+        head.is_some_and(|it| {
+            it.membership.as_ref().is_none_or(|it| it.group != group.name || it.epoch != group.epoch)
+        })
+    }
+
     fn judge_headless(&mut self, now: Duration, group: &replica::Group<'_>) -> Verdict {
         let patience = self.patience();
         let since = *self.headless.entry(group.name.to_owned()).or_insert(now);
--- /dev/null
+++ b/cuminward-serving/tests/all/cold.rs
@@ -0,0 +1,23 @@
+//! Rate of requests to cold hosts.
+
+use std::time::Duration;
+
+use cuminward_serving::cold::Allowance;
+use googletest::prelude::*;
+
+#[gtest]
+fn an_allowance_never_gives_more_than_its_rate() {
+    for rate in [1.0, 4.0, 36.0] {
+        let mut allowance = Allowance::default();
+        let mut taken = 0;
+        for step in 0..1000 {
+            let now = Duration::from_millis(step);
+            let is_open = allowance.is_open(now, rate);
+            let is_taken = allowance.take(now, rate);
+            expect_that!(is_taken, eq(is_open), "rate {rate}, {now:?}");
+            taken += u32::from(is_taken);
+        }
+        expect_that!(f64::from(taken), le(rate + 1.0), "rate {rate}");
+        expect_that!(f64::from(taken), ge(rate * 0.9), "rate {rate}");
+    }
+}
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -1,1 +1,12 @@
-fn main(){}
+//! Tests of the decisions.
+
+mod attempt;
+mod catalog;
+mod cold;
+mod crash;
+mod event;
+mod fixture;
+mod placement;
+mod replica;
+mod select;
+mod table;
--- /dev/null
+++ b/cuminward-serving/tests/all/placement.rs
@@ -0,0 +1,168 @@
+//! Forming, opening and dissolving groups, over simulated hosts.
+
+mod fleet;
+
+use std::time::Duration;
+
+use cuminward_serving::{
+    host::Phase,
+    placement::order::{Action, Outcome},
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+use crate::fixture::{LARGE, SMALL};
+use fleet::Fleet;
+
+/// Hosts of a fabric domain.
+const PER_FABRIC: usize = 10;
+
+/// Fabric domains: two in each of three failure domains.
+const FABRICS: [&str; 6] = ["a-0", "a-1", "b-0", "b-1", "c-0", "c-1"];
+
+/// Time in which all hosts load weights and all groups open while there is no traffic.
+const LEAD: Duration = Duration::from_secs(10);
+
+#[gtest]
+fn all_hosts_are_used_before_traffic_begins() {
+    let mut fleet = Fleet::new(&FABRICS, PER_FABRIC);
+    fleet.run(LEAD);
+    expect_that!(fleet.open(LARGE), eq(6));
+    expect_that!(fleet.open(SMALL), eq(15));
+    expect_that!(fleet.unstaged(), eq(0));
+    expect_that!(fleet.violations, is_empty());
+}
+
+#[gtest]
+fn a_lost_member_is_replaced_by_a_spare_host_within_seconds() {
+    let mut fleet = Fleet::new(&FABRICS, PER_FABRIC);
+    fleet.run(LEAD);
+    fleet.begin_traffic();
+    let member = fleet.member(LARGE, 2);
+    fleet.kill(&member);
+    fleet.run(Duration::from_millis(1000));
+    expect_that!(fleet.open(LARGE), eq(5));
+    fleet.run(Duration::from_millis(4500));
+    expect_that!(fleet.open(LARGE), eq(6));
+    expect_that!(fleet.violations, is_empty());
+}
+
+#[gtest]
+fn members_without_a_head_are_left_alone_until_it_has_surely_stopped() {
+    let mut fleet = Fleet::new(&FABRICS, PER_FABRIC);
+    fleet.run(LEAD);
+    fleet.begin_traffic();
+    let head = fleet.member(LARGE, 0);
+    let member = fleet.member(LARGE, 1);
+    fleet.cut(&head);
+    fleet.run(Duration::from_secs(5));
+    expect_that!(fleet.phase(&member), none());
+    fleet.run(Duration::from_secs(12));
+    expect_that!(fleet.violations, is_empty());
+    expect_that!(fleet.open(LARGE), ge(5));
+}
+
+#[gtest]
+fn a_successor_continues_what_its_predecessor_began() {
+    let mut fleet = Fleet::new(&FABRICS, PER_FABRIC);
+    fleet.run(Duration::from_millis(4200));
+    let joined = fleet.count(Phase::Joining) + fleet.count(Phase::Ready);
+    expect_that!(joined, gt(0));
+    fleet.replace_steward();
+    fleet.run(LEAD);
+    expect_that!(fleet.open(LARGE), eq(6));
+    expect_that!(fleet.open(SMALL), eq(15));
+    expect_that!(fleet.violations, is_empty());
+}
+
+#[gtest]
+fn loads_stay_within_their_rate_once_there_is_traffic() {
+    let mut fleet = Fleet::new(&FABRICS, PER_FABRIC);
+    fleet.begin_traffic();
+    fleet.run(Duration::from_secs(30));
+    let window = Duration::from_secs(5);
+    for start in 0..25 {
+        let start = Duration::from_secs(start);
+        let begun = fleet.loads.iter().filter(|it| **it >= start && **it < start + window).count();
+        expect_that!(begun, le(5 * 5 + 5), "from {start:?}");
+    }
+}
+
+#[gtest]
+fn an_evacuated_domain_forms_no_groups() {
+    let mut fleet = Fleet::new(&FABRICS, PER_FABRIC);
+    fleet.evacuate("b");
+    fleet.run(LEAD);
+    expect_that!(fleet.groups_in("b"), eq(0));
+    expect_that!(fleet.groups_in("a"), gt(0));
+}
+
+/// Something that happens to the fleet.
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    Kill(usize),
+    Restart(usize),
+    Cut(usize),
+    Heal,
+    LoseAnswers(bool),
+    DelayOrders(bool),
+    Drain(usize),
+    ReplaceSteward,
+    Wait(u64),
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    prop_oneof![
+        3 => (0_usize..60).prop_map(Trouble::Kill),
+        2 => (0_usize..60).prop_map(Trouble::Restart),
+        2 => (0_usize..60).prop_map(Trouble::Cut),
+        1 => Just(Trouble::Heal),
+        1 => any::<bool>().prop_map(Trouble::LoseAnswers),
+        1 => any::<bool>().prop_map(Trouble::DelayOrders),
+        1 => (0_usize..60).prop_map(Trouble::Drain),
+        1 => Just(Trouble::ReplaceSteward),
+        6 => (100_u64..4000).prop_map(Trouble::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// No group opens before all its members confirmed it, and no host joins another group while the
+    /// head of its own may serve, whatever happens.
+    #[test]
+    fn groups_are_whole_and_hosts_in_one_group_only(
+        troubles in proptest::collection::vec(trouble(), 1..40),
+    ) {
+        let mut fleet = Fleet::new(&FABRICS, PER_FABRIC);
+        fleet.run(Duration::from_secs(4));
+        fleet.begin_traffic();
+        for trouble in troubles {
+            match trouble {
+                Trouble::Kill(at) => fleet.kill(&fleet.name(at)),
+                Trouble::Restart(at) => fleet.restart(&fleet.name(at)),
+                Trouble::Cut(at) => fleet.cut(&fleet.name(at)),
+                Trouble::Heal => fleet.heal(),
+                Trouble::LoseAnswers(is_on) => fleet.loses_answers = is_on,
+                Trouble::DelayOrders(is_on) => fleet.delays_orders = is_on,
+                Trouble::Drain(at) => fleet.drain(&fleet.name(at)),
+                Trouble::ReplaceSteward => fleet.replace_steward(),
+                Trouble::Wait(ms) => fleet.run(Duration::from_millis(ms)),
+            }
+            fleet.run(Duration::from_millis(200));
+        }
+        prop_assert_eq!(&fleet.violations, &Vec::<String>::new());
+    }
+}
+
+#[gtest]
+fn an_order_that_is_refused_or_unanswered_is_given_again() {
+    for outcome in [Outcome::Refused, Outcome::Unanswered] {
+        let mut fleet = Fleet::new(&["a-0"], 2);
+        fleet.fail_next(outcome);
+        fleet.run(LEAD);
+        expect_that!(fleet.open(SMALL), eq(1), "{outcome:?}");
+        let stages = fleet.given.iter().filter(|it| matches!(it, Action::Stage { .. })).count();
+        expect_that!(stages, ge(3), "{outcome:?}");
+    }
+}
--- /dev/null
+++ b/cuminward-serving/tests/all/table.rs
@@ -0,0 +1,76 @@
+//! Tables of the newest records.
+
+use cuminward_serving::table::{Record, Table};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+fn record(offset: u64, key: &str, value: Option<&str>) -> Record {
+    Record { offset, key: key.to_owned(), value: value.map(|it| it.as_bytes().to_vec()) }
+}
+
+fn rows(table: &Table) -> Vec<(String, String)> {
+    let text = |it: &[u8]| String::from_utf8_lossy(it).into_owned();
+    table.rows().map(|(key, value)| (key.to_owned(), text(value))).collect()
+}
+
+#[gtest]
+fn the_newest_record_of_a_key_counts() {
+    let mut table = Table::default();
+    expect_that!(table.apply(record(3, "a", Some("3"))), eq(true));
+    expect_that!(table.apply(record(1, "a", Some("1"))), eq(false));
+    expect_that!(table.apply(record(5, "a", None)), eq(true));
+    expect_that!(table.apply(record(4, "a", Some("4"))), eq(false));
+    expect_that!(rows(&table), is_empty());
+    expect_that!(table.end(), eq(6));
+}
+
+#[gtest]
+fn a_full_list_deletes_what_it_lacks_unless_that_is_newer() {
+    let mut table = Table::default();
+    table.apply(record(1, "gone", Some("1")));
+    table.apply(record(9, "newer", Some("9")));
+    let missing = table.replace(vec![record(4, "listed", Some("4"))], 6);
+    expect_that!(missing, elements_are![eq("gone")]);
+    expect_that!(
+        rows(&table),
+        elements_are![
+            eq(&(String::from("listed"), String::from("4"))),
+            eq(&(String::from("newer"), String::from("9")))
+        ]
+    );
+    expect_that!(table.end(), eq(10));
+}
+
+proptest! {
+    /// Copies that get the same records in different orders, some of them from each other, agree.
+    #[test]
+    fn copies_agree_whatever_the_order(
+        keys in proptest::collection::vec((0_u8..4, proptest::option::of(0_u8..9)), 1..30),
+        order in proptest::collection::vec(0_usize..1000, 30),
+    ) {
+        let records: Vec<Record> = keys
+            .iter()
+            .enumerate()
+            .map(|(offset, (key, value))| {
+                let value = value.map(|it| it.to_string());
+                record(offset as u64, &key.to_string(), value.as_deref())
+            })
+            .collect();
+        let mut straight = Table::default();
+        for it in &records {
+            straight.apply(it.clone());
+        }
+        let mut shuffled: Vec<(usize, &Record)> = order.into_iter().zip(&records).collect();
+        shuffled.sort_by_key(|(rank, _)| *rank);
+        let mut other = Table::default();
+        for (_, it) in shuffled {
+            other.apply(it.clone());
+        }
+        prop_assert_eq!(rows(&straight), rows(&other));
+        let mut third = Table::default();
+        for it in straight.since(0) {
+            third.apply(it);
+        }
+        prop_assert_eq!(rows(&straight), rows(&third));
+    }
+}
