--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -1,11 +1,15 @@
 //! Carries out the steward's duties that this node holds.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use cuminward_serving::{
     engine, id,
     placement::{
-        Options, Steward, Survey,
+        Steward, Survey,
         order::{Order, Outcome},
     },
 };
@@ -20,9 +24,6 @@
 /// Longest time for a report before an order.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time beyond the stall of a head for which members without a head are left alone.
-const STALL_MARGIN: Duration = Duration::from_millis(1500);
-
 /// Orders whose outcomes wait to be taken in.
 const OUTCOMES: usize = 256;
 
@@ -32,7 +33,9 @@
 /// Carries out the duties until the task is dropped.
 pub(crate) async fn run(state: Arc<State>, duty: Arc<Duty>) {
     let (sender, mut outcomes) = mpsc::channel::<Settled>(OUTCOMES);
+    // A steward is kept when its duty ends, as its numbers must not be used again.
     let mut stewards: HashMap<id::Service, Steward> = HashMap::new();
+    let mut held: HashSet<id::Service> = HashSet::new();
     loop {
         time::sleep(INTERVAL).await;
         while let Ok((service, order, outcome)) = outcomes.try_recv() {
@@ -43,11 +46,15 @@
         for (index, (service, engine)) in engines.into_iter().enumerate() {
             let partitions = state.settings.store.partitions;
             let Some(token) = duty.token(state.now(), index, partitions) else {
-                stewards.remove(&service);
+                held.remove(&service);
                 continue;
             };
             let steward = stewards.entry(service.clone());
-            let steward = steward.or_insert_with(|| begin(&state, &service, token));
+            let steward = steward.or_insert_with(|| Steward::new(service.clone(), token));
+            if held.insert(service.clone()) {
+                log::info!("steward service={service} token={token}");
+                *steward = steward.restart();
+            }
             steward.renew(token);
             let orders = decide(&state, &service, &engine, steward);
             is_busy |= steward.is_active();
@@ -61,19 +68,10 @@
                 });
             }
         }
-        duty.set_work(!stewards.is_empty(), is_busy);
+        duty.set_work(!held.is_empty(), is_busy);
     }
 }
 
-fn begin(state: &State, service: &str, token: id::Token) -> Steward {
-    log::info!("steward service={service} token={token}");
-    let options = Options {
-        stall: state.settings.timing.member_stall,
-        stall_margin: STALL_MARGIN,
-    };
-    Steward::new(options, service.to_owned(), token)
-}
-
 fn decide(
     state: &State,
     service: &str,
--- a/cuminward-gateway/src/forward/call.rs
+++ b/cuminward-gateway/src/forward/call.rs
@@ -43,7 +43,7 @@
     let budget = state.budget(&job.service);
     budget.deposit();
     loop {
-        let wait = job.route.objective.mul_f64(state.settings.admission.wait);
+        let wait = job.route.objective.mul_f64(state.current().admission.wait);
         let until = (Instant::now() + wait).min(job.limit);
         let Ok(slot) = slot::acquire(state, job, &tried, until).await else {
             return give_up(job, failed, attempts, "no upstream has room");
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -82,7 +82,7 @@
     tried: &[id::Host],
     now: Duration,
 ) -> Option<&'a Arc<Upstream>> {
-    let fill = state.settings.admission.fill;
+    let fill = state.current().admission.fill;
     let has_room = |it: &&Arc<Upstream>| {
         f64::from(it.gauge.load()) < f64::from(it.slots) * fill
             && !tried.contains(&it.host)
--- a/cuminward-gateway/src/forward/source.rs
+++ b/cuminward-gateway/src/forward/source.rs
@@ -214,7 +214,7 @@
     }
 
     async fn slot(&mut self) -> Result<Slot, Stop> {
-        let wait = self.job.route.objective.mul_f64(self.state.settings.admission.wait);
+        let wait = self.job.route.objective.mul_f64(self.state.current().admission.wait);
         let until = (Instant::now() + wait).min(self.job.limit);
         let slot = slot::acquire(&self.state, &self.job, &self.tried, until).await;
         let slot = slot.map_err(|_| self.stop(String::from("no replica has room")))?;
--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -1,6 +1,6 @@
 //! A node as a whole: its tasks, start and stop.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, path::PathBuf, sync::Arc, time::Duration};
 
 use tokio::{net::UdpSocket, task::JoinSet, time};
 
@@ -8,6 +8,7 @@
     control::{duty, follow, steward, watch},
     ingress::{connection, listener, ready},
     peer::{gossip, pull, register},
+    reload,
     settings::Settings,
     state::State,
 };
@@ -34,12 +35,12 @@
 
 /// Life cycle
 impl Gateway {
-    /// Starts a node.
+    /// Starts a node with the settings that a file holds; the file is read again when it changes.
     ///
     /// # Errors
     ///
     /// An address can't be used.
-    pub async fn start(settings: Settings) -> io::Result<Gateway> {
+    pub async fn start(settings: Settings, path: PathBuf) -> io::Result<Gateway> {
         log::info!("start node={} domain={}", settings.node.name, settings.node.domain);
         let state = Arc::new(State::new(settings));
         let member = duty::member(&state);
@@ -47,6 +48,7 @@
         gateway.listen().await?;
         gateway.meet().await?;
         gateway.control();
+        gateway.tasks.spawn(reload::run(Arc::clone(&gateway.state), path)?);
         Ok(gateway)
     }
 
@@ -59,7 +61,7 @@
         if !matches!(leaving, Ok(Ok(()))) {
             log::warn!("the duties weren't given up: their lease has to end");
         }
-        let grace = self.state.settings.timing.shutdown_grace.saturating_sub(STOP_MARGIN);
+        let grace = self.state.current().timing.shutdown_grace.saturating_sub(STOP_MARGIN);
         loop {
             time::sleep(STOP_INTERVAL).await;
             let passed = self.state.now().saturating_sub(begun);
--- a/cuminward-gateway/src/lib.rs
+++ b/cuminward-gateway/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod gateway;
 mod ingress;
 mod peer;
+mod reload;
 pub mod settings;
 mod state;
--- a/cuminward-gateway/src/settings.rs
+++ b/cuminward-gateway/src/settings.rs
@@ -118,6 +118,17 @@
     Malformed(String),
 }
 
+/// Access
+impl Settings {
+    /// Tells whether other settings name the same node, addresses and store.
+    pub fn has_same_place(&self, other: &Settings) -> bool {
+        self.node.name == other.node.name
+            && self.node.domain == other.node.domain
+            && self.listen == other.listen
+            && self.store == other.store
+    }
+}
+
 /// Reads a settings file.
 ///
 /// # Errors
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -38,7 +38,10 @@
 
 /// State of a node.
 pub(crate) struct State {
+    /// Settings with which the node started.
     pub(crate) settings: Settings,
+    /// Settings as they were read last.
+    current: ArcSwap<Settings>,
     started: Instant,
     /// What requests read.
     pub(crate) view: ArcSwap<view::View>,
@@ -75,6 +78,7 @@
         };
         let has_traffic = AtomicBool::new(!settings.node.is_first_start);
         State {
+            current: ArcSwap::from_pointee(settings.clone()),
             settings,
             has_traffic,
             started: Instant::now(),
@@ -100,6 +104,11 @@
         self.started.elapsed()
     }
 
+    /// Settings as they were read last.
+    pub(crate) fn current(&self) -> arc_swap::Guard<Arc<Settings>> {
+        self.current.load()
+    }
+
     /// Tells whether the node can serve: it knows a catalog and isn't stopping.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.view.load().catalog.is_some()
@@ -136,7 +145,8 @@
         if let Some(it) = budgets.get(service) {
             return Arc::clone(it);
         }
-        let retry = &self.settings.retry;
+        let current = self.current();
+        let retry = &current.retry;
         let reserve = (retry.reserve as usize / self.nodes().max(1)).max(1);
         let budget = Arc::new(Budget::new((retry.ratio * 1000.0) as u32, reserve as u32));
         budgets.insert(service.to_owned(), Arc::clone(&budget));
@@ -146,6 +156,12 @@
 
 /// Mutation
 impl State {
+    /// Takes settings that were read anew. Those that are used only at the start stay as they were.
+    pub(crate) fn reload(&self, settings: Settings) {
+        self.current.store(Arc::new(settings));
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     /// Notes that the node is about to end.
     pub(crate) fn stop(&self) {
         self.is_stopping.store(true, Ordering::Relaxed);
--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -29,15 +29,6 @@
 /// Time that joins may take beside the load of weights.
 const JOIN_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Settings of a steward.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Options {
-    /// Time after which a head notices by itself that a member is missing.
-    pub stall: Duration,
-    /// Time beyond that for which members without a head are left alone.
-    pub stall_margin: Duration,
-}
-
 /// What the steward knows when it decides.
 #[derive(Debug, Clone, Copy)]
 pub struct Survey<'a> {
@@ -56,7 +47,6 @@
 /// Forms the groups of one service, under one fencing token.
 #[derive(Debug, Clone)]
 pub struct Steward {
-    options: Options,
     service: id::Service,
     token: id::Token,
     counter: id::Epoch,
@@ -64,10 +54,8 @@
     forming: BTreeMap<id::Group, Forming>,
     /// Heads that were told to leave their groups.
     dissolving: BTreeMap<id::Group, id::Host>,
-    /// When the head of a group was first missed.
-    headless: BTreeMap<id::Group, Duration>,
-    /// Hosts that are in no new group until a time.
-    held: BTreeMap<id::Host, Duration>,
+    /// Groups whose head may have been told to open.
+    uncertain: BTreeSet<id::Group>,
     /// Hosts that didn't answer and get no orders until a time.
     unreachable: BTreeMap<id::Host, Duration>,
     /// Orders without an outcome, and when the last one was given.
@@ -76,8 +64,6 @@
     given: BTreeMap<id::Host, (Action, Duration)>,
     loads: load::Loads,
     levels: Vec<Level>,
-    /// Whether the hosts that an earlier steward may have left alone were noted.
-    has_taken_over: bool,
 }
 
 /// Groups of a model.
@@ -108,22 +94,19 @@
 /// Life cycle
 impl Steward {
     /// Makes a steward that knows nothing yet.
-    pub fn new(options: Options, service: id::Service, token: id::Token) -> Steward {
+    pub fn new(service: id::Service, token: id::Token) -> Steward {
         Steward {
-            options,
             service,
             token,
             counter: 0,
             forming: BTreeMap::new(),
             dissolving: BTreeMap::new(),
-            headless: BTreeMap::new(),
-            held: BTreeMap::new(),
+            uncertain: BTreeSet::new(),
             unreachable: BTreeMap::new(),
             pending: BTreeMap::new(),
             given: BTreeMap::new(),
             loads: load::Loads::default(),
             levels: Vec::new(),
-            has_taken_over: false,
         }
     }
 }
@@ -153,6 +136,12 @@
         self.token = self.token.max(token);
     }
 
+    /// Makes a steward that knows nothing of what this one did, and numbers its formations after those
+    /// of this one.
+    pub fn restart(&self) -> Steward {
+        Steward { counter: self.counter, ..Steward::new(self.service.clone(), self.token) }
+    }
+
     /// Takes in what came of an order.
     pub fn settle(&mut self, now: Duration, order: &Order, outcome: Outcome) {
         self.pending.remove(&order.host);
@@ -170,20 +159,16 @@
 
     /// Decides which orders to give now.
     pub fn tick(&mut self, now: Duration, survey: &Survey<'_>) -> Vec<Order> {
-        self.held.retain(|_, until| *until > now);
         self.unreachable.retain(|_, until| *until > now);
         self.given.retain(|_, (_, at)| now.saturating_sub(*at) < REPEAT_AFTER);
         self.loads.expire(now, |host, model| {
             survey.hosts.get(host).is_none_or(|it| it.has_staged(model))
         });
-        if !self.has_taken_over && !survey.hosts.is_empty() {
-            self.take_over(now, survey);
-        }
         let groups = replica::groups(survey.hosts.values());
         let mut orders = Vec::new();
         self.adopt(now, survey, &groups);
         self.advance(now, survey, &mut orders);
-        let occupied = self.dissolve(now, survey, &groups, &mut orders);
+        let occupied = self.dissolve(survey, &groups, &mut orders);
         self.plan(now, survey, &groups, &occupied, &mut orders);
         orders.retain(|it| self.may_give(it));
         for order in &orders {
@@ -192,14 +177,6 @@
         orders
     }
 
-    /// Leaves hosts alone that have left a group under an earlier steward, as its head may still serve.
-    fn take_over(&mut self, now: Duration, survey: &Survey<'_>) {
-        self.has_taken_over = true;
-        let until = now + self.patience();
-        let left = survey.hosts.values().filter(|it| it.membership.is_none() && it.model.is_some());
-        self.held.extend(left.map(|it| (it.id.clone(), until)));
-    }
-
     /// Tells whether an order may be given: its host answers, has none under way, and didn't get the
     /// same one a moment ago.
     fn may_give(&self, order: &Order) -> bool {
@@ -260,7 +237,7 @@
                 survey::Step::Wait => {}
                 survey::Step::Done => continue,
                 survey::Step::Abandon => {
-                    self.abandon(now, survey, &group, &it, orders);
+                    self.abandon(&group, &it);
                     continue;
                 }
             }
@@ -269,44 +246,30 @@
     }
 
     /// Gives a formation up. A head that may have been told to open could do so late, so its members
-    /// are left alone until it would notice by itself that one of them is missing.
-    fn abandon(
-        &mut self,
-        now: Duration,
-        survey: &Survey<'_>,
-        group: &str,
-        forming: &Forming,
-        orders: &mut Vec<Order>,
-    ) {
-        let formation = Formation { group: group.to_owned(), epoch: forming.epoch };
-        let present = forming.members.iter().filter(|it| survey.hosts.contains_key(*it));
-        for host in present {
-            let action = Action::Leave(formation.clone());
-            orders.push(Order { host: host.clone(), action });
-            if forming.is_opening {
-                self.held.insert(host.clone(), now + self.patience());
-            }
+    /// have to leave before they join another group.
+    fn abandon(&mut self, group: &str, forming: &Forming) {
+        if forming.is_opening {
+            self.uncertain.insert(group.to_owned());
         }
     }
 
     /// Dissolves groups that aren't whole. Returns the hosts that are in groups and can't be used.
     fn dissolve(
         &mut self,
-        now: Duration,
         survey: &Survey<'_>,
         groups: &[replica::Group<'_>],
         orders: &mut Vec<Order>,
     ) -> BTreeSet<id::Host> {
         let mut occupied = BTreeSet::new();
         let is_there = |name: &str| groups.iter().any(|it| it.name == name);
-        self.headless.retain(|name, _| is_there(name));
+        self.uncertain.retain(|name| is_there(name));
         self.dissolving.retain(|name, _| is_there(name));
         for group in groups {
             if self.forming.contains_key(group.name) {
                 continue;
             }
             let members = group.members.values().map(|it| it.id.clone());
-            match self.judge(now, survey, group) {
+            match self.judge(survey, group) {
                 survey::Verdict::Keep => occupied.extend(members),
                 survey::Verdict::Free => {}
                 survey::Verdict::Dissolve(action) => {
@@ -316,8 +279,6 @@
                     orders.push(Order { host: head, action });
                 }
                 survey::Verdict::Scatter => {
-                    let until = now + self.patience();
-                    self.held.extend(members.clone().map(|it| (it, until)));
                     occupied.extend(members);
                     let formation =
                         Formation { group: group.name.to_owned(), epoch: group.epoch };
@@ -331,11 +292,6 @@
         occupied
     }
 
-    /// Time after which a head without one of its members has surely stopped.
-    fn patience(&self) -> Duration {
-        self.options.stall + self.options.stall_margin
-    }
-
     fn next_epoch(&mut self) -> id::Epoch {
         self.counter += 1;
         self.token * EPOCHS_PER_TOKEN + self.counter
--- a/cuminward-serving/src/placement/survey.rs
+++ b/cuminward-serving/src/placement/survey.rs
@@ -33,8 +33,7 @@
     Free,
     /// Its head gets this order first.
     Dissolve(Action),
-    /// Its head is missing: the other members leave, and are left alone until the head would have
-    /// noticed.
+    /// Its head is missing or could still open: all members leave before they are used.
     Scatter,
 }
 
@@ -54,7 +53,6 @@
             && host.pace < MAX_PACE
             && !survey.lost.contains(&host.id)
             && !survey.evacuated.contains(&host.domain)
-            && self.held.get(&host.id).is_none_or(|until| *until <= now)
             && self.unreachable.get(&host.id).is_none_or(|until| *until <= now)
     }
 
@@ -92,30 +90,25 @@
     }
 
     /// What becomes of a group that isn't being formed.
-    pub(super) fn judge(
-        &mut self,
-        now: Duration,
-        survey: &Survey<'_>,
-        group: &replica::Group<'_>,
-    ) -> Verdict {
+    pub(super) fn judge(&self, survey: &Survey<'_>, group: &replica::Group<'_>) -> Verdict {
         let head = group.head().filter(|it| !survey.lost.contains(&it.id));
         let Some(head) = head else {
             let has_left = self.has_head_left(survey, group);
-            return if has_left { Verdict::Free } else { self.judge_headless(now, group) };
+            return if has_left { Verdict::Free } else { Verdict::Scatter };
         };
-        self.headless.remove(group.name);
         let formation = Formation { group: group.name.to_owned(), epoch: group.epoch };
         let size = group.declared(survey.engine).map_or(usize::MAX, |it| it.size);
         let is_lost = |it: &&Host| survey.lost.contains(&it.id);
         let is_whole = group.is_complete(size) && !group.members.values().any(is_lost);
+        let is_leaving = head.state == State::Draining || !group.is_staying();
         match group.phase() {
-            Some(Phase::Open) if !is_whole => Verdict::Dissolve(Action::Leave(formation)),
-            Some(Phase::Open) if head.state == State::Draining || !group.is_staying() => {
-                Verdict::Dissolve(Action::Close(formation))
+            Some(Phase::Open | Phase::Closing) if !is_whole => {
+                Verdict::Dissolve(Action::Leave(formation))
             }
-            Some(Phase::Closing) if !is_whole => Verdict::Dissolve(Action::Leave(formation)),
+            Some(Phase::Open) if is_leaving => Verdict::Dissolve(Action::Close(formation)),
             Some(Phase::Open | Phase::Closing) => Verdict::Keep,
-            _ => Verdict::Free,
+            Some(Phase::Broken) if !self.uncertain.contains(group.name) => Verdict::Free,
+            _ => Verdict::Scatter,
         }
     }
 
@@ -126,13 +119,4 @@
             it.membership.as_ref().is_none_or(|it| it.group != group.name || it.epoch != group.epoch)
         })
     }
-
-    fn judge_headless(&mut self, now: Duration, group: &replica::Group<'_>) -> Verdict {
-        let patience = self.patience();
-        let since = *self.headless.entry(group.name.to_owned()).or_insert(now);
-        if now.saturating_sub(since) >= patience {
-            return Verdict::Free;
-        }
-        Verdict::Scatter
-    }
 }
