--- a/cuminward-gateway/src/forward/admit.rs
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -19,12 +19,22 @@
 /// When callers may come again while the node knows no catalog.
 const STARTING: Duration = Duration::from_millis(500);
 
+/// Time after the node began to stop from which it takes no more requests: those that it has taken
+/// need the rest of the grace period.
+const LAST_CALL: Duration = Duration::from_secs(3);
+
+/// When callers whose request comes too late may try another node.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// When callers may come again with a request that crashes hosts.
 const CRASHING: Duration = Duration::from_secs(30);
 
 /// Admits a request and reads its body.
 pub(crate) async fn admit(state: &State, request: Request<Incoming>) -> Result<Job, Denial> {
     let started = Instant::now();
+    if state.stopping_for().is_some_and(|it| it > LAST_CALL) {
+        return Err(Denial::later(ELSEWHERE));
+    }
     let view = state.view.load_full();
     let catalog = view.catalog.as_ref().ok_or(Denial::later(STARTING))?;
     let (parts, body) = request.into_parts();
--- a/cuminward-gateway/src/forward/call.rs
+++ b/cuminward-gateway/src/forward/call.rs
@@ -88,9 +88,7 @@
 ) -> Result<Whole, Fault> {
     let left = job.left();
     let patience = match job.route.repeat {
-        Repeat::Idempotent if !is_last => {
-            left.min(job.route.objective.mul_f64(ATTEMPT_OBJECTIVES))
-        }
+        Repeat::Idempotent if !is_last => left.min(job.route.objective.mul_f64(ATTEMPT_OBJECTIVES)),
         _ => left,
     };
     let sent = time::timeout(patience, exchange_whole(state, job, slot, patience)).await;
@@ -135,6 +133,8 @@
     }
     let denial = if attempts.ran == 0 {
         Denial::later(RETRY_AFTER)
+    } else if job.left().is_zero() {
+        Denial::of(StatusCode::GATEWAY_TIMEOUT)
     } else {
         Denial::of(StatusCode::BAD_GATEWAY)
     };
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -128,8 +128,7 @@
 /// Tells whether an answer is a stream of events.
 pub(crate) fn is_stream(head: &Parts) -> bool {
     let content = head.headers.get(names::CONTENT_TYPE).map(HeaderValue::as_bytes);
-    head.status == StatusCode::OK
-        && content.is_some_and(|it| it.starts_with(b"text/event-stream"))
+    head.status == StatusCode::OK && content.is_some_and(|it| it.starts_with(b"text/event-stream"))
 }
 
 /// Counts a crash if the host of a broken connection takes no new one.
--- a/cuminward-gateway/src/forward/source.rs
+++ b/cuminward-gateway/src/forward/source.rs
@@ -103,8 +103,7 @@
             let slot = self.slot().await?;
             let left = self.job.left();
             let since = self.state.now();
-            let sending =
-                exchange::send(&self.state, &self.job, &slot, self.resume_after(), left);
+            let sending = exchange::send(&self.state, &self.job, &slot, self.resume_after(), left);
             let sent = tokio::select! {
                 sent = sending => sent,
                 () = stalled(&self.state, &slot, since, false) => Err(Fault {
--- a/cuminward-gateway/src/ingress/connection.rs
+++ b/cuminward-gateway/src/ingress/connection.rs
@@ -45,7 +45,6 @@
     let answer = service::service_fn(|request| answer(&state, &activity, request));
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
     let mut connection = std::pin::pin!(connection);
-    let mut stopping_since = None;
     loop {
         let ended = time::timeout(CHECK_INTERVAL, connection.as_mut()).await;
         if let Ok(ended) = ended {
@@ -54,13 +53,8 @@
             }
             return;
         }
-        let now = state.now();
-        if state.is_stopping() {
-            let since = *stopping_since.get_or_insert(now);
-            if now.saturating_sub(since) > FAREWELL {
-                connection.as_mut().graceful_shutdown();
-            }
-        } else if is_idle(&state, &activity, now) {
+        let is_over = state.stopping_for().is_some_and(|it| it > FAREWELL);
+        if is_over || is_idle(&state, &activity, state.now()) {
             connection.as_mut().graceful_shutdown();
         }
     }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -63,7 +63,8 @@
     /// Adds a node that the store lists. Returns the number of nodes, this one included.
     pub(crate) fn add(&self, now: Duration, node: &str, address: SocketAddr) -> usize {
         let mut peers = self.lock();
-        let peer = peers.entry(node.to_owned()).or_insert(Peer { address, heard: now, digest: None });
+        let peer =
+            peers.entry(node.to_owned()).or_insert(Peer { address, heard: now, digest: None });
         peer.address = address;
         peers.len() + 1
     }
@@ -72,8 +73,7 @@
     fn hear(&self, now: Duration, digest: Digest) -> bool {
         let mut peers = self.lock();
         let known = peers.get(&digest.node).and_then(|it| it.digest.as_ref());
-        let is_old = known
-            .is_some_and(|it| (it.start, it.number) >= (digest.start, digest.number));
+        let is_old = known.is_some_and(|it| (it.start, it.number) >= (digest.start, digest.number));
         if is_old {
             return false;
         }
@@ -83,9 +83,8 @@
     }
 
     fn addresses(&self, now: Duration, number: u64) -> Vec<SocketAddr> {
-        let is_due = |it: &&Peer| {
-            now.saturating_sub(it.heard) < SILENT || number.is_multiple_of(RARELY)
-        };
+        let is_due =
+            |it: &&Peer| now.saturating_sub(it.heard) < SILENT || number.is_multiple_of(RARELY);
         self.lock().values().filter(is_due).map(|it| it.address).collect()
     }
 }
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -79,8 +79,7 @@
 /// The listener can't be opened.
 pub(crate) async fn serve(state: Arc<State>) -> io::Result<impl Future<Output = ()>> {
     let address = state.settings.listen.peers;
-    let mut listener =
-        tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
+    let mut listener = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
     Ok(async move {
         while let Some(accepted) = listener.next().await {
             let Ok(transport) = accepted else { continue };
@@ -118,9 +117,9 @@
     let (declarations, listing) = ends(state);
     let fresh = peers.fresh(state.now()).into_iter();
     let newer = fresh.filter(|it| {
-        it.digest.as_ref().is_some_and(|it| {
-            it.declarations > declarations || it.listing > listing + LISTING_LAG
-        })
+        it.digest
+            .as_ref()
+            .is_some_and(|it| it.declarations > declarations || it.listing > listing + LISTING_LAG)
     });
     newer.max_by_key(|it| it.digest.as_ref().map(|it| (it.declarations, it.listing)))
 }
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -8,7 +8,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -54,7 +54,8 @@
     budgets: Mutex<HashMap<id::Service, Arc<Budget>>>,
     /// Nodes that are known, this one included.
     nodes: AtomicUsize,
-    is_stopping: AtomicBool,
+    /// When the node began to stop, in milliseconds since its start; 0 if it didn't.
+    stopping_ms: AtomicU64,
     /// Whether callers may have sent requests, to any node, since the system first started.
     has_traffic: AtomicBool,
     /// Requests of callers under way.
@@ -89,7 +90,7 @@
             crashes: Mutex::default(),
             budgets: Mutex::default(),
             nodes: AtomicUsize::new(1),
-            is_stopping: AtomicBool::new(false),
+            stopping_ms: AtomicU64::new(0),
             requests: AtomicUsize::new(0),
             capacity: Notify::new(),
             news: Notify::new(),
@@ -116,7 +117,13 @@
 
     /// Tells whether the node is about to end.
     pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
+        self.stopping_ms.load(Ordering::Relaxed) > 0
+    }
+
+    /// Time since the node began to stop; `None` if it didn't.
+    pub(crate) fn stopping_for(&self) -> Option<Duration> {
+        let since = Duration::from_millis(self.stopping_ms.load(Ordering::Relaxed));
+        (since > Duration::ZERO).then(|| self.now().saturating_sub(since))
     }
 
     /// Tells whether callers may have sent requests since the system first started.
@@ -164,7 +171,7 @@
 
     /// Notes that the node is about to end.
     pub(crate) fn stop(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+        self.stopping_ms.store(self.now().as_millis().max(1) as u64, Ordering::Relaxed);
     }
 
     /// Notes that a caller sent a request, to this node or another one.
--- /dev/null
+++ b/cuminward-gateway/tests/all/calls.rs
@@ -0,0 +1,138 @@
+//! Requests with a single answer.
+
+use std::time::Duration;
+
+use cuminward_adapter_fake::host::{self, Behaviour};
+use googletest::prelude::*;
+
+use crate::site::Site;
+
+struct Case {
+    name: &'static str,
+    path: &'static str,
+    /// What the first two hosts that get the request do.
+    script: [Option<Behaviour>; 2],
+    status: u16,
+    /// Hosts that got the request.
+    attempts: usize,
+}
+
+fn case(name: &'static str, path: &'static str, first: Behaviour, status: u16) -> Case {
+    Case { name, path, script: [Some(first), None], status, attempts: 1 }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_runs_as_often_as_its_kind_allows() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("calls").await;
+    let again = |it: Case| Case { attempts: 2, ..it };
+    let cases = [
+        case("answered", "/book/1", Behaviour::Answer(String::from("ok")), 200),
+        case("lost, not repeatable", "/book/2", Behaviour::Lose, 502),
+        again(case("lost, repeatable", "/desk/3", Behaviour::Lose, 200)),
+        again(case("refused, not repeatable", "/book/4", Behaviour::Refuse, 200)),
+        again(case("misdirected", "/book/5", Behaviour::Misdirect, 200)),
+        case("failed, not repeatable", "/book/6", Behaviour::Fail(500), 500),
+        again(case("failed, repeatable", "/desk/7", Behaviour::Fail(500), 200)),
+        case("answer to another request", "/book/8", Behaviour::AnswerAnother, 502),
+        again(case("answer to another, repeatable", "/desk/9", Behaviour::AnswerAnother, 200)),
+        case("not vouched for", "/book/10", Behaviour::AnswerUnsigned, 502),
+        case("cut off", "/book/11", Behaviour::Truncate, 502),
+        again(case("cut off, repeatable", "/desk/12", Behaviour::Truncate, 200)),
+        Case {
+            name: "refused by all",
+            path: "/book/13",
+            script: [Some(Behaviour::Refuse), Some(Behaviour::Refuse)],
+            status: 503,
+            attempts: 2,
+        },
+        Case {
+            name: "lost twice",
+            path: "/desk/14",
+            script: [Some(Behaviour::Lose), Some(Behaviour::Lose)],
+            status: 502,
+            attempts: 2,
+        },
+    ];
+    for case in cases {
+        let before = site.plain_requests();
+        // Whichever host is chosen first does what the script says first.
+        let script = case.script.clone();
+        host::share(&site.plain, script.into_iter().flatten());
+        let answer = node.send("POST", case.path, &[], "body").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(case.status), "{}", case.name);
+        expect_that!(site.plain_requests() - before, eq(case.attempts), "{}", case.name);
+        if case.status == 503 {
+            expect_that!(answer.headers.contains_key("retry-after"), eq(true), "{}", case.name);
+        }
+        // A host that failed is spared for a moment; the next case needs both.
+        tokio::time::sleep(Duration::from_millis(1100)).await;
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn method_path_query_body_and_headers_arrive_unchanged() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("unchanged").await;
+    let headers = [
+        ("x-own", "1"),
+        ("x-cuminward-tenant", "another"),
+        ("connection", "x-hop"),
+        ("x-hop", "1"),
+    ];
+    let answer = node.send("PATCH", "/book/a%20b?x=1&y=%2F", &headers, "body").await.or_fail()?;
+    expect_that!(answer.status.as_u16(), eq(200));
+    expect_that!(answer.headers.contains_key("x-cuminward-server-stamp"), eq(true));
+    let received = site.plain.iter().flat_map(|it| it.received()).next().or_fail()?;
+    expect_that!(received.line, eq("PATCH /book/a%20b?x=1&y=%2F"));
+    expect_that!(received.body.as_ref(), eq(b"body"));
+    let header = |name: &str| received.headers.get(name).and_then(|it| it.to_str().ok());
+    expect_that!(header("x-own"), some(eq("1")));
+    expect_that!(header("host"), some(eq("a.example")));
+    expect_that!(header("x-cuminward-tenant"), some(eq("team")));
+    expect_that!(header("x-cuminward-request-id"), some(eq("9c41")));
+    expect_that!(header("authorization"), none());
+    expect_that!(header("x-hop"), none());
+    let left: u64 = header("x-cuminward-deadline-ms").and_then(|it| it.parse().ok()).or_fail()?;
+    expect_that!(left, all!(gt(1000), lt(2000)));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_route_or_key_allows_is_refused_and_never_runs() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("denied").await;
+    let cases = [
+        ("no route", "/other/1", vec![], 404),
+        ("no such host", "/book/1", vec![("host", "b.example")], 404),
+        ("no key", "/book/1", vec![("authorization", "")], 401),
+        ("unknown key", "/book/1", vec![("authorization", "Bearer other")], 401),
+    ];
+    for (name, path, headers, status) in cases {
+        let answer = node.send("POST", path, &headers, "").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(status), "{name}");
+    }
+    expect_that!(site.plain_requests(), eq(0));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_ends_at_the_callers_deadline() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("deadline").await;
+    for host in &site.plain {
+        let slow = Behaviour::AnswerAfter(Duration::from_secs(5), String::from("late"));
+        host.then(slow);
+    }
+    let begun = std::time::Instant::now();
+    let headers = [("x-cuminward-deadline-ms", "400")];
+    let answer = node.send("POST", "/book/1", &headers, "").await.or_fail()?;
+    expect_that!(answer.status.as_u16(), eq(504));
+    expect_that!(begun.elapsed(), lt(Duration::from_millis(600)));
+    Ok(())
+}
--- /dev/null
+++ b/cuminward-gateway/tests/all/configuration.rs
@@ -0,0 +1,113 @@
+//! Declarations that come into force.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use http::StatusCode;
+use serde_json::json;
+use tokio::time;
+
+use crate::site::{Node, PLAIN, Site, is_ready};
+
+/// Time within which a change has to be in force.
+const IN_FORCE: Duration = Duration::from_millis(2000);
+
+fn new_route() -> serde_json::Value {
+    json!([{
+        "name": "new", "host": "a.example", "pathPrefix": "/new/", "routeKind": "idempotent",
+        "timeoutMs": 2000, "service": PLAIN, "maxAttempts": 1, "anonymous": true,
+    }])
+}
+
+async fn waits_for(node: &Node, path: &str, status: u16) -> bool {
+    let poll = async {
+        while node.get(path, &[]).await.map(|it| it.status.as_u16()).ok() != Some(status) {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    time::timeout(IN_FORCE, poll).await.is_ok()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_without_a_configuration_is_not_ready_and_refuses() -> Result<()> {
+    let site = Site::empty().await;
+    let node = site.starting_node("unconfigured").await;
+    time::sleep(Duration::from_millis(300)).await;
+    expect_that!(is_ready(node.ready).await, eq(false));
+    let answer = node.get("/book/1", &[]).await.or_fail()?;
+    expect_that!(answer.status.as_u16(), eq(503));
+    site.configure(1, json!([]));
+    expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
+    expect_that!(is_ready(node.ready).await, eq(true));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_newest_version_is_in_force_and_never_reverts() {
+    let site = Site::start().await;
+    let node = site.node("versions").await;
+    site.configure(5, new_route());
+    expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
+    site.configure(4, json!([]));
+    time::sleep(Duration::from_millis(500)).await;
+    expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
+    site.configure(6, json!([]));
+    expect_that!(waits_for(&node, "/new/1", 404).await, eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_whose_records_are_gone_reads_the_newest_ones() {
+    let site = Site::start().await;
+    let node = site.node("compacted").await;
+    site.configure(2, new_route());
+    site.store.compact("keyed.op");
+    site.store.compact("keyed.servers");
+    expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_known_holds_while_the_store_is_away() {
+    let site = Site::start().await;
+    let node = site.node("outage").await;
+    site.store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
+    time::sleep(Duration::from_secs(1)).await;
+    expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
+    site.configure(2, new_route());
+    site.store.refuse(None);
+    expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_taken_out_domain_and_leaving_hosts_get_nothing() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("leaving").await;
+    site.list(&site.plain[0], &json!({"state": "draining"}));
+    time::sleep(Duration::from_millis(1200)).await;
+    for index in 0..8 {
+        let answer = node.get(&format!("/book/{index}"), &[]).await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(200));
+    }
+    expect_that!(site.plain[0].received(), is_empty());
+    site.store.put("keyed.op", "evacuate/mercado", "{}");
+    expect_that!(waits_for(&node, "/book/1", 503).await, eq(true));
+    site.store.put("keyed.op", "evacuate/mercado", "");
+    expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_cant_be_read_harms_no_other_host() {
+    let site = Site::start().await;
+    let node = site.node("garbled").await;
+    site.store.put("keyed.servers", "p-0", "\u{1}garbage");
+    site.store.put("keyed.servers", "p-9", "{}");
+    time::sleep(Duration::from_millis(1000)).await;
+    expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
+    expect_that!(site.plain[0].received(), is_empty());
+}
--- /dev/null
+++ b/cuminward-gateway/tests/all/life.rs
@@ -0,0 +1,50 @@
+//! Stop and reload of a node.
+
+use std::time::{Duration, Instant};
+
+use cuminward_adapter_fake::host::Behaviour;
+use googletest::prelude::*;
+use tokio::time;
+
+use crate::site::{self, Site, is_ready};
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_finishes_what_it_has_taken() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("stopping").await;
+    for host in &site.plain {
+        let slow = Behaviour::AnswerAfter(Duration::from_millis(1500), String::from("late"));
+        host.then(slow);
+    }
+    let (gateway, callers, ready) = (node.gateway, node.callers, node.ready);
+    let caller = tokio::spawn(async move { site::send(callers, "POST", "/book/1", &[], "").await });
+    time::sleep(Duration::from_millis(200)).await;
+    let begun = Instant::now();
+    let stopping = tokio::spawn(gateway.stop());
+    time::sleep(Duration::from_millis(100)).await;
+    expect_that!(is_ready(ready).await, eq(false));
+    let during = site::send(callers, "GET", "/desk/1", &[], "").await.or_fail()?;
+    expect_that!(during.status.as_u16(), eq(200));
+    expect_that!(during.headers.get("connection").is_some_and(|it| it == "close"), eq(true));
+    let answer = caller.await.or_fail()?.or_fail()?;
+    expect_that!(answer.status.as_u16(), eq(200));
+    stopping.await.or_fail()?;
+    expect_that!(begun.elapsed(), lt(Duration::from_secs(6)));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_are_read_again_and_wrong_ones_are_refused() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("reload").await;
+    let text = std::fs::read_to_string(&node.settings).or_fail()?;
+    std::fs::write(&node.settings, "node: {").or_fail()?;
+    time::sleep(Duration::from_millis(2500)).await;
+    expect_that!(node.get("/book/1", &[]).await.or_fail()?.status.as_u16(), eq(200));
+    std::fs::write(&node.settings, format!("{text}admission: {{fill: 0.0}}\n")).or_fail()?;
+    time::sleep(Duration::from_millis(2500)).await;
+    expect_that!(node.get("/book/1", &[]).await.or_fail()?.status.as_u16(), eq(503));
+    Ok(())
+}
--- /dev/null
+++ b/cuminward-gateway/tests/all/streams.rs
@@ -0,0 +1,114 @@
+//! Streams of events.
+
+use cuminward_adapter_fake::host::{self, Behaviour};
+use googletest::prelude::*;
+
+use crate::site::{EVENTS, Site};
+
+const MODEL: (&str, &str) = ("x-cuminward-model", "m");
+
+fn events(ids: impl IntoIterator<Item = u64>) -> String {
+    ids.into_iter().map(|it| format!("id: {it}\ndata: part {it}\n\n")).collect()
+}
+
+struct Case {
+    name: &'static str,
+    script: Vec<Behaviour>,
+    status: u16,
+    is_complete: bool,
+    /// Events that the caller gets.
+    last: u64,
+    attempts: usize,
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_another_replica_after_its_last_event() -> Result<()> {
+    let cases = [
+        Case {
+            name: "whole",
+            script: vec![],
+            status: 200,
+            is_complete: true,
+            last: EVENTS,
+            attempts: 1,
+        },
+        Case {
+            name: "cut off midway",
+            script: vec![Behaviour::StreamUntil(3)],
+            status: 200,
+            is_complete: true,
+            last: EVENTS,
+            attempts: 2,
+        },
+        Case {
+            name: "cut off before the first event",
+            script: vec![Behaviour::StreamUntil(0)],
+            status: 200,
+            is_complete: true,
+            last: EVENTS,
+            attempts: 2,
+        },
+        Case {
+            name: "cut off twice",
+            script: vec![Behaviour::StreamUntil(3), Behaviour::StreamUntil(5)],
+            status: 200,
+            is_complete: false,
+            last: 5,
+            attempts: 2,
+        },
+        Case {
+            name: "refused at first",
+            script: vec![Behaviour::Refuse],
+            status: 200,
+            is_complete: true,
+            last: EVENTS,
+            attempts: 2,
+        },
+        Case {
+            name: "lost twice before the first event",
+            script: vec![Behaviour::StreamUntil(0), Behaviour::StreamUntil(0)],
+            status: 502,
+            is_complete: true,
+            last: 0,
+            attempts: 2,
+        },
+    ];
+    for case in cases {
+        let site = Site::start().await;
+        let node = site.node("streams").await;
+        host::share(&site.replicas, case.script);
+        let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(case.status), "{}", case.name);
+        expect_that!(answer.is_complete, eq(case.is_complete), "{}", case.name);
+        expect_that!(answer.body, eq(&events(1..=case.last)), "{}", case.name);
+        let received: Vec<_> = site.replicas.iter().flat_map(|it| it.received()).collect();
+        expect_that!(received.len(), eq(case.attempts), "{}", case.name);
+    }
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_resumes_gets_the_events_after_its_last_one() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("resumes").await;
+    host::share(&site.replicas, vec![Behaviour::StreamUntil(6)]);
+    let headers = [MODEL, ("last-event-id", "4")];
+    let answer = node.send("POST", "/chat/1", &headers, "prompt").await.or_fail()?;
+    expect_that!(answer.body, eq(&events(5..=EVENTS)));
+    expect_that!(answer.is_complete, eq(true));
+    Ok(())
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_without_replicas_is_refused() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("unserved").await;
+    let headers = [("x-cuminward-model", "other")];
+    let answer = node.send("POST", "/chat/1", &headers, "prompt").await.or_fail()?;
+    expect_that!(answer.status.as_u16(), eq(503));
+    expect_that!(answer.headers.contains_key("retry-after"), eq(true));
+    Ok(())
+}
--- /dev/null
+++ b/cuminward-gateway/tests/all/template.rs
@@ -0,0 +1,67 @@
+//! The template of the settings that the deploy file names.
+
+use std::{collections::BTreeMap, path::Path};
+
+use cuminward_gateway::settings;
+use googletest::prelude::*;
+
+/// Fills values into the placeholders of a template, as the platform does.
+fn render(template: &str, values: &BTreeMap<&str, &str>) -> String {
+    let mut text = template.to_owned();
+    for (name, value) in values {
+        let json =
+            value.parse::<f64>().map_or_else(|_| format!("\"{value}\""), |_| (*value).into());
+        let json = if *value == "true" || *value == "false" { (*value).to_owned() } else { json };
+        text = text.replace(&format!("{{{{{name}|json}}}}"), &json);
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    text
+}
+
+#[gtest]
+fn the_template_renders_correct_settings() -> Result<()> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let template = std::fs::read_to_string(root.join("deploy/gateway.yaml")).or_fail()?;
+    let values = BTreeMap::from([
+        ("node", "front-mercado-1"),
+        ("zone", "mercado"),
+        ("ip", "10.1.0.40"),
+        ("bootstrap", "true"),
+        ("listen.front", "10.1.0.40:8227"),
+        ("listen.readyAddr", "10.1.0.40:8220"),
+        ("internalPorts.0", "7340"),
+        ("platformTerms.address", "10.200.1.7:8223"),
+        ("platformTerms.ttlMinMs", "1000"),
+        ("platformTerms.parts", "8"),
+        ("bounds.graceS", "8"),
+        ("bounds.stallMs", "5000"),
+        ("heartbeatMs", "1200"),
+        ("bounds.retryBudgetRatio", "0.2"),
+        ("bounds.retrySlack", "109"),
+    ]);
+    let text = render(&template, &values);
+    expect_that!(text, not(contains_substring("{{")));
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("template.yaml");
+    std::fs::write(&path, text).or_fail()?;
+    let settings = settings::load(&path).or_fail()?;
+    expect_that!(settings.node.name, eq("front-mercado-1"));
+    expect_that!(settings.node.is_first_start, eq(true));
+    expect_that!(settings.listen.peers.port(), eq(7340));
+    expect_that!(settings.retry.reserve, eq(109));
+    Ok(())
+}
+
+#[gtest]
+fn wrong_settings_are_refused_with_their_place() -> Result<()> {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("wrong.yaml");
+    for (name, text, expected) in [
+        ("unknown field", "node: {name: a, domain: b, colour: red}\n", "colour"),
+        ("missing field", "node: {name: a}\n", "domain"),
+        ("wrong type", "node: {name: a, domain: b}\nlisten: 5\n", "line 2"),
+    ] {
+        std::fs::write(&path, text).or_fail()?;
+        let error = settings::load(&path).expect_err("the settings are wrong");
+        expect_that!(error.to_string(), contains_substring(expected), "{name}");
+    }
+    Ok(())
+}
--- a/cuminward-serving/src/host.rs
+++ b/cuminward-serving/src/host.rs
@@ -86,8 +86,8 @@
 
     /// Tells whether the host is the head of a group that serves or finishes requests.
     pub fn is_serving_head(&self) -> bool {
-        self.membership.as_ref().is_some_and(|it| {
-            it.rank == 0 && matches!(it.phase, Phase::Open | Phase::Closing)
-        })
+        self.membership
+            .as_ref()
+            .is_some_and(|it| it.rank == 0 && matches!(it.phase, Phase::Open | Phase::Closing))
     }
 }
--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -280,8 +280,7 @@
                 }
                 survey::Verdict::Scatter => {
                     occupied.extend(members);
-                    let formation =
-                        Formation { group: group.name.to_owned(), epoch: group.epoch };
+                    let formation = Formation { group: group.name.to_owned(), epoch: group.epoch };
                     orders.extend(group.members.values().map(|it| Order {
                         host: it.id.clone(),
                         action: Action::Leave(formation.clone()),
--- a/cuminward-serving/src/placement/plan.rs
+++ b/cuminward-serving/src/placement/plan.rs
@@ -106,9 +106,10 @@
                 && !it.members.values().any(|it| survey.lost.contains(&it.id))
                 && !self.forming.contains_key(it.name)
         });
-        let forming = self.forming.values().filter(|it| {
-            it.model == model.name && is_here(survey.hosts.get(&it.members[0]))
-        });
+        let forming = self
+            .forming
+            .values()
+            .filter(|it| it.model == model.name && is_here(survey.hosts.get(&it.members[0])));
         open.count() + forming.count()
     }
 
--- a/cuminward-serving/src/placement/survey.rs
+++ b/cuminward-serving/src/placement/survey.rs
@@ -116,7 +116,9 @@
     fn has_head_left(&self, survey: &Survey<'_>, group: &replica::Group<'_>) -> bool {
         let head = self.dissolving.get(group.name).and_then(|it| survey.hosts.get(it));
         head.is_some_and(|it| {
-            it.membership.as_ref().is_none_or(|it| it.group != group.name || it.epoch != group.epoch)
+            it.membership
+                .as_ref()
+                .is_none_or(|it| it.group != group.name || it.epoch != group.epoch)
         })
     }
 }
--- a/cuminward-serving/tests/all/placement/fleet.rs
+++ b/cuminward-serving/tests/all/placement/fleet.rs
@@ -122,7 +122,9 @@
 
     fn heads(&self, model: &str) -> Vec<&Sim> {
         let heads = self.sims.values().filter(|it| {
-            it.is_alive && it.phase() == Some(Phase::Open) && it.host.model.as_deref() == Some(model)
+            it.is_alive
+                && it.phase() == Some(Phase::Open)
+                && it.host.model.as_deref() == Some(model)
         });
         heads.filter(|it| self.is_whole(it)).collect()
     }
@@ -329,7 +331,11 @@
             return Outcome::Unanswered;
         }
         let outcome = self.carry_out(order, self.token, seq);
-        if self.loses_answers && self.orders.is_multiple_of(4) { Outcome::Unanswered } else { outcome }
+        if self.loses_answers && self.orders.is_multiple_of(4) {
+            Outcome::Unanswered
+        } else {
+            outcome
+        }
     }
 
     fn carry_out_late(&mut self) {
@@ -445,9 +451,8 @@
     }
 
     fn carry_out(&mut self, now: Duration, engine: &engine::Engine, action: &Action) -> Outcome {
-        let is_own = |it: &Option<Membership>, group: &str| {
-            it.as_ref().is_some_and(|it| it.group == group)
-        };
+        let is_own =
+            |it: &Option<Membership>, group: &str| it.as_ref().is_some_and(|it| it.group == group);
         match action {
             Action::Join { group, epoch, model, members } => {
                 let rank = members.iter().position(|it| *it == self.host.id).unwrap_or_default();
--- a/cuminward-serving/tests/all/select.rs
+++ b/cuminward-serving/tests/all/select.rs
@@ -14,10 +14,26 @@
     let it = |load, slots, is_near| Candidate { load, slots, is_near, penalty: 1.0, tie: 0 };
     let cases = [
         Case { name: "none", candidates: vec![], expected: None },
-        Case { name: "less load", candidates: vec![it(3, 10, false), it(1, 10, false)], expected: Some(1) },
-        Case { name: "more slots", candidates: vec![it(3, 4, false), it(4, 20, false)], expected: Some(1) },
-        Case { name: "near of equals", candidates: vec![it(1, 10, false), it(1, 10, true)], expected: Some(1) },
-        Case { name: "far but idle", candidates: vec![it(9, 10, true), it(1, 10, false)], expected: Some(1) },
+        Case {
+            name: "less load",
+            candidates: vec![it(3, 10, false), it(1, 10, false)],
+            expected: Some(1),
+        },
+        Case {
+            name: "more slots",
+            candidates: vec![it(3, 4, false), it(4, 20, false)],
+            expected: Some(1),
+        },
+        Case {
+            name: "near of equals",
+            candidates: vec![it(1, 10, false), it(1, 10, true)],
+            expected: Some(1),
+        },
+        Case {
+            name: "far but idle",
+            candidates: vec![it(9, 10, true), it(1, 10, false)],
+            expected: Some(1),
+        },
         Case {
             name: "slow",
             candidates: vec![Candidate { penalty: 5.0, ..it(1, 10, false) }, it(4, 10, false)],
--- a/cuminward/src/main.rs
+++ b/cuminward/src/main.rs
@@ -86,7 +86,8 @@
         .build()
         .into_diagnostic()?;
     runtime.block_on(async {
-        let gateway = gateway::Gateway::start(settings, source.settings.clone()).await.into_diagnostic()?;
+        let gateway =
+            gateway::Gateway::start(settings, source.settings.clone()).await.into_diagnostic()?;
         stop_signal().await.into_diagnostic()?;
         gateway.stop().await;
         Ok(())
