--- a/cuminward-gateway/src/control/follow.rs
+++ b/cuminward-gateway/src/control/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the declarations and the list of hosts in the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::RangeInclusive, sync::Arc, time::Duration};
 
 use cuminward_adapter::{store, topic};
 use cuminward_serving::table::Record;
@@ -8,8 +8,10 @@
 
 use crate::{control::duty::Duty, state::State};
 
-/// Time that a read of the declarations waits for a change.
-const DECLARATION_WAIT: Duration = Duration::from_millis(2200);
+/// Shortest and longest time that a read of the declarations waits for a change. A read may miss a
+/// change while it waits, so it ends well before a change has to be in force; different times keep the
+/// reads of the nodes apart, as they tell each other.
+const DECLARATION_WAIT_MS: RangeInclusive<u64> = 800..=1400;
 
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -56,7 +58,8 @@
 
 async fn next(state: &State) -> Result<(), store::Error> {
     let from = state.knowledge().declarations.end();
-    let page = state.store.read(topic::DECLARATIONS, from, DECLARATION_WAIT).await?;
+    let wait = Duration::from_millis(rand::random_range(DECLARATION_WAIT_MS));
+    let page = state.store.read(topic::DECLARATIONS, from, wait).await?;
     let mut is_changed = false;
     for record in page.records {
         is_changed |= state.knowledge().declare(record);
--- a/cuminward-gateway/src/control/watch.rs
+++ b/cuminward-gateway/src/control/watch.rs
@@ -86,6 +86,7 @@
         upstream.gauge.note_failure(now);
         upstream.gauge.note_loss(now);
     } else {
+        log::info!("replica {} was silent for {silence:?}, its members answer", upstream.name);
         time::sleep(INSPECT_AFTER).await;
     }
 }
--- a/cuminward-gateway/tests/all/configuration.rs
+++ b/cuminward-gateway/tests/all/configuration.rs
@@ -111,3 +111,14 @@
     expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
     expect_that!(site.plain[0].received(), is_empty());
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_a_waiting_read_misses_is_in_force_in_time() {
+    let site = Site::start().await;
+    let node = site.node("deaf").await;
+    site.store.set_deaf(true);
+    time::sleep(Duration::from_millis(100)).await;
+    site.configure(2, new_route());
+    expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
+}
--- a/cuminward-serving/src/placement/allot.rs
+++ b/cuminward-serving/src/placement/allot.rs
@@ -12,7 +12,7 @@
 const SPARES: usize = 2;
 
 /// Weight of a host that already has a model, against the hosts that the model still lacks.
-const STICKINESS: f64 = 2.0;
+const STICKINESS: f64 = 0.8;
 
 /// A fabric domain.
 #[derive(Debug, Clone, PartialEq)]
--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -17,6 +17,9 @@
 use crate::{engine, host::Host, id, replica};
 use order::{Action, Formation, Order, Outcome};
 
+/// Time without new hosts after which the list is taken for whole while there is no traffic.
+const SETTLED_AFTER: Duration = Duration::from_millis(400);
+
 /// Formations that one fencing token may number.
 const EPOCHS_PER_TOKEN: id::Epoch = 100_000;
 
@@ -63,6 +66,8 @@
     /// Last order of each kind that a host got, so that it isn't repeated at once.
     given: BTreeMap<id::Host, (Action, Duration)>,
     loads: load::Loads,
+    /// Hosts in the list, and since when there are so many.
+    listed: (usize, Duration),
     levels: Vec<Level>,
 }
 
@@ -106,6 +111,7 @@
             pending: BTreeMap::new(),
             given: BTreeMap::new(),
             loads: load::Loads::default(),
+            listed: (0, Duration::ZERO),
             levels: Vec::new(),
         }
     }
@@ -169,7 +175,9 @@
         self.adopt(now, survey, &groups);
         self.advance(now, survey, &mut orders);
         let occupied = self.dissolve(survey, &groups, &mut orders);
-        self.plan(now, survey, &groups, &occupied, &mut orders);
+        if survey.has_traffic || self.is_settled(now, survey) {
+            self.plan(now, survey, &groups, &occupied, &mut orders);
+        }
         orders.retain(|it| self.may_give(it));
         for order in &orders {
             self.note_given(now, order, survey.engine);
@@ -177,6 +185,15 @@
         orders
     }
 
+    /// Tells whether no hosts have come for a while. At the first start they come one after the other,
+    /// and what the first of them loaded would decide which model each fabric domain serves.
+    fn is_settled(&mut self, now: Duration, survey: &Survey<'_>) -> bool {
+        if self.listed.0 != survey.hosts.len() {
+            self.listed = (survey.hosts.len(), now);
+        }
+        now.saturating_sub(self.listed.1) >= SETTLED_AFTER
+    }
+
     /// Tells whether an order may be given: its host answers, has none under way, and didn't get the
     /// same one a moment ago.
     fn may_give(&self, order: &Order) -> bool {
--- a/cuminward-serving/tests/all/placement.rs
+++ b/cuminward-serving/tests/all/placement.rs
@@ -33,6 +33,15 @@
     expect_that!(fleet.violations, is_empty());
 }
 
+#[gtest]
+fn hosts_that_are_listed_one_after_the_other_are_divided_by_the_shares() {
+    let mut fleet = Fleet::new(&FABRICS, PER_FABRIC);
+    fleet.list_slowly(Duration::from_millis(30));
+    fleet.run(LEAD);
+    expect_that!(fleet.open(LARGE), eq(6));
+    expect_that!(fleet.open(SMALL), eq(15));
+}
+
 #[gtest]
 fn a_lost_member_is_replaced_by_a_spare_host_within_seconds() {
     let mut fleet = Fleet::new(&FABRICS, PER_FABRIC);
--- a/cuminward-serving/tests/all/placement/fleet.rs
+++ b/cuminward-serving/tests/all/placement/fleet.rs
@@ -55,6 +55,8 @@
     now: Duration,
     engine: engine::Engine,
     sims: BTreeMap<id::Host, Sim>,
+    /// When hosts enter the list.
+    listed_from: BTreeMap<id::Host, Duration>,
     /// What the steward sees.
     listed: BTreeMap<id::Host, Host>,
     steward: Steward,
@@ -90,6 +92,7 @@
             now: Duration::ZERO,
             engine: fixture::engine(),
             sims,
+            listed_from: BTreeMap::new(),
             listed: BTreeMap::new(),
             steward: steward(1),
             token: 1,
@@ -220,6 +223,15 @@
         self.steward = steward(self.token);
     }
 
+    /// Hosts enter the list one after the other, those of different fabric domains by turns.
+    pub(super) fn list_slowly(&mut self, gap: Duration) {
+        let names: Vec<id::Host> = self.sims.keys().cloned().collect();
+        for (index, name) in names.iter().enumerate() {
+            let turn = index % 10 * 6 + index / 10;
+            self.listed_from.insert(name.clone(), gap * turn as u32);
+        }
+    }
+
     pub(super) fn begin_traffic(&mut self) {
         self.has_traffic = true;
     }
@@ -274,6 +286,7 @@
     fn list(&mut self) {
         for (id, sim) in &self.sims {
             match sim.silent_since {
+                _ if self.listed_from.get(id).is_some_and(|it| *it > self.now) => {}
                 None => {
                     self.listed.insert(id.clone(), sim.host.clone());
                 }
