--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -57,6 +57,8 @@
     forming: BTreeMap<id::Group, Forming>,
     /// Heads that were told to leave their groups.
     dissolving: BTreeMap<id::Group, id::Host>,
+    /// Since when hosts have been in no group.
+    idle: BTreeMap<id::Host, Duration>,
     /// Groups whose head may have been told to open.
     uncertain: BTreeSet<id::Group>,
     /// Hosts that didn't answer and get no orders until a time.
@@ -106,6 +108,7 @@
             counter: 0,
             forming: BTreeMap::new(),
             dissolving: BTreeMap::new(),
+            idle: BTreeMap::new(),
             uncertain: BTreeSet::new(),
             unreachable: BTreeMap::new(),
             pending: BTreeMap::new(),
--- a/cuminward-serving/src/placement/plan.rs
+++ b/cuminward-serving/src/placement/plan.rs
@@ -13,6 +13,9 @@
 };
 use crate::{engine, host::Host, id, replica};
 
+/// Time for which a host stays free before it gives up its model for another one.
+const IDLE_FOR: Duration = Duration::from_secs(5);
+
 /// Hosts that can be used, by fabric domain.
 type Free<'a> = BTreeMap<&'a str, Vec<&'a Host>>;
 
@@ -38,11 +41,55 @@
                 if chosen.iter().all(|it| it.has_staged(&allotment.model.name)) {
                     orders.extend(self.form(now, allotment.model, &chosen));
                 } else {
-                    self.load_missing(survey, allotment.model, &chosen, orders);
+                    self.load_missing(now, survey, allotment.model, &chosen, orders);
+                }
+            }
+        }
+        self.note_idle(now, &free);
+        self.form_idle(now, survey, &mut free, orders);
+        self.stage_spares(now, survey, &allotments, &free, orders);
+    }
+
+    /// Notes since when hosts have been free.
+    fn note_idle(&mut self, now: Duration, free: &Free<'_>) {
+        let ids: BTreeSet<&id::Host> = free.values().flatten().map(|it| &it.id).collect();
+        self.idle.retain(|host, _| ids.contains(host));
+        for id in ids {
+            self.idle.entry(id.clone()).or_insert(now);
+        }
+    }
+
+    /// Forms groups of hosts that are left over and have a model, the largest first, whatever their
+    /// fabric domain is meant to serve.
+    fn form_idle(
+        &mut self,
+        now: Duration,
+        survey: &Survey<'_>,
+        free: &mut Free<'_>,
+        orders: &mut Vec<Order>,
+    ) {
+        let mut models: Vec<&engine::Model> = survey.engine.models.iter().collect();
+        models.sort_by_key(|it| std::cmp::Reverse(it.size));
+        for hosts in free.values_mut() {
+            for model in &models {
+                while let Some(chosen) = self.choose_staged(hosts, model) {
+                    orders.extend(self.form(now, model, &chosen));
                 }
             }
         }
-        self.stage_spares(survey, &allotments, &free, orders);
+    }
+
+    /// Takes hosts for a new group that all have its model.
+    fn choose_staged<'a>(
+        &self,
+        free: &mut Vec<&'a Host>,
+        model: &engine::Model,
+    ) -> Option<Vec<&'a Host>> {
+        let is_staged = |it: &&&Host| it.has_staged(&model.name);
+        if model.size == 0 || free.iter().filter(is_staged).count() < model.size {
+            return None;
+        }
+        self.choose(free, model)
     }
 
     /// Hosts that are in no group and can be used.
@@ -178,6 +225,7 @@
     /// Lets the hosts of a future group load its model, as far as the bounds on loads allow.
     fn load_missing(
         &self,
+        now: Duration,
         survey: &Survey<'_>,
         model: &engine::Model,
         hosts: &[&Host],
@@ -190,6 +238,9 @@
             if host.has_staged(&model.name) || host.is_busy || is_loading {
                 continue;
             }
+            if !host.staged.is_empty() && !self.is_idle(now, &host.id) {
+                continue;
+            }
             let action = Action::Stage { model: model.name.clone() };
             let order = Order { host: host.id.clone(), action };
             let available = self.loads.available(survey.engine, survey.has_traffic);
@@ -200,9 +251,15 @@
         }
     }
 
+    /// Tells whether a host has been free for so long that it may give up the model that it has.
+    fn is_idle(&self, now: Duration, host: &str) -> bool {
+        self.idle.get(host).is_some_and(|since| now.saturating_sub(*since) >= IDLE_FOR)
+    }
+
     /// Lets hosts that are left over load the first model of their fabric domain.
     fn stage_spares(
         &self,
+        now: Duration,
         survey: &Survey<'_>,
         allotments: &[Allotment<'_>],
         free: &Free<'_>,
@@ -210,7 +267,7 @@
     ) {
         for (fabric, hosts) in free {
             let Some(first) = allotments.iter().find(|it| it.fabric == *fabric) else { continue };
-            self.load_missing(survey, first.model, hosts, orders);
+            self.load_missing(now, survey, first.model, hosts, orders);
         }
     }
 }
