--- a/cuminward-gateway/src/control/follow.rs
+++ b/cuminward-gateway/src/control/follow.rs
@@ -62,7 +62,7 @@
     let page = state.store.read(topic::DECLARATIONS, from, wait).await?;
     let mut is_changed = false;
     for record in page.records {
-        is_changed |= state.knowledge().declare(record);
+        is_changed |= state.knowledge().declare(&record);
     }
     if is_changed {
         state.publish();
@@ -75,7 +75,7 @@
     let mut follower = Follower::new();
     loop {
         let read = follower.read(&state).await;
-        follower.note(state.now(), read.err());
+        follower.note(state.now(), read.as_ref().err());
         time::sleep(follower.interval(&duty)).await;
     }
 }
@@ -122,7 +122,7 @@
         let mut knowledge = state.knowledge();
         if now < self.lapses_until {
             for record in page.records {
-                knowledge.list(now, record);
+                knowledge.list(now, &record);
             }
             return Ok(true);
         }
@@ -142,7 +142,7 @@
                 knowledge.listing.advance(record.offset + 1);
                 self.lapsed.push(record);
             } else {
-                is_changed |= knowledge.list(now, record);
+                is_changed |= knowledge.list(now, &record);
             }
         }
         knowledge.listing.advance(page.end);
@@ -157,14 +157,14 @@
         }
         let mut knowledge = state.knowledge();
         let lapsed = std::mem::take(&mut self.lapsed);
-        lapsed.into_iter().fold(false, |changed, it| knowledge.list(now, it) | changed)
+        lapsed.iter().fold(false, |changed, it| knowledge.list(now, it) | changed)
     }
 
-    fn note(&mut self, now: Duration, error: Option<store::Error>) {
-        if error == Some(store::Error::Trimmed) {
+    fn note(&mut self, now: Duration, error: Option<&store::Error>) {
+        if error == Some(&store::Error::Trimmed) {
             self.needs_all = true;
         }
-        let outage = self.health.note(now, error.as_ref());
+        let outage = self.health.note(now, error);
         if outage > OUTAGE {
             self.lapses_until = now + LAPSE_GRACE;
         }
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -143,10 +143,10 @@
     let mut knowledge = state.knowledge();
     let mut is_changed = false;
     for record in delta.declarations {
-        is_changed |= knowledge.declare(record);
+        is_changed |= knowledge.declare(&record);
     }
     for record in delta.listing {
-        is_changed |= knowledge.list(now, record);
+        is_changed |= knowledge.list(now, &record);
     }
     drop(knowledge);
     if is_changed {
--- a/cuminward-gateway/src/state/knowledge.rs
+++ b/cuminward-gateway/src/state/knowledge.rs
@@ -76,7 +76,7 @@
 /// Mutation
 impl Knowledge {
     /// Takes in a declaration; tells whether anything changed.
-    pub(crate) fn declare(&mut self, record: Record) -> bool {
+    pub(crate) fn declare(&mut self, record: &Record) -> bool {
         if !self.declarations.apply(record.clone()) {
             return false;
         }
@@ -87,7 +87,7 @@
     /// Takes in all declarations up to an offset.
     pub(crate) fn declare_all(&mut self, records: Vec<Record>, end: id::Offset) {
         for record in &records {
-            self.declare(record.clone());
+            self.declare(record);
         }
         for key in self.declarations.replace(records, end) {
             self.read_declaration(&key, None);
@@ -117,7 +117,7 @@
     }
 
     /// Takes in an entry of the list of hosts; tells whether anything changed.
-    pub(crate) fn list(&mut self, now: Duration, record: Record) -> bool {
+    pub(crate) fn list(&mut self, now: Duration, record: &Record) -> bool {
         if !self.listing.apply(record.clone()) {
             return false;
         }
@@ -128,7 +128,7 @@
     /// Takes in the whole list of hosts up to an offset.
     pub(crate) fn list_all(&mut self, now: Duration, records: Vec<Record>, end: id::Offset) {
         for record in &records {
-            self.list(now, record.clone());
+            self.list(now, record);
         }
         for key in self.listing.replace(records, end) {
             self.read_entry(now, &key, None);
--- a/cuminward-gateway/tests/all/configuration.rs
+++ b/cuminward-gateway/tests/all/configuration.rs
@@ -37,7 +37,7 @@
     expect_that!(is_ready(node.ready).await, eq(false));
     let answer = node.get("/book/1", &[]).await.or_fail()?;
     expect_that!(answer.status.as_u16(), eq(503));
-    site.configure(1, json!([]));
+    site.configure(1, &json!([]));
     expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
     expect_that!(is_ready(node.ready).await, eq(true));
     Ok(())
@@ -48,12 +48,12 @@
 async fn the_newest_version_is_in_force_and_never_reverts() {
     let site = Site::start().await;
     let node = site.node("versions").await;
-    site.configure(5, new_route());
+    site.configure(5, &new_route());
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
-    site.configure(4, json!([]));
+    site.configure(4, &json!([]));
     time::sleep(Duration::from_millis(500)).await;
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
-    site.configure(6, json!([]));
+    site.configure(6, &json!([]));
     expect_that!(waits_for(&node, "/new/1", 404).await, eq(true));
 }
 
@@ -62,7 +62,7 @@
 async fn a_node_whose_records_are_gone_reads_the_newest_ones() {
     let site = Site::start().await;
     let node = site.node("compacted").await;
-    site.configure(2, new_route());
+    site.configure(2, &new_route());
     site.store.compact("keyed.op");
     site.store.compact("keyed.servers");
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
@@ -76,7 +76,7 @@
     site.store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
     time::sleep(Duration::from_secs(1)).await;
     expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
-    site.configure(2, new_route());
+    site.configure(2, &new_route());
     site.store.refuse(None);
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
 }
@@ -119,6 +119,6 @@
     let node = site.node("deaf").await;
     site.store.set_deaf(true);
     time::sleep(Duration::from_millis(100)).await;
-    site.configure(2, new_route());
+    site.configure(2, &new_route());
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
 }
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -75,7 +75,7 @@
     /// Starts a whole site.
     pub(crate) async fn start() -> Site {
         let site = Site::empty().await;
-        site.configure(1, json!([]));
+        site.configure(1, &json!([]));
         site
     }
 
@@ -163,7 +163,7 @@
     }
 
     /// Writes a configuration with routes beside the usual ones.
-    pub(crate) fn configure(&self, version: u64, more: Value) {
+    pub(crate) fn configure(&self, version: u64, more: &Value) {
         let route = |prefix: &str, kind: &str, service: &str| {
             json!({
                 "name": prefix, "host": "a.example", "pathPrefix": prefix, "routeKind": kind,
--- a/cuminward-serving/src/catalog.rs
+++ b/cuminward-serving/src/catalog.rs
@@ -182,14 +182,14 @@
     pub fn target(&self, draw: f64) -> Option<&Target> {
         let total: f64 = self.targets.iter().map(|it| it.weight).sum();
         let mut left = draw * total;
-        let weighted = self.targets.iter().filter(|it| it.weight > 0.0);
+        let mut weighted = self.targets.iter().filter(|it| it.weight > 0.0);
         for target in weighted.clone() {
             left -= target.weight;
             if left < 0.0 {
                 return Some(target);
             }
         }
-        weighted.last()
+        weighted.next_back()
     }
 }
 
--- a/cuminward-serving/tests/all/fixture.rs
+++ b/cuminward-serving/tests/all/fixture.rs
@@ -1,11 +1,10 @@
 //! Hosts and engines for tests.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use cuminward_serving::{
     engine, host,
     host::{Host, Membership, Phase},
-    id,
 };
 
 /// Model whose replicas have four hosts.
@@ -63,8 +62,3 @@
         ..host(id, "a-0")
     }
 }
-
-/// Hosts by identity.
-pub(crate) fn by_id(hosts: impl IntoIterator<Item = Host>) -> BTreeMap<id::Host, Host> {
-    hosts.into_iter().map(|it| (it.id.clone(), it)).collect()
-}
--- a/cuminward-serving/tests/all/placement/fleet.rs
+++ b/cuminward-serving/tests/all/placement/fleet.rs
@@ -151,10 +151,6 @@
         self.sims.keys().nth(at % self.sims.len()).cloned().unwrap_or_default()
     }
 
-    pub(super) fn phase(&self, host: &str) -> Option<Phase> {
-        self.sims[host].phase()
-    }
-
     pub(super) fn count(&self, phase: Phase) -> usize {
         self.sims.values().filter(|it| it.phase() == Some(phase)).count()
     }
