--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -539,6 +539,212 @@
         /// Revision of the change.
         revision: id::Revision,
     }
+    /// Log lines were dropped because standard output took none.
+    2001 Warn "lines-dropped" LinesDropped {
+        /// Lines that were dropped.
+        count: u64,
+    }
+    /// Settings were read again.
+    2002 Info "settings-reloaded" SettingsReloaded {
+        /// Whether anything is new: `new`, `same`, or `place` if addresses wait for the next start.
+        change: String,
+    }
+    /// Settings that were read again are wrong; the former ones hold.
+    2003 Error "settings-refused" SettingsRefused {
+        /// What is wrong.
+        reason: String,
+    }
+    /// The platform's store can't be used for a purpose.
+    2101 Warn "store-lost" StoreLost {
+        /// What it was used for.
+        purpose: String,
+        /// Why.
+        cause: String,
+    }
+    /// The platform's store can be used again.
+    2102 Info "store-regained" StoreRegained {
+        /// What it is used for.
+        purpose: String,
+        /// Milliseconds without it.
+        outage_ms: u64,
+    }
+    /// A new catalog is in force.
+    2103 Info "catalog-in-force" CatalogInForce {
+        /// Version.
+        version: u64,
+        /// Routes.
+        routes: u64,
+        /// Offset of its record in the store.
+        offset: u64,
+    }
+    /// A declared catalog can't be read; the former one holds.
+    2104 Error "catalog-unreadable" CatalogUnreadable {
+        /// Offset of its record in the store.
+        offset: u64,
+        /// Why.
+        cause: String,
+    }
+    /// A failure domain gets no work, or gets work again.
+    2105 Info "domain-switched" DomainSwitched {
+        /// The failure domain.
+        domain: String,
+        /// Whether it was taken out or brought back: `out` or `in`.
+        state: String,
+    }
+    /// A host left the list of hosts.
+    2106 Info "host-unlisted" HostUnlisted {
+        /// The host.
+        host: String,
+    }
+    /// The entry of a host can't be used.
+    2107 Warn "host-unreadable" HostUnreadable {
+        /// The host.
+        host: String,
+        /// Why.
+        cause: String,
+    }
+    /// The store divided the stewards' duties anew.
+    2201 Info "duties-divided" DutiesDivided {
+        /// Duties of this node.
+        parts: String,
+        /// Fencing token.
+        token: u64,
+    }
+    /// This node became the steward of a service.
+    2202 Info "steward-began" StewardBegan {
+        /// The service.
+        service: String,
+        /// Fencing token.
+        token: u64,
+    }
+    /// What came of an order to a host.
+    2203 Info "order-settled" OrderSettled {
+        /// The host.
+        host: String,
+        /// The order.
+        order: String,
+        /// Fencing token.
+        token: u64,
+        /// What came of it.
+        outcome: String,
+    }
+    /// The groups of a service changed, as its steward sees them.
+    2204 Info "groups-changed" GroupsChanged {
+        /// The service.
+        service: String,
+        /// For each model: open groups, groups that are formed, wanted groups, free hosts.
+        levels: String,
+    }
+    /// A replica with requests yielded nothing for a while.
+    2301 Info "replica-silent" ReplicaSilent {
+        /// The replica.
+        replica: String,
+        /// Milliseconds without progress.
+        silence_ms: u64,
+        /// What follows: `kept`, `given-up` or `lost`.
+        verdict: String,
+    }
+    /// A host doesn't answer.
+    2302 Warn "host-lost" HostLost {
+        /// The host.
+        host: String,
+        /// Replica whose member it is.
+        replica: String,
+        /// Why.
+        cause: String,
+    }
+    /// Another node said that hosts don't answer.
+    2303 Info "loss-heard" LossHeard {
+        /// The node.
+        from: String,
+        /// The hosts.
+        hosts: String,
+    }
+    /// A host crashed while it ran a request.
+    2304 Warn "host-crashed" HostCrashed {
+        /// Address of the host.
+        address: String,
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    }
+    /// Newer knowledge was fetched from another node.
+    2305 Info "knowledge-fetched" KnowledgeFetched {
+        /// Address of the node.
+        address: String,
+        /// Declarations.
+        declarations: u64,
+        /// Entries of the list of hosts.
+        hosts: u64,
+    }
+    /// An upstream was chosen for a request.
+    2401 Info "upstream-chosen" UpstreamChosen {
+        /// Route.
+        route: String,
+        /// Version of the catalog.
+        version: u64,
+        /// Upstream.
+        upstream: String,
+        /// Requests in flight there from this node.
+        own: u64,
+        /// Requests in flight there from all nodes.
+        load: u64,
+        /// Milliseconds that the request waited for it.
+        waited_ms: u64,
+        /// Milliseconds left until the deadline.
+        left_ms: u64,
+    }
+    /// An attempt brought no answer.
+    2402 Warn "attempt-failed" AttemptFailed {
+        /// Upstream.
+        upstream: String,
+        /// What is known about its execution: `not-run` or `unknown`.
+        failure: String,
+        /// Why.
+        cause: String,
+        /// Last event that the caller got; 0 if none.
+        last_event: u64,
+        /// What follows: `again`, `refuse` or `fail`.
+        next: String,
+    }
+    /// A request was answered.
+    2403 Info "request-finished" RequestFinished {
+        /// Route.
+        route: String,
+        /// Status.
+        status: u64,
+        /// Attempts.
+        attempts: u64,
+        /// Milliseconds to the first part of the answer.
+        first_ms: u64,
+        /// Milliseconds to its end.
+        total_ms: u64,
+    }
+    /// A request was refused or failed by the node.
+    2404 Warn "request-rejected" RequestRejected {
+        /// Route, if one was found.
+        route: String,
+        /// Status.
+        status: u64,
+        /// Why.
+        cause: String,
+        /// Attempts.
+        attempts: u64,
+        /// Milliseconds since the request arrived.
+        after_ms: u64,
+    }
+    /// A stream broke off before its end.
+    2405 Warn "stream-broken" StreamBroken {
+        /// Route.
+        route: String,
+        /// Why.
+        cause: String,
+        /// Last event that the caller got; 0 if none.
+        last_event: u64,
+        /// Attempts.
+        attempts: u64,
+        /// Milliseconds since the request arrived.
+        after_ms: u64,
+    }
 }
 
 /// Access
--- a/cuminward-event/src/lib.rs
+++ b/cuminward-event/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod field;
 pub mod kind;
+pub mod line;
 pub mod page;
 pub mod record;
 pub mod sink;
--- a/cuminward-event/src/sink.rs
+++ b/cuminward-event/src/sink.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     kind::{self, Kind},
+    line,
     record::Record,
 };
 
@@ -35,6 +36,8 @@
     shards: Vec<Mutex<VecDeque<Record>>>,
     /// Events so far, by index of the kind.
     counts: Vec<AtomicU64>,
+    /// Where events are written as lines of JSON, instead of to the log as text.
+    output: Option<line::Writer>,
 }
 
 /// How often a kind of event happened.
@@ -51,6 +54,7 @@
     /// Makes an empty sink that keeps about `capacity` events; at least one for each shard.
     pub fn new(node: id::Node, clock: Arc<hlc::Clock>, capacity: usize) -> Sink {
         Sink {
+            output: None,
             node,
             clock,
             next: AtomicU64::new(0),
@@ -61,6 +65,19 @@
     }
 }
 
+/// Life cycle
+impl Sink {
+    /// Makes an empty sink that writes its events as lines of JSON.
+    pub fn with_output(
+        node: id::Node,
+        clock: Arc<hlc::Clock>,
+        capacity: usize,
+        output: line::Writer,
+    ) -> Sink {
+        Sink { output: Some(output), ..Sink::new(node, clock, capacity) }
+    }
+}
+
 /// Access
 impl Sink {
     /// Node whose events the sink keeps.
@@ -116,9 +133,11 @@
     fn push(&self, request: Option<id::Request>, mut kind: Kind) {
         kind.bound();
         self.counts[kind.index()].fetch_add(1, Ordering::Relaxed);
-        match &request {
-            Some(request) => log::log!(kind.level(), "{kind} request={request}"),
-            None => log::log!(kind.level(), "{kind}"),
+        if self.output.is_none() {
+            match &request {
+                Some(request) => log::log!(kind.level(), "{kind} request={request}"),
+                None => log::log!(kind.level(), "{kind}"),
+            }
         }
         let mut shard = lock(&self.shards[shard_of_thread()]);
         let seq = self.next.fetch_add(1, Ordering::Relaxed);
@@ -126,7 +145,11 @@
         if shard.len() == self.capacity {
             shard.pop_front();
         }
-        shard.push_back(Record { seq, stamp, node: self.node.clone(), request, kind });
+        let record = Record { seq, stamp, node: self.node.clone(), request, kind };
+        if let Some(output) = &self.output {
+            output.write(&record);
+        }
+        shard.push_back(record);
     }
 }
 
--- /dev/null
+++ b/cuminward-event/tests/all/line.rs
@@ -0,0 +1,101 @@
+//! Tests of `line`.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Condvar, Mutex},
+    time::{Duration, Instant},
+};
+
+use cuminward_core::hlc;
+use cuminward_event::{kind::Kind, line::Writer, record::Record, sink::Sink};
+use googletest::prelude::*;
+
+/// An output that takes nothing while it is closed, as a full pipe does.
+#[derive(Clone, Default)]
+struct Gate {
+    state: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+}
+
+impl Gate {
+    fn open(&self) {
+        self.state.0.lock().expect("no holder panics").0 = true;
+        self.state.1.notify_all();
+    }
+
+    fn lines(&self) -> Vec<Record> {
+        let bytes = self.state.0.lock().expect("no holder panics").1.clone();
+        let text = String::from_utf8(bytes).expect("lines are text");
+        text.lines().map(|it| serde_json::from_str(it).expect("a line is a record")).collect()
+    }
+}
+
+impl Write for Gate {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let mut state = self.state.0.lock().expect("no holder panics");
+        while !state.0 {
+            state = self.state.1.wait(state).expect("no holder panics");
+        }
+        state.1.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn sink(gate: &Gate) -> Sink {
+    let writer = Writer::start(gate.clone()).expect("a thread can be started");
+    Sink::with_output(String::from("n1"), Arc::new(hlc::Clock::default()), 16, writer)
+}
+
+fn event(count: u64) -> Kind {
+    Kind::NodeDraining { in_flight: count }
+}
+
+fn wait_for(gate: &Gate, condition: impl Fn(&[Record]) -> bool) -> Vec<Record> {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    loop {
+        let lines = gate.lines();
+        if condition(&lines) || Instant::now() > deadline {
+            return lines;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[gtest]
+fn events_become_lines_that_can_be_read_back() {
+    let gate = Gate::default();
+    gate.open();
+    let sink = sink(&gate);
+    sink.emit(event(1));
+    sink.emit_for("r1", event(2));
+    let lines = wait_for(&gate, |it| it.len() == 2);
+    expect_that!(lines[0].kind, eq(&event(1)));
+    expect_that!(lines[1].request.as_deref(), some(eq("r1")));
+}
+
+#[gtest]
+fn a_full_pipe_holds_nobody_up_and_dropped_lines_are_counted() {
+    let gate = Gate::default();
+    let sink = sink(&gate);
+    let begun = Instant::now();
+    for count in 0..10_000 {
+        sink.emit(event(count));
+    }
+    expect_that!(begun.elapsed(), lt(Duration::from_secs(2)));
+    gate.open();
+    wait_for(&gate, |it| it.len() > 1000);
+    sink.emit(event(10_000));
+    let is_report = |it: &&Record| matches!(it.kind, Kind::LinesDropped { .. });
+    let lines = wait_for(&gate, |it| it.iter().any(|it| it.kind == event(10_000)));
+    let dropped: u64 = lines
+        .iter()
+        .filter(is_report)
+        .map(|it| if let Kind::LinesDropped { count } = it.kind { count } else { 0 })
+        .sum();
+    let written = lines.iter().filter(|it| !is_report(it)).count() as u64;
+    expect_that!(dropped, gt(5000));
+    expect_that!(dropped + written, eq(10_001));
+}
--- a/cuminward-event/tests/all/main.rs
+++ b/cuminward-event/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of cuminward-event.
 
 mod kind;
+mod line;
 mod page;
 mod sink;
 mod trace;
