feat: cuminward-gateway: numbered events as lines of JSON and metrics on the address of the settings

Every failed, refused, late or repeated request is logged in full, of the others one in 64 by a hash of its id.

--- a/cuminward-gateway/src/control/duty.rs
+++ b/cuminward-gateway/src/control/duty.rs
@@ -9,6 +9,7 @@
 };
 
 use cuminward_adapter::{store, topic};
+use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::id;
 use tokio::time;
 
@@ -81,11 +82,12 @@
         }
     }
 
-    fn set(&self, next: Share) {
+    fn set(&self, events: &Sink, next: Share) {
         let mut share = self.share.lock().unwrap_or_else(PoisonError::into_inner);
         let held = |it: Option<&Share>| it.map(|it| it.parts.clone()).unwrap_or_default();
         if held(share.as_ref()) != next.parts {
-            log::info!("duties parts={:?} token={}", next.parts, next.token);
+            let parts = format!("{:?}", next.parts);
+            events.emit(Kind::DutiesDivided { parts, token: next.token });
         }
         *share = Some(next);
     }
@@ -104,7 +106,7 @@
             Ok(share) => {
                 generation = share.generation;
                 let until = asked + member.lease;
-                duty.set(Share { token: generation, parts: share.parts, until });
+                duty.set(&state.events, Share { token: generation, parts: share.parts, until });
             }
             Err(error) => log::debug!("the duties can't be renewed: {error}"),
         }
--- a/cuminward-gateway/src/control/follow.rs
+++ b/cuminward-gateway/src/control/follow.rs
@@ -3,6 +3,7 @@
 use std::{ops::RangeInclusive, sync::Arc, time::Duration};
 
 use cuminward_adapter::{store, topic};
+use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::table::Record;
 use tokio::time;
 
@@ -40,7 +41,7 @@
             Err(store::Error::Trimmed) => true,
             Err(_) => needs_all,
         };
-        health.note(state.now(), read.as_ref().err());
+        health.note(&state.events, state.now(), read.as_ref().err());
         if read.is_err() && !needs_all {
             time::sleep(RETRY_PAUSE).await;
         } else if read.is_err() {
@@ -75,7 +76,7 @@
     let mut follower = Follower::new();
     loop {
         let read = follower.read(&state).await;
-        follower.note(state.now(), read.as_ref().err());
+        follower.note(&state, read.as_ref().err());
         time::sleep(follower.interval(&duty)).await;
     }
 }
@@ -160,11 +161,12 @@
         lapsed.iter().fold(false, |changed, it| knowledge.list(now, it) | changed)
     }
 
-    fn note(&mut self, now: Duration, error: Option<&store::Error>) {
+    fn note(&mut self, state: &State, error: Option<&store::Error>) {
+        let now = state.now();
         if error == Some(&store::Error::Trimmed) {
             self.needs_all = true;
         }
-        let outage = self.health.note(now, error);
+        let outage = self.health.note(&state.events, now, error);
         if outage > OUTAGE {
             self.lapses_until = now + LAPSE_GRACE;
         }
@@ -198,16 +200,18 @@
 /// Mutation
 impl Health {
     /// Notes the result of a read. Returns how long reads had failed if this one ends an outage.
-    fn note(&mut self, now: Duration, error: Option<&store::Error>) -> Duration {
+    fn note(&mut self, events: &Sink, now: Duration, error: Option<&store::Error>) -> Duration {
         match (error, self.failing_since) {
             (None, Some(since)) => {
                 let outage = now.saturating_sub(since);
-                log::info!("the {} can be read again after {outage:?}", self.topic);
+                let (purpose, outage_ms) = (self.topic.to_owned(), outage.as_millis() as u64);
+                events.emit(Kind::StoreRegained { purpose, outage_ms });
                 self.failing_since = None;
                 outage
             }
             (Some(error), None) => {
-                log::warn!("the {} can't be read: {error}", self.topic);
+                let (purpose, cause) = (self.topic.to_owned(), error.to_string());
+                events.emit(Kind::StoreLost { purpose, cause });
                 self.failing_since = Some(now);
                 Duration::ZERO
             }
--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use cuminward_event::kind::Kind;
 use cuminward_serving::{
     engine, id,
     placement::{
@@ -52,7 +53,8 @@
             let steward = stewards.entry(service.clone());
             let steward = steward.or_insert_with(|| Steward::new(service.clone(), token));
             if held.insert(service.clone()) {
-                log::info!("steward service={service} token={token}");
+                let service = service.clone();
+                state.events.emit(Kind::StewardBegan { service, token });
                 *steward = steward.restart();
             }
             steward.renew(token);
@@ -89,7 +91,8 @@
     let survey = Survey { hosts: &hosts, lost: &lost, evacuated: &evacuated, engine, has_traffic };
     let orders = steward.tick(now, &survey);
     if before != steward.levels() {
-        log::info!("groups service={service} {}", levels(steward));
+        let (service, levels) = (service.to_owned(), levels(steward));
+        state.events.emit(Kind::GroupsChanged { service, levels });
     }
     orders
 }
@@ -112,7 +115,12 @@
     outcome: Outcome,
 ) {
     let Some(steward) = stewards.get_mut(service) else { return };
-    log::info!("order host={} action={:?} outcome={outcome:?}", order.host, order.action);
+    state.events.emit(Kind::OrderSettled {
+        host: order.host.clone(),
+        order: format!("{:?}", order.action),
+        token: steward.token(),
+        outcome: format!("{outcome:?}"),
+    });
     if outcome == Outcome::Fenced {
         duty.forfeit(steward.token());
     }
--- a/cuminward-gateway/src/control/watch.rs
+++ b/cuminward-gateway/src/control/watch.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
+use cuminward_event::kind::Kind;
 use futures::future;
 use tokio::{sync::mpsc, time};
 
@@ -72,21 +73,34 @@
         match report {
             Ok(status) => state.knowledge().set_pace(&member.host, status.pace),
             Err(error) => {
-                log::info!("member host={} of {} lost: {error:?}", member.host, upstream.name);
-                is_changed |= state.knowledge().lose(now, &member.host);
+                let is_new = state.knowledge().lose(now, &member.host);
+                is_changed |= is_new;
+                if is_new {
+                    let host = member.host.clone();
+                    let (replica, cause) = (upstream.name.clone(), format!("{error:?}"));
+                    state.events.emit(Kind::HostLost { host, replica, cause });
+                }
             }
         }
     }
     let silence = upstream.gauge.silence(now).unwrap_or_default();
+    let verdict = match () {
+        () if is_changed => "lost",
+        () if silence > GIVE_UP_AFTER => "given-up",
+        () => "kept",
+    };
+    state.events.emit(Kind::ReplicaSilent {
+        replica: upstream.name.clone(),
+        silence_ms: silence.as_millis() as u64,
+        verdict: verdict.to_owned(),
+    });
     if is_changed {
         upstream.gauge.note_loss(now);
         state.publish();
     } else if silence > GIVE_UP_AFTER {
-        log::info!("replica {} stalled for {silence:?}", upstream.name);
         upstream.gauge.note_failure(now);
         upstream.gauge.note_loss(now);
     } else {
-        log::info!("replica {} was silent for {silence:?}, its members answer", upstream.name);
         time::sleep(INSPECT_AFTER).await;
     }
 }
--- a/cuminward-gateway/src/forward/admit.rs
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -13,6 +13,7 @@
 use super::{
     job::{Content, Job},
     reply::Denial,
+    report,
 };
 use crate::state::State;
 
@@ -46,10 +47,12 @@
     let body = read(body, &catalog.limits).await?;
     let target = route.target(rand::random()).ok_or(Denial::later(STARTING))?;
     let service = target.service.clone();
-    let content = Content { parts, body, meta, route, service, team, hides_key, started };
+    let version = catalog.version;
+    let content = Content { parts, body, meta, route, service, team, hides_key, version, started };
     let job = Job::new(content);
     if state.crashes().is_refused(state.now(), job.fingerprint) {
-        log::info!("request={} refused: it crashes the hosts that run it", job.id());
+        let cause = "it crashes the hosts that run it";
+        report::rejected(state, &job, StatusCode::SERVICE_UNAVAILABLE, cause, 0);
         return Err(Denial::later(CRASHING));
     }
     Ok(job)
--- a/cuminward-gateway/src/forward/call.rs
+++ b/cuminward-gateway/src/forward/call.rs
@@ -16,6 +16,7 @@
     exchange::{self, Fault},
     job::Job,
     reply::{self, Body, Denial},
+    report::{self, Course},
     slot::{self, Slot},
 };
 use crate::state::State;
@@ -46,12 +47,17 @@
         let wait = job.route.objective.mul_f64(state.current().admission.wait);
         let until = (Instant::now() + wait).min(job.limit);
         let Ok(slot) = slot::acquire(state, job, &tried, until).await else {
-            return give_up(job, failed, attempts, "no upstream has room");
+            return give_up(state, job, failed, attempts, "no upstream has room");
         };
         tried.push(slot.upstream.host.clone());
         let is_last = attempts.ran + 1 >= job.route.max_attempts;
         let fault = match attempt(state, job, &slot, is_last).await {
-            Ok(whole) if is_final(job, &whole, is_last) => return answer(whole),
+            Ok(whole) if is_final(job, &whole, is_last) => {
+                let (status, attempts) = (whole.head.status, tried.len() as u32);
+                let course = Course { status, attempts, first_ms: job.age_ms() };
+                report::finished(state, job, &course);
+                return answer(whole);
+            }
             Ok(whole) => {
                 let cause = format!("the upstream answered {}", whole.head.status);
                 failed = Some(whole);
@@ -62,15 +68,10 @@
         drop(slot);
         attempts.add(fault.failure);
         let next = attempt::next(attempts, fault.failure, &job.bounds());
-        log::info!(
-            "request={} host={} failure={:?} next={next:?} cause={}",
-            job.id(),
-            tried.last().map_or("-", String::as_str),
-            fault.failure,
-            fault.cause
-        );
+        let upstream = tried.last().map_or("-", String::as_str);
+        report::failed(state, job, upstream, &fault, None, next);
         if next != Next::Again || !budget.withdraw() {
-            return give_up(job, failed, attempts, &fault.cause);
+            return give_up(state, job, failed, attempts, &fault.cause);
         }
     }
 }
@@ -123,6 +124,7 @@
 }
 
 fn give_up(
+    state: &State,
     job: &Job,
     failed: Option<Whole>,
     attempts: attempt::State,
@@ -138,6 +140,6 @@
     } else {
         Denial::of(StatusCode::BAD_GATEWAY)
     };
-    log::info!("request={} status={} cause={cause}", job.id(), denial.status);
+    report::rejected(state, job, denial.status, cause, attempts.ran + attempts.refused);
     reply::refuse(&denial, job.meta.id.as_deref())
 }
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use cuminward_adapter::header;
+use cuminward_event::kind::Kind;
 use cuminward_serving::{attempt::Failure, event, request};
 use cuminward_upstream::{body, plain};
 use http::{HeaderValue, Request, StatusCode, header as names, response::Parts};
@@ -140,7 +141,7 @@
         let connecting = tokio::net::TcpStream::connect(&address);
         let connected = tokio::time::timeout(CRASH_TIMEOUT, connecting).await;
         if !matches!(connected, Ok(Ok(_))) {
-            log::info!("request={id} host={address} crashed while it ran the request");
+            state.events.emit_for(&id, Kind::HostCrashed { address, fingerprint });
             state.crashes().add(state.now(), fingerprint);
         }
     });
--- a/cuminward-gateway/src/forward/job.rs
+++ b/cuminward-gateway/src/forward/job.rs
@@ -9,6 +9,7 @@
 use cuminward_serving::{attempt, catalog, crash, id, request};
 use http::request::Parts;
 use tokio::time::Instant;
+use xxhash_rust::xxh3;
 
 /// A request that was admitted.
 pub(crate) struct Job {
@@ -22,6 +23,9 @@
     pub(crate) hides_key: bool,
     pub(crate) priority: u8,
     pub(crate) fingerprint: crash::Fingerprint,
+    /// Version of the catalog that admitted the request.
+    pub(crate) version: id::Version,
+    pub(crate) started: Instant,
     /// When the caller or the route gives it up.
     pub(crate) limit: Instant,
     may_have_run: AtomicBool,
@@ -36,9 +40,13 @@
     pub(crate) service: id::Service,
     pub(crate) team: Option<catalog::Team>,
     pub(crate) hides_key: bool,
+    pub(crate) version: id::Version,
     pub(crate) started: Instant,
 }
 
+/// One in so many requests is logged in full.
+const SAMPLED_IN: u64 = 64;
+
 /// Time before the limit at which the node gives its answer.
 const MARGIN: Duration = Duration::from_millis(15);
 
@@ -54,6 +62,8 @@
             priority: team_priority.unwrap_or(it.route.priority),
             team: it.team.map(|it| it.name),
             fingerprint,
+            version: it.version,
+            started: it.started,
             limit: it.started + patience.saturating_sub(MARGIN),
             parts: it.parts,
             body: it.body,
@@ -73,6 +83,16 @@
         self.meta.id.as_deref().unwrap_or("-")
     }
 
+    /// Tells whether the request is one of the share that every node logs in full.
+    pub(crate) fn is_sampled(&self) -> bool {
+        xxh3::xxh3_64(self.id().as_bytes()).is_multiple_of(SAMPLED_IN)
+    }
+
+    /// Milliseconds since the request arrived.
+    pub(crate) fn age_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
     /// Time left.
     pub(crate) fn left(&self) -> Duration {
         self.limit.saturating_duration_since(Instant::now())
--- a/cuminward-gateway/src/forward/mod.rs
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod job;
 pub(crate) mod reply;
+mod report;
 mod slot;
 mod source;
 mod stream;
@@ -34,7 +35,7 @@
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        log::info!("request={} route={} status={status} cause=timeout", job.id(), job.route.name);
+        report::rejected(&state, &job, status, "its time is up", 0);
         reply::refuse(&reply::Denial::of(status), job.meta.id.as_deref())
     })
 }
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -5,7 +5,7 @@
 use cuminward_serving::{id, select};
 use tokio::time::{self, Instant};
 
-use super::job::Job;
+use super::{job::Job, report};
 use crate::state::{
     State,
     gauge::Flight,
@@ -40,11 +40,13 @@
     tried: &[id::Host],
     until: Instant,
 ) -> Result<Slot, Full> {
+    let begun = Instant::now();
     loop {
         let freed = state.capacity.notified();
         let mut freed = std::pin::pin!(freed);
         freed.as_mut().enable();
         if let Some(slot) = take(state, job, tried) {
+            report::chosen(state, job, &slot.upstream, begun.elapsed());
             return Ok(slot);
         }
         if Instant::now() >= until {
--- a/cuminward-gateway/src/forward/source.rs
+++ b/cuminward-gateway/src/forward/source.rs
@@ -18,6 +18,7 @@
 use super::{
     exchange::{self, Answer, Fault},
     job::Job,
+    report,
     slot::{self, Slot},
 };
 use crate::state::State;
@@ -95,6 +96,19 @@
     }
 }
 
+/// Access
+impl Source {
+    /// Attempts so far, the current one included.
+    pub(crate) fn attempts(&self) -> u32 {
+        self.tried.len() as u32
+    }
+
+    /// Last event that was yielded.
+    pub(crate) fn last_event(&self) -> Option<event::Id> {
+        self.last_event
+    }
+}
+
 /// Mutation
 impl Source {
     /// Sends the request until an upstream answers.
@@ -225,14 +239,8 @@
     fn note(&mut self, fault: Fault) -> Result<(), Stop> {
         self.attempts.add(fault.failure);
         let next = attempt::next(self.attempts, fault.failure, &self.job.bounds());
-        log::info!(
-            "request={} host={} after={:?} failure={:?} next={next:?} cause={}",
-            self.job.id(),
-            self.tried.last().map_or("-", String::as_str),
-            self.last_event,
-            fault.failure,
-            fault.cause
-        );
+        let upstream = self.tried.last().map_or("-", String::as_str);
+        report::failed(&self.state, &self.job, upstream, &fault, self.last_event, next);
         if next == Next::Again && self.budget.withdraw() {
             return Ok(());
         }
--- a/cuminward-gateway/src/forward/stream.rs
+++ b/cuminward-gateway/src/forward/stream.rs
@@ -11,6 +11,7 @@
     exchange::{self, Answer},
     job::Job,
     reply::{self, Body, Broken, Denial},
+    report::{self, Course},
     slot::Slot,
     source::{Item, Opening, Source, Stop},
 };
@@ -31,24 +32,30 @@
     let mut source = Source::new(Arc::clone(state), Arc::clone(job));
     let head = match source.open().await {
         Ok(Opening::Stream(head)) => head,
-        Ok(Opening::Other(answer, slot)) => return pass_whole(job, *answer, slot).await,
-        Err(stop) => return refuse(job, &stop),
+        Ok(Opening::Other(answer, slot)) => {
+            let attempts = source.attempts();
+            return pass_whole(state, job, *answer, slot, attempts).await;
+        }
+        Err(stop) => return refuse(state, job, &stop, source.attempts()),
     };
     let first = match source.next().await {
         Ok(Item::Bytes(bytes)) => bytes,
         Ok(Item::End) => return Response::from_parts(*head, Body::whole(Bytes::new())),
-        Err(stop) => return refuse(job, &stop),
+        Err(stop) => return refuse(state, job, &stop, source.attempts()),
     };
+    let first_ms = job.age_ms();
     let (sender, receiver) = mpsc::channel(BUFFER);
-    tokio::spawn(relay(Arc::clone(job), source, first, sender));
+    tokio::spawn(relay(Arc::clone(state), Arc::clone(job), source, first, first_ms, sender));
     Response::from_parts(*head, Body::stream(receiver))
 }
 
 /// Passes events on until the stream or the time ends, or the caller leaves.
 async fn relay(
+    state: Arc<State>,
     job: Arc<Job>,
     mut source: Source,
     first: Bytes,
+    first_ms: u64,
     sender: mpsc::Sender<Result<Bytes, Broken>>,
 ) {
     if sender.send(Ok(first)).await.is_err() {
@@ -66,35 +73,46 @@
                 }
                 continue;
             }
-            Ok(Ok(Item::End)) => return,
+            Ok(Ok(Item::End)) => {
+                let (status, attempts) = (StatusCode::OK, source.attempts());
+                report::finished(&state, &job, &Course { status, attempts, first_ms });
+                return;
+            }
             Ok(Err(Stop::Refused(cause) | Stop::Failed(cause))) => cause,
             Err(_) => String::from("its time is up"),
         };
-        log::info!("request={} broken off: {cause}", job.id());
+        report::broken(&state, &job, &cause, source.last_event(), source.attempts());
         // A caller that has left needs no mark of a broken answer.
         let _ = sender.send(Err(Broken)).await;
         return;
     }
 }
 
-async fn pass_whole(job: &Job, answer: Answer, slot: Slot) -> Response<Body> {
+async fn pass_whole(
+    state: &State,
+    job: &Job,
+    answer: Answer,
+    slot: Slot,
+    attempts: u32,
+) -> Response<Body> {
     let body = Limited::new(answer.body, MAX_ANSWER_BYTES).collect().await;
     drop(slot);
     match body {
         Ok(body) => {
             let head = exchange::head(answer.head);
-            log::info!("request={} status={} from the upstream", job.id(), head.status);
+            let course = Course { status: head.status, attempts, first_ms: job.age_ms() };
+            report::finished(state, job, &course);
             Response::from_parts(head, Body::whole(body.to_bytes()))
         }
-        Err(error) => refuse(job, &Stop::Failed(error.to_string())),
+        Err(error) => refuse(state, job, &Stop::Failed(error.to_string()), attempts),
     }
 }
 
-fn refuse(job: &Job, stop: &Stop) -> Response<Body> {
+fn refuse(state: &State, job: &Job, stop: &Stop, attempts: u32) -> Response<Body> {
     let (denial, cause) = match stop {
         Stop::Refused(cause) => (Denial::later(RETRY_AFTER), cause),
         Stop::Failed(cause) => (Denial::of(StatusCode::BAD_GATEWAY), cause),
     };
-    log::info!("request={} status={} cause={cause}", job.id(), denial.status);
+    report::rejected(state, job, denial.status, cause, attempts);
     reply::refuse(&denial, job.meta.id.as_deref())
 }
--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -1,12 +1,19 @@
 //! A node as a whole: its tasks, start and stop.
 
-use std::{io, path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    io,
+    path::PathBuf,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use cuminward_event::kind::Kind;
 
 use tokio::{net::UdpSocket, task::JoinSet, time};
 
 use crate::{
     control::{duty, follow, steward, watch},
-    ingress::{connection, listener, ready},
+    ingress::{connection, listener, metrics, ready},
     peer::{gossip, pull, register},
     reload,
     settings::Settings,
@@ -26,6 +33,9 @@
 /// Longest time to give up the duties.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for the last events to be written.
+const LAST_LINES: Duration = Duration::from_millis(20);
+
 /// A running node.
 pub struct Gateway {
     state: Arc<State>,
@@ -41,8 +51,10 @@
     ///
     /// An address can't be used.
     pub async fn start(settings: Settings, path: PathBuf) -> io::Result<Gateway> {
-        log::info!("start node={} domain={}", settings.node.name, settings.node.domain);
-        let state = Arc::new(State::new(settings));
+        let state = Arc::new(State::new(settings)?);
+        let version = env!("CARGO_PKG_VERSION").to_owned();
+        let incarnation = rand::random::<u32>().into();
+        state.events.emit(Kind::NodeStarted { version, incarnation });
         let member = duty::member(&state);
         let mut gateway = Gateway { state, member, tasks: JoinSet::new() };
         gateway.listen().await?;
@@ -54,9 +66,9 @@
 
     /// Stops the node: it stops being ready, finishes the requests under way and ends.
     pub async fn stop(mut self) {
-        log::info!("stop node={}", self.state.settings.node.name);
         self.state.stop();
         let begun = self.state.now();
+        self.state.events.emit(Kind::NodeDraining { in_flight: self.requests() });
         let leaving = time::timeout(LEAVE_TIMEOUT, self.state.store.leave(&self.member)).await;
         if !matches!(leaving, Ok(Ok(()))) {
             log::warn!("the duties weren't given up: their lease has to end");
@@ -65,13 +77,20 @@
         loop {
             time::sleep(STOP_INTERVAL).await;
             let passed = self.state.now().saturating_sub(begun);
-            let requests = self.state.requests.load(std::sync::atomic::Ordering::Relaxed);
-            if passed >= grace || (passed >= MIN_STOP && requests == 0) {
-                log::info!("stopped with {requests} requests under way");
+            let in_flight = self.requests();
+            if passed >= grace || (passed >= MIN_STOP && in_flight == 0) {
+                let after_ms = passed.as_millis() as u64;
+                self.state.events.emit(Kind::NodeStopped { in_flight, after_ms });
                 break;
             }
         }
         self.tasks.abort_all();
+        time::sleep(LAST_LINES).await;
+    }
+
+    /// Requests under way.
+    fn requests(&self) -> u64 {
+        self.state.requests.load(Ordering::Relaxed) as u64
     }
 
     async fn listen(&mut self) -> io::Result<()> {
@@ -84,6 +103,12 @@
         let state = Arc::clone(&self.state);
         let serve = move |stream| ready::serve(Arc::clone(&state), stream);
         self.tasks.spawn(listener::accept(checks, serve));
+        if let Some(address) = listen.metrics {
+            let listener = listener::open(address).await?;
+            let (state, page) = (Arc::clone(&self.state), metrics::Page::new());
+            let serve = move |stream| metrics::serve(Arc::clone(&state), page.clone(), stream);
+            self.tasks.spawn(listener::accept(listener, serve));
+        }
         Ok(())
     }
 
--- /dev/null
+++ b/cuminward-gateway/src/ingress/metrics.rs
@@ -0,0 +1,81 @@
+//! Counters and histograms, as text for Prometheus.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service};
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use tokio::net::TcpStream;
+
+use crate::state::State;
+
+/// Events by kind.
+const EVENTS: &str = "cuminward_gateway_events_total";
+
+/// Requests of callers under way.
+const IN_FLIGHT: &str = "cuminward_gateway_requests_in_flight";
+
+/// Connections to upstreams that were opened.
+const CONNECTIONS: &str = "cuminward_gateway_upstream_connections_total";
+
+/// Version of the catalog in force.
+const VERSION: &str = "cuminward_gateway_catalog_version";
+
+/// Bounds of the histograms, in seconds.
+const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
+/// The page of metrics. Without a recorder, as in a second node of one process, it is empty.
+#[derive(Clone)]
+pub(crate) struct Page {
+    handle: Option<PrometheusHandle>,
+}
+
+/// Life cycle
+impl Page {
+    /// Starts to record the metrics of the process.
+    pub(crate) fn new() -> Page {
+        let builder = PrometheusBuilder::new()
+            .set_buckets_for_metric(Matcher::Suffix(String::from("_seconds")), &BUCKETS);
+        let handle = builder
+            .map_err(|error| log::error!("metrics can't be set up: {error}"))
+            .ok()
+            .map(PrometheusBuilder::build_recorder)
+            .and_then(|recorder| {
+                let handle = recorder.handle();
+                ::metrics::set_global_recorder(recorder).ok().map(|()| handle)
+            });
+        Page { handle }
+    }
+}
+
+/// Access
+impl Page {
+    fn render(&self, state: &State) -> String {
+        let Some(handle) = &self.handle else { return String::new() };
+        for it in state.events.counts().filter(|it| it.count > 0) {
+            ::metrics::counter!(EVENTS, "event" => it.entry.name).absolute(it.count);
+        }
+        let in_flight = state.requests.load(std::sync::atomic::Ordering::Relaxed);
+        ::metrics::gauge!(IN_FLIGHT).set(in_flight as f64);
+        ::metrics::counter!(CONNECTIONS).absolute(state.upstreams.opened());
+        let version = state.view.load().catalog.as_ref().map_or(0, |it| it.version);
+        ::metrics::gauge!(VERSION).set(version as f64);
+        handle.run_upkeep();
+        handle.render()
+    }
+}
+
+/// Serves one connection.
+pub(crate) async fn serve(state: Arc<State>, page: Page, stream: TcpStream) {
+    let answer = service::service_fn(|_: Request<Incoming>| {
+        let text = page.render(&state);
+        async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(text)))) }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
+    if let Err(error) = connection.await {
+        log::debug!("a reader of the metrics broke off: {error}");
+    }
+}
--- a/cuminward-gateway/src/ingress/mod.rs
+++ b/cuminward-gateway/src/ingress/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod connection;
 pub(crate) mod listener;
+pub(crate) mod metrics;
 pub(crate) mod ready;
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use cuminward_event::kind::Kind;
 use cuminward_serving::{crash::Fingerprint, id};
 use tokio::{net::UdpSocket, time};
 
@@ -142,18 +143,19 @@
     }
     let now = state.now();
     let (lost, crashes) = (digest.lost.clone(), digest.crashes.clone());
+    let node = digest.node.clone();
     if !peers.hear(now, digest) {
         return;
     }
     state.set_nodes(peers.lock().len() + 1);
-    lose(state, now, &lost);
+    lose(state, now, &node, &lost);
     if !crashes.is_empty() {
         count_crashes(state, peers, now);
     }
 }
 
 /// Takes in the hosts that didn't answer another node.
-fn lose(state: &State, now: Duration, lost: &[(id::Host, u64)]) {
+fn lose(state: &State, now: Duration, from: &str, lost: &[(id::Host, u64)]) {
     let mut is_changed = false;
     for (host, left_ms) in lost {
         let until = now + Duration::from_millis(*left_ms);
@@ -162,6 +164,8 @@
     if !is_changed {
         return;
     }
+    let hosts: Vec<&str> = lost.iter().map(|(host, _)| host.as_str()).collect();
+    state.events.emit(Kind::LossHeard { from: from.to_owned(), hosts: hosts.join(",") });
     let is_lost = |host: &str| lost.iter().any(|(it, _)| it == host);
     for upstream in state.view.load().watched() {
         if upstream.members.len() > 1 && upstream.members.iter().any(|it| is_lost(&it.host)) {
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -3,6 +3,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use cuminward_derive::record;
+use cuminward_event::kind::Kind;
 use cuminward_serving::{id, table::Record};
 use futures::StreamExt;
 use tarpc::{
@@ -105,7 +106,7 @@
         lagging = source.is_some();
         let Some(peer) = source.filter(|_| is_due) else { continue };
         match time::timeout(TIMEOUT, fetch(&state, &peer)).await {
-            Ok(Ok(delta)) => take_in(&state, delta),
+            Ok(Ok(delta)) => take_in(&state, &peer, delta),
             Ok(Err(error)) => log::debug!("nothing fetched from {}: {error}", peer.address),
             Err(_) => log::debug!("nothing fetched from {} in time", peer.address),
         }
@@ -138,7 +139,12 @@
     delta.map_err(io::Error::other)
 }
 
-fn take_in(state: &State, delta: Delta) {
+fn take_in(state: &State, peer: &Peer, delta: Delta) {
+    state.events.emit(Kind::KnowledgeFetched {
+        address: peer.address.to_string(),
+        declarations: delta.declarations.len() as u64,
+        hosts: delta.listing.len() as u64,
+    });
     let now = state.now();
     let mut knowledge = state.knowledge();
     let mut is_changed = false;
--- a/cuminward-gateway/src/reload.rs
+++ b/cuminward-gateway/src/reload.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use cuminward_event::kind::Kind;
 use tokio::{
     signal::unix::{self, Signal, SignalKind},
     time,
@@ -41,21 +42,19 @@
         Ok(settings) if settings == **state.current() => {
             *refused = None;
             if is_signal {
-                log::info!("reload: the settings are the same");
+                state.events.emit(Kind::SettingsReloaded { change: String::from("same") });
             }
         }
         Ok(settings) => {
             *refused = None;
-            if !settings.has_same_place(&state.settings) {
-                log::warn!("reload: new addresses and names hold from the next start on");
-            }
-            log::info!("reload: new settings hold");
+            let change = if settings.has_same_place(&state.settings) { "new" } else { "place" };
             state.reload(settings);
+            state.events.emit(Kind::SettingsReloaded { change: change.to_owned() });
         }
         Err(error) => {
             let error = error.to_string();
             if is_signal || refused.as_ref() != Some(&error) {
-                log::error!("reload refused, the former settings hold: {error}");
+                state.events.emit(Kind::SettingsRefused { reason: error.clone() });
             }
             *refused = Some(error);
         }
--- a/cuminward-gateway/src/settings.rs
+++ b/cuminward-gateway/src/settings.rs
@@ -47,6 +47,8 @@
     pub ready: SocketAddr,
     /// Datagrams and calls between nodes.
     pub peers: SocketAddr,
+    /// Counters and histograms, as text for Prometheus.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// The platform's store.
--- a/cuminward-gateway/src/state/knowledge.rs
+++ b/cuminward-gateway/src/state/knowledge.rs
@@ -7,6 +7,7 @@
 };
 
 use cuminward_adapter::{catalog as declared, host as listed, topic};
+use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::{
     catalog, engine, host, id,
     replica::{self, Group},
@@ -29,8 +30,8 @@
 }
 
 /// What a node knows.
-#[derive(Default)]
 pub(crate) struct Knowledge {
+    events: Arc<Sink>,
     /// Declarations as they were written.
     pub(crate) declarations: Table,
     /// The list of hosts as they wrote it.
@@ -45,6 +46,24 @@
     gauges: HashMap<String, Arc<Gauge>>,
 }
 
+/// Life cycle
+impl Knowledge {
+    /// Knows nothing yet.
+    pub(crate) fn new(events: Arc<Sink>) -> Knowledge {
+        Knowledge {
+            events,
+            declarations: Table::default(),
+            listing: Table::default(),
+            catalog: None,
+            evacuated: BTreeSet::new(),
+            hosts: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            gauges: HashMap::new(),
+        }
+    }
+}
+
 /// Access
 impl Knowledge {
     /// Hosts that don't answer.
@@ -96,22 +115,31 @@
 
     fn read_declaration(&mut self, key: &str, value: Option<&[u8]>) {
         if let Some(domain) = topic::evacuated_domain(key) {
-            match value {
-                Some(_) => self.evacuated.insert(domain.to_owned()),
-                None => self.evacuated.remove(domain),
+            let (is_new, state) = match value {
+                Some(_) => (self.evacuated.insert(domain.to_owned()), "out"),
+                None => (self.evacuated.remove(domain), "in"),
             };
+            if is_new {
+                let (domain, state) = (domain.to_owned(), state.to_owned());
+                self.events.emit(Kind::DomainSwitched { domain, state });
+            }
             return;
         }
         let Some(value) = value.filter(|_| key == topic::CATALOG_KEY) else { return };
+        let offset = self.declarations.end().saturating_sub(1);
         match declared::decode(value) {
-            Ok(catalog) => self.set_catalog(catalog),
-            Err(error) => log::error!("the declared configuration can't be read: {error}"),
+            Ok(catalog) => self.set_catalog(catalog, offset),
+            Err(error) => {
+                let cause = error.to_string();
+                self.events.emit(Kind::CatalogUnreadable { offset, cause });
+            }
         }
     }
 
-    fn set_catalog(&mut self, catalog: catalog::Catalog) {
+    fn set_catalog(&mut self, catalog: catalog::Catalog, offset: id::Offset) {
         if self.catalog.as_ref().is_none_or(|it| it.version < catalog.version) {
-            log::info!("catalog version={} routes={}", catalog.version, catalog.routes.len());
+            let (version, routes) = (catalog.version, catalog.routes.len() as u64);
+            self.events.emit(Kind::CatalogInForce { version, routes, offset });
             self.catalog = Some(Arc::new(catalog));
         }
     }
@@ -138,7 +166,7 @@
     fn read_entry(&mut self, now: Duration, id: &str, value: Option<&[u8]>) {
         let Some(value) = value else {
             if self.hosts.remove(id).is_some() {
-                log::info!("host {id} left the list");
+                self.events.emit(Kind::HostUnlisted { host: id.to_owned() });
             }
             return;
         };
@@ -146,7 +174,8 @@
         match listed::decode(id, value) {
             Ok(host) => self.set_host(now, host),
             Err(error) => {
-                log::warn!("the entry of host {id} can't be used: {error}");
+                let (host, cause) = (id.to_owned(), error.to_string());
+                self.events.emit(Kind::HostUnreadable { host, cause });
                 self.hosts.remove(id);
             }
         }
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -6,6 +6,7 @@
 
 use std::{
     collections::HashMap,
+    io,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -16,6 +17,8 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use cuminward_adapter::store;
+use cuminward_core::hlc;
+use cuminward_event::{line, sink::Sink};
 use cuminward_route::attempt::Budget;
 use cuminward_serving::{crash, id};
 use cuminward_upstream::pool;
@@ -33,6 +36,9 @@
 /// Longest silence within an answer. Replicas are watched more closely.
 const SILENCE: Duration = Duration::from_secs(20);
 
+/// Recent events that are kept in memory.
+const EVENT_CAPACITY: usize = 64;
+
 /// Longest time that a connection to an upstream is kept idle.
 const MAX_IDLE: Duration = Duration::from_secs(10);
 
@@ -43,6 +49,8 @@
     /// Settings as they were read last.
     current: ArcSwap<Settings>,
     started: Instant,
+    /// Where events go.
+    pub(crate) events: Arc<Sink>,
     /// What requests read.
     pub(crate) view: ArcSwap<view::View>,
     /// What the control tasks know.
@@ -69,7 +77,15 @@
 /// Life cycle
 impl State {
     /// Makes the state of a node that knows nothing yet.
-    pub(crate) fn new(settings: Settings) -> State {
+    ///
+    /// # Errors
+    ///
+    /// The thread that writes events can't be started.
+    pub(crate) fn new(settings: Settings) -> io::Result<State> {
+        let clock = Arc::new(hlc::Clock::default());
+        let node = settings.node.name.clone();
+        let output = line::Writer::stdout()?;
+        let events = Arc::new(Sink::with_output(node, clock, EVENT_CAPACITY, output));
         let store = store::Client::new(settings.store.address.to_string(), STORE_TIMEOUT);
         let options = pool::Options {
             connect: CONNECT_TIMEOUT,
@@ -78,13 +94,15 @@
             ..pool::Options::default()
         };
         let has_traffic = AtomicBool::new(!settings.node.is_first_start);
-        State {
+        let knowledge = Mutex::new(knowledge::Knowledge::new(Arc::clone(&events)));
+        Ok(State {
+            events,
             current: ArcSwap::from_pointee(settings.clone()),
             settings,
             has_traffic,
             started: Instant::now(),
             view: ArcSwap::from_pointee(view::View::default()),
-            knowledge: Mutex::default(),
+            knowledge,
             upstreams: pool::Pool::new(options),
             store,
             crashes: Mutex::default(),
@@ -94,7 +112,7 @@
             requests: AtomicUsize::new(0),
             capacity: Notify::new(),
             news: Notify::new(),
-        }
+        })
     }
 }
 
--- a/cuminward-gateway/tests/all/template.rs
+++ b/cuminward-gateway/tests/all/template.rs
@@ -30,6 +30,7 @@
         ("listen.front", "10.1.0.40:8227"),
         ("listen.readyAddr", "10.1.0.40:8220"),
         ("internalPorts.0", "7340"),
+        ("internalPorts.1", "7355"),
         ("platformTerms.address", "10.200.1.7:8223"),
         ("platformTerms.ttlMinMs", "1000"),
         ("platformTerms.parts", "8"),
