--- a/cuminward-ctl/src/cli.rs
+++ b/cuminward-ctl/src/cli.rs
@@ -123,6 +123,13 @@
         #[arg(long, value_enum, default_value_t = Timeline::Text)]
         format: Timeline,
     },
+    /// Tell the story of a request from the log lines of gateway nodes.
+    Explain {
+        /// The request.
+        request: id::Request,
+        /// Files with log lines, of one node or of several; standard input if there are none.
+        files: Vec<PathBuf>,
+    },
     /// Work with keys and tokens.
     #[command(subcommand)]
     Key(Key),
--- a/cuminward-ctl/src/command/mod.rs
+++ b/cuminward-ctl/src/command/mod.rs
@@ -13,6 +13,7 @@
 pub mod apply;
 pub mod change;
 pub mod events;
+pub mod explain;
 pub mod key;
 pub mod read;
 
@@ -36,6 +37,7 @@
             let request = events::request(request, last_seconds);
             events::timeline(&global, &request, format, out).await
         }
+        Command::Explain { request, files } => explain::run(&request, &files, input, out),
         Command::Key(cli::Key::Hash) => key::hash(input, out),
         Command::Completion { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "cuminctl", out);
--- a/cuminward-event/src/lib.rs
+++ b/cuminward-event/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod explain;
 mod field;
 pub mod kind;
 pub mod line;
--- /dev/null
+++ b/cuminward-event/tests/all/explain.rs
@@ -0,0 +1,60 @@
+//! Tests of `explain`.
+
+use cuminward_event::{explain, kind::Kind, record::Record};
+use googletest::prelude::*;
+
+/// A hybrid logical time so many milliseconds after some moment.
+fn stamp(ms: u64) -> u64 {
+    (1_700_000_000_000 + ms) << 16
+}
+
+fn record(ms: u64, node: &str, request: Option<&str>, kind: Kind) -> Record {
+    let request = request.map(str::to_owned);
+    Record { seq: ms, stamp: stamp(ms), node: node.to_owned(), request, kind }
+}
+
+fn failed(upstream: &str) -> Kind {
+    Kind::AttemptFailed {
+        upstream: upstream.to_owned(),
+        failure: String::from("unknown"),
+        cause: String::from("the replica lost a member or stalled"),
+        last_event: 4,
+        next: String::from("again"),
+    }
+}
+
+fn lost(replica: &str) -> Kind {
+    let (host, cause) = (String::from("h1"), String::from("Silent"));
+    Kind::HostLost { host, replica: replica.to_owned(), cause }
+}
+
+#[gtest]
+fn a_story_holds_the_request_and_what_explains_it() {
+    let records = vec![
+        record(9_000, "n1", Some("r1"), failed("g1/7")),
+        record(8_900, "n2", None, lost("g1/7")),
+        record(8_950, "n2", None, lost("g2/8")),
+        record(100, "n2", None, lost("g1/7")),
+        record(9_100, "n1", Some("r2"), failed("g1/7")),
+        record(
+            5_000,
+            "n3",
+            None,
+            Kind::GroupsChanged { service: String::from("s"), levels: String::from("m=1") },
+        ),
+        record(8_000, "n1", None, Kind::NodeDraining { in_flight: 3 }),
+        record(8_000, "n2", None, Kind::NodeDraining { in_flight: 3 }),
+        record(20_000, "n2", None, lost("g1/7")),
+    ];
+    let story = explain::story(records, "r1");
+    let times: Vec<u64> = story.iter().map(|it| it.seq).collect();
+    expect_that!(times, eq(&[5_000, 8_000, 8_900, 9_000]));
+}
+
+#[gtest]
+fn lines_with_a_prefix_are_read_and_others_passed_over() {
+    let line = serde_json::to_string(&record(1, "n1", Some("r1"), failed("g")));
+    let line = line.expect("a record can be encoded");
+    let lines = [String::from("no record"), format!("12.3 node {line}"), line, String::from("{}")];
+    expect_that!(explain::read(lines).len(), eq(2));
+}
--- a/cuminward-event/tests/all/line.rs
+++ b/cuminward-event/tests/all/line.rs
@@ -13,17 +13,29 @@
 /// An output that takes nothing while it is closed, as a full pipe does.
 #[derive(Clone, Default)]
 struct Gate {
-    state: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+    state: Arc<State>,
+}
+
+#[derive(Default)]
+struct State {
+    content: Mutex<Content>,
+    opened: Condvar,
+}
+
+#[derive(Default)]
+struct Content {
+    is_open: bool,
+    bytes: Vec<u8>,
 }
 
 impl Gate {
     fn open(&self) {
-        self.state.0.lock().expect("no holder panics").0 = true;
-        self.state.1.notify_all();
+        self.state.content.lock().expect("no holder panics").is_open = true;
+        self.state.opened.notify_all();
     }
 
     fn lines(&self) -> Vec<Record> {
-        let bytes = self.state.0.lock().expect("no holder panics").1.clone();
+        let bytes = self.state.content.lock().expect("no holder panics").bytes.clone();
         let text = String::from_utf8(bytes).expect("lines are text");
         text.lines().map(|it| serde_json::from_str(it).expect("a line is a record")).collect()
     }
@@ -31,11 +43,11 @@
 
 impl Write for Gate {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut state = self.state.0.lock().expect("no holder panics");
-        while !state.0 {
-            state = self.state.1.wait(state).expect("no holder panics");
+        let mut content = self.state.content.lock().expect("no holder panics");
+        while !content.is_open {
+            content = self.state.opened.wait(content).expect("no holder panics");
         }
-        state.1.extend_from_slice(bytes);
+        content.bytes.extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
--- a/cuminward-event/tests/all/main.rs
+++ b/cuminward-event/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of cuminward-event.
 
+mod explain;
 mod kind;
 mod line;
 mod page;
--- a/cuminward-gateway/src/forward/call.rs
+++ b/cuminward-gateway/src/forward/call.rs
@@ -50,6 +50,7 @@
             return give_up(state, job, failed, attempts, "no upstream has room");
         };
         tried.push(slot.upstream.host.clone());
+        let upstream = slot.upstream.name.clone();
         let is_last = attempts.ran + 1 >= job.route.max_attempts;
         let fault = match attempt(state, job, &slot, is_last).await {
             Ok(whole) if is_final(job, &whole, is_last) => {
@@ -68,8 +69,7 @@
         drop(slot);
         attempts.add(fault.failure);
         let next = attempt::next(attempts, fault.failure, &job.bounds());
-        let upstream = tried.last().map_or("-", String::as_str);
-        report::failed(state, job, upstream, &fault, None, next);
+        report::failed(state, job, &upstream, &fault, None, next);
         if next != Next::Again || !budget.withdraw() {
             return give_up(state, job, failed, attempts, &fault.cause);
         }
--- a/cuminward-gateway/src/forward/source.rs
+++ b/cuminward-gateway/src/forward/source.rs
@@ -30,6 +30,8 @@
     budget: Arc<Budget>,
     attempts: attempt::State,
     tried: Vec<id::Host>,
+    /// Name of the last upstream that was tried.
+    upstream: String,
     current: Option<Current>,
     /// Last event that was yielded.
     last_event: Option<event::Id>,
@@ -90,6 +92,7 @@
             budget,
             attempts: attempt::State::default(),
             tried: Vec::new(),
+            upstream: String::new(),
             current: None,
             is_begun: false,
         }
@@ -232,6 +235,7 @@
         let slot = slot::acquire(&self.state, &self.job, &self.tried, until).await;
         let slot = slot.map_err(|_| self.stop(String::from("no replica has room")))?;
         self.tried.push(slot.upstream.host.clone());
+        self.upstream.clone_from(&slot.upstream.name);
         Ok(slot)
     }
 
@@ -239,8 +243,7 @@
     fn note(&mut self, fault: Fault) -> Result<(), Stop> {
         self.attempts.add(fault.failure);
         let next = attempt::next(self.attempts, fault.failure, &self.job.bounds());
-        let upstream = self.tried.last().map_or("-", String::as_str);
-        report::failed(&self.state, &self.job, upstream, &fault, self.last_event, next);
+        report::failed(&self.state, &self.job, &self.upstream, &fault, self.last_event, next);
         if next == Next::Again && self.budget.withdraw() {
             return Ok(());
         }
