--- a/cuminward-gateway/src/control/watch.rs
+++ b/cuminward-gateway/src/control/watch.rs
@@ -43,11 +43,12 @@
         let view = state.view.load_full();
         let now = state.now();
         for upstream in view.watched().filter(|it| it.members.len() > 1) {
-            let Some(silence) = upstream.gauge.silence(now) else { continue };
+            let is_suspect = upstream.gauge.take_suspicion();
+            let silence = upstream.gauge.silence(now).unwrap_or_default();
             if silence > STALL {
                 upstream.gauge.alarm.notify_waiters();
             }
-            if silence > INSPECT_AFTER && inspected.insert(upstream.key) {
+            if (is_suspect || silence > INSPECT_AFTER) && inspected.insert(upstream.key) {
                 let (state, upstream) = (Arc::clone(&state), Arc::clone(upstream));
                 let sender = sender.clone();
                 tokio::spawn(async move {
@@ -68,24 +69,18 @@
     });
     let answers = future::join_all(asked).await;
     let now = state.now();
-    let mut is_changed = false;
+    let mut is_lost = false;
     for (member, report) in answers {
         match report {
             Ok(status) => state.knowledge().set_pace(&member.host, status.pace),
             Err(error) => {
-                let is_new = state.knowledge().lose(now, &member.host);
-                is_changed |= is_new;
-                if is_new {
-                    let host = member.host.clone();
-                    let (replica, cause) = (upstream.name.clone(), format!("{error:?}"));
-                    state.events.emit(Kind::HostLost { host, replica, cause });
-                }
+                is_lost |= state.lose(upstream, &member.host, &format!("{error:?}"));
             }
         }
     }
     let silence = upstream.gauge.silence(now).unwrap_or_default();
     let verdict = match () {
-        () if is_changed => "lost",
+        () if is_lost => "lost",
         () if silence > GIVE_UP_AFTER => "given-up",
         () => "kept",
     };
@@ -94,10 +89,10 @@
         silence_ms: silence.as_millis() as u64,
         verdict: verdict.to_owned(),
     });
-    if is_changed {
-        upstream.gauge.note_loss(now);
-        state.publish();
-    } else if silence > GIVE_UP_AFTER {
+    if is_lost {
+        return;
+    }
+    if silence > GIVE_UP_AFTER {
         upstream.gauge.note_failure(now);
         upstream.gauge.note_loss(now);
     } else {
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -58,6 +58,8 @@
             slot.upstream.gauge.note_failure(state.now());
             if !is_unsent {
                 suspect_crash(state, job, address);
+            } else if slot.upstream.members.len() > 1 {
+                slot.upstream.gauge.note_suspicion();
             }
             let failure = if is_unsent { Failure::NotRun } else { Failure::Unknown };
             return Err(Fault { failure, cause: failed.error.to_string() });
--- a/cuminward-gateway/src/forward/source.rs
+++ b/cuminward-gateway/src/forward/source.rs
@@ -44,7 +44,9 @@
     body: body::Body<Full<Bytes>>,
     splitter: Splitter,
     since: Duration,
-    has_events: bool,
+    /// Whether the request goes elsewhere when the replica stalls, which is so while nothing has come of
+    /// it and another attempt is allowed.
+    may_move: bool,
 }
 
 /// What a stream yields.
@@ -120,10 +122,11 @@
             let slot = self.slot().await?;
             let left = self.job.left();
             let since = self.state.now();
+            let may_move = self.may_move();
             let sending = exchange::send(&self.state, &self.job, &slot, self.resume_after(), left);
             let sent = tokio::select! {
                 sent = sending => sent,
-                () = stalled(&self.state, &slot, since, false) => Err(Fault {
+                () = stalled(&self.state, &slot, since, may_move) => Err(Fault {
                     failure: Failure::Unknown,
                     cause: String::from("the replica stalled before it answered"),
                 }),
@@ -133,7 +136,7 @@
                     let head = Box::new(exchange::head(answer.head));
                     let splitter = Splitter::default();
                     let body = answer.body;
-                    let current = Current { slot, body, splitter, since, has_events: false };
+                    let current = Current { slot, body, splitter, since, may_move };
                     self.current = Some(current);
                     return Ok(Opening::Stream(head));
                 }
@@ -200,12 +203,12 @@
         let Some(current) = &mut self.current else { return Step::End };
         loop {
             if let Some(event) = current.splitter.next_event() {
-                current.has_events = true;
+                current.may_move = false;
                 return Step::Event(event);
             }
             let frame = tokio::select! {
                 frame = current.body.frame() => frame,
-                () = stalled(&self.state, &current.slot, current.since, current.has_events) => {
+                () = stalled(&self.state, &current.slot, current.since, current.may_move) => {
                     return unknown(String::from("the replica lost a member or stalled"));
                 }
             };
@@ -254,6 +257,11 @@
         if self.attempts.ran == 0 { Stop::Refused(cause) } else { Stop::Failed(cause) }
     }
 
+    /// Tells whether another attempt is allowed after the one that begins now.
+    fn may_move(&self) -> bool {
+        self.attempts.ran + 1 < self.job.route.max_attempts
+    }
+
     /// Event after which the stream goes on, unless the caller's own word holds.
     fn resume_after(&self) -> Option<event::Id> {
         self.last_event.filter(|_| self.is_begun)
@@ -264,8 +272,8 @@
     Step::Fault(Fault { failure: Failure::Unknown, cause })
 }
 
-/// Waits until the replica of a slot is lost; for a request that hasn't begun, until it stalls.
-async fn stalled(state: &State, slot: &Slot, since: Duration, has_events: bool) {
+/// Waits until the replica of a slot is lost or, for a request that may move, stalls.
+async fn stalled(state: &State, slot: &Slot, since: Duration, may_move: bool) {
     let gauge = &slot.upstream.gauge;
     loop {
         let alarm = gauge.alarm.notified();
@@ -275,7 +283,7 @@
             return;
         }
         alarm.await;
-        if !has_events && gauge.is_doubtful(state.now()) {
+        if may_move && gauge.is_doubtful(state.now()) {
             return;
         }
     }
--- a/cuminward-gateway/src/state/gauge.rs
+++ b/cuminward-gateway/src/state/gauge.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -30,6 +30,8 @@
     lost_ms: AtomicU64,
     /// Until when it gets no requests if others can take them, in milliseconds since the start.
     paused_until_ms: AtomicU64,
+    /// Whether its members should be asked whether they live.
+    is_suspect: AtomicBool,
     /// Failures since the last success.
     failures: AtomicU32,
     /// Until when it is cold, in milliseconds since the node's start.
@@ -104,6 +106,16 @@
         self.progress_ms.store(now.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Notes that its members should be asked whether they live.
+    pub(crate) fn note_suspicion(&self) {
+        self.is_suspect.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether its members should be asked; true once for each suspicion.
+    pub(crate) fn take_suspicion(&self) -> bool {
+        self.is_suspect.swap(false, Ordering::Relaxed)
+    }
+
     /// Notes an answer that was complete.
     pub(crate) fn note_success(&self) {
         self.failures.store(0, Ordering::Relaxed);
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use cuminward_adapter::store;
 use cuminward_core::hlc;
-use cuminward_event::{line, sink::Sink};
+use cuminward_event::{kind::Kind, line, sink::Sink};
 use cuminward_route::attempt::Budget;
 use cuminward_serving::{crash, id};
 use cuminward_upstream::pool;
@@ -204,6 +204,20 @@
         }
     }
 
+    /// Notes that a member of a replica doesn't answer: the replica gets no more requests, and those that
+    /// it has are woken. Tells whether that is new.
+    pub(crate) fn lose(&self, upstream: &view::Upstream, host: &str, cause: &str) -> bool {
+        let now = self.now();
+        if !self.knowledge().lose(now, host) {
+            return false;
+        }
+        let (host, replica) = (host.to_owned(), upstream.name.clone());
+        self.events.emit(Kind::HostLost { host, replica, cause: cause.to_owned() });
+        upstream.gauge.note_loss(now);
+        self.publish();
+        true
+    }
+
     /// Makes the next view from what is known, and wakes the requests that wait for it.
     pub(crate) fn publish(&self) {
         let now = self.now();
