fix: cuminward-gateway: what other nodes say of a lost host is a reason to ask; a loss has to be confirmed

Ruled out: the capacity that was left. Now a loss holds for two intervals of questions (0.4 s at a steward, 1 s elsewhere).

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -653,7 +653,12 @@
         /// Why.
         cause: String,
     }
-    /// Another node said that hosts don't answer.
+    /// A host that was lost answers.
+    2306 Info "host-found" HostFound {
+        /// The host.
+        host: String,
+    }
+    /// Another node said that hosts don't answer; replicas with them are asked.
     2303 Info "loss-heard" LossHeard {
         /// The node.
         from: String,
--- a/cuminward-gateway/src/control/inspect.rs
+++ b/cuminward-gateway/src/control/inspect.rs
@@ -31,14 +31,15 @@
     Wrong,
 }
 
-/// Asks a host for its report; a second time on a new connection if the first got no answer.
+/// Asks a host for its report, and a second time on a new connection, for up to `timeout`, if the first
+/// question got no answer in half of that.
 pub(crate) async fn report(
     state: &State,
     host: &str,
     address: &str,
     timeout: Duration,
 ) -> Result<host::Status, Error> {
-    match ask(state, host, address, timeout, IDLE).await {
+    match ask(state, host, address, timeout / 2, IDLE).await {
         Err(Error::Silent) => ask(state, host, address, timeout, Duration::ZERO).await,
         other => other,
     }
--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -23,7 +23,7 @@
 const INTERVAL: Duration = Duration::from_millis(80);
 
 /// Longest time for a report before an order.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Orders whose outcomes wait to be taken in.
 const OUTCOMES: usize = 256;
@@ -71,6 +71,7 @@
             }
         }
         duty.set_work(!held.is_empty(), is_busy);
+        state.knowledge().set_steward(!held.is_empty());
     }
 }
 
--- a/cuminward-gateway/src/control/watch.rs
+++ b/cuminward-gateway/src/control/watch.rs
@@ -20,7 +20,7 @@
 const STALL: Duration = Duration::from_millis(450);
 
 /// Silence of a busy replica after which its members are asked whether they live.
-const INSPECT_AFTER: Duration = Duration::from_millis(300);
+const INSPECT_AFTER: Duration = Duration::from_millis(220);
 
 /// Silence after which a replica is given up although all its members answer.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(1500);
@@ -40,6 +40,7 @@
         while let Ok(key) = ended.try_recv() {
             inspected.remove(&key);
         }
+        ask_lost(&state);
         let view = state.view.load_full();
         let now = state.now();
         for upstream in view.watched().filter(|it| it.members.len() > 1) {
@@ -61,6 +62,32 @@
     }
 }
 
+/// Asks the lost hosts that are due again, and forgets losses that nothing confirmed.
+fn ask_lost(state: &Arc<State>) {
+    let now = state.now();
+    let (due, is_changed) = {
+        let mut knowledge = state.knowledge();
+        (knowledge.due_losses(now), knowledge.expire_losses(now))
+    };
+    if is_changed {
+        state.publish();
+    }
+    for member in due {
+        let state = Arc::clone(state);
+        tokio::spawn(async move {
+            let asked = inspect::report(&state, &member.host, &member.address, MEMBER_TIMEOUT);
+            if asked.await.is_ok() {
+                if state.knowledge().find(&member.host) {
+                    state.events.emit(Kind::HostFound { host: member.host });
+                    state.publish();
+                }
+            } else {
+                state.knowledge().lose(state.now(), &member.host);
+            }
+        });
+    }
+}
+
 /// Asks the members of a replica whether they live.
 async fn inspect_members(state: &State, upstream: &Upstream) {
     let asked = upstream.members.iter().map(|it| async move {
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -14,7 +14,7 @@
 use crate::state::State;
 
 /// Longest time that a kept connection may have been idle, by whether the request may be repeated.
-const IDLE: Duration = Duration::from_secs(3);
+const IDLE: Duration = Duration::from_secs(9);
 const IDLE_ONCE: Duration = Duration::from_millis(900);
 
 /// Pause before a host whose connection broke is asked whether it lives.
--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -26,8 +26,8 @@
     pub(crate) listing: id::Offset,
     /// Its requests in flight by upstream.
     pub(crate) flights: Vec<(Key, u32)>,
-    /// Hosts that didn't answer it, with the milliseconds for which they count as lost.
-    pub(crate) lost: Vec<(id::Host, u64)>,
+    /// Hosts that don't answer it.
+    pub(crate) lost: Vec<id::Host>,
     /// Crashes that it saw, by fingerprint of the request.
     pub(crate) crashes: Vec<(Fingerprint, u32)>,
 }
@@ -56,7 +56,7 @@
             declarations: knowledge.declarations.end(),
             listing: knowledge.listing.end(),
             flights,
-            lost: knowledge.own_losses(now),
+            lost: knowledge.lost(now).into_iter().collect(),
             crashes: state.crashes().own(now).collect(),
         }
     }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -9,7 +9,7 @@
 };
 
 use cuminward_event::kind::Kind;
-use cuminward_serving::{crash::Fingerprint, id};
+use cuminward_serving::{crash::Fingerprint, id, loss};
 use tokio::{net::UdpSocket, time};
 
 use super::digest::{Digest, Sender};
@@ -54,6 +54,13 @@
         peers.values().filter(|it| now.saturating_sub(it.heard) < FRESH).cloned().collect()
     }
 
+    /// Hosts that a node said don't answer it.
+    fn losses(&self, node: &str) -> Vec<id::Host> {
+        let peers = self.lock();
+        let digest = peers.get(node).and_then(|it| it.digest.as_ref());
+        digest.map(|it| it.lost.clone()).unwrap_or_default()
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<id::Node, Peer>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -142,37 +149,30 @@
         state.note_traffic();
     }
     let now = state.now();
-    let (lost, crashes) = (digest.lost.clone(), digest.crashes.clone());
-    let node = digest.node.clone();
+    let (node, lost, crashes) = (digest.node.clone(), digest.lost.clone(), digest.crashes.clone());
+    let before = peers.losses(&node);
     if !peers.hear(now, digest) {
         return;
     }
     state.set_nodes(peers.lock().len() + 1);
-    lose(state, now, &node, &lost);
+    suspect(state, &node, &loss::news(&before, &lost));
     if !crashes.is_empty() {
         count_crashes(state, peers, now);
     }
 }
 
-/// Takes in the hosts that didn't answer another node.
-fn lose(state: &State, now: Duration, from: &str, lost: &[(id::Host, u64)]) {
-    let mut is_changed = false;
-    for (host, left_ms) in lost {
-        let until = now + Duration::from_millis(*left_ms);
-        is_changed |= state.knowledge().hear_loss(now, host, until);
-    }
-    if !is_changed {
+/// Asks the members of replicas with a host that newly doesn't answer another node.
+fn suspect(state: &State, from: &str, lost: &[&str]) {
+    if lost.is_empty() {
         return;
     }
-    let hosts: Vec<&str> = lost.iter().map(|(host, _)| host.as_str()).collect();
-    state.events.emit(Kind::LossHeard { from: from.to_owned(), hosts: hosts.join(",") });
-    let is_lost = |host: &str| lost.iter().any(|(it, _)| it == host);
+    state.events.emit(Kind::LossHeard { from: from.to_owned(), hosts: lost.join(",") });
     for upstream in state.view.load().watched() {
-        if upstream.members.len() > 1 && upstream.members.iter().any(|it| is_lost(&it.host)) {
-            upstream.gauge.note_loss(now);
+        let is_named = upstream.members.iter().any(|it| lost.contains(&it.host.as_str()));
+        if upstream.members.len() > 1 && is_named {
+            upstream.gauge.note_suspicion();
         }
     }
-    state.publish();
 }
 
 fn count_crashes(state: &State, peers: &Peers, now: Duration) {
--- a/cuminward-gateway/src/state/knowledge.rs
+++ b/cuminward-gateway/src/state/knowledge.rs
@@ -9,7 +9,7 @@
 use cuminward_adapter::{catalog as declared, host as listed, topic};
 use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::{
-    catalog, engine, host, id,
+    catalog, engine, host, id, loss,
     replica::{self, Group},
     table::{Record, Table},
 };
@@ -19,15 +19,9 @@
     view::{self, Member, Pool, Upstream, View},
 };
 
-/// Time for which a host that didn't answer counts as lost.
-const LOST_FOR: Duration = Duration::from_secs(4);
-
-/// A host that counts as lost.
-struct Loss {
-    until: Duration,
-    /// Whether this node found out by itself.
-    is_own: bool,
-}
+/// Interval at which a lost host is asked again, by a steward and by other nodes.
+const STEWARD_ASKS_AGAIN: Duration = Duration::from_millis(400);
+const ASKS_AGAIN: Duration = Duration::from_millis(1000);
 
 /// What a node knows.
 pub(crate) struct Knowledge {
@@ -41,8 +35,10 @@
     pub(crate) hosts: BTreeMap<id::Host, host::Host>,
     /// Until when hosts are cold.
     cold: BTreeMap<id::Host, Duration>,
-    /// Hosts that count as lost.
-    lost: BTreeMap<id::Host, Loss>,
+    /// Hosts that don't answer.
+    losses: loss::Ledger,
+    /// Whether this node is the steward of a service.
+    is_steward: bool,
     gauges: HashMap<String, Arc<Gauge>>,
 }
 
@@ -58,7 +54,8 @@
             evacuated: BTreeSet::new(),
             hosts: BTreeMap::new(),
             cold: BTreeMap::new(),
-            lost: BTreeMap::new(),
+            losses: loss::Ledger::default(),
+            is_steward: false,
             gauges: HashMap::new(),
         }
     }
@@ -68,14 +65,11 @@
 impl Knowledge {
     /// Hosts that don't answer.
     pub(crate) fn lost(&self, now: Duration) -> BTreeSet<id::Host> {
-        let lost = self.lost.iter().filter(|(_, it)| it.until > now);
-        lost.map(|(host, _)| host.clone()).collect()
+        self.losses.lost(now)
     }
 
-    /// Hosts that didn't answer this node, with the milliseconds for which they count as lost.
-    pub(crate) fn own_losses(&self, now: Duration) -> Vec<(id::Host, u64)> {
-        let own = self.lost.iter().filter(|(_, it)| it.is_own && it.until > now);
-        own.map(|(host, it)| (host.clone(), (it.until - now).as_millis() as u64)).collect()
+    fn asks_again(&self) -> Duration {
+        if self.is_steward { STEWARD_ASKS_AGAIN } else { ASKS_AGAIN }
     }
 
     /// Services with a model engine.
@@ -190,7 +184,7 @@
         match known {
             Some(known) => host.pace = known.pace,
             None => {
-                self.lost.remove(&id);
+                self.losses.find(&id);
             }
         }
         self.hosts.insert(id, host);
@@ -203,21 +197,36 @@
         }
     }
 
-    /// Notes that a host didn't answer this node; tells whether that is new.
+    /// Notes whether this node is the steward of a service.
+    pub(crate) fn set_steward(&mut self, is_steward: bool) {
+        self.is_steward = is_steward;
+    }
+
+    /// Notes that a host didn't answer; tells whether that is new.
     pub(crate) fn lose(&mut self, now: Duration, id: &str) -> bool {
-        self.note_loss(now, id, Loss { until: now + LOST_FOR, is_own: true })
+        let interval = self.asks_again();
+        self.losses.lose(now, id, interval)
+    }
+
+    /// Notes that a host answers; tells whether it counted as lost.
+    pub(crate) fn find(&mut self, id: &str) -> bool {
+        self.losses.find(id)
     }
 
-    /// Notes that a host didn't answer another node and counts as lost until a time; tells whether
-    /// that is new.
-    pub(crate) fn hear_loss(&mut self, now: Duration, id: &str, until: Duration) -> bool {
-        let is_known = self.lost.get(id).is_some_and(|it| it.until > now);
-        !is_known && self.note_loss(now, id, Loss { until, is_own: false })
+    /// Forgets losses that weren't confirmed; tells whether there were any.
+    pub(crate) fn expire_losses(&mut self, now: Duration) -> bool {
+        self.losses.expire(now)
     }
 
-    fn note_loss(&mut self, now: Duration, id: &str, loss: Loss) -> bool {
-        self.lost.retain(|_, it| it.until > now);
-        self.lost.insert(id.to_owned(), loss).is_none()
+    /// Lost hosts that are still listed and have to be asked again.
+    pub(crate) fn due_losses(&mut self, now: Duration) -> Vec<Member> {
+        let interval = self.asks_again();
+        let due = self.losses.due(now, interval).into_iter();
+        due.filter_map(|host| {
+            let address = self.hosts.get(&host)?.address.clone();
+            Some(Member { host, address })
+        })
+        .collect()
     }
 
     /// Makes the view of requests.
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event;
 pub mod host;
 pub mod id;
+pub mod loss;
 pub mod placement;
 pub mod replica;
 pub mod request;
--- /dev/null
+++ b/cuminward-serving/src/loss.rs
@@ -0,0 +1,75 @@
+//! Hosts that don't answer.
+//!
+//! A loss holds for a short time and has to be confirmed again and again: a node that was cut off
+//! itself takes all hosts for lost, and must not act on that once it is back. What other nodes say is a
+//! reason to ask, never a loss by itself.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use crate::id;
+
+/// Intervals between confirmations for which a loss holds.
+const HOLDS_FOR: u32 = 2;
+
+/// Hosts that didn't answer this node.
+#[derive(Debug, Clone, Default)]
+pub struct Ledger {
+    entries: BTreeMap<id::Host, Entry>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    until: Duration,
+    /// When the host is to be asked again.
+    ask_at: Duration,
+}
+
+/// Access
+impl Ledger {
+    /// Hosts that count as lost.
+    pub fn lost(&self, now: Duration) -> BTreeSet<id::Host> {
+        let lost = self.entries.iter().filter(|(_, it)| it.until > now);
+        lost.map(|(host, _)| host.clone()).collect()
+    }
+}
+
+/// Mutation
+impl Ledger {
+    /// Notes that a host didn't answer and is to be asked again after `interval`; tells whether it
+    /// didn't count as lost before.
+    pub fn lose(&mut self, now: Duration, host: &str, interval: Duration) -> bool {
+        self.entries.retain(|_, it| it.until > now);
+        let entry = Entry { until: now + interval * HOLDS_FOR, ask_at: now + interval };
+        self.entries.insert(host.to_owned(), entry).is_none()
+    }
+
+    /// Notes that a host answers; tells whether it counted as lost.
+    pub fn find(&mut self, host: &str) -> bool {
+        self.entries.remove(host).is_some()
+    }
+
+    /// Hosts that are to be asked again now; each is named once an interval.
+    pub fn due(&mut self, now: Duration, interval: Duration) -> Vec<id::Host> {
+        let due = self.entries.iter_mut().filter(|(_, it)| it.ask_at <= now && it.until > now);
+        due.map(|(host, it)| {
+            it.ask_at = now + interval;
+            host.clone()
+        })
+        .collect()
+    }
+
+    /// Forgets losses that weren't confirmed; tells whether there were any.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        let before = self.entries.len();
+        self.entries.retain(|_, it| it.until > now);
+        self.entries.len() < before
+    }
+}
+
+/// Hosts that another node says are lost and didn't say so before.
+pub fn news<'a>(before: &[id::Host], after: &'a [id::Host]) -> Vec<&'a str> {
+    after.iter().filter(|it| !before.contains(it)).map(String::as_str).collect()
+}
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod event;
 mod fixture;
+mod loss;
 mod placement;
 mod replica;
 mod select;
