--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -653,11 +653,6 @@
         /// Why.
         cause: String,
     }
-    /// A host that was lost answers.
-    2306 Info "host-found" HostFound {
-        /// The host.
-        host: String,
-    }
     /// Another node said that hosts don't answer; replicas with them are asked.
     2303 Info "loss-heard" LossHeard {
         /// The node.
@@ -681,6 +676,11 @@
         /// Entries of the list of hosts.
         hosts: u64,
     }
+    /// A host that was lost answers.
+    2306 Info "host-found" HostFound {
+        /// The host.
+        host: String,
+    }
     /// An upstream was chosen for a request.
     2401 Info "upstream-chosen" UpstreamChosen {
         /// Route.
--- a/cuminward-gateway/src/settings.rs
+++ b/cuminward-gateway/src/settings.rs
@@ -75,14 +75,6 @@
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     #[serde(rename = "shutdown_grace_s")]
     pub shutdown_grace: Duration,
-    /// Time after which the head of a group notices that a member is missing, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "member_stall_ms")]
-    pub member_stall: Duration,
-    /// Time between two entries of a host in the store's list, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "heartbeat_ms")]
-    pub heartbeat: Duration,
 }
 
 /// Bounds on repeats.
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -133,7 +133,7 @@
         "node: {{name: {name}, domain: mercado}}\n\
          listen: {{callers: \"{callers}\", ready: \"{ready}\", peers: \"{peers}\"}}\n\
          store: {{address: \"{store}\", min_lease_ms: 1000, partitions: 8}}\n\
-         timing: {{shutdown_grace_s: 6, member_stall_ms: 5000, heartbeat_ms: 1200}}\n\
+         timing: {{shutdown_grace_s: 6}}\n\
          retry: {{ratio: 0.2, reserve: 100}}\n"
     )
 }
--- a/cuminward-gateway/tests/all/template.rs
+++ b/cuminward-gateway/tests/all/template.rs
@@ -35,8 +35,6 @@
         ("platformTerms.ttlMinMs", "1000"),
         ("platformTerms.parts", "8"),
         ("bounds.graceS", "8"),
-        ("bounds.stallMs", "5000"),
-        ("heartbeatMs", "1200"),
         ("bounds.retryBudgetRatio", "0.2"),
         ("bounds.retrySlack", "109"),
     ]);
