fix: cuminward-gateway: a node that started anew is heard by the others

Cause: starts have random numbers, and digests of a start with a smaller one were taken for old ones, so that half of all restarted nodes weren't heard any more. Found by reading. The test of the order of messages failed with the former comparison's rule for the last case.

--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use cuminward_derive::record;
-use cuminward_serving::{crash::Fingerprint, id};
+use cuminward_serving::{crash::Fingerprint, id, message};
 
 use crate::state::{State, view::Key};
 
@@ -32,6 +32,14 @@
     pub(crate) crashes: Vec<(Fingerprint, u32)>,
 }
 
+/// Access
+impl Digest {
+    /// Place of the digest among those of its node.
+    pub(crate) fn place(&self) -> message::Place {
+        message::Place { start: self.start, number: self.number }
+    }
+}
+
 /// Which start of which node sends digests.
 #[derive(Debug, Clone)]
 pub(crate) struct Sender {
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -81,8 +81,7 @@
     fn hear(&self, now: Duration, digest: Digest) -> bool {
         let mut peers = self.lock();
         let known = peers.get(&digest.node).and_then(|it| it.digest.as_ref());
-        let is_old = known.is_some_and(|it| (it.start, it.number) >= (digest.start, digest.number));
-        if is_old {
+        if known.is_some_and(|it| !digest.place().replaces(it.place())) {
             return false;
         }
         let peer = Peer { address: digest.address, heard: now, digest: Some(digest.clone()) };
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod host;
 pub mod id;
 pub mod loss;
+pub mod message;
 pub mod placement;
 pub mod replica;
 pub mod request;
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod event;
 mod fixture;
 mod loss;
+mod message;
 mod placement;
 mod replica;
 mod select;
