fix: cuminward-serving: hosts that load another model don't join, and the last missing host is loaded

Cause: `choose_staged` counted hosts that have the model but took them by readiness, where one that is loading another model ranks behind empty ones, so a group could be formed with a host that had yet to load. `plan` noted hosts as idle only after it had taken those for a group, so that a host which a group lacked never gave up its model and the group was never formed. Change: one question, `can_join`, for both; hosts are noted before they are taken. Hosts with an order under way are a set, as their times were never read. Tests: only_hosts_that_have_the_model_and_keep_it_join_a_group (failed with the former rule), a_host_gives_up_its_model_if_a_group_lacks_nothing_else (failed before the change).

--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -63,8 +63,8 @@
     uncertain: BTreeSet<id::Group>,
     /// Hosts that didn't answer and get no orders until a time.
     unreachable: BTreeMap<id::Host, Duration>,
-    /// Orders without an outcome, and when the last one was given.
-    pending: BTreeMap<id::Host, Duration>,
+    /// Hosts with an order without an outcome.
+    pending: BTreeSet<id::Host>,
     /// Last order of each kind that a host got, so that it isn't repeated at once.
     given: BTreeMap<id::Host, (Action, Duration)>,
     loads: load::Loads,
@@ -111,7 +111,7 @@
             idle: BTreeMap::new(),
             uncertain: BTreeSet::new(),
             unreachable: BTreeMap::new(),
-            pending: BTreeMap::new(),
+            pending: BTreeSet::new(),
             given: BTreeMap::new(),
             loads: load::Loads::default(),
             listed: (0, Duration::ZERO),
@@ -202,12 +202,12 @@
     fn may_give(&self, order: &Order) -> bool {
         let is_repeated = self.given.get(&order.host).is_some_and(|it| it.0 == order.action);
         !is_repeated
-            && !self.pending.contains_key(&order.host)
+            && !self.pending.contains(&order.host)
             && !self.unreachable.contains_key(&order.host)
     }
 
     fn note_given(&mut self, now: Duration, order: &Order, engine: &engine::Engine) {
-        self.pending.insert(order.host.clone(), now);
+        self.pending.insert(order.host.clone());
         self.given.insert(order.host.clone(), (order.action.clone(), now));
         if let Action::Stage { model } = &order.action
             && let Some(model) = engine.model(model)
--- a/cuminward-serving/src/placement/plan.rs
+++ b/cuminward-serving/src/placement/plan.rs
@@ -31,6 +31,7 @@
         orders: &mut Vec<Order>,
     ) {
         let mut free = self.free(now, survey, occupied);
+        self.note_idle(now, &free);
         let allotments = allot::run(survey.engine, self.fabrics(now, survey));
         self.levels = self.levels_of(survey, groups, &allotments, &free);
         for allotment in &allotments {
@@ -38,14 +39,13 @@
             let has = self.count(survey, groups, allotment.model, Some(&allotment.fabric));
             for _ in has..allotment.groups {
                 let Some(chosen) = self.choose(hosts, allotment.model) else { break };
-                if chosen.iter().all(|it| it.has_staged(&allotment.model.name)) {
+                if chosen.iter().all(|it| self.can_join(it, &allotment.model.name)) {
                     orders.extend(self.form(now, allotment.model, &chosen));
                 } else {
                     self.load_missing(now, survey, allotment.model, &chosen, orders);
                 }
             }
         }
-        self.note_idle(now, &free);
         self.form_idle(now, survey, &mut free, orders);
         self.stage_spares(now, survey, &allotments, &free, orders);
     }
@@ -85,8 +85,8 @@
         free: &mut Vec<&'a Host>,
         model: &engine::Model,
     ) -> Option<Vec<&'a Host>> {
-        let is_staged = |it: &&&Host| it.has_staged(&model.name);
-        if model.size == 0 || free.iter().filter(is_staged).count() < model.size {
+        let can_join = |it: &&&Host| self.can_join(it, &model.name);
+        if model.size == 0 || free.iter().filter(can_join).count() < model.size {
             return None;
         }
         self.choose(free, model)
@@ -106,7 +106,7 @@
             let is_free = self.is_fit(now, survey, host)
                 && !occupied.contains(&host.id)
                 && !forming.contains(&host.id)
-                && !self.pending.contains_key(&host.id);
+                && !self.pending.contains(&host.id);
             if let Some(fabric) = host.fabric.as_deref().filter(|_| is_free) {
                 free.entry(fabric).or_default().push(host);
             }
@@ -195,6 +195,11 @@
         Some(free.drain(..model.size).collect())
     }
 
+    /// Tells whether a host has a model and isn't giving it up for another one.
+    fn can_join(&self, host: &Host, model: &str) -> bool {
+        host.has_staged(model) && self.loads.model(&host.id).is_none_or(|it| it == model)
+    }
+
     /// Order in which hosts are taken for a model: the sooner they can join, the earlier.
     fn readiness(&self, host: &Host, model: &str) -> u8 {
         match self.loads.model(&host.id) {
--- a/cuminward-serving/tests/all/placement.rs
+++ b/cuminward-serving/tests/all/placement.rs
@@ -2,16 +2,22 @@
 
 mod fleet;
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use cuminward_serving::{
-    host::Phase,
-    placement::order::{Action, Outcome},
+    host::{Host, Phase},
+    placement::{
+        Steward, Survey,
+        order::{Action, Order, Outcome},
+    },
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-use crate::fixture::{LARGE, SMALL};
+use crate::fixture::{self, LARGE, SMALL};
 use fleet::Fleet;
 
 /// Hosts of a fabric domain.
@@ -175,3 +181,64 @@
         expect_that!(stages, ge(3), "{outcome:?}");
     }
 }
+
+/// Hosts of one fabric domain, each with the model that is staged on it.
+fn staged(hosts: &[(&str, Option<&str>)]) -> BTreeMap<String, Host> {
+    let host = |(id, model): &(&str, Option<&str>)| {
+        let staged = model.iter().map(|it| (*it).to_owned()).collect();
+        ((*id).to_owned(), Host { staged, ..fixture::host(id, "a-0") })
+    };
+    hosts.iter().map(host).collect()
+}
+
+fn tick(steward: &mut Steward, now: Duration, hosts: &BTreeMap<String, Host>) -> Vec<Order> {
+    let (engine, none) = (fixture::engine(), BTreeSet::new());
+    let survey =
+        Survey { hosts, lost: &none, evacuated: &none, engine: &engine, has_traffic: true };
+    let orders = steward.tick(now, &survey);
+    for order in &orders {
+        steward.settle(now, order, Outcome::Accepted);
+    }
+    orders
+}
+
+#[gtest]
+fn only_hosts_that_have_the_model_and_keep_it_join_a_group() {
+    let first = [
+        ("h0", Some(SMALL)),
+        ("h1", Some(SMALL)),
+        ("h2", Some(LARGE)),
+        ("h3", Some(LARGE)),
+        ("h4", Some(LARGE)),
+    ];
+    let mut steward = Steward::new(String::from("chat"), 1);
+    let mut loading = Vec::new();
+    for second in 0..8 {
+        loading.extend(tick(&mut steward, Duration::from_secs(second), &staged(&first)));
+    }
+    let stage = Action::Stage { model: LARGE.to_owned() };
+    let loading: Vec<&str> =
+        loading.iter().filter(|it| it.action == stage).map(|it| it.host.as_str()).collect();
+    expect_that!(loading, not(is_empty()), "a host gives up its model for the other one");
+    let more = [("h5", None), ("h6", Some(LARGE))];
+    let hosts = staged(&[&first[..], &more[..]].concat());
+    for order in tick(&mut steward, Duration::from_secs(9), &hosts) {
+        let Action::Join { model, .. } = &order.action else { continue };
+        let is_staged = hosts[&order.host].has_staged(model);
+        let is_loading = loading.contains(&order.host.as_str());
+        expect_that!(is_staged && !is_loading, eq(true), "{order:?}");
+    }
+}
+
+#[gtest]
+fn a_host_gives_up_its_model_if_a_group_lacks_nothing_else() {
+    let hosts =
+        [("h0", Some(SMALL)), ("h1", Some(LARGE)), ("h2", Some(LARGE)), ("h3", Some(LARGE))];
+    let mut steward = Steward::new(String::from("chat"), 1);
+    let mut orders = Vec::new();
+    for second in 0..8 {
+        orders.extend(tick(&mut steward, Duration::from_secs(second), &staged(&hosts)));
+    }
+    let stage = Action::Stage { model: LARGE.to_owned() };
+    expect_that!(orders, contains(eq(&Order { host: String::from("h0"), action: stage })));
+}
