fix: cuminward-gateway: waiting requests have an order, slow replicas come last

Change: waiting requests stand in a queue by progress, priority and arrival; one that has begun waits as long as its caller. Paces are kept and asked again until the host recovers; a replica with a slow member gets requests only if no other has room. A loss wakes the requests of the host's replica however it was found. Denied requests have an event with the cause; `replica-silent` holds the pace; lines of tarpc's calls are off. The duties of a node are kept once, in its state. Test: a_stream_that_has_begun_waits_for_a_replica_as_long_as_its_caller (failed with the former wait).

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -641,6 +641,8 @@
         replica: String,
         /// Milliseconds without progress.
         silence_ms: u64,
+        /// Slowest pace that a member reported, in hundredths of the usual one; 0 if none did.
+        pace: u64,
         /// What follows: `kept`, `given-up` or `lost`.
         verdict: String,
     }
@@ -648,7 +650,7 @@
     2302 Warn "host-lost" HostLost {
         /// The host.
         host: String,
-        /// Replica whose member it is.
+        /// Replica whose member it is; empty if it is in none.
         replica: String,
         /// Why.
         cause: String,
@@ -681,6 +683,13 @@
         /// The host.
         host: String,
     }
+    /// A host became slow, or is no longer.
+    2307 Info "pace-changed" PaceChanged {
+        /// The host.
+        host: String,
+        /// Its pace, in hundredths of the usual one.
+        pace: u64,
+    }
     /// An upstream was chosen for a request.
     2401 Info "upstream-chosen" UpstreamChosen {
         /// Route.
@@ -750,6 +759,15 @@
         /// Milliseconds since the request arrived.
         after_ms: u64,
     }
+    /// A request wasn't admitted.
+    2406 Info "request-denied" RequestDenied {
+        /// Status.
+        status: u64,
+        /// Milliseconds after which the caller may come again; 0 if that wouldn't help.
+        retry_ms: u64,
+        /// Why.
+        cause: String,
+    }
 }
 
 /// Access
--- a/cuminward-gateway/src/control/follow.rs
+++ b/cuminward-gateway/src/control/follow.rs
@@ -7,7 +7,7 @@
 use cuminward_serving::table::Record;
 use tokio::time;
 
-use crate::{control::duty::Duty, state::State};
+use crate::state::{State, duty::Duty};
 
 /// Shortest and longest time that a read of the declarations waits for a change. A read may miss a
 /// change while it waits, so it ends well before a change has to be in force; different times keep the
@@ -42,10 +42,8 @@
             Err(_) => needs_all,
         };
         health.note(&state.events, state.now(), read.as_ref().err());
-        if read.is_err() && !needs_all {
+        if read.is_err() {
             time::sleep(RETRY_PAUSE).await;
-        } else if read.is_err() {
-            time::sleep(RETRY_PAUSE / 2).await;
         }
     }
 }
@@ -72,12 +70,12 @@
 }
 
 /// Follows the list of hosts until the task is dropped.
-pub(crate) async fn listing(state: Arc<State>, duty: Arc<Duty>) {
+pub(crate) async fn listing(state: Arc<State>) {
     let mut follower = Follower::new();
     loop {
         let read = follower.read(&state).await;
         follower.note(&state, read.as_ref().err());
-        time::sleep(follower.interval(&duty)).await;
+        time::sleep(follower.interval(&state.duty)).await;
     }
 }
 
--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -16,7 +16,7 @@
 };
 use tokio::{sync::mpsc, time};
 
-use super::{duty::Duty, inspect};
+use super::inspect;
 use crate::state::State;
 
 /// Interval of the decisions.
@@ -32,7 +32,7 @@
 type Settled = (id::Service, Order, Outcome);
 
 /// Carries out the duties until the task is dropped.
-pub(crate) async fn run(state: Arc<State>, duty: Arc<Duty>) {
+pub(crate) async fn run(state: Arc<State>) {
     let (sender, mut outcomes) = mpsc::channel::<Settled>(OUTCOMES);
     // A steward is kept when its duty ends, as its numbers must not be used again.
     let mut stewards: HashMap<id::Service, Steward> = HashMap::new();
@@ -40,13 +40,13 @@
     loop {
         time::sleep(INTERVAL).await;
         while let Ok((service, order, outcome)) = outcomes.try_recv() {
-            settle(&state, &duty, &mut stewards, &service, &order, outcome);
+            settle(&state, &mut stewards, &service, &order, outcome);
         }
         let mut is_busy = false;
         let engines = state.knowledge().engines();
         for (index, (service, engine)) in engines.into_iter().enumerate() {
             let partitions = state.settings.store.partitions;
-            let Some(token) = duty.token(state.now(), index, partitions) else {
+            let Some(token) = state.duty.token(state.now(), index, partitions) else {
                 held.remove(&service);
                 continue;
             };
@@ -70,8 +70,7 @@
                 });
             }
         }
-        duty.set_work(!held.is_empty(), is_busy);
-        state.knowledge().set_steward(!held.is_empty());
+        state.duty.set_work(!held.is_empty(), is_busy);
     }
 }
 
@@ -109,7 +108,6 @@
 
 fn settle(
     state: &State,
-    duty: &Duty,
     stewards: &mut HashMap<id::Service, Steward>,
     service: &str,
     order: &Order,
@@ -123,7 +121,7 @@
         outcome: format!("{outcome:?}"),
     });
     if outcome == Outcome::Fenced {
-        duty.forfeit(steward.token());
+        state.duty.forfeit(steward.token());
     }
     steward.settle(state.now(), order, outcome);
 }
@@ -141,7 +139,7 @@
     let report = inspect::report(&state, &host.id, &host.address, REPORT_TIMEOUT).await;
     let outcome = match report {
         Ok(status) => {
-            state.knowledge().set_pace(&host.id, status.pace);
+            state.note_pace(&host.id, status.pace);
             inspect::order(&state, &host.id, &host.address, &order.action, token, status.seq).await
         }
         Err(_) => Outcome::Unreachable,
--- a/cuminward-gateway/src/control/watch.rs
+++ b/cuminward-gateway/src/control/watch.rs
@@ -40,10 +40,10 @@
         while let Ok(key) = ended.try_recv() {
             inspected.remove(&key);
         }
-        ask_lost(&state);
+        ask_again(&state);
         let view = state.view.load_full();
         let now = state.now();
-        for upstream in view.watched().filter(|it| it.members.len() > 1) {
+        for upstream in view.watched().filter(|it| it.is_replica()) {
             let is_suspect = upstream.gauge.take_suspicion();
             let silence = upstream.gauge.silence(now).unwrap_or_default();
             if silence > STALL {
@@ -62,12 +62,12 @@
     }
 }
 
-/// Asks the lost hosts that are due again, and forgets losses that nothing confirmed.
-fn ask_lost(state: &Arc<State>) {
+/// Asks the lost and slow hosts that are due again, and forgets losses that nothing confirmed.
+fn ask_again(state: &Arc<State>) {
     let now = state.now();
     let (due, is_changed) = {
         let mut knowledge = state.knowledge();
-        (knowledge.due_losses(now), knowledge.expire_losses(now))
+        (knowledge.due_questions(now, state.ask_interval()), knowledge.expire_losses(now))
     };
     if is_changed {
         state.publish();
@@ -76,13 +76,14 @@
         let state = Arc::clone(state);
         tokio::spawn(async move {
             let asked = inspect::report(&state, &member.host, &member.address, MEMBER_TIMEOUT);
-            if asked.await.is_ok() {
-                if state.knowledge().find(&member.host) {
-                    state.events.emit(Kind::HostFound { host: member.host });
-                    state.publish();
+            match asked.await {
+                Ok(status) => {
+                    state.note_pace(&member.host, status.pace);
+                    state.find(&member.host);
+                }
+                Err(error) => {
+                    state.lose(&member.host, &format!("{error:?}"));
                 }
-            } else {
-                state.knowledge().lose(state.now(), &member.host);
             }
         });
     }
@@ -97,11 +98,16 @@
     let answers = future::join_all(asked).await;
     let now = state.now();
     let mut is_lost = false;
+    let mut pace = 0.0_f64;
     for (member, report) in answers {
         match report {
-            Ok(status) => state.knowledge().set_pace(&member.host, status.pace),
+            Ok(status) => {
+                pace = pace.max(status.pace);
+                state.note_pace(&member.host, status.pace);
+            }
             Err(error) => {
-                is_lost |= state.lose(upstream, &member.host, &format!("{error:?}"));
+                state.lose(&member.host, &format!("{error:?}"));
+                is_lost = true;
             }
         }
     }
@@ -114,6 +120,7 @@
     state.events.emit(Kind::ReplicaSilent {
         replica: upstream.name.clone(),
         silence_ms: silence.as_millis() as u64,
+        pace: (pace * 100.0) as u64,
         verdict: verdict.to_owned(),
     });
     if is_lost {
--- a/cuminward-gateway/src/forward/admit.rs
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -13,7 +13,6 @@
 use super::{
     job::{Content, Job},
     reply::Denial,
-    report,
 };
 use crate::state::State;
 
@@ -34,10 +33,11 @@
 pub(crate) async fn admit(state: &State, request: Request<Incoming>) -> Result<Job, Denial> {
     let started = Instant::now();
     if state.stopping_for().is_some_and(|it| it > LAST_CALL) {
-        return Err(Denial::later(ELSEWHERE));
+        return Err(Denial::later(ELSEWHERE).because("the node is about to stop"));
     }
     let view = state.view.load_full();
-    let catalog = view.catalog.as_ref().ok_or(Denial::later(STARTING))?;
+    let starting = Denial::later(STARTING).because("no catalog is known yet");
+    let catalog = view.catalog.as_ref().ok_or(starting)?;
     let (parts, body) = request.into_parts();
     let meta = header::read(&parts.headers);
     check_headers(&parts.headers, &catalog.limits)?;
@@ -45,15 +45,14 @@
     let team = team(catalog, &route, meta.key.as_deref())?.cloned();
     let hides_key = !catalog.teams.is_empty();
     let body = read(body, &catalog.limits).await?;
-    let target = route.target(rand::random()).ok_or(Denial::later(STARTING))?;
+    let aimless = Denial::later(STARTING).because("the route has no target");
+    let target = route.target(rand::random()).ok_or(aimless)?;
     let service = target.service.clone();
     let version = catalog.version;
     let content = Content { parts, body, meta, route, service, team, hides_key, version, started };
     let job = Job::new(content);
     if state.crashes().is_refused(state.now(), job.fingerprint) {
-        let cause = "it crashes the hosts that run it";
-        report::rejected(state, &job, StatusCode::SERVICE_UNAVAILABLE, cause, 0);
-        return Err(Denial::later(CRASHING));
+        return Err(Denial::later(CRASHING).because("it crashes the hosts that run it"));
     }
     Ok(job)
 }
@@ -66,7 +65,8 @@
     };
     let bytes: usize = headers.iter().map(size).sum();
     if bytes > limits.header_bytes {
-        return Err(Denial::of(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+        let denial = Denial::of(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+        return Err(denial.because("its headers are too large"));
     }
     Ok(())
 }
@@ -75,7 +75,8 @@
     let named = parts.headers.get(http::header::HOST).and_then(|it| it.to_str().ok());
     let host = parts.uri.host().or(named).unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
-    catalog.route(&host, parts.uri.path()).ok_or(Denial::of(StatusCode::NOT_FOUND))
+    let unknown = Denial::of(StatusCode::NOT_FOUND).because("no route leads there");
+    catalog.route(&host, parts.uri.path()).ok_or(unknown)
 }
 
 fn team<'a>(
@@ -87,18 +88,18 @@
     if team.is_some() || route.is_anonymous || catalog.teams.is_empty() {
         return Ok(team);
     }
-    Err(Denial::of(StatusCode::UNAUTHORIZED))
+    Err(Denial::of(StatusCode::UNAUTHORIZED).because("no team holds its key"))
 }
 
 async fn read(body: Incoming, limits: &Limits) -> Result<Bytes, Denial> {
     match Limited::new(body, limits.body_bytes).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => {
-            Err(Denial::of(StatusCode::PAYLOAD_TOO_LARGE))
+            Err(Denial::of(StatusCode::PAYLOAD_TOO_LARGE).because("its body is too large"))
         }
         Err(error) => {
             log::debug!("a body broke off: {error}");
-            Err(Denial::of(StatusCode::BAD_REQUEST))
+            Err(Denial::of(StatusCode::BAD_REQUEST).because("its body broke off"))
         }
     }
 }
--- a/cuminward-gateway/src/forward/call.rs
+++ b/cuminward-gateway/src/forward/call.rs
@@ -7,10 +7,11 @@
     attempt::{self, Failure, Next},
     catalog::Repeat,
     id,
+    queue::Progress,
 };
 use http::{Response, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Limited};
-use tokio::time::{self, Instant};
+use tokio::time;
 
 use super::{
     exchange::{self, Fault},
@@ -44,9 +45,7 @@
     let budget = state.budget(&job.service);
     budget.deposit();
     loop {
-        let wait = job.route.objective.mul_f64(state.current().admission.wait);
-        let until = (Instant::now() + wait).min(job.limit);
-        let Ok(slot) = slot::acquire(state, job, &tried, until).await else {
+        let Ok(slot) = slot::acquire(state, job, &tried, Progress::New).await else {
             return give_up(state, job, failed, attempts, "no upstream has room");
         };
         tried.push(slot.upstream.host.clone());
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -58,7 +58,7 @@
             slot.upstream.gauge.note_failure(state.now());
             if !is_unsent {
                 suspect_crash(state, job, address);
-            } else if slot.upstream.members.len() > 1 {
+            } else if slot.upstream.is_replica() {
                 slot.upstream.gauge.note_suspicion();
             }
             let failure = if is_unsent { Failure::NotRun } else { Failure::Unknown };
--- a/cuminward-gateway/src/forward/mod.rs
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -6,7 +6,7 @@
 mod job;
 pub(crate) mod reply;
 mod report;
-mod slot;
+pub(crate) mod slot;
 mod source;
 mod stream;
 
@@ -26,7 +26,10 @@
     let id = cuminward_adapter::header::read(request.headers()).id;
     let job = match admit::admit(&state, request).await {
         Ok(it) => Arc::new(it),
-        Err(denial) => return reply::refuse(&denial, id.as_deref()),
+        Err(denial) => {
+            report::denied(&state, id.as_deref(), &denial);
+            return reply::refuse(&denial, id.as_deref());
+        }
     };
     let answered = time::timeout_at(job.limit, answer(&state, &job)).await;
     answered.unwrap_or_else(|_| {
--- a/cuminward-gateway/src/forward/reply.rs
+++ b/cuminward-gateway/src/forward/reply.rs
@@ -38,18 +38,26 @@
     pub(crate) status: StatusCode,
     /// When the caller should come again.
     pub(crate) retry_after: Option<Duration>,
+    /// Why, for logs; empty if the request has its own event.
+    pub(crate) cause: &'static str,
 }
 
 /// Life cycle
 impl Denial {
     /// Makes a denial that says nothing about another try.
     pub(crate) fn of(status: StatusCode) -> Denial {
-        Denial { status, retry_after: None }
+        Denial { status, retry_after: None, cause: "" }
     }
 
     /// Makes a denial that says that the request didn't run and may come again.
     pub(crate) fn later(retry_after: Duration) -> Denial {
-        Denial { status: StatusCode::SERVICE_UNAVAILABLE, retry_after: Some(retry_after) }
+        let retry_after = Some(retry_after);
+        Denial { retry_after, ..Denial::of(StatusCode::SERVICE_UNAVAILABLE) }
+    }
+
+    /// Says why.
+    pub(crate) fn because(self, cause: &'static str) -> Denial {
+        Denial { cause, ..self }
     }
 }
 
--- a/cuminward-gateway/src/forward/report.rs
+++ b/cuminward-gateway/src/forward/report.rs
@@ -9,7 +9,7 @@
 };
 use http::StatusCode;
 
-use super::{exchange::Fault, job::Job};
+use super::{exchange::Fault, job::Job, reply::Denial};
 use crate::state::{State, view::Upstream};
 
 /// Requests by how they ended.
@@ -112,6 +112,17 @@
     state.events.emit_for(job.id(), kind);
 }
 
+/// A request wasn't admitted.
+pub(super) fn denied(state: &State, id: Option<&str>, denial: &Denial) {
+    metrics::counter!(REQUESTS, "end" => "refused").increment(1);
+    let kind = Kind::RequestDenied {
+        status: denial.status.as_u16().into(),
+        retry_ms: denial.retry_after.unwrap_or_default().as_millis() as u64,
+        cause: denial.cause.to_owned(),
+    };
+    state.events.emit_for(id.unwrap_or("-"), kind);
+}
+
 /// A stream broke off before its end.
 pub(super) fn broken(
     state: &State,
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -2,7 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cuminward_serving::{id, select};
+use cuminward_serving::{
+    id, pace,
+    queue::Progress,
+    select::{self, Standing},
+};
 use tokio::time::{self, Instant};
 
 use super::{job::Job, report};
@@ -10,9 +14,10 @@
     State,
     gauge::Flight,
     view::{Upstream, View},
+    waiting::{Taken, Wish},
 };
 
-/// Longest time between two looks at the upstreams while a request waits.
+/// Longest time between two looks at the upstreams while requests wait.
 const LOOK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// An upstream that takes a request.
@@ -33,42 +38,70 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Full;
 
-/// Takes an upstream that isn't among `tried`; waits for one until `until`.
+/// Takes an upstream that isn't among `tried`. A request waits for one for the longest wait of the
+/// settings; if its caller has part of the answer, for as long as the caller does.
 pub(crate) async fn acquire(
     state: &Arc<State>,
     job: &Job,
     tried: &[id::Host],
-    until: Instant,
+    progress: Progress,
 ) -> Result<Slot, Full> {
     let begun = Instant::now();
-    loop {
-        let freed = state.capacity.notified();
-        let mut freed = std::pin::pin!(freed);
-        freed.as_mut().enable();
-        if let Some(slot) = take(state, job, tried) {
-            report::chosen(state, job, &slot.upstream, begun.elapsed());
-            return Ok(slot);
+    let wish =
+        Wish { service: job.service.clone(), model: job.meta.model.clone(), tried: tried.to_vec() };
+    let taken = if state.waiting.is_any(&wish) { None } else { take(state, &wish) };
+    let taken = match taken {
+        Some(it) => it,
+        None => wait(state, job, wish, progress).await?,
+    };
+    report::chosen(state, job, &taken.upstream, begun.elapsed());
+    let Taken { upstream, flight } = taken;
+    Ok(Slot { upstream, state: Arc::clone(state), flight: Some(flight) })
+}
+
+async fn wait(
+    state: &Arc<State>,
+    job: &Job,
+    wish: Wish,
+    progress: Progress,
+) -> Result<Taken, Full> {
+    let until = match progress {
+        Progress::Begun => job.limit,
+        Progress::New => {
+            let wait = job.route.objective.mul_f64(state.current().admission.wait);
+            (Instant::now() + wait).min(job.limit)
         }
-        if Instant::now() >= until {
-            return Err(Full);
+    };
+    let mut place = state.waiting.enter(wish, progress, job.priority);
+    state.capacity.notify_one();
+    let taken = time::timeout_at(until, &mut place.taken).await;
+    taken.ok().and_then(Result::ok).ok_or(Full)
+}
+
+/// Gives upstreams to waiting requests until the task is dropped.
+pub(crate) async fn serve_waiting(state: Arc<State>) {
+    loop {
+        if state.waiting.is_empty() {
+            state.capacity.notified().await;
+        } else {
+            // Load, pauses and cold rates change without notice.
+            let _ = time::timeout(LOOK_INTERVAL, state.capacity.notified()).await;
         }
-        let look = (Instant::now() + LOOK_INTERVAL).min(until);
-        // Either way the upstreams are looked at again.
-        let _ = time::timeout_at(look, freed).await;
+        state.waiting.serve(|wish| take(&state, wish));
     }
 }
 
-fn take(state: &Arc<State>, job: &Job, tried: &[id::Host]) -> Option<Slot> {
+fn take(state: &State, wish: &Wish) -> Option<Taken> {
     let view = state.view.load();
     let now = state.now();
-    let upstream = choose(state, &view, job, tried, now)?;
+    let upstream = choose(state, &view, wish, now)?;
     if let Some(rate) = cold_rate(state, upstream, now)
         && !upstream.gauge.take_allowance(now, rate)
     {
         return None;
     }
     let flight = upstream.gauge.enter(now);
-    Some(Slot { upstream: Arc::clone(upstream), state: Arc::clone(state), flight: Some(flight) })
+    Some(Taken { upstream: Arc::clone(upstream), flight })
 }
 
 /// This node's part of the rate that a cold upstream bears; `None` if it isn't cold.
@@ -80,28 +113,35 @@
 fn choose<'a>(
     state: &State,
     view: &'a View,
-    job: &Job,
-    tried: &[id::Host],
+    wish: &Wish,
     now: Duration,
 ) -> Option<&'a Arc<Upstream>> {
     let fill = state.current().admission.fill;
     let has_room = |it: &&Arc<Upstream>| {
         f64::from(it.gauge.load()) < f64::from(it.slots) * fill
-            && !tried.contains(&it.host)
+            && !wish.tried.contains(&it.host)
             && cold_rate(state, it, now).is_none_or(|rate| it.gauge.is_allowed(now, rate))
     };
-    let all = view.upstreams(&job.service, job.meta.model.as_deref());
-    let open: Vec<&Arc<Upstream>> = all.iter().filter(has_room).collect();
-    let sound: Vec<&Arc<Upstream>> =
-        open.iter().copied().filter(|it| !it.gauge.is_doubtful(now)).collect();
-    let usable = if sound.is_empty() { open } else { sound };
+    let all = view.upstreams(&wish.service, wish.model.as_deref());
+    let usable: Vec<&Arc<Upstream>> = all.iter().filter(has_room).collect();
     let domain = &state.settings.node.domain;
     let candidates = usable.iter().map(|it| select::Candidate {
         load: it.gauge.load(),
         slots: it.slots,
         is_near: it.domain == *domain,
-        penalty: 1.0,
+        standing: standing(it, now),
+        pace: it.pace,
         tie: rand::random(),
     });
     select::best(candidates).map(|at| usable[at])
 }
+
+fn standing(upstream: &Upstream, now: Duration) -> Standing {
+    if upstream.gauge.is_doubtful(now) {
+        Standing::Doubtful
+    } else if upstream.pace >= pace::SLOW {
+        Standing::Slow
+    } else {
+        Standing::Sound
+    }
+}
--- a/cuminward-gateway/src/forward/source.rs
+++ b/cuminward-gateway/src/forward/source.rs
@@ -9,11 +9,11 @@
     attempt::{self, Failure, Next},
     event::{self, Event, Splitter},
     id,
+    queue::Progress,
 };
 use cuminward_upstream::body;
 use http::response::Parts;
 use http_body_util::{BodyExt, Full};
-use tokio::time::Instant;
 
 use super::{
     exchange::{self, Answer, Fault},
@@ -23,6 +23,9 @@
 };
 use crate::state::State;
 
+/// Shortest time for which a request stays at a replica that stalls.
+const MOVE_AFTER: Duration = Duration::from_millis(350);
+
 /// Yields the events of a stream.
 pub(crate) struct Source {
     state: Arc<State>,
@@ -233,9 +236,8 @@
     }
 
     async fn slot(&mut self) -> Result<Slot, Stop> {
-        let wait = self.job.route.objective.mul_f64(self.state.current().admission.wait);
-        let until = (Instant::now() + wait).min(self.job.limit);
-        let slot = slot::acquire(&self.state, &self.job, &self.tried, until).await;
+        let progress = if self.is_begun { Progress::Begun } else { Progress::New };
+        let slot = slot::acquire(&self.state, &self.job, &self.tried, progress).await;
         let slot = slot.map_err(|_| self.stop(String::from("no replica has room")))?;
         self.tried.push(slot.upstream.host.clone());
         self.upstream.clone_from(&slot.upstream.name);
@@ -283,7 +285,8 @@
             return;
         }
         alarm.await;
-        if may_move && gauge.is_doubtful(state.now()) {
+        let waited = state.now().saturating_sub(since);
+        if may_move && waited > MOVE_AFTER && gauge.is_doubtful(state.now()) {
             return;
         }
     }
--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     control::{duty, follow, steward, watch},
+    forward,
     ingress::{connection, listener, metrics, ready},
     peer::{gossip, pull, register},
     reload,
@@ -131,13 +132,12 @@
 
     /// Starts the control tasks.
     fn control(&mut self) {
-        let duty = Arc::new(duty::Duty::default());
         let (state, member) = (Arc::clone(&self.state), self.member.clone());
-        let held = Arc::clone(&duty);
-        self.tasks.spawn(async move { duty::run(&state, &held, &member).await });
+        self.tasks.spawn(async move { duty::run(&state, &member).await });
         self.tasks.spawn(follow::declarations(Arc::clone(&self.state)));
-        self.tasks.spawn(follow::listing(Arc::clone(&self.state), Arc::clone(&duty)));
-        self.tasks.spawn(steward::run(Arc::clone(&self.state), duty));
+        self.tasks.spawn(follow::listing(Arc::clone(&self.state)));
+        self.tasks.spawn(steward::run(Arc::clone(&self.state)));
         self.tasks.spawn(watch::run(Arc::clone(&self.state)));
+        self.tasks.spawn(forward::slot::serve_waiting(Arc::clone(&self.state)));
     }
 }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -167,8 +167,7 @@
     }
     state.events.emit(Kind::LossHeard { from: from.to_owned(), hosts: lost.join(",") });
     for upstream in state.view.load().watched() {
-        let is_named = upstream.members.iter().any(|it| lost.contains(&it.host.as_str()));
-        if upstream.members.len() > 1 && is_named {
+        if upstream.is_replica() && lost.iter().any(|it| upstream.has_member(it)) {
             upstream.gauge.note_suspicion();
         }
     }
--- a/cuminward-gateway/src/state/knowledge.rs
+++ b/cuminward-gateway/src/state/knowledge.rs
@@ -9,7 +9,7 @@
 use cuminward_adapter::{catalog as declared, host as listed, topic};
 use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::{
-    catalog, engine, host, id, loss,
+    catalog, engine, host, id, loss, pace,
     replica::{self, Group},
     table::{Record, Table},
 };
@@ -19,10 +19,6 @@
     view::{self, Member, Pool, Upstream, View},
 };
 
-/// Interval at which a lost host is asked again, by a steward and by other nodes.
-const STEWARD_ASKS_AGAIN: Duration = Duration::from_millis(400);
-const ASKS_AGAIN: Duration = Duration::from_millis(1000);
-
 /// What a node knows.
 pub(crate) struct Knowledge {
     events: Arc<Sink>,
@@ -37,8 +33,8 @@
     cold: BTreeMap<id::Host, Duration>,
     /// Hosts that don't answer.
     losses: loss::Ledger,
-    /// Whether this node is the steward of a service.
-    is_steward: bool,
+    /// Hosts that are slow.
+    paces: pace::Ledger,
     gauges: HashMap<String, Arc<Gauge>>,
 }
 
@@ -55,7 +51,7 @@
             hosts: BTreeMap::new(),
             cold: BTreeMap::new(),
             losses: loss::Ledger::default(),
-            is_steward: false,
+            paces: pace::Ledger::default(),
             gauges: HashMap::new(),
         }
     }
@@ -68,10 +64,6 @@
         self.losses.lost(now)
     }
 
-    fn asks_again(&self) -> Duration {
-        if self.is_steward { STEWARD_ASKS_AGAIN } else { ASKS_AGAIN }
-    }
-
     /// Services with a model engine.
     pub(crate) fn engines(&self) -> Vec<(id::Service, engine::Engine)> {
         let Some(catalog) = &self.catalog else { return Vec::new() };
@@ -159,6 +151,7 @@
 
     fn read_entry(&mut self, now: Duration, id: &str, value: Option<&[u8]>) {
         let Some(value) = value else {
+            self.paces.forget(id);
             if self.hosts.remove(id).is_some() {
                 self.events.emit(Kind::HostUnlisted { host: id.to_owned() });
             }
@@ -181,30 +174,32 @@
             self.cold.insert(id.clone(), now + host.cold);
         }
         let known = self.hosts.get(&id).filter(|it| it.started_ms == host.started_ms);
-        match known {
-            Some(known) => host.pace = known.pace,
-            None => {
-                self.losses.find(&id);
-            }
+        if known.is_none() {
+            self.losses.find(&id);
+            self.paces.forget(&id);
         }
+        host.pace = self.paces.pace(&id);
         self.hosts.insert(id, host);
     }
 
-    /// Notes how slow a host is.
-    pub(crate) fn set_pace(&mut self, id: &str, pace: f64) {
-        if let Some(host) = self.hosts.get_mut(id) {
-            host.pace = pace;
-        }
-    }
-
-    /// Notes whether this node is the steward of a service.
-    pub(crate) fn set_steward(&mut self, is_steward: bool) {
-        self.is_steward = is_steward;
+    /// Notes how slow a host is, which is to be asked again after `interval` if it is slow; tells whether
+    /// that is new.
+    pub(crate) fn set_pace(
+        &mut self,
+        now: Duration,
+        id: &str,
+        pace: pace::Pace,
+        interval: Duration,
+    ) -> bool {
+        let Some(host) = self.hosts.get_mut(id) else { return false };
+        let is_new = self.paces.note(now, id, pace, interval);
+        host.pace = self.paces.pace(id);
+        is_new
     }
 
-    /// Notes that a host didn't answer; tells whether that is new.
-    pub(crate) fn lose(&mut self, now: Duration, id: &str) -> bool {
-        let interval = self.asks_again();
+    /// Notes that a host didn't answer and is to be asked again after `interval`; tells whether that is
+    /// new.
+    pub(crate) fn lose(&mut self, now: Duration, id: &str, interval: Duration) -> bool {
         self.losses.lose(now, id, interval)
     }
 
@@ -218,10 +213,10 @@
         self.losses.expire(now)
     }
 
-    /// Lost hosts that are still listed and have to be asked again.
-    pub(crate) fn due_losses(&mut self, now: Duration) -> Vec<Member> {
-        let interval = self.asks_again();
-        let due = self.losses.due(now, interval).into_iter();
+    /// Lost and slow hosts that are still listed and have to be asked again now, and every `interval`.
+    pub(crate) fn due_questions(&mut self, now: Duration, interval: Duration) -> Vec<Member> {
+        let slow = self.paces.due(now, interval);
+        let due = self.losses.due(now, interval).into_iter().chain(slow);
         due.filter_map(|host| {
             let address = self.hosts.get(&host)?.address.clone();
             Some(Member { host, address })
@@ -296,6 +291,7 @@
             domain: head.domain.clone(),
             slots: engine.slots,
             members: members.collect(),
+            pace: group.members.values().map(|it| it.pace).fold(pace::USUAL, f64::max),
             cold_rate: service.cold_rate,
             gauge: self.gauge(now, &name, &head.id),
             name,
@@ -322,6 +318,7 @@
                 domain: host.domain,
                 slots: host.slots,
                 members: vec![member],
+                pace: pace::USUAL,
                 cold_rate: service.cold_rate,
             }));
         }
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -1,8 +1,10 @@
 //! What the tasks of a node share.
 
+pub(crate) mod duty;
 pub(crate) mod gauge;
 pub(crate) mod knowledge;
 pub(crate) mod view;
+pub(crate) mod waiting;
 
 use std::{
     collections::HashMap,
@@ -20,7 +22,7 @@
 use cuminward_core::hlc;
 use cuminward_event::{kind::Kind, line, sink::Sink};
 use cuminward_route::attempt::Budget;
-use cuminward_serving::{crash, id};
+use cuminward_serving::{crash, id, pace::Pace};
 use cuminward_upstream::pool;
 use http_body_util::Full;
 use tokio::sync::Notify;
@@ -42,6 +44,10 @@
 /// Longest time that a connection to an upstream is kept idle.
 const MAX_IDLE: Duration = Duration::from_secs(10);
 
+/// Interval at which a lost host is asked again, by a steward and by other nodes.
+const STEWARD_ASKS_AGAIN: Duration = Duration::from_millis(400);
+const ASKS_AGAIN: Duration = Duration::from_millis(1000);
+
 /// State of a node.
 pub(crate) struct State {
     /// Settings with which the node started.
@@ -58,6 +64,8 @@
     /// Connections to upstreams.
     pub(crate) upstreams: pool::Pool<Full<Bytes>>,
     pub(crate) store: store::Client,
+    /// Steward's duties of this node.
+    pub(crate) duty: duty::Duty,
     crashes: Mutex<crash::Ledger>,
     budgets: Mutex<HashMap<id::Service, Arc<Budget>>>,
     /// Nodes that are known, this one included.
@@ -68,7 +76,9 @@
     has_traffic: AtomicBool,
     /// Requests of callers under way.
     pub(crate) requests: AtomicUsize,
-    /// Wakes requests that wait for an upstream.
+    /// Requests that wait for an upstream.
+    pub(crate) waiting: waiting::Waiting,
+    /// Wakes the task that serves waiting requests.
     pub(crate) capacity: Notify,
     /// Wakes the exchange with other nodes.
     pub(crate) news: Notify,
@@ -105,11 +115,13 @@
             knowledge,
             upstreams: pool::Pool::new(options),
             store,
+            duty: duty::Duty::default(),
             crashes: Mutex::default(),
             budgets: Mutex::default(),
             nodes: AtomicUsize::new(1),
             stopping_ms: AtomicU64::new(0),
             requests: AtomicUsize::new(0),
+            waiting: waiting::Waiting::default(),
             capacity: Notify::new(),
             news: Notify::new(),
         })
@@ -154,6 +166,11 @@
         self.nodes.load(Ordering::Relaxed)
     }
 
+    /// Interval at which a lost host is asked again.
+    pub(crate) fn ask_interval(&self) -> Duration {
+        if self.duty.is_steward() { STEWARD_ASKS_AGAIN } else { ASKS_AGAIN }
+    }
+
     /// What the control tasks know.
     pub(crate) fn knowledge(&self) -> MutexGuard<'_, knowledge::Knowledge> {
         self.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
@@ -204,18 +221,41 @@
         }
     }
 
-    /// Notes that a member of a replica doesn't answer: the replica gets no more requests, and those that
-    /// it has are woken. Tells whether that is new.
-    pub(crate) fn lose(&self, upstream: &view::Upstream, host: &str, cause: &str) -> bool {
+    /// Notes that a host doesn't answer: its replica gets no more requests, and those that it has are
+    /// woken.
+    pub(crate) fn lose(&self, host: &str, cause: &str) {
         let now = self.now();
-        if !self.knowledge().lose(now, host) {
-            return false;
+        let view = self.view.load();
+        let replica = view.watched().find(|it| it.is_replica() && it.has_member(host));
+        let is_new = self.knowledge().lose(now, host, self.ask_interval());
+        if is_new {
+            let (host, cause) = (host.to_owned(), cause.to_owned());
+            let replica = replica.map(|it| it.name.clone()).unwrap_or_default();
+            self.events.emit(Kind::HostLost { host, replica, cause });
+            self.publish();
+        }
+        if let Some(replica) = replica {
+            replica.gauge.note_loss(now);
+        }
+    }
+
+    /// Notes that a host answers.
+    pub(crate) fn find(&self, host: &str) {
+        let is_new = self.knowledge().find(host);
+        if is_new {
+            self.events.emit(Kind::HostFound { host: host.to_owned() });
+            self.publish();
+        }
+    }
+
+    /// Notes how slow a host said that it is.
+    pub(crate) fn note_pace(&self, host: &str, pace: Pace) {
+        let is_new = self.knowledge().set_pace(self.now(), host, pace, self.ask_interval());
+        if is_new {
+            let (host, pace) = (host.to_owned(), (pace * 100.0) as u64);
+            self.events.emit(Kind::PaceChanged { host, pace });
+            self.publish();
         }
-        let (host, replica) = (host.to_owned(), upstream.name.clone());
-        self.events.emit(Kind::HostLost { host, replica, cause: cause.to_owned() });
-        upstream.gauge.note_loss(now);
-        self.publish();
-        true
     }
 
     /// Makes the next view from what is known, and wakes the requests that wait for it.
@@ -227,7 +267,7 @@
         view.retire(&self.view.load());
         self.view.store(Arc::new(view));
         drop(knowledge);
-        self.capacity.notify_waiters();
+        self.capacity.notify_one();
         self.news.notify_one();
     }
 }
--- a/cuminward-gateway/src/state/view.rs
+++ b/cuminward-gateway/src/state/view.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use cuminward_serving::{catalog, id};
+use cuminward_serving::{catalog, id, pace::Pace};
 use xxhash_rust::xxh3;
 
 use super::gauge::Gauge;
@@ -47,6 +47,8 @@
     pub(crate) slots: u32,
     /// Hosts that have to live for it to serve.
     pub(crate) members: Vec<Member>,
+    /// Pace of its slowest member.
+    pub(crate) pace: Pace,
     /// Rate of requests that it bears while it is cold, from all nodes together.
     pub(crate) cold_rate: Option<f64>,
     pub(crate) gauge: Arc<Gauge>,
@@ -64,6 +66,19 @@
     xxh3::xxh3_64(name.as_bytes())
 }
 
+/// Access
+impl Upstream {
+    /// Tells whether several hosts have to live for it to serve.
+    pub(crate) fn is_replica(&self) -> bool {
+        self.members.len() > 1
+    }
+
+    /// Tells whether a host has to live for it to serve.
+    pub(crate) fn has_member(&self, host: &str) -> bool {
+        self.members.iter().any(|it| it.host == host)
+    }
+}
+
 /// Life cycle
 impl View {
     /// Makes a view without retired upstreams.
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -139,7 +139,7 @@
 }
 
 /// Fields of a host that is a whole replica of its own.
-fn open_group(id: &str) -> Value {
+pub(crate) fn open_group(id: &str) -> Value {
     json!({
         "models": [{"name": "m", "version": 1, "adapters": []}], "staged": ["m"],
         "domain": id, "busy": false,
--- a/cuminward-gateway/tests/all/streams.rs
+++ b/cuminward-gateway/tests/all/streams.rs
@@ -1,9 +1,13 @@
 //! Streams of events.
 
+use std::time::Duration;
+
 use cuminward_adapter_fake::host::{self, Behaviour};
 use googletest::prelude::*;
+use serde_json::json;
+use tokio::time;
 
-use crate::site::{EVENTS, Site};
+use crate::site::{EVENTS, Site, open_group};
 
 const MODEL: (&str, &str) = ("x-cuminward-model", "m");
 
@@ -112,3 +116,23 @@
     expect_that!(answer.headers.contains_key("retry-after"), eq(true));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_has_begun_waits_for_a_replica_as_long_as_its_caller() -> Result<()> {
+    let site = Site::start().await;
+    let [first, second] = &site.replicas[..] else { return fail!("the site has two replicas") };
+    site.list(second, &json!({}));
+    let node = site.node("waits").await;
+    first.then(Behaviour::StreamUntil(3));
+    let return_second = async {
+        time::sleep(Duration::from_millis(700)).await;
+        site.list(second, &open_group(&second.id));
+    };
+    let asked = node.send("POST", "/chat/1", &[MODEL], "prompt");
+    let (answer, ()) = tokio::join!(asked, return_second);
+    let answer = answer.or_fail()?;
+    expect_that!(answer.is_complete, eq(true));
+    expect_that!(answer.body, eq(&events(1..=EVENTS)));
+    Ok(())
+}
--- a/cuminward-serving/src/placement/survey.rs
+++ b/cuminward-serving/src/placement/survey.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     host::{Host, Phase, State},
-    id, replica,
+    id, pace, replica,
 };
 
 /// What a formation needs next.
@@ -37,9 +37,6 @@
     Scatter,
 }
 
-/// Slowness from which a host isn't used for groups.
-const MAX_PACE: f64 = 2.0;
-
 /// Tells whether a host waits for its group to open.
 pub(super) fn is_forming(host: &Host) -> bool {
     host.membership.as_ref().is_some_and(|it| matches!(it.phase, Phase::Joining | Phase::Ready))
@@ -50,7 +47,7 @@
     /// Tells whether a host can be part of a group.
     pub(super) fn is_fit(&self, now: Duration, survey: &Survey<'_>, host: &Host) -> bool {
         host.state == State::Ready
-            && host.pace < MAX_PACE
+            && host.pace < pace::SLOW
             && !survey.lost.contains(&host.id)
             && !survey.evacuated.contains(&host.domain)
             && self.unreachable.get(&host.id).is_none_or(|until| *until <= now)
--- a/cuminward-serving/src/select.rs
+++ b/cuminward-serving/src/select.rs
@@ -1,5 +1,7 @@
 //! Which upstream gets a request.
 
+use crate::pace::Pace;
+
 /// What is known about an upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -9,23 +11,40 @@
     pub slots: u32,
     /// Whether it is in the node's failure domain.
     pub is_near: bool,
-    /// Factor by which it is slower than usual, or fails more.
-    pub penalty: f64,
+    /// Whether it can be relied on.
+    pub standing: Standing,
+    /// Factor by which it is slower than usual.
+    pub pace: Pace,
     /// Number that decides between equals.
     pub tie: u32,
 }
 
+/// Whether an upstream can be relied on. One of a worse standing gets a request only if there is none
+/// of a better one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Sound,
+    /// It said that it is slow.
+    Slow,
+    /// It failed or has been silent.
+    Doubtful,
+}
+
 /// Load, as a share of the slots, that a near upstream may have more than a far one.
 const NEAR_BONUS: f64 = 0.05;
 
-/// Index of the upstream with the least load for its slots.
+/// Index of the upstream with the least load for its slots among those of the best standing.
 pub fn best(candidates: impl IntoIterator<Item = Candidate>) -> Option<usize> {
-    let scored = candidates.into_iter().enumerate().map(|(at, it)| (score(&it), it.tie, at));
-    scored.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, _, at)| at)
+    let order = |(_, a): &(usize, Candidate), (_, b): &(usize, Candidate)| {
+        let standing = a.standing.cmp(&b.standing);
+        standing.then(score(a).total_cmp(&score(b))).then(a.tie.cmp(&b.tie))
+    };
+    candidates.into_iter().enumerate().min_by(order).map(|(at, _)| at)
 }
 
 fn score(it: &Candidate) -> f64 {
     let share = f64::from(it.load + 1) / f64::from(it.slots.max(1));
     let bonus = if it.is_near { NEAR_BONUS } else { 0.0 };
-    share * it.penalty - bonus
+    share * it.pace - bonus
 }
--- /dev/null
+++ b/cuminward-serving/tests/all/queue.rs
@@ -0,0 +1,89 @@
+//! The order in which waiting requests get upstreams.
+
+use cuminward_serving::queue::{Progress, Queue, Rank, Served};
+use googletest::prelude::*;
+
+fn rank(progress: Progress, priority: u8, number: u64) -> Rank {
+    Rank { progress, priority, number }
+}
+
+struct Case {
+    name: &'static str,
+    waiting: Vec<(Rank, &'static str)>,
+    /// Requests that can't use what is free.
+    barred: &'static [&'static str],
+    free: usize,
+    served: &'static [&'static str],
+}
+
+#[gtest]
+fn what_is_free_goes_to_the_first_that_can_use_it() {
+    use Progress::{Begun, New};
+    let cases = [
+        Case {
+            name: "the earlier one first",
+            waiting: vec![(rank(New, 1, 2), "late"), (rank(New, 1, 1), "early")],
+            barred: &[],
+            free: 1,
+            served: &["early"],
+        },
+        Case {
+            name: "the more urgent one first",
+            waiting: vec![(rank(New, 2, 1), "early"), (rank(New, 0, 2), "urgent")],
+            barred: &[],
+            free: 1,
+            served: &["urgent"],
+        },
+        Case {
+            name: "a stream that has begun before all others",
+            waiting: vec![(rank(New, 0, 1), "urgent"), (rank(Begun, 3, 2), "begun")],
+            barred: &[],
+            free: 1,
+            served: &["begun"],
+        },
+        Case {
+            name: "one that can't use it is passed over",
+            waiting: vec![(rank(Begun, 1, 1), "begun"), (rank(New, 1, 2), "new")],
+            barred: &["begun"],
+            free: 1,
+            served: &["new"],
+        },
+        Case {
+            name: "several at once",
+            waiting: vec![(rank(New, 1, 1), "a"), (rank(New, 1, 2), "b"), (rank(New, 1, 3), "c")],
+            barred: &[],
+            free: 2,
+            served: &["a", "b"],
+        },
+    ];
+    for case in cases {
+        let mut queue = Queue::default();
+        for (rank, name) in &case.waiting {
+            queue.push(*rank, *name);
+        }
+        let mut free = case.free;
+        let served = queue.serve(|name| {
+            if case.barred.contains(name) {
+                return Served::Skipped;
+            }
+            if free == 0 {
+                return Served::Full;
+            }
+            free -= 1;
+            Served::Got(())
+        });
+        let served: Vec<&str> = served.into_iter().map(|it| it.0).collect();
+        expect_that!(served, eq(case.served), "{}", case.name);
+        expect_that!(queue.len(), eq(case.waiting.len() - case.served.len()), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn a_request_that_stopped_waiting_is_not_served() {
+    let mut queue = Queue::default();
+    let gone = rank(Progress::New, 1, 1);
+    queue.push(gone, "gone");
+    expect_that!(queue.remove(gone), some(eq("gone")));
+    expect_that!(queue.serve(|_| Served::Got(())), is_empty());
+    expect_that!(queue.is_empty(), eq(true));
+}
--- a/cuminward-serving/tests/all/select.rs
+++ b/cuminward-serving/tests/all/select.rs
@@ -1,6 +1,6 @@
 //! Choice of an upstream.
 
-use cuminward_serving::select::{Candidate, best};
+use cuminward_serving::select::{Candidate, Standing, best};
 use googletest::prelude::*;
 
 struct Case {
@@ -11,7 +11,11 @@
 
 #[gtest]
 fn the_least_loaded_upstream_is_chosen() {
-    let it = |load, slots, is_near| Candidate { load, slots, is_near, penalty: 1.0, tie: 0 };
+    let it = |load, slots, is_near| {
+        let standing = Standing::Sound;
+        Candidate { load, slots, is_near, standing, pace: 1.0, tie: 0 }
+    };
+    let of = |standing, it| Candidate { standing, ..it };
     let cases = [
         Case { name: "none", candidates: vec![], expected: None },
         Case {
@@ -35,10 +39,28 @@
             expected: Some(1),
         },
         Case {
-            name: "slow",
-            candidates: vec![Candidate { penalty: 5.0, ..it(1, 10, false) }, it(4, 10, false)],
+            name: "slower",
+            candidates: vec![Candidate { pace: 5.0, ..it(1, 10, false) }, it(4, 10, false)],
             expected: Some(1),
         },
+        Case {
+            name: "slow and idle",
+            candidates: vec![of(Standing::Slow, it(0, 10, false)), it(9, 10, false)],
+            expected: Some(1),
+        },
+        Case {
+            name: "slow against doubtful",
+            candidates: vec![
+                of(Standing::Doubtful, it(0, 10, false)),
+                of(Standing::Slow, it(9, 10, false)),
+            ],
+            expected: Some(1),
+        },
+        Case {
+            name: "only doubtful ones",
+            candidates: vec![of(Standing::Doubtful, it(3, 10, false))],
+            expected: Some(0),
+        },
     ];
     for case in cases {
         expect_that!(best(case.candidates), eq(case.expected), "{}", case.name);
--- a/cuminward/src/main.rs
+++ b/cuminward/src/main.rs
@@ -31,6 +31,9 @@
     Check(Source),
 }
 
+/// What is logged unless `RUST_LOG` says otherwise. `tarpc` writes a line for each call.
+const LOG_FILTER: &str = "info,tarpc=warn";
+
 /// Threads of a gateway, which runs on a part of a core.
 const GATEWAY_THREADS: usize = 2;
 
@@ -43,7 +46,7 @@
 }
 
 fn main() -> miette::Result<()> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(LOG_FILTER)).init();
     match Arguments::parse().command {
         Command::Run(source) => run(&source),
         Command::Check(source) => check(&source),
