feat: cuminward-soak: the daemon as real processes under random faults

Five nodes as separate processes, a store and hosts that obey orders and form groups (`crew`), a loopback proxy before each host and each node's store; kills, stops, freezes, hangups, cuts in one or both directions, silent and reset connections, late orders, crashes, changes of the configuration, in series and overlapping. Checked: answers, events, runs and promises of each request, teams and bodies, PARTIAL and TWO at the hosts, recovery, and a planned stop without a cut request.

--- /dev/null
+++ b/cuminward-soak/examples/soak.rs
@@ -0,0 +1,73 @@
+//! Runs the daemon as separate processes under random faults and checks its promises.
+//!
+//! `cargo run --release --example soak -- --seed N --seconds S` needs the daemon beside it:
+//! `cargo build --release -p cuminward`. Exits with 1 after a violation.
+#![allow(clippy::print_stdout)]
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use clap::Parser;
+use cuminward_soak::soak;
+use miette::{IntoDiagnostic, miette};
+
+/// Runs the daemon under random faults.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Seed of the load and of the faults.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seconds in which faults come.
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    /// Nodes.
+    #[arg(long, default_value_t = 5)]
+    nodes: usize,
+    /// Callers.
+    #[arg(long, default_value_t = 12)]
+    callers: usize,
+    /// The daemon; by default the one that was built beside this program.
+    #[arg(long)]
+    daemon: Option<PathBuf>,
+    /// Directory for the logs and settings of the nodes.
+    #[arg(long, default_value = "out/soak")]
+    out: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> miette::Result<ExitCode> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("off")).init();
+    let arguments = Arguments::parse();
+    let directory = arguments.out.join(arguments.seed.to_string());
+    std::fs::create_dir_all(&directory).into_diagnostic()?;
+    let options = soak::Options {
+        seed: arguments.seed,
+        duration: Duration::from_secs_f64(arguments.seconds),
+        nodes: arguments.nodes,
+        callers: arguments.callers,
+        daemon: daemon(arguments.daemon)?,
+        directory,
+    };
+    let outcome = soak::run(&options).await.into_diagnostic()?;
+    let counts = outcome.counts;
+    println!(
+        "seed {}: {} faults, {} requests, {} answered, {} refused, {} failed, {} violations",
+        options.seed,
+        outcome.troubles.len(),
+        counts.sent,
+        counts.answered,
+        counts.refused,
+        counts.failed,
+        outcome.violations.len(),
+    );
+    for violation in &outcome.violations {
+        println!("  {violation}");
+    }
+    Ok(if outcome.violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn daemon(given: Option<PathBuf>) -> miette::Result<PathBuf> {
+    let own = std::env::current_exe().into_diagnostic()?;
+    let beside = own.parent().and_then(|it| it.parent()).map(|it| it.join("cuminward"));
+    let daemon = given.or(beside).filter(|it| it.is_file());
+    daemon.ok_or_else(|| miette!("the daemon isn't there: cargo build --release -p cuminward"))
+}
--- /dev/null
+++ b/cuminward-soak/src/node.rs
@@ -0,0 +1,155 @@
+//! Processes of the daemon.
+
+use std::{
+    fs::{self, File},
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::Stdio,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use cuminward_standin::link::Link;
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::process::{Child, Command};
+
+/// Time from SIGTERM to the end of a process.
+pub const GRACE: Duration = Duration::from_secs(6);
+
+/// A node, whether its process runs or not.
+pub struct Node {
+    name: String,
+    domain: String,
+    daemon: PathBuf,
+    directory: PathBuf,
+    addresses: Addresses,
+    /// Proxy to the store.
+    pub store: Link,
+    process: Mutex<Option<Child>>,
+    starts: Mutex<u32>,
+}
+
+/// Where a node listens.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    /// Callers' HTTP.
+    pub callers: SocketAddr,
+    /// Readiness checks.
+    pub ready: SocketAddr,
+    /// Other nodes.
+    pub peers: SocketAddr,
+}
+
+/// Life cycle
+impl Node {
+    /// Starts a node of a failure domain; its files go to a directory.
+    ///
+    /// # Errors
+    ///
+    /// The process can't be started or a file not be written.
+    pub async fn start(
+        name: &str,
+        domain: &str,
+        daemon: &Path,
+        directory: &Path,
+        store: SocketAddr,
+    ) -> io::Result<Node> {
+        let addresses = Addresses { callers: address()?, ready: address()?, peers: address()? };
+        let node = Node {
+            name: name.to_owned(),
+            domain: domain.to_owned(),
+            daemon: daemon.to_owned(),
+            directory: directory.to_owned(),
+            addresses,
+            store: Link::start(store).await?,
+            process: Mutex::new(None),
+            starts: Mutex::new(0),
+        };
+        node.restart()?;
+        Ok(node)
+    }
+}
+
+/// Access
+impl Node {
+    /// Name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Where it listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    fn settings(&self, is_first_start: bool) -> String {
+        let Addresses { callers, ready, peers } = self.addresses;
+        format!(
+            "node: {{name: {}, domain: {}, is_first_start: {is_first_start}}}\n\
+             listen: {{callers: \"{callers}\", ready: \"{ready}\", peers: \"{peers}\"}}\n\
+             store: {{address: \"{}\", min_lease_ms: 1000, partitions: 8}}\n\
+             timing: {{shutdown_grace_s: {}}}\n\
+             retry: {{ratio: 0.2, reserve: 100}}\n",
+            self.name,
+            self.domain,
+            self.store.address(),
+            GRACE.as_secs(),
+        )
+    }
+}
+
+/// Mutation
+impl Node {
+    /// Starts the process anew; one that still runs is killed.
+    ///
+    /// # Errors
+    ///
+    /// The process can't be started or a file not be written.
+    pub fn restart(&self) -> io::Result<()> {
+        let number = {
+            let mut starts = self.starts.lock().unwrap_or_else(PoisonError::into_inner);
+            *starts += 1;
+            *starts
+        };
+        let settings = self.directory.join(format!("{}.yaml", self.name));
+        fs::write(&settings, self.settings(number == 1))?;
+        let log = |stream: &str| {
+            File::create(self.directory.join(format!("{}-{number}.{stream}", self.name)))
+        };
+        let child = Command::new(&self.daemon)
+            .args(["gateway", "--settings"])
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(log("out")?)
+            .stderr(log("err")?)
+            .kill_on_drop(true)
+            .spawn()?;
+        *self.process.lock().unwrap_or_else(PoisonError::into_inner) = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&self, signal: Signal) {
+        let process = self.process.lock().unwrap_or_else(PoisonError::into_inner);
+        let id = process.as_ref().and_then(Child::id).and_then(|it| i32::try_from(it).ok());
+        let Some(pid) = id.and_then(Pid::from_raw) else { return };
+        if let Err(error) = kill_process(pid, signal) {
+            log::warn!("{}: {signal:?} can't be sent: {error}", self.name);
+        }
+    }
+
+    /// Tells whether the process runs. Its exit is taken in.
+    pub fn is_running(&self) -> bool {
+        let mut process = self.process.lock().unwrap_or_else(PoisonError::into_inner);
+        process.as_mut().is_some_and(|it| matches!(it.try_wait(), Ok(None)))
+    }
+}
+
+/// An address of the loopback interface that nothing uses. Each process of the soak has its own range, as
+/// its nodes start again at the same addresses.
+fn address() -> io::Result<SocketAddr> {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, high.max(1), low, 1);
+    TcpListener::bind((own, 0))?.local_addr()
+}
--- /dev/null
+++ b/cuminward-soak/src/site.rs
@@ -0,0 +1,165 @@
+//! The store, the hosts, and the proxies in front of them.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use cuminward_adapter_fake::{
+    crew::{Crew, Place, Times},
+    store::Store,
+};
+use cuminward_standin::link::Link;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use crate::judge::TEAM;
+
+/// Host name, key and model of the callers.
+pub const HOST_NAME: &str = "soak.example";
+/// Key of the only team.
+pub const KEY: &str = "soak-key";
+/// The only model.
+pub const MODEL: &str = "m";
+
+/// Longest time that a request may take.
+pub const TIMEOUT: Duration = Duration::from_millis(3000);
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 12;
+
+/// Hosts of a replica.
+const SIZE: usize = 2;
+
+/// Failure domains, with one fabric domain each.
+pub const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// Hosts of the engine and of the plain service in each failure domain.
+const ENGINES: usize = 5;
+const PLAIN: usize = 1;
+
+const TIMES: Times = Times {
+    load: Duration::from_millis(400),
+    join: Duration::from_millis(150),
+    open: Duration::from_millis(80),
+    stall: Duration::from_millis(2000),
+    event_pause: Duration::from_millis(20),
+    answer: Duration::from_millis(15),
+    late_order: Duration::from_millis(2500),
+};
+
+/// What the nodes serve and depend on.
+pub struct Site {
+    /// The platform's store.
+    pub store: Arc<Store>,
+    /// Hosts of both services.
+    pub crew: Crew,
+    /// Proxies in front of the hosts.
+    pub links: Vec<(String, Link)>,
+    version: AtomicU64,
+}
+
+/// Life cycle
+impl Site {
+    /// Starts a store and hosts, and declares the configuration.
+    ///
+    /// # Errors
+    ///
+    /// No port is free.
+    pub async fn start() -> io::Result<Site> {
+        let store = Arc::new(Store::start().await?);
+        let crew = Crew::new(Arc::clone(&store), TIMES, SIZE, EVENTS);
+        let mut links = Vec::new();
+        for domain in DOMAINS {
+            for index in 0..ENGINES + PLAIN {
+                let is_plain = index >= ENGINES;
+                let service = if is_plain { "desk" } else { "chat" };
+                let id = format!("{service}-{domain}-{index}");
+                let listener = TcpListener::bind("127.0.0.1:0").await?;
+                let link = Link::start(listener.local_addr()?).await?;
+                let place = Place {
+                    id: id.clone(),
+                    service: service.to_owned(),
+                    domain: domain.to_owned(),
+                    fabric: (!is_plain).then(|| domain.to_owned()),
+                    address: link.address(),
+                };
+                crew.start(place, listener);
+                links.push((id, link));
+            }
+        }
+        let site = Site { store, crew, links, version: AtomicU64::new(0) };
+        site.configure();
+        Ok(site)
+    }
+}
+
+/// Access
+impl Site {
+    /// Version of the configuration that was declared last.
+    pub fn version(&self) -> u64 {
+        self.version.load(Ordering::Relaxed)
+    }
+}
+
+/// Mutation
+impl Site {
+    /// Declares the next version, with a route that no other version has.
+    pub fn configure(&self) {
+        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+        let config = configuration(version).to_string();
+        self.store.put("keyed.op", "config", &config);
+    }
+
+    /// Ends all faults of the store and the hosts.
+    pub fn heal(&self) {
+        self.store.refuse(None);
+        self.store.set_deaf(false);
+        self.crew.set_late_orders(false);
+        for (id, link) in &self.links {
+            link.heal();
+            link.delay(Duration::ZERO);
+            self.crew.restart(id);
+        }
+    }
+}
+
+/// Prefix of the route that only one version has.
+pub fn prefix(version: u64) -> String {
+    format!("/v{version}/")
+}
+
+fn configuration(version: u64) -> Value {
+    let route = |prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": prefix, "host": HOST_NAME, "pathPrefix": prefix, "routeKind": kind,
+            "timeoutMs": TIMEOUT.as_millis() as u64, "targetLatencyMs": 400, "priority": 1,
+            "service": service, "maxAttempts": 3, "anonymous": false,
+            "streamResume": kind == "streaming",
+        })
+    };
+    let model = json!({
+        "name": MODEL, "size": SIZE, "share": 1.0, "pace": 1.0,
+        "loadS": TIMES.load.as_secs_f64(), "warmS": TIMES.join.as_secs_f64(),
+    });
+    json!({
+        "version": version,
+        "routes": [
+            route("/read/", "idempotent", "desk"),
+            route("/book/", "non_idempotent", "desk"),
+            route("/chat/", "streaming", "chat"),
+            route(&prefix(version), "idempotent", "desk"),
+        ],
+        "services": [
+            { "name": "desk", "healthPath": "/healthz", "connLimit": 200 },
+            { "name": "chat", "healthPath": "/healthz", "connLimit": 200, "engine": {
+                "slots": 6, "models": [model], "loadsPerS": 5.0, "loads_at_once": 7,
+                "formMs": TIMES.open.as_millis() as u64 } },
+        ],
+        "tenants": [{ "name": TEAM, "apiKeys": [KEY] }],
+    })
+}
--- /dev/null
+++ b/cuminward-soak/tests/all/judge.rs
@@ -0,0 +1,85 @@
+//! The promises, as the judge sees them.
+
+use bytes::Bytes;
+use cuminward_adapter_fake::crew::Run;
+use cuminward_soak::judge::{Got, Judge, Kind, Sent, TEAM};
+use googletest::prelude::*;
+
+const EVENTS: u64 = 3;
+
+struct Case {
+    name: &'static str,
+    kind: Kind,
+    /// Status, body and whether it is complete; `None` if there was no answer.
+    got: Option<(u16, &'static str, bool)>,
+    /// How often the request ran.
+    ran: usize,
+    violations: usize,
+}
+
+fn run(sent: &Sent) -> Run {
+    Run {
+        request: sent.id.clone(),
+        host: String::from("h"),
+        line: sent.line.clone(),
+        body: Bytes::from(sent.body.clone()),
+        team: Some(TEAM.to_owned()),
+    }
+}
+
+#[gtest]
+fn broken_promises_are_seen() {
+    let two = "id: 1\ndata: r 1\n\nid: 2\ndata: r 2\n\n";
+    let gap = "id: 1\ndata: r 1\n\nid: 3\ndata: r 3\n\n";
+    let other = "id: 1\ndata: other 1\n\n";
+    let whole = "id: 1\ndata: r 1\n\nid: 2\ndata: r 2\n\nid: 3\ndata: r 3\n\n";
+    let case = |name, kind, got, ran, violations| Case { name, kind, got, ran, violations };
+    let cases = [
+        case("answered", Kind::Once, Some((200, "answer r", true)), 1, 0),
+        case("no answer", Kind::Once, None, 1, 0),
+        case("refused", Kind::Once, Some((503, "", true)), 0, 0),
+        case("refused and ran", Kind::Once, Some((503, "", true)), 1, 1),
+        case("refused, idempotent", Kind::Idempotent, Some((503, "", true)), 1, 0),
+        case("ran twice", Kind::Once, Some((200, "answer r", true)), 2, 1),
+        case("another answer", Kind::Once, Some((200, "answer q", true)), 1, 1),
+        case("cut off", Kind::Once, Some((200, "answ", false)), 1, 0),
+        case("cut off and complete", Kind::Once, Some((200, "answ", true)), 1, 1),
+        case("denied", Kind::Idempotent, Some((404, "", true)), 0, 1),
+        case("whole stream", Kind::Stream, Some((200, whole, true)), 1, 0),
+        case("broken stream", Kind::Stream, Some((200, two, false)), 1, 0),
+        case("early end", Kind::Stream, Some((200, two, true)), 1, 1),
+        case("a gap", Kind::Stream, Some((200, gap, false)), 1, 1),
+        case("another's event", Kind::Stream, Some((200, other, false)), 1, 1),
+    ];
+    for case in cases {
+        let judge = Judge::default();
+        let sent = Sent::new(String::from("r"), case.kind);
+        judge.send(sent.clone());
+        let got = case.got.map(|(status, body, is_complete)| Got {
+            status,
+            is_signed: status == 200,
+            body: body.to_owned(),
+            is_complete,
+        });
+        judge.get(&sent, got.as_ref(), EVENTS);
+        let runs = vec![run(&sent); case.ran];
+        let violations = judge.violations(&runs);
+        expect_that!(violations.len(), eq(case.violations), "{}: {violations:?}", case.name);
+    }
+}
+
+#[gtest]
+fn altered_and_unknown_requests_are_seen() {
+    let judge = Judge::default();
+    let sent = Sent::new(String::from("r"), Kind::Once);
+    judge.send(sent.clone());
+    let runs = [
+        Run { line: String::from("POST /book/other"), ..run(&sent) },
+        Run { body: Bytes::from_static(b"other"), ..run(&sent) },
+        Run { team: Some(String::from("other")), ..run(&sent) },
+        Run { request: String::from("unknown"), ..run(&sent) },
+    ];
+    for run in runs {
+        expect_that!(judge.violations(std::slice::from_ref(&run)), not(is_empty()), "{run:?}");
+    }
+}
--- /dev/null
+++ b/cuminward-soak/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the soak's own judgement.
+
+mod judge;
