fix: cuminward-gateway: orders hold only for the group that the host is in

Cause: a node that had just become the steward decided on a list of hosts that was read before its predecessor formed a group, and told both members, whose head was open by then, to join another one. The number of orders that the host must have accepted was asked for just before the order, so it didn't catch the change. Ruled out: late orders and fences (all were answered and in order). Change: a host is asked before each order, and the order isn't given if the host is in another life or formation than its entry says; a new steward decides only after it has read the list itself.

feat: cuminward-gateway: what a node does no longer grows with the number of nodes

Change: a round of digests goes to 8 nodes in turn, to all after a loss; a node chooses among the upstreams that it prefers by a hash; four nodes of a failure domain divide the duties; the list of hosts is read every 1.2 s by each of many nodes; only a host that another node lost is asked, not its whole replica; a node that was held up itself takes nobody for lost.

--- a/cuminward-gateway/src/control/duty.rs
+++ b/cuminward-gateway/src/control/duty.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cuminward_adapter::{store, topic};
+use cuminward_serving::id;
 use tokio::time;
 
 use crate::state::{State, duty::Share};
@@ -23,7 +24,17 @@
     if let Err(error) = state.store.create(topic::DUTIES).await {
         log::warn!("the topic of the duties can't be created: {error}");
     }
+    let mut is_member = false;
     loop {
+        if state.duty.is_bystander() {
+            if is_member {
+                resign(state, member).await;
+                is_member = false;
+            }
+            time::sleep(interval).await;
+            continue;
+        }
+        is_member = true;
         let asked = state.now();
         match state.store.join(member, generation).await {
             Ok(share) => {
@@ -39,6 +50,14 @@
     }
 }
 
+/// Gives up all duties, so that the store divides them among the others at once.
+async fn resign(state: &State, member: &store::Member) {
+    state.duty.forfeit(id::Token::MAX);
+    if let Err(error) = state.store.leave(member).await {
+        log::debug!("the duties weren't given up, their lease has to end: {error}");
+    }
+}
+
 /// This node as a member of the group that divides the duties. The name differs between two starts, so
 /// that a new start doesn't inherit the duties of the former one.
 pub(crate) fn member(state: &State) -> store::Member {
--- a/cuminward-gateway/src/control/follow.rs
+++ b/cuminward-gateway/src/control/follow.rs
@@ -4,10 +4,10 @@
 
 use cuminward_adapter::{store, topic};
 use cuminward_event::{kind::Kind, sink::Sink};
-use cuminward_serving::table::Record;
+use cuminward_serving::{spread, table::Record};
 use tokio::time;
 
-use crate::state::{State, duty::Duty};
+use crate::state::State;
 
 /// Shortest and longest time that a read of the declarations waits for a change. A read may miss a
 /// change while it waits, so it ends well before a change has to be in force; different times keep the
@@ -17,8 +17,9 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Interval at which nodes read the list of hosts.
+/// Interval at which nodes read the list of hosts, if they are few and if they are many.
 const LISTING_INTERVAL: Duration = Duration::from_millis(600);
+const MAX_LISTING_INTERVAL: Duration = Duration::from_millis(1200);
 
 /// The same for a steward, and for one whose orders are under way.
 const STEWARD_INTERVAL: Duration = Duration::from_millis(300);
@@ -73,9 +74,14 @@
 pub(crate) async fn listing(state: Arc<State>) {
     let mut follower = Follower::new();
     loop {
+        let began = state.now();
         let read = follower.read(&state).await;
+        if read.is_ok() {
+            state.note_listing_read(began);
+        }
         follower.note(&state, read.as_ref().err());
-        time::sleep(follower.interval(&state.duty)).await;
+        // Either way the list is read again.
+        let _ = time::timeout(follower.interval(&state), state.duty.began.notified()).await;
     }
 }
 
@@ -170,14 +176,14 @@
         }
     }
 
-    fn interval(&self, duty: &Duty) -> Duration {
+    fn interval(&self, state: &State) -> Duration {
         if self.health.failing_since.is_some() {
             return RETRY_PAUSE;
         }
-        match (duty.is_steward(), duty.is_busy()) {
+        match (state.duty.is_steward(), state.duty.is_busy()) {
             (true, true) => BUSY_STEWARD_INTERVAL,
             (true, false) => STEWARD_INTERVAL,
-            (false, _) => LISTING_INTERVAL,
+            (false, _) => spread::interval(LISTING_INTERVAL, MAX_LISTING_INTERVAL, state.nodes()),
         }
     }
 }
--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -1,14 +1,12 @@
 //! Carries out the steward's duties that this node holds.
 
-use std::{
-    collections::{HashMap, HashSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use cuminward_event::kind::Kind;
 use cuminward_serving::{
-    engine, id,
+    engine,
+    host::Host,
+    id,
     placement::{
         Steward, Survey,
         order::{Order, Outcome},
@@ -28,19 +26,30 @@
 /// Orders whose outcomes wait to be taken in.
 const OUTCOMES: usize = 256;
 
+/// An order, and the host as it was known when the order was decided.
+struct Decision {
+    order: Order,
+    host: Host,
+}
+
 /// What came of an order of a service.
-type Settled = (id::Service, Order, Outcome);
+struct Settled {
+    service: id::Service,
+    order: Order,
+    outcome: Outcome,
+}
 
 /// Carries out the duties until the task is dropped.
 pub(crate) async fn run(state: Arc<State>) {
     let (sender, mut outcomes) = mpsc::channel::<Settled>(OUTCOMES);
     // A steward is kept when its duty ends, as its numbers must not be used again.
     let mut stewards: HashMap<id::Service, Steward> = HashMap::new();
-    let mut held: HashSet<id::Service> = HashSet::new();
+    // Services whose steward this node is, and since when.
+    let mut held: HashMap<id::Service, Duration> = HashMap::new();
     loop {
         time::sleep(INTERVAL).await;
-        while let Ok((service, order, outcome)) = outcomes.try_recv() {
-            settle(&state, &mut stewards, &service, &order, outcome);
+        while let Ok(settled) = outcomes.try_recv() {
+            settle(&state, &mut stewards, &settled);
         }
         let mut is_busy = false;
         let engines = state.knowledge().engines();
@@ -52,16 +61,21 @@
             };
             let steward = stewards.entry(service.clone());
             let steward = steward.or_insert_with(|| Steward::new(service.clone(), token));
-            if held.insert(service.clone()) {
-                let service = service.clone();
-                state.events.emit(Kind::StewardBegan { service, token });
+            let began = *held.entry(service.clone()).or_insert_with(|| {
+                state.events.emit(Kind::StewardBegan { service: service.clone(), token });
                 *steward = steward.restart();
+                state.duty.began.notify_one();
+                state.now()
+            });
+            if state.listing_read() < began {
+                // What the former steward did may not be in the list that is known.
+                continue;
             }
             steward.renew(token);
-            let orders = decide(&state, &service, &engine, steward);
+            let decisions = decide(&state, &service, &engine, steward);
             is_busy |= steward.is_active();
-            for order in orders {
-                let deliver = deliver(Arc::clone(&state), service.clone(), token, order);
+            for decision in decisions {
+                let deliver = deliver(Arc::clone(&state), service.clone(), token, decision);
                 let sender = sender.clone();
                 tokio::spawn(async move {
                     let settled = deliver.await;
@@ -79,7 +93,7 @@
     service: &str,
     engine: &engine::Engine,
     steward: &mut Steward,
-) -> Vec<Order> {
+) -> Vec<Decision> {
     let now = state.now();
     let knowledge = state.knowledge();
     let hosts = knowledge.hosts_of(service);
@@ -94,7 +108,11 @@
         let (service, levels) = (service.to_owned(), levels(steward));
         state.events.emit(Kind::GroupsChanged { service, levels });
     }
-    orders
+    let decision = |order: Order| {
+        let host = hosts.get(&order.host)?.clone();
+        Some(Decision { order, host })
+    };
+    orders.into_iter().filter_map(decision).collect()
 }
 
 /// Levels of the models, for the log.
@@ -106,13 +124,8 @@
     levels.collect::<Vec<_>>().join(" ")
 }
 
-fn settle(
-    state: &State,
-    stewards: &mut HashMap<id::Service, Steward>,
-    service: &str,
-    order: &Order,
-    outcome: Outcome,
-) {
+fn settle(state: &State, stewards: &mut HashMap<id::Service, Steward>, settled: &Settled) {
+    let Settled { service, order, outcome } = settled;
     let Some(steward) = stewards.get_mut(service) else { return };
     state.events.emit(Kind::OrderSettled {
         host: order.host.clone(),
@@ -120,29 +133,31 @@
         token: steward.token(),
         outcome: format!("{outcome:?}"),
     });
-    if outcome == Outcome::Fenced {
+    if *outcome == Outcome::Fenced {
         state.duty.forfeit(steward.token());
     }
-    steward.settle(state.now(), order, outcome);
+    steward.settle(state.now(), order, *outcome);
 }
 
 /// Gives an order under the number of orders that the host reports, so that an order that is carried
-/// out late can't follow a newer one.
+/// out late can't follow a newer one. An order that was decided on an outdated entry isn't given.
 async fn deliver(
     state: Arc<State>,
     service: id::Service,
     token: id::Token,
-    order: Order,
+    decision: Decision,
 ) -> Settled {
-    let host = state.knowledge().hosts.get(&order.host).cloned();
-    let Some(host) = host else { return (service, order, Outcome::Unreachable) };
+    let Decision { order, host } = decision;
     let report = inspect::report(&state, &host.id, &host.address, REPORT_TIMEOUT).await;
     let outcome = match report {
+        Ok(status) if !host.agrees_with(status.started_ms, status.membership.as_ref()) => {
+            Outcome::Outdated
+        }
         Ok(status) => {
             state.note_pace(&host.id, status.pace);
             inspect::order(&state, &host.id, &host.address, &order.action, token, status.seq).await
         }
         Err(_) => Outcome::Unreachable,
     };
-    (service, order, outcome)
+    Settled { service, order, outcome }
 }
--- a/cuminward-gateway/src/control/watch.rs
+++ b/cuminward-gateway/src/control/watch.rs
@@ -5,12 +5,15 @@
 
 use cuminward_event::kind::Kind;
 use futures::future;
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::mpsc,
+    time::{self, Instant},
+};
 
 use super::inspect;
 use crate::state::{
     State,
-    view::{Key, Upstream},
+    view::{Key, Member, Upstream},
 };
 
 /// Interval of the checks.
@@ -28,6 +31,9 @@
 /// Longest time for the answer of a member, on a kept and again on a new connection.
 const MEMBER_TIMEOUT: Duration = Duration::from_millis(160);
 
+/// Time after which a question should have ended, if this node isn't held up.
+const MAX_QUESTION: Duration = Duration::from_millis(320);
+
 /// Inspections whose ends wait to be noted.
 const ENDED: usize = 64;
 
@@ -73,28 +79,39 @@
         state.publish();
     }
     for member in due {
-        let state = Arc::clone(state);
-        tokio::spawn(async move {
-            let asked = inspect::report(&state, &member.host, &member.address, MEMBER_TIMEOUT);
-            match asked.await {
-                Ok(status) => {
-                    state.note_pace(&member.host, status.pace);
-                    state.find(&member.host);
-                }
-                Err(error) => {
-                    state.lose(&member.host, &format!("{error:?}"));
-                }
-            }
-        });
+        ask(state, member);
     }
 }
 
+/// Asks a host whether it lives and how slow it is.
+pub(crate) fn ask(state: &Arc<State>, member: Member) {
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        let begun = Instant::now();
+        let asked = inspect::report(&state, &member.host, &member.address, MEMBER_TIMEOUT);
+        match asked.await {
+            Ok(status) => {
+                state.note_pace(&member.host, status.pace);
+                state.find(&member.host);
+            }
+            Err(_) if is_held_up(begun) => {}
+            Err(error) => state.lose(&member.host, &format!("{error:?}")),
+        }
+    });
+}
+
+/// Tells whether this node was itself held up since it asked, so that silence says nothing.
+fn is_held_up(begun: Instant) -> bool {
+    begun.elapsed() > MAX_QUESTION
+}
+
 /// Asks the members of a replica whether they live.
 async fn inspect_members(state: &State, upstream: &Upstream) {
     let asked = upstream.members.iter().map(|it| async move {
         let report = inspect::report(state, &it.host, &it.address, MEMBER_TIMEOUT).await;
         (it, report)
     });
+    let begun = Instant::now();
     let answers = future::join_all(asked).await;
     let now = state.now();
     let mut is_lost = false;
@@ -105,6 +122,7 @@
                 pace = pace.max(status.pace);
                 state.note_pace(&member.host, status.pace);
             }
+            Err(_) if is_held_up(begun) => {}
             Err(error) => {
                 state.lose(&member.host, &format!("{error:?}"));
                 is_lost = true;
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -6,6 +6,7 @@
     id, pace,
     queue::Progress,
     select::{self, Standing},
+    spread,
 };
 use tokio::time::{self, Instant};
 
@@ -125,15 +126,18 @@
     let all = view.upstreams(&wish.service, wish.model.as_deref());
     let usable: Vec<&Arc<Upstream>> = all.iter().filter(has_room).collect();
     let domain = &state.settings.node.domain;
-    let candidates = usable.iter().map(|it| select::Candidate {
+    let candidate = |it: &&Arc<Upstream>| select::Candidate {
         load: it.gauge.load(),
         slots: it.slots,
         is_near: it.domain == *domain,
         standing: standing(it, now),
         pace: it.pace,
+        affinity: it.affinity,
         tie: rand::random(),
-    });
-    select::best(candidates).map(|at| usable[at])
+    };
+    let candidates: Vec<select::Candidate> = usable.iter().map(candidate).collect();
+    let choices = spread::choices(all.len(), state.nodes());
+    select::best(&candidates, choices).map(|at| usable[at])
 }
 
 fn standing(upstream: &Upstream, now: Duration) -> Standing {
--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Digest {
     /// Node that sends it.
     pub(crate) node: id::Node,
+    /// Its failure domain.
+    pub(crate) domain: id::Domain,
     /// Number of this start of the node.
     pub(crate) start: u64,
     /// Number of the digest within this start.
@@ -24,7 +26,7 @@
     pub(crate) declarations: id::Offset,
     /// Offset that follows the newest entry of the list of hosts it knows.
     pub(crate) listing: id::Offset,
-    /// Its requests in flight by upstream.
+    /// Its requests in flight, by each upstream that has some.
     pub(crate) flights: Vec<(Key, u32)>,
     /// Hosts that don't answer it.
     pub(crate) lost: Vec<id::Host>,
@@ -53,10 +55,13 @@
     pub(crate) fn next(&mut self, state: &State) -> Digest {
         self.number += 1;
         let now = state.now();
-        let flights = state.view.load().all().map(|it| (it.key, it.gauge.in_flight())).collect();
+        let view = state.view.load();
+        let flights = view.all().map(|it| (it.key, it.gauge.in_flight()));
+        let flights = flights.filter(|(_, count)| *count > 0).collect();
         let knowledge = state.knowledge();
         Digest {
             node: state.settings.node.name.clone(),
+            domain: state.settings.node.domain.clone(),
             start: self.start,
             number: self.number,
             address: state.settings.listen.peers,
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -1,7 +1,7 @@
 //! Sends digests to the other nodes and takes theirs in.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -9,11 +9,14 @@
 };
 
 use cuminward_event::kind::Kind;
-use cuminward_serving::{crash::Fingerprint, id, loss};
+use cuminward_serving::{crash::Fingerprint, id, loss, spread};
 use tokio::{net::UdpSocket, time};
 
 use super::digest::{Digest, Sender};
-use crate::state::{State, view::Key};
+use crate::{
+    control::watch,
+    state::{State, view::Key},
+};
 
 /// Shortest and longest time between two digests.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -51,7 +54,8 @@
     /// Nodes that were heard of lately.
     pub(crate) fn fresh(&self, now: Duration) -> Vec<Peer> {
         let peers = self.lock();
-        peers.values().filter(|it| now.saturating_sub(it.heard) < FRESH).cloned().collect()
+        let fresh = FRESH.max(MAX_INTERVAL * spread::rounds(peers.len()) * 2);
+        peers.values().filter(|it| now.saturating_sub(it.heard) < fresh).cloned().collect()
     }
 
     /// Hosts that a node said don't answer it.
@@ -89,10 +93,18 @@
         true
     }
 
-    fn addresses(&self, now: Duration, number: u64) -> Vec<SocketAddr> {
+    /// Addresses to which a round of digests goes; all that are reachable if it is urgent.
+    fn addresses(&self, now: Duration, number: u64, is_urgent: bool) -> Vec<SocketAddr> {
         let is_due =
             |it: &&Peer| now.saturating_sub(it.heard) < SILENT || number.is_multiple_of(RARELY);
-        self.lock().values().filter(is_due).map(|it| it.address).collect()
+        let peers = self.lock();
+        let due: BTreeMap<&id::Node, SocketAddr> =
+            peers.iter().filter(|it| is_due(&it.1)).map(|(node, it)| (node, it.address)).collect();
+        let due: Vec<SocketAddr> = due.into_values().collect();
+        if is_urgent {
+            return due;
+        }
+        spread::round(number, due.len()).map(|it| due[it]).collect()
     }
 }
 
@@ -103,7 +115,8 @@
         let digest = sender.next(&state);
         match bincode::serialize(&digest) {
             Ok(bytes) => {
-                for address in peers.addresses(state.now(), digest.number) {
+                let is_urgent = state.take_urgency();
+                for address in peers.addresses(state.now(), digest.number, is_urgent) {
                     if let Err(error) = socket.send_to(&bytes, address).await {
                         log::debug!("a digest to {address} wasn't sent: {error}");
                     }
@@ -112,7 +125,7 @@
             Err(error) => log::error!("the digest can't be encoded: {error}"),
         }
         time::sleep(MIN_INTERVAL).await;
-        sum_flights(&state, &peers);
+        take_stock(&state, &peers);
         let rest = MAX_INTERVAL - MIN_INTERVAL;
         if state.view.load().all().all(|it| it.gauge.in_flight() == 0) {
             // Nothing to tell about load: wait for other news.
@@ -140,7 +153,7 @@
     bincode::deserialize(bytes).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
 }
 
-fn take_in(state: &State, peers: &Peers, digest: Digest) {
+fn take_in(state: &Arc<State>, peers: &Peers, digest: Digest) {
     if digest.node == state.settings.node.name {
         return;
     }
@@ -160,15 +173,15 @@
     }
 }
 
-/// Asks the members of replicas with a host that newly doesn't answer another node.
-fn suspect(state: &State, from: &str, lost: &[&str]) {
+/// Asks members of replicas that newly don't answer another node.
+fn suspect(state: &Arc<State>, from: &str, lost: &[&str]) {
     if lost.is_empty() {
         return;
     }
     state.events.emit(Kind::LossHeard { from: from.to_owned(), hosts: lost.join(",") });
-    for upstream in state.view.load().watched() {
-        if upstream.is_replica() && lost.iter().any(|it| upstream.has_member(it)) {
-            upstream.gauge.note_suspicion();
+    for upstream in state.view.load().watched().filter(|it| it.is_replica()) {
+        for member in upstream.members.iter().filter(|it| lost.contains(&it.host.as_str())) {
+            watch::ask(state, member.clone());
         }
     }
 }
@@ -187,10 +200,20 @@
     }
 }
 
+/// Takes stock of the other nodes: who takes part in the duties, and the requests in flight.
+fn take_stock(state: &State, peers: &Peers) {
+    let fresh = peers.fresh(state.now());
+    let own = &state.settings.node;
+    let digests = fresh.iter().filter_map(|it| it.digest.as_ref());
+    let near = digests.filter(|it| it.domain == own.domain).map(|it| &it.node);
+    state.duty.set_bystander(!spread::is_candidate(&own.name, near));
+    sum_flights(state, fresh);
+}
+
 /// Adds up the requests in flight from other nodes.
-fn sum_flights(state: &State, peers: &Peers) {
+fn sum_flights(state: &State, fresh: Vec<Peer>) {
     let mut sums: HashMap<Key, u32> = HashMap::new();
-    for peer in peers.fresh(state.now()) {
+    for peer in fresh {
         for (key, count) in peer.digest.into_iter().flat_map(|it| it.flights) {
             *sums.entry(key).or_default() += count;
         }
--- a/cuminward-gateway/src/state/duty.rs
+++ b/cuminward-gateway/src/state/duty.rs
@@ -10,6 +10,7 @@
 
 use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::id;
+use tokio::sync::Notify;
 
 /// Duties that this node holds.
 #[derive(Debug, Default)]
@@ -18,6 +19,10 @@
     /// Whether a duty is one of a service's steward.
     is_steward: AtomicBool,
     is_busy: AtomicBool,
+    /// Wakes the reader of the list of hosts when a duty begins.
+    pub(crate) began: Notify,
+    /// Whether the node leaves the duties to others of its failure domain.
+    is_bystander: AtomicBool,
 }
 
 /// What the store said last.
@@ -41,6 +46,11 @@
         self.is_busy.load(Ordering::Relaxed)
     }
 
+    /// Tells whether the node leaves the duties to others of its failure domain.
+    pub(crate) fn is_bystander(&self) -> bool {
+        self.is_bystander.load(Ordering::Relaxed)
+    }
+
     /// Fencing token for the service with an index, if its duty is this node's.
     pub(crate) fn token(&self, now: Duration, index: usize, partitions: u32) -> Option<id::Token> {
         let part = index as u32 % partitions.max(1);
@@ -61,6 +71,11 @@
         self.is_busy.store(is_busy, Ordering::Relaxed);
     }
 
+    /// Notes whether the node leaves the duties to others of its failure domain.
+    pub(crate) fn set_bystander(&self, is_bystander: bool) {
+        self.is_bystander.store(is_bystander, Ordering::Relaxed);
+    }
+
     /// Gives up all duties until the store divides them anew: a host has seen a newer token.
     pub(crate) fn forfeit(&self, token: id::Token) {
         let mut share = self.share.lock().unwrap_or_else(PoisonError::into_inner);
--- a/cuminward-gateway/src/state/knowledge.rs
+++ b/cuminward-gateway/src/state/knowledge.rs
@@ -21,6 +21,7 @@
 
 /// What a node knows.
 pub(crate) struct Knowledge {
+    node: id::Node,
     events: Arc<Sink>,
     /// Declarations as they were written.
     pub(crate) declarations: Table,
@@ -41,8 +42,9 @@
 /// Life cycle
 impl Knowledge {
     /// Knows nothing yet.
-    pub(crate) fn new(events: Arc<Sink>) -> Knowledge {
+    pub(crate) fn new(node: id::Node, events: Arc<Sink>) -> Knowledge {
         Knowledge {
+            node,
             events,
             declarations: Table::default(),
             listing: Table::default(),
@@ -284,8 +286,10 @@
         let name = format!("{}/{}", group.name, group.epoch);
         let members = group.members.values();
         let members = members.map(|it| Member { host: it.id.clone(), address: it.address.clone() });
+        let key = view::key(&name);
         Upstream {
-            key: view::key(&name),
+            key,
+            affinity: view::affinity(&self.node, key),
             host: head.id.clone(),
             address: head.address.clone(),
             domain: head.domain.clone(),
@@ -309,8 +313,10 @@
         for host in hosts {
             let name = format!("{}/{}", host.id, host.started_ms);
             let member = Member { host: host.id.clone(), address: host.address.clone() };
+            let key = view::key(&name);
             pool.plain.push(Arc::new(Upstream {
-                key: view::key(&name),
+                key,
+                affinity: view::affinity(&self.node, key),
                 gauge: self.gauge(now, &name, &host.id),
                 name,
                 host: host.id,
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -82,6 +82,10 @@
     pub(crate) capacity: Notify,
     /// Wakes the exchange with other nodes.
     pub(crate) news: Notify,
+    /// When the last read of the list of hosts that succeeded began, in milliseconds since the start.
+    listing_read_ms: AtomicU64,
+    /// Whether all other nodes are to be told at once.
+    is_urgent: AtomicBool,
 }
 
 /// Life cycle
@@ -95,7 +99,7 @@
         let clock = Arc::new(hlc::Clock::default());
         let node = settings.node.name.clone();
         let output = line::Writer::stdout()?;
-        let events = Arc::new(Sink::with_output(node, clock, EVENT_CAPACITY, output));
+        let events = Arc::new(Sink::with_output(node.clone(), clock, EVENT_CAPACITY, output));
         let store = store::Client::new(settings.store.address.to_string(), STORE_TIMEOUT);
         let options = pool::Options {
             connect: CONNECT_TIMEOUT,
@@ -104,7 +108,7 @@
             ..pool::Options::default()
         };
         let has_traffic = AtomicBool::new(!settings.node.is_first_start);
-        let knowledge = Mutex::new(knowledge::Knowledge::new(Arc::clone(&events)));
+        let knowledge = Mutex::new(knowledge::Knowledge::new(node, Arc::clone(&events)));
         Ok(State {
             events,
             current: ArcSwap::from_pointee(settings.clone()),
@@ -124,6 +128,8 @@
             waiting: waiting::Waiting::default(),
             capacity: Notify::new(),
             news: Notify::new(),
+            listing_read_ms: AtomicU64::new(0),
+            is_urgent: AtomicBool::new(false),
         })
     }
 }
@@ -171,6 +177,11 @@
         if self.duty.is_steward() { STEWARD_ASKS_AGAIN } else { ASKS_AGAIN }
     }
 
+    /// When the last read of the list of hosts that succeeded began; zero if none did.
+    pub(crate) fn listing_read(&self) -> Duration {
+        Duration::from_millis(self.listing_read_ms.load(Ordering::Relaxed))
+    }
+
     /// What the control tasks know.
     pub(crate) fn knowledge(&self) -> MutexGuard<'_, knowledge::Knowledge> {
         self.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
@@ -209,6 +220,11 @@
         self.stopping_ms.store(self.now().as_millis().max(1) as u64, Ordering::Relaxed);
     }
 
+    /// Notes when a read of the list of hosts that succeeded began.
+    pub(crate) fn note_listing_read(&self, began: Duration) {
+        self.listing_read_ms.store(began.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Notes that a caller sent a request, to this node or another one.
     pub(crate) fn note_traffic(&self) {
         self.has_traffic.store(true, Ordering::Relaxed);
@@ -232,6 +248,7 @@
             let (host, cause) = (host.to_owned(), cause.to_owned());
             let replica = replica.map(|it| it.name.clone()).unwrap_or_default();
             self.events.emit(Kind::HostLost { host, replica, cause });
+            self.is_urgent.store(true, Ordering::Relaxed);
             self.publish();
         }
         if let Some(replica) = replica {
@@ -239,6 +256,11 @@
         }
     }
 
+    /// Tells whether all other nodes are to be told at once; true once for each reason.
+    pub(crate) fn take_urgency(&self) -> bool {
+        self.is_urgent.swap(false, Ordering::Relaxed)
+    }
+
     /// Notes that a host answers.
     pub(crate) fn find(&self, host: &str) {
         let is_new = self.knowledge().find(host);
--- a/cuminward-gateway/src/state/view.rs
+++ b/cuminward-gateway/src/state/view.rs
@@ -39,6 +39,8 @@
     /// Name: that of the host, or of the group and its formation.
     pub(crate) name: String,
     pub(crate) key: Key,
+    /// How much this node prefers it to others.
+    pub(crate) affinity: u64,
     /// Host that takes the requests.
     pub(crate) host: id::Host,
     pub(crate) address: String,
@@ -79,6 +81,11 @@
     }
 }
 
+/// How much a node prefers an upstream: a hash, so that nodes prefer different ones.
+pub(crate) fn affinity(node: &str, key: Key) -> u64 {
+    xxh3::xxh3_64_with_seed(node.as_bytes(), key)
+}
+
 /// Life cycle
 impl View {
     /// Makes a view without retired upstreams.
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod configuration;
+mod groups;
 mod life;
 mod site;
 mod streams;
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -4,6 +4,7 @@
     io,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
+    sync::Arc,
     time::Duration,
 };
 
@@ -29,7 +30,7 @@
 
 /// A platform with its hosts.
 pub(crate) struct Site {
-    pub(crate) store: Store,
+    pub(crate) store: Arc<Store>,
     pub(crate) plain: Vec<Host>,
     pub(crate) replicas: Vec<Host>,
 }
@@ -56,7 +57,7 @@
 impl Site {
     /// Starts a store and two hosts of each service, without a configuration.
     pub(crate) async fn empty() -> Site {
-        let store = Store::start().await.expect("a loopback port is free");
+        let store = Arc::new(Store::start().await.expect("a loopback port is free"));
         let (mut plain, mut replicas) = (Vec::new(), Vec::new());
         for index in 0..2 {
             plain.push(host(&format!("p-{index}")).await);
--- a/cuminward-serving/src/host.rs
+++ b/cuminward-serving/src/host.rs
@@ -84,6 +84,14 @@
         self.staged.iter().any(|it| it == model)
     }
 
+    /// Tells whether what the host says of itself, with 0 for an unknown start, leaves it in the life and the
+    /// formation that are known of it. If not, decisions on what is known don't hold.
+    pub fn agrees_with(&self, started_ms: u64, membership: Option<&Membership>) -> bool {
+        let formation = |it: &Membership| (it.group.clone(), it.epoch);
+        let is_same_life = self.started_ms == started_ms || self.started_ms == 0 || started_ms == 0;
+        is_same_life && self.membership.as_ref().map(formation) == membership.map(formation)
+    }
+
     /// Tells whether the host is the head of a group that serves or finishes requests.
     pub fn is_serving_head(&self) -> bool {
         self.membership
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod replica;
 pub mod request;
 pub mod select;
+pub mod spread;
 pub mod table;
--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -156,7 +156,7 @@
         self.pending.remove(&order.host);
         match outcome {
             Outcome::Accepted | Outcome::Fenced => return,
-            Outcome::Refused | Outcome::Unanswered => {}
+            Outcome::Refused | Outcome::Unanswered | Outcome::Outdated => {}
             Outcome::Unreachable => {
                 self.unreachable.insert(order.host.clone(), now + UNREACHABLE_FOR);
             }
--- a/cuminward-serving/src/placement/order.rs
+++ b/cuminward-serving/src/placement/order.rs
@@ -58,6 +58,8 @@
     Fenced,
     /// No answer came: the order may be carried out now, later or never.
     Unanswered,
+    /// The order wasn't sent, as the host is in another life or group than its entry says.
+    Outdated,
     /// The host didn't answer a question before the order was sent.
     Unreachable,
 }
--- a/cuminward-serving/src/select.rs
+++ b/cuminward-serving/src/select.rs
@@ -15,6 +15,8 @@
     pub standing: Standing,
     /// Factor by which it is slower than usual.
     pub pace: Pace,
+    /// How much the node prefers it to others, if it doesn't choose among all.
+    pub affinity: u64,
     /// Number that decides between equals.
     pub tie: u32,
 }
@@ -34,13 +36,18 @@
 /// Load, as a share of the slots, that a near upstream may have more than a far one.
 const NEAR_BONUS: f64 = 0.05;
 
-/// Index of the upstream with the least load for its slots among those of the best standing.
-pub fn best(candidates: impl IntoIterator<Item = Candidate>) -> Option<usize> {
-    let order = |(_, a): &(usize, Candidate), (_, b): &(usize, Candidate)| {
-        let standing = a.standing.cmp(&b.standing);
-        standing.then(score(a).total_cmp(&score(b))).then(a.tie.cmp(&b.tie))
-    };
-    candidates.into_iter().enumerate().min_by(order).map(|(at, _)| at)
+/// Index of the upstream with the least load for its slots, among the `choices` that the node prefers of
+/// those of the best standing.
+pub fn best(candidates: &[Candidate], choices: usize) -> Option<usize> {
+    let standing = candidates.iter().map(|it| it.standing).min()?;
+    let mut indices: Vec<usize> =
+        (0..candidates.len()).filter(|it| candidates[*it].standing == standing).collect();
+    indices.sort_by_key(|it| std::cmp::Reverse(candidates[*it].affinity));
+    indices.truncate(choices.max(1));
+    indices.into_iter().min_by(|a, b| {
+        let (a, b) = (&candidates[*a], &candidates[*b]);
+        score(a).total_cmp(&score(b)).then(a.tie.cmp(&b.tie))
+    })
 }
 
 fn score(it: &Candidate) -> f64 {
--- a/cuminward-serving/tests/all/select.rs
+++ b/cuminward-serving/tests/all/select.rs
@@ -13,7 +13,7 @@
 fn the_least_loaded_upstream_is_chosen() {
     let it = |load, slots, is_near| {
         let standing = Standing::Sound;
-        Candidate { load, slots, is_near, standing, pace: 1.0, tie: 0 }
+        Candidate { load, slots, is_near, standing, pace: 1.0, affinity: 0, tie: 0 }
     };
     let of = |standing, it| Candidate { standing, ..it };
     let cases = [
@@ -63,6 +63,28 @@
         },
     ];
     for case in cases {
-        expect_that!(best(case.candidates), eq(case.expected), "{}", case.name);
+        expect_that!(best(&case.candidates, usize::MAX), eq(case.expected), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn a_node_that_chooses_among_few_takes_others_only_if_those_are_worse() {
+    let it = |affinity, load, standing| Candidate {
+        load,
+        slots: 10,
+        is_near: false,
+        standing,
+        pace: 1.0,
+        affinity,
+        tie: 0,
+    };
+    use Standing::{Slow, Sound};
+    let cases = [
+        ("preferred", vec![it(1, 0, Sound), it(9, 5, Sound), it(8, 4, Sound)], Some(2)),
+        ("preferred ones are slow", vec![it(1, 9, Sound), it(9, 0, Slow), it(8, 0, Slow)], Some(0)),
+        ("none", vec![], None),
+    ];
+    for (name, candidates, expected) in cases {
+        expect_that!(best(&candidates, 2), eq(expected), "{name}");
     }
 }
--- /dev/null
+++ b/cuminward-serving/tests/all/spread.rs
@@ -0,0 +1,49 @@
+//! How much each node does of what all do together.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use cuminward_serving::spread::{FANOUT, choices, interval, is_candidate, round, rounds};
+use googletest::prelude::*;
+
+#[gtest]
+fn every_peer_is_told_within_some_rounds() {
+    for peers in [0, 1, 7, 8, 9, 16, 62, 86, 399] {
+        for start in [0, 5, 1000] {
+            let rounds = u64::from(rounds(peers)) + 1;
+            let numbers = start..start + rounds;
+            let told: Vec<usize> = numbers.flat_map(|it| round(it, peers)).collect();
+            expect_that!(told.len(), le(rounds as usize * FANOUT), "{peers}");
+            let told: BTreeSet<usize> = told.into_iter().collect();
+            expect_that!(told.len(), eq(peers), "{peers} from {start}");
+        }
+    }
+}
+
+#[gtest]
+fn few_nodes_choose_among_all_upstreams_and_many_among_some() {
+    let cases = [(22, 1, 22), (22, 9, 22), (50, 87, 6), (200, 87, 18), (3, 87, 6)];
+    for (upstreams, nodes, expected) in cases {
+        expect_that!(choices(upstreams, nodes), eq(expected), "{upstreams} {nodes}");
+    }
+}
+
+#[gtest]
+fn four_nodes_of_a_failure_domain_take_part_in_the_duties() {
+    let names: Vec<String> = (0..9).map(|it| format!("n{it}")).collect();
+    let candidates = names.iter().filter(|own| {
+        let others = names.iter().filter(|it| it != own);
+        is_candidate(own, others)
+    });
+    let candidates: Vec<&str> = candidates.map(String::as_str).collect();
+    expect_that!(candidates, elements_are![eq(&"n0"), eq(&"n1"), eq(&"n2"), eq(&"n3")]);
+    expect_that!(is_candidate("n7", []), eq(true), "nobody else was heard of");
+}
+
+#[gtest]
+fn intervals_grow_with_the_nodes_up_to_a_bound() {
+    let (usual, longest) = (Duration::from_millis(600), Duration::from_millis(1200));
+    for (nodes, expected) in [(1, 600), (12, 600), (18, 900), (87, 1200)] {
+        let expected = Duration::from_millis(expected);
+        expect_that!(interval(usual, longest, nodes), eq(expected), "{nodes}");
+    }
+}
