feat: cuminward-gateway: of many nodes of a failure domain four read the store for the others

Change: beyond four nodes of a failure domain, the others fetch from those every 400 ms over kept connections, read the list themselves every 5 s, and read as before 1 s after the last fetch that succeeded.

An answer of /log-read is bounded (1 MB), but the next read began at the end of the partition, so that entries could be skipped where a node is behind by more.

--- a/cuminward-gateway/src/control/follow.rs
+++ b/cuminward-gateway/src/control/follow.rs
@@ -4,7 +4,7 @@
 
 use cuminward_adapter::{store, topic};
 use cuminward_event::{kind::Kind, sink::Sink};
-use cuminward_serving::{spread, table::Record};
+use cuminward_serving::{id, spread, table::Record};
 use tokio::time;
 
 use crate::state::State;
@@ -25,6 +25,13 @@
 const STEWARD_INTERVAL: Duration = Duration::from_millis(300);
 const BUSY_STEWARD_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Interval at which a node reads the list for which others read it, as they may keep to themselves that a
+/// host is gone.
+const OWN_LISTING_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Interval at which such a node looks whether they still do.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Failures of the store after which lapsed entries may come back.
 const OUTAGE: Duration = Duration::from_millis(800);
 
@@ -36,6 +43,10 @@
     let mut needs_all = true;
     let mut health = Health::new("declarations");
     loop {
+        if state.duty.is_followed(state.now()) {
+            time::sleep(LOOK_INTERVAL).await;
+            continue;
+        }
         let read = if needs_all { all_declarations(&state).await } else { next(&state).await };
         needs_all = match &read {
             Ok(()) => false,
@@ -75,6 +86,10 @@
     let mut follower = Follower::new();
     loop {
         let began = state.now();
+        if state.duty.is_followed(began) && began < state.listing_read() + OWN_LISTING_INTERVAL {
+            time::sleep(LOOK_INTERVAL).await;
+            continue;
+        }
         let read = follower.read(&state).await;
         if read.is_ok() {
             state.note_listing_read(began);
@@ -88,6 +103,8 @@
 /// Progress of the reader of the list of hosts.
 struct Follower {
     needs_all: bool,
+    /// Offset at which the next read begins; other nodes may have told of later entries.
+    next: id::Offset,
     health: Health,
     /// Until when deletions are put off, as hosts may come back.
     lapses_until: Duration,
@@ -100,6 +117,7 @@
     fn new() -> Follower {
         Follower {
             needs_all: true,
+            next: 0,
             health: Health::new("list of hosts"),
             lapses_until: Duration::ZERO,
             lapsed: Vec::new(),
@@ -132,13 +150,13 @@
             return Ok(true);
         }
         knowledge.list_all(now, page.records, page.end);
+        self.next = page.end;
         self.needs_all = false;
         Ok(true)
     }
 
     async fn read_next(&mut self, state: &State) -> Result<bool, store::Error> {
-        let from = state.knowledge().listing.end();
-        let page = state.store.read(topic::HOSTS, from, Duration::ZERO).await?;
+        let page = state.store.read(topic::HOSTS, self.next, Duration::ZERO).await?;
         let now = state.now();
         let mut knowledge = state.knowledge();
         let mut is_changed = false;
@@ -151,6 +169,7 @@
             }
         }
         knowledge.listing.advance(page.end);
+        self.next = page.end;
         Ok(is_changed)
     }
 
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -49,6 +49,13 @@
     pub(crate) digest: Option<Digest>,
 }
 
+/// Access
+impl Peer {
+    fn node(&self) -> Option<&id::Node> {
+        self.digest.as_ref().map(|it| &it.node)
+    }
+}
+
 /// Access
 impl Peers {
     /// Nodes that were heard of lately.
@@ -58,6 +65,16 @@
         peers.values().filter(|it| now.saturating_sub(it.heard) < fresh).cloned().collect()
     }
 
+    /// Nodes of the own failure domain that read the store for the others.
+    pub(crate) fn readers(&self, state: &State) -> Vec<Peer> {
+        let mut near = self.fresh(state.now());
+        let domain = &state.settings.node.domain;
+        near.retain(|it| it.digest.as_ref().is_some_and(|it| it.domain == *domain));
+        near.sort_by(|a, b| a.node().cmp(&b.node()));
+        near.truncate(spread::CANDIDATES);
+        near
+    }
+
     /// Hosts that a node said don't answer it.
     fn losses(&self, node: &str) -> Vec<id::Host> {
         let peers = self.lock();
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -1,6 +1,6 @@
 //! Fetches declarations and entries of the list of hosts from other nodes that know newer ones.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use cuminward_derive::record;
 use cuminward_event::kind::Kind;
@@ -19,11 +19,14 @@
 /// Interval at which this node compares what it knows with others.
 const INTERVAL: Duration = Duration::from_millis(150);
 
+/// Interval at which a node that doesn't read the store fetches from one that does.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Longest time for a call.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Longest time that a connection of another node may last.
-const MAX_CONNECTION: Duration = Duration::from_secs(5);
+const MAX_CONNECTION: Duration = Duration::from_secs(60);
 
 /// Calls that one connection may have under way.
 const MAX_CALLS: usize = 4;
@@ -95,24 +98,82 @@
     })
 }
 
-/// Fetches what other nodes know better until the task is dropped.
+/// Fetches what other nodes know better until the task is dropped. A node that leaves the reading of the
+/// store to others of its failure domain follows those.
 pub(crate) async fn run(state: Arc<State>, peers: Arc<Peers>) {
+    let mut fetcher = Fetcher { state, peers, clients: HashMap::new() };
     let mut lagging = false;
     loop {
+        if fetcher.state.duty.is_bystander() {
+            time::sleep(FOLLOW_INTERVAL).await;
+            fetcher.follow().await;
+            continue;
+        }
         time::sleep(INTERVAL).await;
-        let source = newer(&state, &peers);
+        let source = newer(&fetcher.state, &fetcher.peers);
         // A node that follows the store by itself is behind for a moment only.
         let is_due = lagging && source.is_some();
         lagging = source.is_some();
         let Some(peer) = source.filter(|_| is_due) else { continue };
-        match time::timeout(TIMEOUT, fetch(&state, &peer)).await {
-            Ok(Ok(delta)) => take_in(&state, &peer, delta),
-            Ok(Err(error)) => log::debug!("nothing fetched from {}: {error}", peer.address),
-            Err(_) => log::debug!("nothing fetched from {} in time", peer.address),
+        if let Some(delta) = fetcher.fetch(&peer).await {
+            report(&fetcher.state, &peer, &delta);
+            take_in(&fetcher.state, delta);
         }
     }
 }
 
+/// Fetches from other nodes.
+struct Fetcher {
+    state: Arc<State>,
+    peers: Arc<Peers>,
+    /// Kept connections.
+    clients: HashMap<SocketAddr, KnowledgeClient>,
+}
+
+/// Mutation
+impl Fetcher {
+    /// Fetches from one of the nodes of the failure domain that read the store.
+    async fn follow(&mut self) {
+        let readers = self.peers.readers(&self.state);
+        if readers.is_empty() {
+            return;
+        }
+        let reader = &readers[rand::random_range(0..readers.len())];
+        if let Some(delta) = self.fetch(reader).await {
+            self.state.duty.note_followed(self.state.now());
+            take_in(&self.state, delta);
+        }
+    }
+
+    async fn fetch(&mut self, peer: &Peer) -> Option<Delta> {
+        let fetched = time::timeout(TIMEOUT, self.ask(peer.address)).await;
+        let cause = match fetched {
+            Ok(Ok(delta)) => return Some(delta),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => String::from("no answer in time"),
+        };
+        log::debug!("nothing fetched from {}: {cause}", peer.address);
+        self.clients.remove(&peer.address);
+        None
+    }
+
+    async fn ask(&mut self, address: SocketAddr) -> io::Result<Delta> {
+        let client = match self.clients.get(&address) {
+            Some(it) => it.clone(),
+            None => {
+                let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default);
+                let config = client::Config::default();
+                let client = KnowledgeClient::new(config, transport.await?).spawn();
+                self.clients.insert(address, client.clone());
+                client
+            }
+        };
+        let (declarations, listing) = ends(&self.state);
+        let delta = client.since(context::current(), declarations, listing).await;
+        delta.map_err(io::Error::other)
+    }
+}
+
 /// A node that knows newer declarations, or a much newer list of hosts.
 fn newer(state: &State, peers: &Peers) -> Option<Peer> {
     let (declarations, listing) = ends(state);
@@ -131,20 +192,15 @@
     (knowledge.declarations.end(), knowledge.listing.end())
 }
 
-async fn fetch(state: &State, peer: &Peer) -> io::Result<Delta> {
-    let transport = tarpc::serde_transport::tcp::connect(peer.address, Bincode::default).await?;
-    let client = KnowledgeClient::new(client::Config::default(), transport).spawn();
-    let (declarations, listing) = ends(state);
-    let delta = client.since(context::current(), declarations, listing).await;
-    delta.map_err(io::Error::other)
-}
-
-fn take_in(state: &State, peer: &Peer, delta: Delta) {
+fn report(state: &State, peer: &Peer, delta: &Delta) {
     state.events.emit(Kind::KnowledgeFetched {
         address: peer.address.to_string(),
         declarations: delta.declarations.len() as u64,
         hosts: delta.listing.len() as u64,
     });
+}
+
+fn take_in(state: &State, delta: Delta) {
     let now = state.now();
     let mut knowledge = state.knowledge();
     let mut is_changed = false;
--- a/cuminward-gateway/src/state/duty.rs
+++ b/cuminward-gateway/src/state/duty.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -12,6 +12,9 @@
 use cuminward_serving::id;
 use tokio::sync::Notify;
 
+/// Time after a fetch from a node that reads the store within which this one needn't.
+const FOLLOWED_FOR: Duration = Duration::from_millis(1000);
+
 /// Duties that this node holds.
 #[derive(Debug, Default)]
 pub(crate) struct Duty {
@@ -21,8 +24,10 @@
     is_busy: AtomicBool,
     /// Wakes the reader of the list of hosts when a duty begins.
     pub(crate) began: Notify,
-    /// Whether the node leaves the duties to others of its failure domain.
+    /// Whether the node leaves the duties, and reading the store, to others of its failure domain.
     is_bystander: AtomicBool,
+    /// When it last fetched from one of those, in milliseconds since the node's start; 0 if never.
+    followed_ms: AtomicU64,
 }
 
 /// What the store said last.
@@ -51,6 +56,14 @@
         self.is_bystander.load(Ordering::Relaxed)
     }
 
+    /// Tells whether others read the store for this node.
+    pub(crate) fn is_followed(&self, now: Duration) -> bool {
+        let followed = Duration::from_millis(self.followed_ms.load(Ordering::Relaxed));
+        self.is_bystander()
+            && followed > Duration::ZERO
+            && now.saturating_sub(followed) < FOLLOWED_FOR
+    }
+
     /// Fencing token for the service with an index, if its duty is this node's.
     pub(crate) fn token(&self, now: Duration, index: usize, partitions: u32) -> Option<id::Token> {
         let part = index as u32 % partitions.max(1);
@@ -76,6 +89,11 @@
         self.is_bystander.store(is_bystander, Ordering::Relaxed);
     }
 
+    /// Notes that what others read was fetched.
+    pub(crate) fn note_followed(&self, now: Duration) {
+        self.followed_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Gives up all duties until the store divides them anew: a host has seen a newer token.
     pub(crate) fn forfeit(&self, token: id::Token) {
         let mut share = self.share.lock().unwrap_or_else(PoisonError::into_inner);
--- a/cuminward-serving/src/spread.rs
+++ b/cuminward-serving/src/spread.rs
@@ -8,11 +8,11 @@
 /// Nodes that a node tells about its load at once.
 pub const FANOUT: usize = 8;
 
-/// Nodes of a failure domain that take part in the division of the duties.
-const CANDIDATES: usize = 4;
+/// Nodes of a failure domain that divide the duties and read the store for the others.
+pub const CANDIDATES: usize = 4;
 
 /// Upstreams among which a node chooses, at least.
-const MIN_CHOICES: usize = 6;
+const MIN_CHOICES: usize = 3;
 
 /// Nodes up to which each reads the list of hosts as often as it likes.
 const FEW_NODES: usize = 12;
--- a/cuminward-soak/src/caller.rs
+++ b/cuminward-soak/src/caller.rs
@@ -32,7 +32,7 @@
 
 /// A caller.
 pub struct Caller {
-    nodes: Arc<Vec<Node>>,
+    nodes: Arc<[Node]>,
     judge: Arc<Judge>,
     random: Pcg64,
     name: String,
@@ -53,7 +53,7 @@
 /// Life cycle
 impl Caller {
     /// Makes a caller with a name and a seed.
-    pub fn new(nodes: Arc<Vec<Node>>, judge: Arc<Judge>, name: String, seed: u64) -> Caller {
+    pub fn new(nodes: Arc<[Node]>, judge: Arc<Judge>, name: String, seed: u64) -> Caller {
         let random = Pcg64::seed_from_u64(seed);
         Caller { nodes, judge, random, name, count: 0, connection: None }
     }
--- a/cuminward-soak/src/soak.rs
+++ b/cuminward-soak/src/soak.rs
@@ -73,7 +73,7 @@
 /// A process can't be started or a port isn't free.
 pub async fn run(options: &Options) -> io::Result<Outcome> {
     let site = Arc::new(Site::start().await?);
-    let nodes = Arc::new(start_nodes(options, &site).await?);
+    let nodes: Arc<[Node]> = start_nodes(options, &site).await?.into();
     let judge = Arc::new(Judge::default());
     check_recovery("start", &site, &nodes, &judge).await;
     let mut callers = JoinSet::new();
@@ -108,7 +108,7 @@
 async fn make_trouble(
     options: &Options,
     site: &Arc<Site>,
-    nodes: &Arc<Vec<Node>>,
+    nodes: &Arc<[Node]>,
 ) -> Vec<(Duration, Trouble)> {
     let mut random = Pcg64::seed_from_u64(options.seed);
     let begun = Instant::now();
--- a/cuminward-soak/src/trouble.rs
+++ b/cuminward-soak/src/trouble.rs
@@ -95,7 +95,7 @@
 }
 
 /// Injects a fault and ends it after a time.
-pub async fn inject(trouble: Trouble, lasts: Duration, site: Arc<Site>, nodes: Arc<Vec<Node>>) {
+pub async fn inject(trouble: Trouble, lasts: Duration, site: Arc<Site>, nodes: Arc<[Node]>) {
     match trouble {
         Trouble::Kill(_) | Trouble::KillAll | Trouble::Terminate(_) | Trouble::Freeze(_) => {
             disturb(trouble, lasts, &nodes).await;
