--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -192,6 +192,10 @@
 
 /// Asks members of replicas that newly don't answer another node.
 fn suspect(state: &Arc<State>, from: &str, lost: &[&str]) {
+    let now = state.now();
+    let mut knowledge = state.knowledge();
+    let lost: Vec<&str> = lost.iter().copied().filter(|it| knowledge.hear(now, it)).collect();
+    drop(knowledge);
     if lost.is_empty() {
         return;
     }
--- a/cuminward-gateway/src/state/knowledge.rs
+++ b/cuminward-gateway/src/state/knowledge.rs
@@ -205,6 +205,16 @@
         self.losses.lose(now, id, interval)
     }
 
+    /// Notes that another node says that a host is lost; tells whether the host is to be asked.
+    pub(crate) fn hear(&mut self, now: Duration, id: &str) -> bool {
+        self.losses.hear(now, id)
+    }
+
+    /// Tells whether another node said lately that a host is lost.
+    pub(crate) fn is_heard(&self, now: Duration, id: &str) -> bool {
+        self.losses.is_heard(now, id)
+    }
+
     /// Notes that a host answers; tells whether it counted as lost.
     pub(crate) fn find(&mut self, id: &str) -> bool {
         self.losses.find(id)
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -243,12 +243,15 @@
         let now = self.now();
         let view = self.view.load();
         let replica = view.watched().find(|it| it.is_replica() && it.has_member(host));
-        let is_new = self.knowledge().lose(now, host, self.ask_interval());
+        let mut knowledge = self.knowledge();
+        let is_new = knowledge.lose(now, host, self.ask_interval());
+        let is_first = !knowledge.is_heard(now, host);
+        drop(knowledge);
         if is_new {
             let (host, cause) = (host.to_owned(), cause.to_owned());
             let replica = replica.map(|it| it.name.clone()).unwrap_or_default();
             self.events.emit(Kind::HostLost { host, replica, cause });
-            self.is_urgent.store(true, Ordering::Relaxed);
+            self.is_urgent.fetch_or(is_first, Ordering::Relaxed);
             self.publish();
         }
         if let Some(replica) = replica {
--- a/cuminward-serving/src/loss.rs
+++ b/cuminward-serving/src/loss.rs
@@ -14,10 +14,15 @@
 /// Intervals between confirmations for which a loss holds.
 const HOLDS_FOR: u32 = 2;
 
+/// Time for which it is remembered that another node said that a host is lost.
+const RUMOUR_HOLDS: Duration = Duration::from_millis(1000);
+
 /// Hosts that didn't answer this node.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
     entries: BTreeMap<id::Host, Entry>,
+    /// Hosts that other nodes said are lost, and when the first of them did.
+    heard: BTreeMap<id::Host, Duration>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -36,6 +41,15 @@
     }
 }
 
+/// Access
+impl Ledger {
+    /// Tells whether another node said lately that a host is lost.
+    pub fn is_heard(&self, now: Duration, host: &str) -> bool {
+        let heard = self.heard.get(host);
+        heard.is_some_and(|at| now.saturating_sub(*at) < RUMOUR_HOLDS)
+    }
+}
+
 /// Mutation
 impl Ledger {
     /// Notes that a host didn't answer and is to be asked again after `interval`; tells whether it
@@ -46,6 +60,17 @@
         self.entries.insert(host.to_owned(), entry).is_none()
     }
 
+    /// Notes that another node says that a host is lost; tells whether the host is to be asked, which it
+    /// isn't if it counts as lost or if others said so a moment ago.
+    pub fn hear(&mut self, now: Duration, host: &str) -> bool {
+        self.heard.retain(|_, at| now.saturating_sub(*at) < RUMOUR_HOLDS);
+        if self.heard.contains_key(host) {
+            return false;
+        }
+        self.heard.insert(host.to_owned(), now);
+        self.entries.get(host).is_none_or(|it| it.until <= now)
+    }
+
     /// Notes that a host answers; tells whether it counted as lost.
     pub fn find(&mut self, host: &str) -> bool {
         self.entries.remove(host).is_some()
--- a/cuminward-serving/tests/all/loss.rs
+++ b/cuminward-serving/tests/all/loss.rs
@@ -42,3 +42,17 @@
     expect_that!(news(&names(&["a"]), &names(&["a", "b"])), elements_are![eq(&"b")]);
     expect_that!(news(&names(&["a", "b"]), &names(&["a"])), is_empty());
 }
+
+#[gtest]
+fn a_host_is_asked_once_however_many_nodes_say_that_it_is_lost() {
+    let mut ledger = Ledger::default();
+    expect_that!(ledger.is_heard(ms(1000), "h"), eq(false));
+    expect_that!(ledger.hear(ms(1000), "h"), eq(true));
+    expect_that!(ledger.hear(ms(1100), "h"), eq(false), "heard a moment ago");
+    expect_that!(ledger.is_heard(ms(1100), "h"), eq(true));
+    expect_that!(ledger.hear(ms(2000), "h"), eq(true), "heard long ago");
+    ledger.lose(ms(2100), "h", INTERVAL);
+    expect_that!(ledger.hear(ms(3050), "h"), eq(true), "the loss wasn't confirmed");
+    ledger.lose(ms(3100), "g", INTERVAL);
+    expect_that!(ledger.hear(ms(3200), "g"), eq(false), "lost already");
+}
