--- a/cuminward-gateway/src/control/duty.rs
+++ b/cuminward-gateway/src/control/duty.rs
@@ -26,7 +26,7 @@
     }
     let mut is_member = false;
     loop {
-        if state.duty.is_bystander() {
+        if state.duty.is_bystander() || state.is_stopping() {
             if is_member {
                 resign(state, member).await;
                 is_member = false;
--- a/cuminward-soak/src/trouble.rs
+++ b/cuminward-soak/src/trouble.rs
@@ -8,7 +8,10 @@
 use rustix::process::Signal;
 use tokio::time;
 
-use crate::{node::Node, site::Site};
+use crate::{
+    node::{self, Node},
+    site::Site,
+};
 
 /// Shortest and longest time that a fault lasts, in milliseconds.
 const LASTS_MS: std::ops::Range<u64> = 200..3500;
@@ -19,6 +22,9 @@
 /// Time for which a reset host takes no connections.
 const RESET: Duration = Duration::from_millis(50);
 
+/// Time in which a process that was killed is gone.
+const EXIT: Duration = Duration::from_millis(100);
+
 /// Delay of a slow link.
 const DELAY: Duration = Duration::from_millis(120);
 
@@ -138,10 +144,10 @@
 
 async fn disturb(trouble: Trouble, lasts: Duration, nodes: &[Node]) {
     match trouble {
-        Trouble::Kill(node) => {
-            nodes[node].signal(Signal::KILL);
+        Trouble::Kill(at) => {
+            nodes[at].signal(Signal::KILL);
             time::sleep(lasts).await;
-            restart(&nodes[node]);
+            restart(&nodes[at]);
         }
         Trouble::KillAll => {
             for node in nodes {
@@ -152,15 +158,18 @@
                 restart(node);
             }
         }
-        Trouble::Terminate(node) => {
-            nodes[node].signal(Signal::TERM);
-            time::sleep(crate::node::GRACE).await;
-            restart(&nodes[node]);
+        Trouble::Terminate(at) => {
+            nodes[at].signal(Signal::TERM);
+            time::sleep(node::GRACE).await;
+            // A process that was frozen meanwhile hasn't stopped yet.
+            nodes[at].signal(Signal::KILL);
+            time::sleep(EXIT).await;
+            restart(&nodes[at]);
         }
-        Trouble::Freeze(node) => {
-            nodes[node].signal(Signal::STOP);
+        Trouble::Freeze(at) => {
+            nodes[at].signal(Signal::STOP);
             time::sleep(lasts).await;
-            nodes[node].signal(Signal::CONT);
+            nodes[at].signal(Signal::CONT);
         }
         _ => {}
     }
--- a/cuminward/src/main.rs
+++ b/cuminward/src/main.rs
@@ -5,7 +5,8 @@
 
 use std::path::PathBuf;
 
-use clap::{Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
 use cuminward_gateway::{gateway, settings as gateway_settings};
 use cuminward_node::{node, settings};
 use miette::IntoDiagnostic;
@@ -29,6 +30,11 @@
     CheckGateway(Source),
     /// Check a settings file and say everything that is wrong with it.
     Check(Source),
+    /// Print the completion script of a shell.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
 }
 
 /// What is logged unless `RUST_LOG` says otherwise. `tarpc` writes a line for each call.
@@ -52,6 +58,11 @@
         Command::Check(source) => check(&source),
         Command::Gateway(source) => run_gateway(&source),
         Command::CheckGateway(source) => check_gateway(&source),
+        Command::Completions { shell } => {
+            let mut command = Arguments::command();
+            clap_complete::generate(shell, &mut command, "cuminward", &mut std::io::stdout());
+            Ok(())
+        }
     }
 }
 
