--- a/cuminward-soak/examples/soak.rs
+++ b/cuminward-soak/examples/soak.rs
@@ -9,6 +9,7 @@
 use clap::Parser;
 use cuminward_soak::soak;
 use miette::{IntoDiagnostic, miette};
+use tokio::signal::unix::{self, SignalKind};
 
 /// Runs the daemon under random faults.
 #[derive(Debug, Parser)]
@@ -47,7 +48,11 @@
         daemon: daemon(arguments.daemon)?,
         directory,
     };
-    let outcome = soak::run(&options).await.into_diagnostic()?;
+    // The nodes are killed when the run is dropped.
+    let outcome = tokio::select! {
+        outcome = soak::run(&options) => outcome.into_diagnostic()?,
+        () = interrupted() => return Err(miette!("interrupted")),
+    };
     let counts = outcome.counts;
     println!(
         "seed {}: {} faults, {} requests, {} answered, {} refused, {} failed, {} violations",
@@ -65,6 +70,21 @@
     Ok(if outcome.violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Waits for SIGINT or SIGTERM.
+async fn interrupted() {
+    let mut terminate = match unix::signal(SignalKind::terminate()) {
+        Ok(it) => it,
+        Err(error) => {
+            log::warn!("SIGTERM isn't handled: {error}");
+            return std::future::pending().await;
+        }
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
 fn daemon(given: Option<PathBuf>) -> miette::Result<PathBuf> {
     let own = std::env::current_exe().into_diagnostic()?;
     let beside = own.parent().and_then(|it| it.parent()).map(|it| it.join("cuminward"));
