--- a/cuminward-soak/src/node.rs
+++ b/cuminward-soak/src/node.rs
@@ -1,6 +1,7 @@
 //! Processes of the daemon.
 
 use std::{
+    collections::BTreeSet,
     fs::{self, File},
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener},
@@ -151,5 +152,14 @@
 fn address() -> io::Result<SocketAddr> {
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let own = Ipv4Addr::new(127, high.max(1), low, 1);
-    TcpListener::bind((own, 0))?.local_addr()
+    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        let address = TcpListener::bind((own, 0))?.local_addr()?;
+        if given.insert(address) {
+            return Ok(address);
+        }
+    }
 }
+
+/// Addresses that nodes have, whether they listen or not.
+static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
--- a/cuminward-soak/src/trouble.rs
+++ b/cuminward-soak/src/trouble.rs
@@ -22,8 +22,9 @@
 /// Time for which a reset host takes no connections.
 const RESET: Duration = Duration::from_millis(50);
 
-/// Time in which a process that was killed is gone.
-const EXIT: Duration = Duration::from_millis(100);
+/// Time in which a process that was killed is gone, and interval at which that is looked at.
+const EXIT: Duration = Duration::from_secs(3);
+const LOOK: Duration = Duration::from_millis(50);
 
 /// Delay of a slow link.
 const DELAY: Duration = Duration::from_millis(120);
@@ -147,7 +148,7 @@
         Trouble::Kill(at) => {
             nodes[at].signal(Signal::KILL);
             time::sleep(lasts).await;
-            restart(&nodes[at]);
+            restart(&nodes[at]).await;
         }
         Trouble::KillAll => {
             for node in nodes {
@@ -155,7 +156,7 @@
             }
             time::sleep(lasts).await;
             for node in nodes {
-                restart(node);
+                restart(node).await;
             }
         }
         Trouble::Terminate(at) => {
@@ -163,8 +164,7 @@
             time::sleep(node::GRACE).await;
             // A process that was frozen meanwhile hasn't stopped yet.
             nodes[at].signal(Signal::KILL);
-            time::sleep(EXIT).await;
-            restart(&nodes[at]);
+            restart(&nodes[at]).await;
         }
         Trouble::Freeze(at) => {
             nodes[at].signal(Signal::STOP);
@@ -175,10 +175,15 @@
     }
 }
 
-/// Starts a node unless another fault's end has started it.
-fn restart(node: &Node) {
-    if node.is_running() {
-        return;
+/// Starts a node once its killed process is gone, unless another fault's end has started it.
+async fn restart(node: &Node) {
+    let mut waited = Duration::ZERO;
+    while node.is_running() {
+        if waited > EXIT {
+            return;
+        }
+        time::sleep(LOOK).await;
+        waited += LOOK;
     }
     if let Err(error) = node.restart() {
         log::error!("{} can't be started: {error}", node.name());
