--- a/cuminward-soak/examples/soak.rs
+++ b/cuminward-soak/examples/soak.rs
@@ -36,7 +36,7 @@
 
 #[tokio::main]
 async fn main() -> miette::Result<ExitCode> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("off")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
     let arguments = Arguments::parse();
     let directory = arguments.out.join(arguments.seed.to_string());
     std::fs::create_dir_all(&directory).into_diagnostic()?;
