--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -1,10 +1,11 @@
 //! A platform with a store and hosts, and gateway nodes in front of them.
 
 use std::{
+    collections::BTreeSet,
     io,
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    sync::Arc,
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
@@ -117,10 +118,22 @@
     Host::start(id, EVENTS).await.expect("a loopback port is free")
 }
 
-/// An address of the loopback interface that nothing uses.
+/// Addresses that nodes have, whether they listen or not.
+static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+
+/// An address of the loopback interface that nothing uses. Each process has a range of its own, apart from
+/// that of the fakes, as a port that was only looked up may be given to another listener.
 fn address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    listener.local_addr().expect("a listener has an address")
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, high.max(1), low, 1);
+    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        let listener = TcpListener::bind((own, 0)).expect("a loopback port is free");
+        let address = listener.local_addr().expect("a listener has an address");
+        if given.insert(address) {
+            return address;
+        }
+    }
 }
 
 pub(crate) fn settings_text(
