--- a/cuminward-ctl/tests/all/command.rs
+++ b/cuminward-ctl/tests/all/command.rs
@@ -1,6 +1,13 @@
 //! Commands against a served backend: what they print and their exit codes.
 
-use std::{io::Write, sync::Arc, time::Duration};
+use std::{
+    io::Write,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use clap::Parser;
 use cuminward_ctl::{cli::Cli, command, error};
@@ -8,9 +15,13 @@
 
 use crate::fake::{self, Fault, Node, Shared};
 
+/// Commands that were run; each has a token file of its own, as tests run side by side.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
 /// Runs a command with the token in a file; gives its output or exit code.
 async fn run(nodes: &[&Node], line: &str, input: &str) -> std::result::Result<String, u8> {
-    let token = std::env::temp_dir().join(format!("cuminctl-token-{}", std::process::id()));
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let token = std::env::temp_dir().join(format!("cuminctl-token-{}-{run}", std::process::id()));
     let mut file = std::fs::File::create(&token).expect("the temporary directory is writable");
     writeln!(file, "w").expect("the file is writable");
     let mut arguments = vec!["cuminctl".to_owned()];
