--- a/cuminward-gateway/tests/all/calls.rs
+++ b/cuminward-gateway/tests/all/calls.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cuminward_adapter_fake::host::{self, Behaviour};
+use cuminward_adapter_fake::{
+    header,
+    host::{self, Behaviour},
+};
 use googletest::prelude::*;
 
 use crate::site::Site;
@@ -77,26 +80,22 @@
 async fn method_path_query_body_and_headers_arrive_unchanged() -> Result<()> {
     let site = Site::start().await;
     let node = site.node("unchanged").await;
-    let headers = [
-        ("x-own", "1"),
-        ("x-cuminward-tenant", "another"),
-        ("connection", "x-hop"),
-        ("x-hop", "1"),
-    ];
+    let headers =
+        [("x-own", "1"), (header::TEAM, "another"), ("connection", "x-hop"), ("x-hop", "1")];
     let answer = node.send("PATCH", "/book/a%20b?x=1&y=%2F", &headers, "body").await.or_fail()?;
     expect_that!(answer.status.as_u16(), eq(200));
-    expect_that!(answer.headers.contains_key("x-cuminward-server-stamp"), eq(true));
+    expect_that!(answer.headers.contains_key(header::STAMP), eq(true));
     let received = site.plain.iter().flat_map(|it| it.received()).next().or_fail()?;
     expect_that!(received.line, eq("PATCH /book/a%20b?x=1&y=%2F"));
     expect_that!(received.body.as_ref(), eq(b"body"));
-    let header = |name: &str| received.headers.get(name).and_then(|it| it.to_str().ok());
-    expect_that!(header("x-own"), some(eq("1")));
-    expect_that!(header("host"), some(eq("a.example")));
-    expect_that!(header("x-cuminward-tenant"), some(eq("team")));
-    expect_that!(header("x-cuminward-request-id"), some(eq("9c41")));
-    expect_that!(header("authorization"), none());
-    expect_that!(header("x-hop"), none());
-    let left: u64 = header("x-cuminward-deadline-ms").and_then(|it| it.parse().ok()).or_fail()?;
+    let value = |name: &str| received.headers.get(name).and_then(|it| it.to_str().ok());
+    expect_that!(value("x-own"), some(eq("1")));
+    expect_that!(value("host"), some(eq("a.example")));
+    expect_that!(value(header::TEAM), some(eq("team")));
+    expect_that!(value(header::REQUEST_ID), some(eq("9c41")));
+    expect_that!(value("authorization"), none());
+    expect_that!(value("x-hop"), none());
+    let left: u64 = value(header::DEADLINE_MS).and_then(|it| it.parse().ok()).or_fail()?;
     expect_that!(left, all!(gt(1000), lt(2000)));
     Ok(())
 }
@@ -130,7 +129,7 @@
         host.then(slow);
     }
     let begun = std::time::Instant::now();
-    let headers = [("x-cuminward-deadline-ms", "400")];
+    let headers = [(header::DEADLINE_MS, "400")];
     let answer = node.send("POST", "/book/1", &headers, "").await.or_fail()?;
     expect_that!(answer.status.as_u16(), eq(504));
     expect_that!(begun.elapsed(), lt(Duration::from_millis(600)));
--- a/cuminward-gateway/tests/all/configuration.rs
+++ b/cuminward-gateway/tests/all/configuration.rs
@@ -2,21 +2,21 @@
 
 use std::time::Duration;
 
+use cuminward_adapter_fake::{
+    catalog::{Repeat, Route},
+    entry::Entry,
+};
 use googletest::prelude::*;
 use http::StatusCode;
-use serde_json::json;
 use tokio::time;
 
-use crate::site::{Node, PLAIN, Site, is_ready};
+use crate::site::{Node, PLAIN, Site, is_ready, plain_entry, route};
 
 /// Time within which a change has to be in force.
 const IN_FORCE: Duration = Duration::from_millis(2000);
 
-fn new_route() -> serde_json::Value {
-    json!([{
-        "name": "new", "host": "a.example", "pathPrefix": "/new/", "routeKind": "idempotent",
-        "timeoutMs": 2000, "service": PLAIN, "maxAttempts": 1, "anonymous": true,
-    }])
+fn new_route() -> Option<Route> {
+    Some(Route { max_attempts: 1, is_anonymous: true, ..route("/new/", Repeat::Idempotent, PLAIN) })
 }
 
 async fn waits_for(node: &Node, path: &str, status: u16) -> bool {
@@ -37,7 +37,7 @@
     expect_that!(is_ready(node.ready).await, eq(false));
     let answer = node.get("/book/1", &[]).await.or_fail()?;
     expect_that!(answer.status.as_u16(), eq(503));
-    site.configure(1, &json!([]));
+    site.configure(1, None);
     expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
     expect_that!(is_ready(node.ready).await, eq(true));
     Ok(())
@@ -48,12 +48,12 @@
 async fn the_newest_version_is_in_force_and_never_reverts() {
     let site = Site::start().await;
     let node = site.node("versions").await;
-    site.configure(5, &new_route());
+    site.configure(5, new_route());
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
-    site.configure(4, &json!([]));
+    site.configure(4, None);
     time::sleep(Duration::from_millis(500)).await;
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
-    site.configure(6, &json!([]));
+    site.configure(6, None);
     expect_that!(waits_for(&node, "/new/1", 404).await, eq(true));
 }
 
@@ -62,9 +62,8 @@
 async fn a_node_whose_records_are_gone_reads_the_newest_ones() {
     let site = Site::start().await;
     let node = site.node("compacted").await;
-    site.configure(2, &new_route());
-    site.store.compact("keyed.op");
-    site.store.compact("keyed.servers");
+    site.configure(2, new_route());
+    site.store.forget();
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
 }
 
@@ -76,7 +75,7 @@
     site.store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
     time::sleep(Duration::from_secs(1)).await;
     expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
-    site.configure(2, &new_route());
+    site.configure(2, new_route());
     site.store.refuse(None);
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
 }
@@ -86,16 +85,17 @@
 async fn a_taken_out_domain_and_leaving_hosts_get_nothing() -> Result<()> {
     let site = Site::start().await;
     let node = site.node("leaving").await;
-    site.list(&site.plain[0], &json!({"state": "draining"}));
+    let leaving = Entry { is_leaving: true, ..plain_entry(&site.plain[0]) };
+    site.store.list(&site.plain[0].id, &leaving);
     time::sleep(Duration::from_millis(1200)).await;
     for index in 0..8 {
         let answer = node.get(&format!("/book/{index}"), &[]).await.or_fail()?;
         expect_that!(answer.status.as_u16(), eq(200));
     }
     expect_that!(site.plain[0].received(), is_empty());
-    site.store.put("keyed.op", "evacuate/mercado", "{}");
+    site.store.evacuate("mercado", true);
     expect_that!(waits_for(&node, "/book/1", 503).await, eq(true));
-    site.store.put("keyed.op", "evacuate/mercado", "");
+    site.store.evacuate("mercado", false);
     expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
     Ok(())
 }
@@ -105,8 +105,8 @@
 async fn an_entry_that_cant_be_read_harms_no_other_host() {
     let site = Site::start().await;
     let node = site.node("garbled").await;
-    site.store.put("keyed.servers", "p-0", "\u{1}garbage");
-    site.store.put("keyed.servers", "p-9", "{}");
+    site.store.list_text("p-0", "\u{1}garbage");
+    site.store.list_text("p-9", "{}");
     time::sleep(Duration::from_millis(1000)).await;
     expect_that!(waits_for(&node, "/book/1", 200).await, eq(true));
     expect_that!(site.plain[0].received(), is_empty());
@@ -119,6 +119,6 @@
     let node = site.node("deaf").await;
     site.store.set_deaf(true);
     time::sleep(Duration::from_millis(100)).await;
-    site.configure(2, &new_route());
+    site.configure(2, new_route());
     expect_that!(waits_for(&node, "/new/1", 200).await, eq(true));
 }
--- a/cuminward-gateway/tests/all/groups.rs
+++ b/cuminward-gateway/tests/all/groups.rs
@@ -4,7 +4,6 @@
 
 use cuminward_adapter_fake::crew::{Crew, Place, Times};
 use googletest::prelude::*;
-use serde_json::Value;
 use tokio::{net::TcpListener, time};
 
 use crate::site::{ENGINE, EVENTS, Site};
@@ -22,9 +21,6 @@
 /// Time within which the steward has read a change of the list.
 const STEWARD_READS: Duration = Duration::from_millis(800);
 
-/// Topic that lists the hosts.
-const HOSTS: &str = "keyed.servers";
-
 /// Starts a crew of one host, which is a replica of its own once it is told so.
 async fn crew_of_one(site: &Site, id: &str) -> Result<Crew> {
     let crew = Crew::new(Arc::clone(&site.store), TIMES, 1, EVENTS);
@@ -58,10 +54,7 @@
     let _node = site.node("outdated").await;
     expect_that!(wait_until_open(&crew).await, eq(true));
     time::sleep(STEWARD_READS).await;
-    let entry = site.store.value(HOSTS, "w-0").or_fail()?;
-    let mut outdated: Value = serde_json::from_slice(&entry).or_fail()?;
-    outdated.as_object_mut().or_fail()?.remove("group");
-    site.store.put(HOSTS, "w-0", &outdated.to_string());
+    crew.list_without_group("w-0");
     time::sleep(Duration::from_millis(2500)).await;
     expect_that!(crew.violations(), is_empty());
     expect_that!(crew.open_groups(), eq(1));
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -1,28 +1,35 @@
 //! A platform with a store and hosts, and gateway nodes in front of them.
 
 use std::{
-    collections::BTreeSet,
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
-    sync::{Arc, Mutex, PoisonError},
+    sync::Arc,
     time::Duration,
 };
 
-use bytes::Bytes;
-use cuminward_adapter_fake::{host::Host, store::Store};
+use cuminward_adapter_fake::{
+    address,
+    caller::{self, Answer, Call, Headers},
+    catalog::{self, Catalog, Repeat, Route},
+    entry::{self, Entry},
+    host::Host,
+    store::Store,
+};
 use cuminward_gateway::{gateway::Gateway, settings};
-use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use serde_json::{Value, json};
-use tokio::{net::TcpStream, time};
+use http::StatusCode;
+use tokio::time;
 
 /// Plain service and engine of the site.
 pub(crate) const PLAIN: &str = "desk";
 pub(crate) const ENGINE: &str = "chat";
 
+/// The only model.
+pub(crate) const MODEL: &str = "m";
+
+/// Failure domain of everything.
+const DOMAIN: &str = "mercado";
+
 /// Key of the only team.
 pub(crate) const KEY: &str = "key-1";
 
@@ -44,16 +51,6 @@
     pub(crate) settings: PathBuf,
 }
 
-/// An answer to a caller.
-#[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    /// Bytes of the body, up to where it broke off.
-    pub(crate) body: String,
-    pub(crate) is_complete: bool,
-}
-
 /// Life cycle
 impl Site {
     /// Starts a store and two hosts of each service, without a configuration.
@@ -66,10 +63,10 @@
         }
         let site = Site { store, plain, replicas };
         for host in &site.plain {
-            site.list(host, &json!({}));
+            site.store.list(&host.id, &plain_entry(host));
         }
         for host in &site.replicas {
-            site.list(host, &open_group(&host.id));
+            site.store.list(&host.id, &replica_entry(host));
         }
         site
     }
@@ -77,7 +74,7 @@
     /// Starts a whole site.
     pub(crate) async fn start() -> Site {
         let site = Site::empty().await;
-        site.configure(1, &json!([]));
+        site.configure(1, None);
         site
     }
 
@@ -95,7 +92,8 @@
 
     /// Starts a node.
     pub(crate) async fn starting_node(&self, name: &str) -> Node {
-        let [callers, ready, peers] = [address(), address(), address()];
+        let free = || address::free().expect("a loopback port is free");
+        let [callers, ready, peers] = [free(), free(), free()];
         let text = settings_text(name, callers, ready, peers, self.store.address);
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{callers}.yaml"));
         std::fs::write(&path, text).expect("the directory of temporary files can be written");
@@ -118,24 +116,6 @@
     Host::start(id, EVENTS).await.expect("a loopback port is free")
 }
 
-/// Addresses that nodes have, whether they listen or not.
-static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
-
-/// An address of the loopback interface that nothing uses. Each process has a range of its own, apart from
-/// that of the fakes, as a port that was only looked up may be given to another listener.
-fn address() -> SocketAddr {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let own = Ipv4Addr::new(127, high.max(1), low, 1);
-    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
-    loop {
-        let listener = TcpListener::bind((own, 0)).expect("a loopback port is free");
-        let address = listener.local_addr().expect("a listener has an address");
-        if given.insert(address) {
-            return address;
-        }
-    }
-}
-
 pub(crate) fn settings_text(
     name: &str,
     callers: SocketAddr,
@@ -144,7 +124,7 @@
     store: SocketAddr,
 ) -> String {
     format!(
-        "node: {{name: {name}, domain: mercado}}\n\
+        "node: {{name: {name}, domain: {DOMAIN}}}\n\
          listen: {{callers: \"{callers}\", ready: \"{ready}\", peers: \"{peers}\"}}\n\
          store: {{address: \"{store}\", min_lease_ms: 1000, partitions: 8}}\n\
          timing: {{shutdown_grace_s: 6}}\n\
@@ -152,59 +132,83 @@
     )
 }
 
-/// Fields of a host that is a whole replica of its own.
-pub(crate) fn open_group(id: &str) -> Value {
-    json!({
-        "models": [{"name": "m", "version": 1, "adapters": []}], "staged": ["m"],
-        "domain": id, "busy": false,
-        "group": {"name": format!("g-{id}"), "epoch": 1, "rank": 0, "state": "open"},
-    })
+/// Entry of a host of the plain service.
+pub(crate) fn plain_entry(host: &Host) -> Entry {
+    Entry {
+        service: PLAIN.to_owned(),
+        address: host.address,
+        domain: DOMAIN.to_owned(),
+        is_leaving: false,
+        seq: 0,
+        life: 1,
+        engine: None,
+    }
 }
 
-/// Declarations
-impl Site {
-    /// Writes the entry of a host, with fields beside the usual ones.
-    pub(crate) fn list(&self, host: &Host, more: &Value) {
-        let service = if host.id.starts_with('p') { PLAIN } else { ENGINE };
-        let mut entry = json!({
-            "service": service, "address": host.address.to_string(), "zone": "mercado",
-            "version": "v1", "slots": 6, "state": "ready", "coldLeftMs": 0, "seq": 0, "born": 1,
-        });
-        if let (Some(entry), Some(more)) = (entry.as_object_mut(), more.as_object()) {
-            entry.extend(more.clone());
-        }
-        self.store.put("keyed.servers", &host.id, &entry.to_string());
+/// Entry of a host that is a whole replica of its own.
+pub(crate) fn replica_entry(host: &Host) -> Entry {
+    let group = entry::Group {
+        name: format!("g-{}", host.id),
+        epoch: 1,
+        rank: 0,
+        phase: entry::Phase::Open,
+        model: MODEL.to_owned(),
+    };
+    let engine = entry::Engine {
+        fabric: host.id.clone(),
+        staged: Some(MODEL.to_owned()),
+        is_loading: false,
+        group: Some(group),
+    };
+    Entry { service: ENGINE.to_owned(), engine: Some(engine), ..plain_entry(host) }
+}
+
+/// A route without an objective.
+pub(crate) fn route(prefix: &str, repeat: Repeat, service: &str) -> Route {
+    Route {
+        host: String::from("a.example"),
+        prefix: prefix.to_owned(),
+        repeat,
+        service: service.to_owned(),
+        timeout: Duration::from_millis(2000),
+        objective: None,
+        max_attempts: 2,
+        is_anonymous: false,
     }
+}
 
-    /// Writes a configuration with routes beside the usual ones.
-    pub(crate) fn configure(&self, version: u64, more: &Value) {
-        let route = |prefix: &str, kind: &str, service: &str| {
-            json!({
-                "name": prefix, "host": "a.example", "pathPrefix": prefix, "routeKind": kind,
-                "timeoutMs": 2000, "targetLatencyMs": 300, "priority": 1, "service": service,
-                "maxAttempts": 2, "anonymous": false, "streamResume": kind == "streaming",
-            })
+/// Declarations
+impl Site {
+    /// Declares a catalog with one more route than usual, or none.
+    pub(crate) fn configure(&self, version: u64, more: Option<Route>) {
+        let usual = |prefix, repeat, service| {
+            let objective = Some(Duration::from_millis(300));
+            Route { objective, ..route(prefix, repeat, service) }
         };
         let mut routes = vec![
-            route("/desk/", "idempotent", PLAIN),
-            route("/book/", "non_idempotent", PLAIN),
-            route("/chat/", "streaming", ENGINE),
+            usual("/desk/", Repeat::Idempotent, PLAIN),
+            usual("/book/", Repeat::Never, PLAIN),
+            usual("/chat/", Repeat::Resumable, ENGINE),
         ];
-        routes.extend(more.as_array().cloned().unwrap_or_default());
-        let model = json!({
-            "name": "m", "size": 1, "share": 1.0, "pace": 1.0, "loadS": 1.0, "warmS": 0.5,
-        });
-        let config = json!({
-            "version": version, "routes": routes,
-            "services": [
-                {"name": PLAIN, "healthPath": "/healthz", "connLimit": 100},
-                {"name": ENGINE, "healthPath": "/healthz", "connLimit": 100, "engine": {
-                    "slots": 6, "models": [model], "loadsPerS": 5.0, "loads_at_once": 7,
-                    "formMs": 100.0}},
-            ],
-            "tenants": [{"name": "team", "apiKeys": [KEY]}],
+        routes.extend(more);
+        let engine = catalog::Engine {
+            service: ENGINE.to_owned(),
+            slots: 6,
+            model: MODEL.to_owned(),
+            size: 1,
+            load: Duration::from_secs(1),
+            join: Duration::from_millis(500),
+            open: Duration::from_millis(100),
+        };
+        self.store.declare(&Catalog {
+            version,
+            routes,
+            connections: 100,
+            plain: PLAIN.to_owned(),
+            engine,
+            team: String::from("team"),
+            key: KEY.to_owned(),
         });
-        self.store.put("keyed.op", "config", &config.to_string());
     }
 
     /// Requests that the hosts of the plain service were sent.
@@ -232,7 +236,8 @@
     }
 }
 
-/// Sends a request with the team's key; a header that is given replaces a usual one.
+/// Sends a request with the team's key; a header that is given replaces a usual one, and an empty one
+/// removes it.
 pub(crate) async fn send(
     callers: SocketAddr,
     method: &str,
@@ -240,51 +245,29 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> io::Result<Answer> {
-    let key = format!("Bearer {KEY}");
-    let usual = [
-        ("host", "a.example"),
-        ("x-cuminward-request-id", "9c41"),
-        ("x-cuminward-deadline-ms", "2000"),
-        ("authorization", key.as_str()),
-    ];
-    let mut request = Request::builder().method(method).uri(path);
-    for (name, value) in usual.iter().filter(|it| !headers.iter().any(|own| own.0 == it.0)) {
-        request = request.header(*name, *value);
-    }
+    let mut all: Headers = caller::headers("a.example", KEY, "9c41", Duration::from_millis(2000));
+    all.retain(|usual| !headers.iter().any(|own| usual.0 == own.0));
     for (name, value) in headers.iter().filter(|it| !it.1.is_empty()) {
-        request = request.header(*name, *value);
+        all.push(((*name).to_owned(), (*value).to_owned()));
     }
-    let request = request.body(Full::new(Bytes::from(body.to_owned())));
-    let request = request.map_err(io::Error::other)?;
-    let stream = TcpStream::connect(callers).await?;
-    let (mut sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-    tokio::spawn(connection);
-    let response = sender.send_request(request).await.map_err(io::Error::other)?;
-    let (parts, mut body) = response.into_parts();
-    let mut bytes = Vec::new();
-    let mut is_complete = true;
-    while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
-            Err(_) => {
-                is_complete = false;
-                break;
-            }
-        }
-    }
-    let body = String::from_utf8_lossy(&bytes).into_owned();
-    Ok(Answer { status: parts.status, headers: parts.headers, body, is_complete })
+    let call = Call {
+        method: method.to_owned(),
+        path: path.to_owned(),
+        headers: all,
+        body: body.to_owned(),
+    };
+    caller::send(&mut caller::connect(callers).await?, &call).await
 }
 
 /// Tells whether a node says that it is ready.
 pub(crate) async fn is_ready(ready: SocketAddr) -> bool {
-    let Ok(stream) = TcpStream::connect(ready).await else { return false };
-    let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
-        return false;
+    let Ok(mut connection) = caller::connect(ready).await else { return false };
+    let call = Call {
+        method: String::from("GET"),
+        path: String::from("/readyz"),
+        headers: Vec::new(),
+        body: String::new(),
     };
-    tokio::spawn(connection);
-    let request = Request::builder().uri("/readyz").body(Full::new(Bytes::new()));
-    let request = request.expect("the request is a constant");
-    sender.send_request(request).await.is_ok_and(|it| it.status() == StatusCode::OK)
+    let answer = caller::send(&mut connection, &call).await;
+    answer.is_ok_and(|it| it.status == StatusCode::OK)
 }
--- a/cuminward-gateway/tests/all/streams.rs
+++ b/cuminward-gateway/tests/all/streams.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
-use cuminward_adapter_fake::host::{self, Behaviour};
+use cuminward_adapter_fake::{
+    entry::Entry,
+    header,
+    host::{self, Behaviour},
+};
 use googletest::prelude::*;
-use serde_json::json;
 use tokio::time;
 
-use crate::site::{EVENTS, Site, open_group};
+use crate::site::{self, EVENTS, Site};
 
-const MODEL: (&str, &str) = ("x-cuminward-model", "m");
+const MODEL: (&str, &str) = (header::MODEL, site::MODEL);
 
 fn events(ids: impl IntoIterator<Item = u64>) -> String {
     ids.into_iter().map(|it| format!("id: {it}\ndata: part {it}\n\n")).collect()
@@ -110,7 +113,7 @@
 async fn a_model_without_replicas_is_refused() -> Result<()> {
     let site = Site::start().await;
     let node = site.node("unserved").await;
-    let headers = [("x-cuminward-model", "other")];
+    let headers = [(header::MODEL, "other")];
     let answer = node.send("POST", "/chat/1", &headers, "prompt").await.or_fail()?;
     expect_that!(answer.status.as_u16(), eq(503));
     expect_that!(answer.headers.contains_key("retry-after"), eq(true));
@@ -122,12 +125,13 @@
 async fn a_stream_that_has_begun_waits_for_a_replica_as_long_as_its_caller() -> Result<()> {
     let site = Site::start().await;
     let [first, second] = &site.replicas[..] else { return fail!("the site has two replicas") };
-    site.list(second, &json!({}));
+    let closed = Entry { engine: None, ..site::replica_entry(second) };
+    site.store.list(&second.id, &closed);
     let node = site.node("waits").await;
     first.then(Behaviour::StreamUntil(3));
     let return_second = async {
         time::sleep(Duration::from_millis(700)).await;
-        site.list(second, &open_group(&second.id));
+        site.store.list(&second.id, &site::replica_entry(second));
     };
     let asked = node.send("POST", "/chat/1", &[MODEL], "prompt");
     let (answer, ()) = tokio::join!(asked, return_second);
--- a/cuminward-soak/src/caller.rs
+++ b/cuminward-soak/src/caller.rs
@@ -1,18 +1,14 @@
 //! Callers that keep their connections until the node closes them.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
-
-use bytes::Bytes;
-use http::Request;
-use http_body_util::{BodyExt, Full};
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use cuminward_adapter_fake::{
+    caller::{self, Answer, Call, Connection},
+    header,
 };
-use hyper_util::rt::TokioIo;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use tokio::{net::TcpStream, time};
+use tokio::time;
 
 use crate::{
     judge::{Got, Judge, Kind, Sent},
@@ -30,6 +26,9 @@
 const PAUSE: Duration = Duration::from_millis(20);
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
+/// Status of an answer that a caller wants.
+pub const SUCCESS: u16 = 200;
+
 /// A caller.
 pub struct Caller {
     nodes: Arc<[Node]>,
@@ -38,16 +37,7 @@
     name: String,
     count: u64,
     /// Connection that is kept.
-    connection: Option<SendRequest<Full<Bytes>>>,
-}
-
-/// How a request on a kept connection ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum End {
-    /// There is an answer.
-    Answer(Got),
-    /// The connection ended or was silent.
-    Nothing,
+    connection: Option<Connection>,
 }
 
 /// Life cycle
@@ -91,25 +81,19 @@
     /// Sends a request, on the kept connection if there is one. Tells whether it was answered.
     async fn call(&mut self, sent: &Sent) -> bool {
         let kept = self.connection.take().filter(|it| !it.is_closed());
-        let mut sender = match kept {
+        let mut connection = match kept {
             Some(it) => it,
             None => match connect(self.pick()).await {
-                Ok(it) => it,
-                Err(_) => return false,
+                Some(it) => it,
+                None => return false,
             },
         };
         self.judge.send(sent.clone());
-        let end = time::timeout(TIMEOUT + PATIENCE, send(&mut sender, sent)).await;
-        let got = match end {
-            Ok(Ok(End::Answer(got))) => Some(got),
-            Ok(Ok(End::Nothing) | Err(_)) | Err(_) => None,
-        };
+        let got = exchange(&mut connection, sent).await;
         self.judge.get(sent, got.as_ref(), EVENTS);
-        let is_whole = got.as_ref().is_some_and(|it| it.is_complete);
-        if is_whole && !sender.is_closed() {
-            self.connection = Some(sender);
-        }
-        got.is_some_and(|it| it.is_complete && it.status == 200)
+        let Some(got) = got.filter(|it| it.is_complete) else { return false };
+        self.connection = Some(connection);
+        got.status == SUCCESS
     }
 }
 
@@ -128,60 +112,40 @@
     }
 }
 
-/// Sends a single request to a node on a new connection.
-///
-/// # Errors
-///
-/// The node can't be reached or didn't answer in time.
-pub async fn ask(address: SocketAddr, sent: &Sent) -> io::Result<End> {
-    let mut sender = connect(address).await?;
-    let end = time::timeout(TIMEOUT + PATIENCE, send(&mut sender, sent)).await;
-    end.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+/// Sends a single request to a node on a new connection; `None` if there was no answer.
+pub async fn ask(address: SocketAddr, sent: &Sent) -> Option<Got> {
+    let mut connection = connect(address).await?;
+    exchange(&mut connection, sent).await
 }
 
-async fn connect(address: SocketAddr) -> io::Result<SendRequest<Full<Bytes>>> {
-    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-    let stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    let shaken = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = shaken.map_err(io::Error::other)?;
-    tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("a caller's connection broke off: {error}");
-        }
-    });
-    Ok(sender)
+/// Opens a connection; `None` if the node can't be reached.
+async fn connect(address: SocketAddr) -> Option<Connection> {
+    let connecting = time::timeout(CONNECT_TIMEOUT, caller::connect(address));
+    connecting.await.ok()?.map_err(|it| log::debug!("{address}: {it}")).ok()
 }
 
-async fn send(sender: &mut SendRequest<Full<Bytes>>, sent: &Sent) -> io::Result<End> {
-    sender.ready().await.map_err(io::Error::other)?;
+/// Sends a request; `None` if the connection ended or was silent.
+async fn exchange(connection: &mut Connection, sent: &Sent) -> Option<Got> {
+    let call = call(sent);
+    let answer = time::timeout(TIMEOUT + PATIENCE, caller::send(connection, &call)).await;
+    answer.ok()?.map_err(|it| log::debug!("{}: {it}", sent.id)).ok().map(got)
+}
+
+fn call(sent: &Sent) -> Call {
     let (method, path) = sent.line.split_once(' ').unwrap_or_default();
-    let mut request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", HOST_NAME)
-        .header("authorization", format!("Bearer {KEY}"))
-        .header("x-cuminward-request-id", &sent.id)
-        .header("x-cuminward-deadline-ms", TIMEOUT.as_millis().to_string());
+    let mut headers = caller::headers(HOST_NAME, KEY, &sent.id, TIMEOUT);
     if sent.kind == Kind::Stream {
-        request = request.header("x-cuminward-model", MODEL);
+        headers.push((header::MODEL.to_owned(), MODEL.to_owned()));
     }
-    let request = request.body(Full::new(Bytes::from(sent.body.clone())));
-    let response = sender.send_request(request.map_err(io::Error::other)?).await;
-    let Ok(response) = response else { return Ok(End::Nothing) };
-    let status = response.status().as_u16();
-    let is_signed = response.headers().contains_key("x-cuminward-server-stamp");
-    let (body, is_complete) = read(response.into_body()).await;
-    Ok(End::Answer(Got { status, is_signed, body, is_complete }))
+    let (method, path, body) = (method.to_owned(), path.to_owned(), sent.body.clone());
+    Call { method, path, headers, body }
 }
 
-/// Reads a body up to where it ends or breaks off.
-async fn read(mut body: Incoming) -> (String, bool) {
-    let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => bytes.extend(frame.into_data().unwrap_or_default()),
-            Err(_) => return (String::from_utf8_lossy(&bytes).into_owned(), false),
-        }
+fn got(answer: Answer) -> Got {
+    Got {
+        status: answer.status.as_u16(),
+        is_signed: answer.is_signed(),
+        is_complete: answer.is_complete,
+        body: answer.body,
     }
-    (String::from_utf8_lossy(&bytes).into_owned(), true)
 }
--- a/cuminward-soak/src/node.rs
+++ b/cuminward-soak/src/node.rs
@@ -1,16 +1,16 @@
 //! Processes of the daemon.
 
 use std::{
-    collections::BTreeSet,
     fs::{self, File},
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::Stdio,
     sync::{Mutex, PoisonError},
     time::Duration,
 };
 
+use cuminward_adapter_fake::address;
 use cuminward_standin::link::Link;
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
@@ -56,7 +56,11 @@
         directory: &Path,
         store: SocketAddr,
     ) -> io::Result<Node> {
-        let addresses = Addresses { callers: address()?, ready: address()?, peers: address()? };
+        let addresses = Addresses {
+            callers: address::free()?,
+            ready: address::free()?,
+            peers: address::free()?,
+        };
         let node = Node {
             name: name.to_owned(),
             domain: domain.to_owned(),
@@ -146,20 +150,3 @@
         process.as_mut().is_some_and(|it| matches!(it.try_wait(), Ok(None)))
     }
 }
-
-/// An address of the loopback interface that nothing uses. Each process of the soak has its own range, as
-/// its nodes start again at the same addresses.
-fn address() -> io::Result<SocketAddr> {
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let own = Ipv4Addr::new(127, high.max(1), low, 1);
-    let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
-    loop {
-        let address = TcpListener::bind((own, 0))?.local_addr()?;
-        if given.insert(address) {
-            return Ok(address);
-        }
-    }
-}
-
-/// Addresses that nodes have, whether they listen or not.
-static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
--- a/cuminward-soak/src/site.rs
+++ b/cuminward-soak/src/site.rs
@@ -10,22 +10,36 @@
 };
 
 use cuminward_adapter_fake::{
+    catalog::{Catalog, Engine, Repeat, Route},
     crew::{Crew, Place, Times},
     store::Store,
 };
 use cuminward_standin::link::Link;
-use serde_json::{Value, json};
 use tokio::net::TcpListener;
 
 use crate::judge::TEAM;
 
-/// Host name, key and model of the callers.
+/// Host name that callers ask for.
 pub const HOST_NAME: &str = "soak.example";
 /// Key of the only team.
 pub const KEY: &str = "soak-key";
 /// The only model.
 pub const MODEL: &str = "m";
 
+/// Services.
+const PLAIN_SERVICE: &str = "desk";
+const ENGINE_SERVICE: &str = "chat";
+
+/// Time to the first part of an answer for which the operator aims.
+const OBJECTIVE: Duration = Duration::from_millis(400);
+
+/// Hosts to which one request may be sent.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Requests that a replica runs at once, and connections that a host accepts.
+const SLOTS: u32 = 6;
+const CONNECTIONS: u32 = 200;
+
 /// Longest time that a request may take.
 pub const TIMEOUT: Duration = Duration::from_millis(3000);
 
@@ -77,7 +91,7 @@
         for domain in DOMAINS {
             for index in 0..ENGINES + PLAIN {
                 let is_plain = index >= ENGINES;
-                let service = if is_plain { "desk" } else { "chat" };
+                let service = if is_plain { PLAIN_SERVICE } else { ENGINE_SERVICE };
                 let id = format!("{service}-{domain}-{index}");
                 let listener = TcpListener::bind("127.0.0.1:0").await?;
                 let link = Link::start(listener.local_addr()?).await?;
@@ -111,8 +125,7 @@
     /// Declares the next version, with a route that no other version has.
     pub fn configure(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
-        let config = configuration(version).to_string();
-        self.store.put("keyed.op", "config", &config);
+        self.store.declare(&declaration(version));
     }
 
     /// Ends all faults of the store and the hosts.
@@ -133,33 +146,37 @@
     format!("/v{version}/")
 }
 
-fn configuration(version: u64) -> Value {
-    let route = |prefix: &str, kind: &str, service: &str| {
-        json!({
-            "name": prefix, "host": HOST_NAME, "pathPrefix": prefix, "routeKind": kind,
-            "timeoutMs": TIMEOUT.as_millis() as u64, "targetLatencyMs": 400, "priority": 1,
-            "service": service, "maxAttempts": 3, "anonymous": false,
-            "streamResume": kind == "streaming",
-        })
+fn declaration(version: u64) -> Catalog {
+    let route = |prefix: &str, repeat: Repeat, service: &str| Route {
+        host: HOST_NAME.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat,
+        service: service.to_owned(),
+        timeout: TIMEOUT,
+        objective: Some(OBJECTIVE),
+        max_attempts: MAX_ATTEMPTS,
+        is_anonymous: false,
     };
-    let model = json!({
-        "name": MODEL, "size": SIZE, "share": 1.0, "pace": 1.0,
-        "loadS": TIMES.load.as_secs_f64(), "warmS": TIMES.join.as_secs_f64(),
-    });
-    json!({
-        "version": version,
-        "routes": [
-            route("/read/", "idempotent", "desk"),
-            route("/book/", "non_idempotent", "desk"),
-            route("/chat/", "streaming", "chat"),
-            route(&prefix(version), "idempotent", "desk"),
-        ],
-        "services": [
-            { "name": "desk", "healthPath": "/healthz", "connLimit": 200 },
-            { "name": "chat", "healthPath": "/healthz", "connLimit": 200, "engine": {
-                "slots": 6, "models": [model], "loadsPerS": 5.0, "loads_at_once": 7,
-                "formMs": TIMES.open.as_millis() as u64 } },
+    Catalog {
+        version,
+        routes: vec![
+            route("/read/", Repeat::Idempotent, PLAIN_SERVICE),
+            route("/book/", Repeat::Never, PLAIN_SERVICE),
+            route("/chat/", Repeat::Resumable, ENGINE_SERVICE),
+            route(&prefix(version), Repeat::Idempotent, PLAIN_SERVICE),
         ],
-        "tenants": [{ "name": TEAM, "apiKeys": [KEY] }],
-    })
+        connections: CONNECTIONS,
+        plain: PLAIN_SERVICE.to_owned(),
+        engine: Engine {
+            service: ENGINE_SERVICE.to_owned(),
+            slots: SLOTS,
+            model: MODEL.to_owned(),
+            size: SIZE,
+            load: TIMES.load,
+            join: TIMES.join,
+            open: TIMES.open,
+        },
+        team: TEAM.to_owned(),
+        key: KEY.to_owned(),
+    }
 }
--- a/cuminward-soak/src/soak.rs
+++ b/cuminward-soak/src/soak.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    caller::{self, Caller, End},
+    caller::{self, Caller, SUCCESS},
     judge::{Counts, Judge, Kind, Sent},
     node::{GRACE, Node},
     site::{self, DOMAINS, Site},
@@ -159,12 +159,9 @@
         let id = format!("check-{after}-{round}-{}-{kind:?}", node.name());
         let sent = Sent::new(id, kind);
         judge.send(sent.clone());
-        let got = match caller::ask(address, &sent).await {
-            Ok(End::Answer(got)) => Some(got),
-            Ok(End::Nothing) | Err(_) => None,
-        };
+        let got = caller::ask(address, &sent).await;
         judge.get(&sent, got.as_ref(), site::EVENTS);
-        if !got.is_some_and(|it| it.status == 200 && it.is_complete) {
+        if !got.is_some_and(|it| it.status == SUCCESS && it.is_complete) {
             missing.push(format!("{} {kind:?}", node.name()));
         }
     }
@@ -173,7 +170,7 @@
     sent.line = format!("GET {}{round}", site::prefix(version));
     judge.send(sent.clone());
     let got = caller::ask(address, &sent).await;
-    if !matches!(got, Ok(End::Answer(got)) if got.status == 200) {
+    if got.is_none_or(|it| it.status != SUCCESS) {
         missing.push(format!("{} version {version}", node.name()));
     }
     missing
--- a/cuminward-soak/src/trouble.rs
+++ b/cuminward-soak/src/trouble.rs
@@ -9,7 +9,7 @@
 use tokio::time;
 
 use crate::{
-    node::{self, Node},
+    node::{GRACE, Node},
     site::Site,
 };
 
@@ -103,78 +103,75 @@
 
 /// Injects a fault and ends it after a time.
 pub async fn inject(trouble: Trouble, lasts: Duration, site: Arc<Site>, nodes: Arc<[Node]>) {
+    let link = |host: usize| &site.links[host].1;
+    let store = |node: usize| &nodes[node].store;
     match trouble {
-        Trouble::Kill(_) | Trouble::KillAll | Trouble::Terminate(_) | Trouble::Freeze(_) => {
-            disturb(trouble, lasts, &nodes).await;
+        Trouble::Kill(at) => kill(&nodes[at..=at], lasts).await,
+        Trouble::KillAll => kill(&nodes, lasts).await,
+        Trouble::Terminate(at) => terminate(&nodes[at]).await,
+        Trouble::Freeze(at) => {
+            let signal = |signal| nodes[at].signal(signal);
+            during(lasts, || signal(Signal::STOP), || signal(Signal::CONT)).await;
         }
-        Trouble::Hangup(node) => nodes[node].signal(Signal::HUP),
+        Trouble::Hangup(at) => nodes[at].signal(Signal::HUP),
         Trouble::StoreDown => {
-            site.store.refuse(Some(StatusCode::SERVICE_UNAVAILABLE));
-            time::sleep(lasts).await;
-            site.store.refuse(None);
-        }
-        Trouble::StoreCut(node) => {
-            nodes[node].store.cut();
-            time::sleep(lasts).await;
-            nodes[node].store.heal();
+            let refusal = Some(StatusCode::SERVICE_UNAVAILABLE);
+            during(lasts, || site.store.refuse(refusal), || site.store.refuse(None)).await;
         }
-        Trouble::StoreSilent(node) => nodes[node].store.silence(),
+        Trouble::StoreCut(at) => during(lasts, || store(at).cut(), || store(at).heal()).await,
+        Trouble::StoreSilent(at) => store(at).silence(),
         Trouble::StoreDeaf => {
-            site.store.set_deaf(true);
-            time::sleep(lasts).await;
-            site.store.set_deaf(false);
+            during(lasts, || site.store.set_deaf(true), || site.store.set_deaf(false)).await;
+        }
+        Trouble::Compact => site.store.forget(),
+        Trouble::Crash(host) => crash(host, lasts, &site).await,
+        Trouble::CutHost(host) => {
+            during(lasts, || link(host).cut(), || link(host).heal()).await;
+        }
+        Trouble::CutAnswers(host) => {
+            during(lasts, || link(host).cut_backward(), || link(host).heal()).await;
         }
-        Trouble::Compact => {
-            site.store.compact("keyed.op");
-            site.store.compact("keyed.servers");
+        Trouble::SilenceHost(host) => link(host).silence(),
+        Trouble::ResetHost(host) => {
+            during(RESET, || link(host).refuse(), || link(host).heal()).await;
+        }
+        Trouble::Delay(host) => {
+            let delay = |delay| link(host).delay(delay);
+            during(lasts, || delay(DELAY), || delay(Duration::ZERO)).await;
         }
         Trouble::LateOrders => {
-            site.crew.set_late_orders(true);
-            time::sleep(lasts).await;
-            site.crew.set_late_orders(false);
+            let set = |is_on| site.crew.set_late_orders(is_on);
+            during(lasts, || set(true), || set(false)).await;
         }
         Trouble::Configure => site.configure(),
-        Trouble::Crash(host) => crash(host, lasts, &site).await,
-        Trouble::CutHost(_)
-        | Trouble::CutAnswers(_)
-        | Trouble::SilenceHost(_)
-        | Trouble::ResetHost(_)
-        | Trouble::Delay(_) => disturb_link(trouble, lasts, &site).await,
     }
 }
 
-async fn disturb(trouble: Trouble, lasts: Duration, nodes: &[Node]) {
-    match trouble {
-        Trouble::Kill(at) => {
-            nodes[at].signal(Signal::KILL);
-            time::sleep(lasts).await;
-            restart(&nodes[at]).await;
-        }
-        Trouble::KillAll => {
-            for node in nodes {
-                node.signal(Signal::KILL);
-            }
-            time::sleep(lasts).await;
-            for node in nodes {
-                restart(node).await;
-            }
-        }
-        Trouble::Terminate(at) => {
-            nodes[at].signal(Signal::TERM);
-            time::sleep(node::GRACE).await;
-            // A process that was frozen meanwhile hasn't stopped yet.
-            nodes[at].signal(Signal::KILL);
-            restart(&nodes[at]).await;
-        }
-        Trouble::Freeze(at) => {
-            nodes[at].signal(Signal::STOP);
-            time::sleep(lasts).await;
-            nodes[at].signal(Signal::CONT);
-        }
-        _ => {}
+/// Begins something and ends it after a time.
+async fn during(lasts: Duration, begin: impl FnOnce(), end: impl FnOnce()) {
+    begin();
+    time::sleep(lasts).await;
+    end();
+}
+
+async fn kill(nodes: &[Node], lasts: Duration) {
+    for node in nodes {
+        node.signal(Signal::KILL);
+    }
+    time::sleep(lasts).await;
+    for node in nodes {
+        restart(node).await;
     }
 }
 
+async fn terminate(node: &Node) {
+    node.signal(Signal::TERM);
+    time::sleep(GRACE).await;
+    // A process that was frozen meanwhile hasn't stopped yet.
+    node.signal(Signal::KILL);
+    restart(node).await;
+}
+
 /// Starts a node once its killed process is gone, unless another fault's end has started it.
 async fn restart(node: &Node) {
     let mut waited = Duration::ZERO;
@@ -202,31 +199,3 @@
     link.heal();
     site.crew.restart(id);
 }
-
-async fn disturb_link(trouble: Trouble, lasts: Duration, site: &Site) {
-    let link = |host: usize| &site.links[host].1;
-    match trouble {
-        Trouble::CutHost(host) => {
-            link(host).cut();
-            time::sleep(lasts).await;
-            link(host).heal();
-        }
-        Trouble::CutAnswers(host) => {
-            link(host).cut_backward();
-            time::sleep(lasts).await;
-            link(host).heal();
-        }
-        Trouble::SilenceHost(host) => link(host).silence(),
-        Trouble::ResetHost(host) => {
-            link(host).refuse();
-            time::sleep(RESET).await;
-            link(host).heal();
-        }
-        Trouble::Delay(host) => {
-            link(host).delay(DELAY);
-            time::sleep(lasts).await;
-            link(host).delay(Duration::ZERO);
-        }
-        _ => {}
-    }
-}
