change: cuminward-gateway: work that was done twice is done once

Found by reading the change again; what the node does stays as it is. - The headers of each request were read twice, and its route and team (all keys) copied: read once, shared by Arc. - Looking whether requests wait copied the names of service and model: the target is a part of the wish. - All upstreams were sorted by preference where a node chooses among all of them. - A stopping node left the division of duties in `stop`, and again in the task that takes part in it, since it could join in between: the task alone does it now, woken by the stop; no time limit of its own, no second call. - The nodes of the own failure domain were picked out in two places, and peers copied where an address is enough. - A host's answer was judged in two places (`watch`): one `question` serves both. - `Ledger::hear` repeated `is_heard`; `is_followed` said the opposite of what it tells (`has_readers`). Tests as before, and a_stopping_node_leaves_the_division_of_duties_at_once_and_for_good.

--- a/cuminward-gateway/src/control/duty.rs
+++ b/cuminward-gateway/src/control/duty.rs
@@ -18,7 +18,8 @@
 const CALLS_PER_LEASE: u32 = 3;
 
 /// Takes part in the division of the duties until the task is dropped.
-pub(crate) async fn run(state: &State, member: &store::Member) {
+pub(crate) async fn run(state: &State) {
+    let member = &member(state);
     let interval = member.lease / CALLS_PER_LEASE;
     let mut generation = 0;
     if let Err(error) = state.store.create(topic::DUTIES).await {
@@ -26,27 +27,31 @@
     }
     let mut is_member = false;
     loop {
-        if state.duty.is_bystander() || state.is_stopping() {
-            if is_member {
-                resign(state, member).await;
-                is_member = false;
-            }
-            time::sleep(interval).await;
-            continue;
+        let takes_part = !state.duty.is_bystander() && !state.is_stopping();
+        if takes_part {
+            generation = renew(state, member, generation).await;
+        } else if is_member {
+            resign(state, member).await;
         }
-        is_member = true;
-        let asked = state.now();
-        match state.store.join(member, generation).await {
-            Ok(share) => {
-                generation = share.generation;
-                let until = asked + member.lease;
-                state
-                    .duty
-                    .set(&state.events, Share { token: generation, parts: share.parts, until });
-            }
-            Err(error) => log::debug!("the duties can't be renewed: {error}"),
+        is_member = takes_part;
+        // Either way the part in the division is looked at again.
+        let _ = time::timeout(interval, state.stops.notified()).await;
+    }
+}
+
+/// Asks for this node's share of the duties. Returns the generation of the division.
+async fn renew(state: &State, member: &store::Member, generation: u64) -> u64 {
+    let asked = state.now();
+    match state.store.join(member, generation).await {
+        Ok(share) => {
+            let (token, until) = (share.generation, asked + member.lease);
+            state.duty.set(&state.events, Share { token, parts: share.parts, until });
+            token
+        }
+        Err(error) => {
+            log::debug!("the duties can't be renewed: {error}");
+            generation
         }
-        time::sleep(interval).await;
     }
 }
 
@@ -54,13 +59,13 @@
 async fn resign(state: &State, member: &store::Member) {
     state.duty.forfeit(id::Token::MAX);
     if let Err(error) = state.store.leave(member).await {
-        log::debug!("the duties weren't given up, their lease has to end: {error}");
+        log::warn!("the duties weren't given up, their lease has to end: {error}");
     }
 }
 
 /// This node as a member of the group that divides the duties. The name differs between two starts, so
 /// that a new start doesn't inherit the duties of the former one.
-pub(crate) fn member(state: &State) -> store::Member {
+fn member(state: &State) -> store::Member {
     let start = rand::random::<u32>();
     store::Member {
         group: GROUP.to_owned(),
--- a/cuminward-gateway/src/control/follow.rs
+++ b/cuminward-gateway/src/control/follow.rs
@@ -43,7 +43,7 @@
     let mut needs_all = true;
     let mut health = Health::new("declarations");
     loop {
-        if state.duty.is_followed(state.now()) {
+        if state.duty.has_readers(state.now()) {
             time::sleep(LOOK_INTERVAL).await;
             continue;
         }
@@ -86,7 +86,7 @@
     let mut follower = Follower::new();
     loop {
         let began = state.now();
-        if state.duty.is_followed(began) && began < state.listing_read() + OWN_LISTING_INTERVAL {
+        if state.duty.has_readers(began) && began < state.listing_read() + OWN_LISTING_INTERVAL {
             time::sleep(LOOK_INTERVAL).await;
             continue;
         }
--- a/cuminward-gateway/src/control/watch.rs
+++ b/cuminward-gateway/src/control/watch.rs
@@ -4,6 +4,7 @@
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use cuminward_event::kind::Kind;
+use cuminward_serving::pace::Pace;
 use futures::future;
 use tokio::{
     sync::mpsc,
@@ -87,48 +88,47 @@
 pub(crate) fn ask(state: &Arc<State>, member: Member) {
     let state = Arc::clone(state);
     tokio::spawn(async move {
-        let begun = Instant::now();
-        let asked = inspect::report(&state, &member.host, &member.address, MEMBER_TIMEOUT);
-        match asked.await {
-            Ok(status) => {
-                state.note_pace(&member.host, status.pace);
-                state.find(&member.host);
-            }
-            Err(_) if is_held_up(begun) => {}
-            Err(error) => state.lose(&member.host, &format!("{error:?}")),
+        if let Answer::Lives(_) = question(&state, &member).await {
+            state.find(&member.host);
         }
     });
 }
 
-/// Tells whether this node was itself held up since it asked, so that silence says nothing.
-fn is_held_up(begun: Instant) -> bool {
-    begun.elapsed() > MAX_QUESTION
+/// What a question showed.
+enum Answer {
+    /// The host lives and goes at this pace.
+    Lives(Pace),
+    /// It doesn't answer.
+    Lost,
+    /// This node was itself held up since it asked, so that silence says nothing.
+    Unknown,
+}
+
+/// Asks a host whether it lives and how slow it is, and notes its answer.
+async fn question(state: &State, member: &Member) -> Answer {
+    let begun = Instant::now();
+    let report = inspect::report(state, &member.host, &member.address, MEMBER_TIMEOUT).await;
+    match report {
+        Ok(status) => {
+            state.note_pace(&member.host, status.pace);
+            Answer::Lives(status.pace)
+        }
+        Err(_) if begun.elapsed() > MAX_QUESTION => Answer::Unknown,
+        Err(error) => {
+            state.lose(&member.host, &format!("{error:?}"));
+            Answer::Lost
+        }
+    }
 }
 
 /// Asks the members of a replica whether they live.
 async fn inspect_members(state: &State, upstream: &Upstream) {
-    let asked = upstream.members.iter().map(|it| async move {
-        let report = inspect::report(state, &it.host, &it.address, MEMBER_TIMEOUT).await;
-        (it, report)
-    });
-    let begun = Instant::now();
+    let asked = upstream.members.iter().map(|it| question(state, it));
     let answers = future::join_all(asked).await;
     let now = state.now();
-    let mut is_lost = false;
-    let mut pace = 0.0_f64;
-    for (member, report) in answers {
-        match report {
-            Ok(status) => {
-                pace = pace.max(status.pace);
-                state.note_pace(&member.host, status.pace);
-            }
-            Err(_) if is_held_up(begun) => {}
-            Err(error) => {
-                state.lose(&member.host, &format!("{error:?}"));
-                is_lost = true;
-            }
-        }
-    }
+    let is_lost = answers.iter().any(|it| matches!(it, Answer::Lost));
+    let paces = answers.iter().map(|it| if let Answer::Lives(pace) = it { *pace } else { 0.0 });
+    let pace = paces.fold(0.0, Pace::max);
     let silence = upstream.gauge.silence(now).unwrap_or_default();
     let verdict = match () {
         () if is_lost => "lost",
--- a/cuminward-gateway/src/forward/admit.rs
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -1,10 +1,12 @@
 //! Whether a request may be served, and its body.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cuminward_adapter::header;
-use cuminward_serving::catalog::{Catalog, Limits, Route, Team};
+use cuminward_serving::{
+    catalog::{Catalog, Limits, Route, Team},
+    request::Meta,
+};
 use http::{HeaderMap, Request, StatusCode, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -30,7 +32,11 @@
 const CRASHING: Duration = Duration::from_secs(30);
 
 /// Admits a request and reads its body.
-pub(crate) async fn admit(state: &State, request: Request<Incoming>) -> Result<Job, Denial> {
+pub(crate) async fn admit(
+    state: &State,
+    request: Request<Incoming>,
+    meta: Meta,
+) -> Result<Job, Denial> {
     let started = Instant::now();
     if state.stopping_for().is_some_and(|it| it > LAST_CALL) {
         return Err(Denial::later(ELSEWHERE).because("the node is about to stop"));
@@ -39,9 +45,8 @@
     let starting = Denial::later(STARTING).because("no catalog is known yet");
     let catalog = view.catalog.as_ref().ok_or(starting)?;
     let (parts, body) = request.into_parts();
-    let meta = header::read(&parts.headers);
     check_headers(&parts.headers, &catalog.limits)?;
-    let route = route(catalog, &parts)?.clone();
+    let route = Arc::clone(route(catalog, &parts)?);
     let team = team(catalog, &route, meta.key.as_deref())?.cloned();
     let hides_key = !catalog.teams.is_empty();
     let body = read(body, &catalog.limits).await?;
@@ -71,7 +76,7 @@
     Ok(())
 }
 
-fn route<'a>(catalog: &'a Catalog, parts: &Parts) -> Result<&'a Route, Denial> {
+fn route<'a>(catalog: &'a Catalog, parts: &Parts) -> Result<&'a Arc<Route>, Denial> {
     let named = parts.headers.get(http::header::HOST).and_then(|it| it.to_str().ok());
     let host = parts.uri.host().or(named).unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
@@ -83,7 +88,7 @@
     catalog: &'a Catalog,
     route: &Route,
     key: Option<&str>,
-) -> Result<Option<&'a Team>, Denial> {
+) -> Result<Option<&'a Arc<Team>>, Denial> {
     let team = key.and_then(|it| catalog.team(it));
     if team.is_some() || route.is_anonymous || catalog.teams.is_empty() {
         return Ok(team);
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -112,7 +112,7 @@
     let passage = request::Passage {
         left: job.left(),
         host: slot.upstream.host.clone(),
-        team: job.team.clone(),
+        team: job.team.as_ref().map(|it| it.name.clone()),
         priority: job.meta.model.as_ref().map(|_| job.priority),
         last_event,
     };
--- a/cuminward-gateway/src/forward/job.rs
+++ b/cuminward-gateway/src/forward/job.rs
@@ -1,7 +1,10 @@
 //! A request on its way.
 
 use std::{
-    sync::atomic::{AtomicBool, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -16,9 +19,9 @@
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
     pub(crate) meta: request::Meta,
-    pub(crate) route: catalog::Route,
+    pub(crate) route: Arc<catalog::Route>,
     pub(crate) service: id::Service,
-    pub(crate) team: Option<String>,
+    pub(crate) team: Option<Arc<catalog::Team>>,
     /// Whether the caller's key is kept from upstreams.
     pub(crate) hides_key: bool,
     pub(crate) priority: u8,
@@ -36,9 +39,9 @@
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
     pub(crate) meta: request::Meta,
-    pub(crate) route: catalog::Route,
+    pub(crate) route: Arc<catalog::Route>,
     pub(crate) service: id::Service,
-    pub(crate) team: Option<catalog::Team>,
+    pub(crate) team: Option<Arc<catalog::Team>>,
     pub(crate) hides_key: bool,
     pub(crate) version: id::Version,
     pub(crate) started: Instant,
@@ -60,7 +63,7 @@
         let team_priority = it.team.as_ref().and_then(|it| it.priority);
         Job {
             priority: team_priority.unwrap_or(it.route.priority),
-            team: it.team.map(|it| it.name),
+            team: it.team,
             fingerprint,
             version: it.version,
             started: it.started,
--- a/cuminward-gateway/src/forward/mod.rs
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -12,6 +12,7 @@
 
 use std::sync::Arc;
 
+use cuminward_adapter::header;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time;
@@ -23,8 +24,9 @@
 /// Answers a request.
 pub(crate) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
     state.note_traffic();
-    let id = cuminward_adapter::header::read(request.headers()).id;
-    let job = match admit::admit(&state, request).await {
+    let meta = header::read(request.headers());
+    let id = meta.id.clone();
+    let job = match admit::admit(&state, request, meta).await {
         Ok(it) => Arc::new(it),
         Err(denial) => {
             report::denied(&state, id.as_deref(), &denial);
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -15,7 +15,7 @@
     State,
     gauge::Flight,
     view::{Upstream, View},
-    waiting::{Taken, Wish},
+    waiting::{Taken, Target, Wish},
 };
 
 /// Longest time between two looks at the upstreams while requests wait.
@@ -48,9 +48,9 @@
     progress: Progress,
 ) -> Result<Slot, Full> {
     let begun = Instant::now();
-    let wish =
-        Wish { service: job.service.clone(), model: job.meta.model.clone(), tried: tried.to_vec() };
-    let taken = if state.waiting.is_any(&wish) { None } else { take(state, &wish) };
+    let target = Target { service: job.service.clone(), model: job.meta.model.clone() };
+    let wish = Wish { target, tried: tried.to_vec() };
+    let taken = if state.waiting.is_any(&wish.target) { None } else { take(state, &wish) };
     let taken = match taken {
         Some(it) => it,
         None => wait(state, job, wish, progress).await?,
@@ -123,7 +123,7 @@
             && !wish.tried.contains(&it.host)
             && cold_rate(state, it, now).is_none_or(|rate| it.gauge.is_allowed(now, rate))
     };
-    let all = view.upstreams(&wish.service, wish.model.as_deref());
+    let all = view.upstreams(&wish.target.service, wish.target.model.as_deref());
     let usable: Vec<&Arc<Upstream>> = all.iter().filter(has_room).collect();
     let domain = &state.settings.node.domain;
     let candidate = |it: &&Arc<Upstream>| select::Candidate {
--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -31,16 +31,12 @@
 /// Time before the end of the grace period at which the node ends with requests under way.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
-/// Longest time to give up the duties.
-const LEAVE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time for the last events to be written.
 const LAST_LINES: Duration = Duration::from_millis(20);
 
 /// A running node.
 pub struct Gateway {
     state: Arc<State>,
-    member: cuminward_adapter::store::Member,
     tasks: JoinSet<()>,
 }
 
@@ -56,8 +52,7 @@
         let version = env!("CARGO_PKG_VERSION").to_owned();
         let incarnation = rand::random::<u32>().into();
         state.events.emit(Kind::NodeStarted { version, incarnation });
-        let member = duty::member(&state);
-        let mut gateway = Gateway { state, member, tasks: JoinSet::new() };
+        let mut gateway = Gateway { state, tasks: JoinSet::new() };
         gateway.listen().await?;
         gateway.meet().await?;
         gateway.control();
@@ -70,10 +65,6 @@
         self.state.stop();
         let begun = self.state.now();
         self.state.events.emit(Kind::NodeDraining { in_flight: self.requests() });
-        let leaving = time::timeout(LEAVE_TIMEOUT, self.state.store.leave(&self.member)).await;
-        if !matches!(leaving, Ok(Ok(()))) {
-            log::warn!("the duties weren't given up: their lease has to end");
-        }
         let grace = self.state.current().timing.shutdown_grace.saturating_sub(STOP_MARGIN);
         loop {
             time::sleep(STOP_INTERVAL).await;
@@ -132,8 +123,8 @@
 
     /// Starts the control tasks.
     fn control(&mut self) {
-        let (state, member) = (Arc::clone(&self.state), self.member.clone());
-        self.tasks.spawn(async move { duty::run(&state, &member).await });
+        let state = Arc::clone(&self.state);
+        self.tasks.spawn(async move { duty::run(&state).await });
         self.tasks.spawn(follow::declarations(Arc::clone(&self.state)));
         self.tasks.spawn(follow::listing(Arc::clone(&self.state)));
         self.tasks.spawn(steward::run(Arc::clone(&self.state)));
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -49,13 +49,6 @@
     pub(crate) digest: Option<Digest>,
 }
 
-/// Access
-impl Peer {
-    fn node(&self) -> Option<&id::Node> {
-        self.digest.as_ref().map(|it| &it.node)
-    }
-}
-
 /// Access
 impl Peers {
     /// Nodes that were heard of lately.
@@ -65,14 +58,11 @@
         peers.values().filter(|it| now.saturating_sub(it.heard) < fresh).cloned().collect()
     }
 
-    /// Nodes of the own failure domain that read the store for the others.
-    pub(crate) fn readers(&self, state: &State) -> Vec<Peer> {
-        let mut near = self.fresh(state.now());
-        let domain = &state.settings.node.domain;
-        near.retain(|it| it.digest.as_ref().is_some_and(|it| it.domain == *domain));
-        near.sort_by(|a, b| a.node().cmp(&b.node()));
-        near.truncate(spread::CANDIDATES);
-        near
+    /// Addresses of the nodes of the own failure domain that read the store for the others.
+    pub(crate) fn readers(&self, state: &State) -> Vec<SocketAddr> {
+        let fresh = self.fresh(state.now());
+        let near: BTreeMap<&id::Node, SocketAddr> = near(&fresh, state).collect();
+        near.into_values().take(spread::CANDIDATES).collect()
     }
 
     /// Hosts that a node said don't answer it.
@@ -224,13 +214,21 @@
 /// Takes stock of the other nodes: who takes part in the duties, and the requests in flight.
 fn take_stock(state: &State, peers: &Peers) {
     let fresh = peers.fresh(state.now());
-    let own = &state.settings.node;
-    let digests = fresh.iter().filter_map(|it| it.digest.as_ref());
-    let near = digests.filter(|it| it.domain == own.domain).map(|it| &it.node);
-    state.duty.set_bystander(!spread::is_candidate(&own.name, near));
+    let near = near(&fresh, state).map(|(node, _)| node);
+    state.duty.set_bystander(!spread::is_candidate(&state.settings.node.name, near));
     sum_flights(state, fresh);
 }
 
+/// Nodes of the own failure domain with their addresses.
+fn near<'a>(
+    peers: &'a [Peer],
+    state: &'a State,
+) -> impl Iterator<Item = (&'a id::Node, SocketAddr)> {
+    let digests = peers.iter().filter_map(|it| Some((it.digest.as_ref()?, it.address)));
+    let near = digests.filter(|(it, _)| it.domain == state.settings.node.domain);
+    near.map(|(it, address)| (&it.node, address))
+}
+
 /// Adds up the requests in flight from other nodes.
 fn sum_flights(state: &State, fresh: Vec<Peer>) {
     let mut sums: HashMap<Key, u32> = HashMap::new();
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -13,7 +13,7 @@
 };
 use tokio::time;
 
-use super::gossip::{Peer, Peers};
+use super::gossip::Peers;
 use crate::state::State;
 
 /// Interval at which this node compares what it knows with others.
@@ -114,9 +114,9 @@
         // A node that follows the store by itself is behind for a moment only.
         let is_due = lagging && source.is_some();
         lagging = source.is_some();
-        let Some(peer) = source.filter(|_| is_due) else { continue };
-        if let Some(delta) = fetcher.fetch(&peer).await {
-            report(&fetcher.state, &peer, &delta);
+        let Some(address) = source.filter(|_| is_due) else { continue };
+        if let Some(delta) = fetcher.fetch(address).await {
+            report(&fetcher.state, address, &delta);
             take_in(&fetcher.state, delta);
         }
     }
@@ -138,22 +138,22 @@
         if readers.is_empty() {
             return;
         }
-        let reader = &readers[rand::random_range(0..readers.len())];
+        let reader = readers[rand::random_range(0..readers.len())];
         if let Some(delta) = self.fetch(reader).await {
-            self.state.duty.note_followed(self.state.now());
+            self.state.duty.note_fetched(self.state.now());
             take_in(&self.state, delta);
         }
     }
 
-    async fn fetch(&mut self, peer: &Peer) -> Option<Delta> {
-        let fetched = time::timeout(TIMEOUT, self.ask(peer.address)).await;
+    async fn fetch(&mut self, address: SocketAddr) -> Option<Delta> {
+        let fetched = time::timeout(TIMEOUT, self.ask(address)).await;
         let cause = match fetched {
             Ok(Ok(delta)) => return Some(delta),
             Ok(Err(error)) => error.to_string(),
             Err(_) => String::from("no answer in time"),
         };
-        log::debug!("nothing fetched from {}: {cause}", peer.address);
-        self.clients.remove(&peer.address);
+        log::debug!("nothing fetched from {address}: {cause}");
+        self.clients.remove(&address);
         None
     }
 
@@ -174,8 +174,8 @@
     }
 }
 
-/// A node that knows newer declarations, or a much newer list of hosts.
-fn newer(state: &State, peers: &Peers) -> Option<Peer> {
+/// Address of a node that knows newer declarations, or a much newer list of hosts.
+fn newer(state: &State, peers: &Peers) -> Option<SocketAddr> {
     let (declarations, listing) = ends(state);
     let fresh = peers.fresh(state.now()).into_iter();
     let newer = fresh.filter(|it| {
@@ -183,7 +183,8 @@
             .as_ref()
             .is_some_and(|it| it.declarations > declarations || it.listing > listing + LISTING_LAG)
     });
-    newer.max_by_key(|it| it.digest.as_ref().map(|it| (it.declarations, it.listing)))
+    let newest = newer.max_by_key(|it| it.digest.as_ref().map(|it| (it.declarations, it.listing)));
+    newest.map(|it| it.address)
 }
 
 /// Offsets that follow the newest declaration and the newest entry that this node knows.
@@ -192,9 +193,9 @@
     (knowledge.declarations.end(), knowledge.listing.end())
 }
 
-fn report(state: &State, peer: &Peer, delta: &Delta) {
+fn report(state: &State, address: SocketAddr, delta: &Delta) {
     state.events.emit(Kind::KnowledgeFetched {
-        address: peer.address.to_string(),
+        address: address.to_string(),
         declarations: delta.declarations.len() as u64,
         hosts: delta.listing.len() as u64,
     });
--- a/cuminward-gateway/src/state/duty.rs
+++ b/cuminward-gateway/src/state/duty.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Notify;
 
 /// Time after a fetch from a node that reads the store within which this one needn't.
-const FOLLOWED_FOR: Duration = Duration::from_millis(1000);
+const FETCH_HOLDS: Duration = Duration::from_millis(1000);
 
 /// Duties that this node holds.
 #[derive(Debug, Default)]
@@ -27,7 +27,7 @@
     /// Whether the node leaves the duties, and reading the store, to others of its failure domain.
     is_bystander: AtomicBool,
     /// When it last fetched from one of those, in milliseconds since the node's start; 0 if never.
-    followed_ms: AtomicU64,
+    fetched_ms: AtomicU64,
 }
 
 /// What the store said last.
@@ -57,11 +57,9 @@
     }
 
     /// Tells whether others read the store for this node.
-    pub(crate) fn is_followed(&self, now: Duration) -> bool {
-        let followed = Duration::from_millis(self.followed_ms.load(Ordering::Relaxed));
-        self.is_bystander()
-            && followed > Duration::ZERO
-            && now.saturating_sub(followed) < FOLLOWED_FOR
+    pub(crate) fn has_readers(&self, now: Duration) -> bool {
+        let fetched = Duration::from_millis(self.fetched_ms.load(Ordering::Relaxed));
+        self.is_bystander() && fetched > Duration::ZERO && now.saturating_sub(fetched) < FETCH_HOLDS
     }
 
     /// Fencing token for the service with an index, if its duty is this node's.
@@ -90,8 +88,8 @@
     }
 
     /// Notes that what others read was fetched.
-    pub(crate) fn note_followed(&self, now: Duration) {
-        self.followed_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+    pub(crate) fn note_fetched(&self, now: Duration) {
+        self.fetched_ms.store(now.as_millis() as u64, Ordering::Relaxed);
     }
 
     /// Gives up all duties until the store divides them anew: a host has seen a newer token.
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -72,6 +72,8 @@
     nodes: AtomicUsize,
     /// When the node began to stop, in milliseconds since its start; 0 if it didn't.
     stopping_ms: AtomicU64,
+    /// Wakes the task that takes part in the division of duties when the node begins to stop.
+    pub(crate) stops: Notify,
     /// Whether callers may have sent requests, to any node, since the system first started.
     has_traffic: AtomicBool,
     /// Requests of callers under way.
@@ -124,6 +126,7 @@
             budgets: Mutex::default(),
             nodes: AtomicUsize::new(1),
             stopping_ms: AtomicU64::new(0),
+            stops: Notify::new(),
             requests: AtomicUsize::new(0),
             waiting: waiting::Waiting::default(),
             capacity: Notify::new(),
@@ -218,6 +221,7 @@
     /// Notes that the node is about to end.
     pub(crate) fn stop(&self) {
         self.stopping_ms.store(self.now().as_millis().max(1) as u64, Ordering::Relaxed);
+        self.stops.notify_one();
     }
 
     /// Notes when a read of the list of hosts that succeeded began.
--- a/cuminward-gateway/src/state/waiting.rs
+++ b/cuminward-gateway/src/state/waiting.rs
@@ -19,12 +19,18 @@
 /// What a request needs of an upstream.
 #[derive(Debug, Clone)]
 pub(crate) struct Wish {
-    pub(crate) service: id::Service,
-    pub(crate) model: Option<id::Model>,
+    pub(crate) target: Target,
     /// Hosts that had the request before.
     pub(crate) tried: Vec<id::Host>,
 }
 
+/// What can serve a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Target {
+    pub(crate) service: id::Service,
+    pub(crate) model: Option<id::Model>,
+}
+
 /// An upstream that was taken for a request.
 pub(crate) struct Taken {
     pub(crate) upstream: Arc<Upstream>,
@@ -34,13 +40,10 @@
 /// Requests that wait, by what can serve them.
 #[derive(Default)]
 pub(crate) struct Waiting {
-    queues: Mutex<HashMap<Pool, Queue<Waiter>>>,
+    queues: Mutex<HashMap<Target, Queue<Waiter>>>,
     number: AtomicU64,
 }
 
-/// Upstreams that requests of one kind share.
-type Pool = (id::Service, Option<id::Model>);
-
 struct Waiter {
     wish: Wish,
     sender: oneshot::Sender<Taken>,
@@ -49,7 +52,7 @@
 /// Place of a waiting request; it is given up when this is dropped.
 pub(crate) struct Place<'a> {
     waiting: &'a Waiting,
-    pool: Pool,
+    target: Target,
     rank: Rank,
     pub(crate) taken: oneshot::Receiver<Taken>,
 }
@@ -57,10 +60,10 @@
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         let mut queues = self.waiting.lock();
-        if let Some(queue) = queues.get_mut(&self.pool) {
+        if let Some(queue) = queues.get_mut(&self.target) {
             queue.remove(self.rank);
             if queue.is_empty() {
-                queues.remove(&self.pool);
+                queues.remove(&self.target);
             }
         }
     }
@@ -68,9 +71,9 @@
 
 /// Access
 impl Waiting {
-    /// Tells whether requests wait for the same upstreams as a wish.
-    pub(crate) fn is_any(&self, wish: &Wish) -> bool {
-        self.lock().contains_key(&pool(wish))
+    /// Tells whether requests wait for a target.
+    pub(crate) fn is_any(&self, target: &Target) -> bool {
+        self.lock().contains_key(target)
     }
 
     /// Tells whether no request waits.
@@ -78,7 +81,7 @@
         self.lock().is_empty()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Pool, Queue<Waiter>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Target, Queue<Waiter>>> {
         self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -89,11 +92,12 @@
     pub(crate) fn enter(&self, wish: Wish, progress: Progress, priority: u8) -> Place<'_> {
         let number = self.number.fetch_add(1, Ordering::Relaxed);
         let rank = Rank { progress, priority, number };
-        let pool = pool(&wish);
+        let target = wish.target.clone();
         let (sender, taken) = oneshot::channel();
-        let queue = &mut *self.lock();
-        queue.entry(pool.clone()).or_default().push(rank, Waiter { wish, sender });
-        Place { waiting: self, pool, rank, taken }
+        let mut queues = self.lock();
+        queues.entry(target.clone()).or_default().push(rank, Waiter { wish, sender });
+        drop(queues);
+        Place { waiting: self, target, rank, taken }
     }
 
     /// Serves waiting requests in their order with what `take` finds for them.
@@ -111,7 +115,3 @@
         }
     }
 }
-
-fn pool(wish: &Wish) -> Pool {
-    (wish.service.clone(), wish.model.clone())
-}
--- a/cuminward-gateway/tests/all/life.rs
+++ b/cuminward-gateway/tests/all/life.rs
@@ -48,3 +48,18 @@
     expect_that!(node.get("/book/1", &[]).await.or_fail()?.status.as_u16(), eq(503));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_leaves_the_division_of_duties_at_once_and_for_good() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("leaves").await;
+    expect_that!(site.store.members(), eq(1));
+    let stopping = tokio::spawn(node.gateway.stop());
+    time::sleep(Duration::from_millis(200)).await;
+    for _ in 0..10 {
+        expect_that!(site.store.members(), eq(0));
+        time::sleep(Duration::from_millis(200)).await;
+    }
+    stopping.await.or_fail()
+}
--- a/cuminward-serving/src/catalog.rs
+++ b/cuminward-serving/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    sync::Arc,
     time::Duration,
 };
 
@@ -12,12 +13,12 @@
 pub struct Catalog {
     /// Version, which only grows.
     pub version: id::Version,
-    /// Routes in the order of the declaration.
-    pub routes: Vec<Route>,
+    /// Routes in the order of the declaration, shared with the requests on them.
+    pub routes: Vec<Arc<Route>>,
     /// Services by name.
     pub services: BTreeMap<id::Service, Service>,
     /// Teams; none if callers need no key.
-    pub teams: Vec<Team>,
+    pub teams: Vec<Arc<Team>>,
     /// Bounds of what callers may send.
     pub limits: Limits,
     /// Index of a route by host name and path prefix.
@@ -157,6 +158,8 @@
             }
         }
         let Parts { version, routes, services, teams, limits } = parts;
+        let routes = routes.into_iter().map(Arc::new).collect();
+        let teams = teams.into_iter().map(Arc::new).collect();
         Catalog { version, routes, services, teams, limits, by_prefix, by_key }
     }
 }
@@ -164,7 +167,7 @@
 /// Access
 impl Catalog {
     /// The route of a host name and a path without query: that with the longest prefix.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let prefixes = self.by_prefix.get(host)?;
         let slashes = path.rmatch_indices('/').map(|(at, _)| at);
         let index = slashes.into_iter().find_map(|at| prefixes.get(&path[..=at]))?;
@@ -172,7 +175,7 @@
     }
 
     /// The team that holds a key.
-    pub fn team(&self, key: &str) -> Option<&Team> {
+    pub fn team(&self, key: &str) -> Option<&Arc<Team>> {
         self.teams.get(*self.by_key.get(key)?)
     }
 }
--- a/cuminward-serving/src/loss.rs
+++ b/cuminward-serving/src/loss.rs
@@ -39,10 +39,7 @@
         let lost = self.entries.iter().filter(|(_, it)| it.until > now);
         lost.map(|(host, _)| host.clone()).collect()
     }
-}
 
-/// Access
-impl Ledger {
     /// Tells whether another node said lately that a host is lost.
     pub fn is_heard(&self, now: Duration, host: &str) -> bool {
         let heard = self.heard.get(host);
@@ -63,10 +60,10 @@
     /// Notes that another node says that a host is lost; tells whether the host is to be asked, which it
     /// isn't if it counts as lost or if others said so a moment ago.
     pub fn hear(&mut self, now: Duration, host: &str) -> bool {
-        self.heard.retain(|_, at| now.saturating_sub(*at) < RUMOUR_HOLDS);
-        if self.heard.contains_key(host) {
+        if self.is_heard(now, host) {
             return false;
         }
+        self.heard.retain(|_, at| now.saturating_sub(*at) < RUMOUR_HOLDS);
         self.heard.insert(host.to_owned(), now);
         self.entries.get(host).is_none_or(|it| it.until <= now)
     }
--- a/cuminward-serving/src/select.rs
+++ b/cuminward-serving/src/select.rs
@@ -1,5 +1,7 @@
 //! Which upstream gets a request.
 
+use std::cmp::Reverse;
+
 use crate::pace::Pace;
 
 /// What is known about an upstream.
@@ -42,8 +44,11 @@
     let standing = candidates.iter().map(|it| it.standing).min()?;
     let mut indices: Vec<usize> =
         (0..candidates.len()).filter(|it| candidates[*it].standing == standing).collect();
-    indices.sort_by_key(|it| std::cmp::Reverse(candidates[*it].affinity));
-    indices.truncate(choices.max(1));
+    let choices = choices.max(1);
+    if indices.len() > choices {
+        indices.sort_by_key(|it| Reverse(candidates[*it].affinity));
+        indices.truncate(choices);
+    }
     indices.into_iter().min_by(|a, b| {
         let (a, b) = (&candidates[*a], &candidates[*b]);
         score(a).total_cmp(&score(b)).then(a.tie.cmp(&b.tie))
