fix: cuminward-serving, cuminward-gateway, platform: limits of the whole fleet hold for any number of nodes; settings take fractions

The shares followed the number of nodes seen lately, which is 1 at the start, and the retry budgets were filled again each time that it grew; a share was never under one retry, so 400 nodes exceeded a reserve under 400.

Ruled out: late knowledge of the cold state (the burst came 0.3 s after scale_out, from nodes that had read the entries).

Change: a cold host has a fixed set of owners by rendezvous hash, as many as the difference between the declared rate and the bound allows; other nodes send it nothing while it is cold. The list of all nodes only grows, and nothing is shared out before it has been read. A bucket starts empty. The retry reserve is divided by that list, may be a fraction, and is not filled again when nodes are found.

--- a/cuminward-core/src/lib.rs
+++ b/cuminward-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod hlc;
 pub mod host;
 pub mod id;
+pub mod number;
 pub mod outcome;
 pub mod rendezvous;
 pub mod replica;
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -112,7 +112,7 @@
     let snapshot = state.routing.load();
     let now = state.now();
     let upstream = choose_upstream(state, &snapshot, criteria, now)?;
-    if let Some(rate) = cold_rate(state, upstream, now)
+    if let Some(rate) = cold_rate(upstream, now)
         && !upstream.stats.acquire_cold_permit(now, rate)
     {
         return None;
@@ -123,9 +123,8 @@
 
 /// Returns this node's share of the request rate that an upstream sustains during slow start, in
 /// requests per second; `None` if the upstream is warm or its rate isn't limited.
-fn cold_rate(state: &State, upstream: &Upstream, now: Duration) -> Option<f64> {
-    let rate = upstream.cold_rate.filter(|_| upstream.stats.is_cold(now))?;
-    Some(rate / state.node_count().max(1) as f64)
+fn cold_rate(upstream: &Upstream, now: Duration) -> Option<f64> {
+    upstream.cold_share.filter(|_| upstream.stats.is_cold(now))
 }
 
 /// Selects the best upstream among those with capacity, on hosts that weren't tried before.
@@ -139,7 +138,7 @@
     let has_capacity = |it: &&Arc<Upstream>| {
         f64::from(it.stats.load()) < f64::from(it.slots) * fill
             && !criteria.tried.contains(&it.host)
-            && cold_rate(state, it, now).is_none_or(|rate| it.stats.has_cold_permit(now, rate))
+            && cold_rate(it, now).is_none_or(|rate| it.stats.has_cold_permit(now, rate))
     };
     let all = snapshot.upstreams(&criteria.target.service, criteria.target.model.as_deref());
     let usable: Vec<&Arc<Upstream>> = all.iter().filter(has_capacity).collect();
--- a/cuminward-gateway/src/peer/discovery.rs
+++ b/cuminward-gateway/src/peer/discovery.rs
@@ -48,8 +48,8 @@
     for record in page.records.iter().filter(|it| it.key != state.settings.node.name) {
         let address = record.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
         let Some(address) = address.and_then(|it| it.parse::<SocketAddr>().ok()) else { continue };
-        let nodes = peers.add(state.now(), &record.key, address);
-        state.set_node_count(nodes);
+        peers.add(state.now(), &record.key, address);
     }
+    state.add_nodes(page.records.iter().map(|it| it.key.as_str()), true);
     Ok(())
 }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -67,6 +67,11 @@
         peers.into_values().take(scaling::CANDIDATES_PER_DOMAIN).collect()
     }
 
+    /// Returns whether a node is known.
+    fn contains(&self, node: &str) -> bool {
+        self.lock().contains_key(node)
+    }
+
     /// Returns the hosts that the last digest of a node reports as lost.
     fn reported_losses(&self, node: &str) -> Vec<id::Host> {
         let peers = self.lock();
@@ -81,13 +86,12 @@
 
 /// Mutation
 impl Peers {
-    /// Adds a node that the store lists. Returns the number of nodes, this one included.
-    pub(crate) fn add(&self, now: Duration, node: &str, address: SocketAddr) -> usize {
+    /// Adds a node that the store lists.
+    pub(crate) fn add(&self, now: Duration, node: &str, address: SocketAddr) {
         let mut peers = self.lock();
         let peer =
             peers.entry(node.to_owned()).or_insert(Peer { address, seen_at: now, digest: None });
         peer.address = address;
-        peers.len() + 1
     }
 
     /// Stores a digest. Returns false, without a change, if it is no newer than the known one of its
@@ -176,10 +180,13 @@
     let now = state.now();
     let (node, lost, crashes) = (digest.node.clone(), digest.lost.clone(), digest.crashes.clone());
     let lost_before = peers.reported_losses(&node);
+    let is_new = !peers.contains(&node);
     if !peers.store_digest(now, digest) {
         return;
     }
-    state.set_node_count(peers.lock().len() + 1);
+    if is_new {
+        state.add_nodes([node.as_str()], false);
+    }
     probe_reported_losses(state, &node, &loss::find_new(&lost_before, &lost));
     if !crashes.is_empty() {
         update_remote_crashes(state, peers, now);
--- a/cuminward-gateway/src/settings.rs
+++ b/cuminward-gateway/src/settings.rs
@@ -2,8 +2,10 @@
 
 use std::{fs, io, net::SocketAddr, path::Path, time::Duration};
 
+use cuminward_core::number::Rounded;
+use cuminward_serving::cold;
 use serde::Deserialize;
-use serde_with::{DurationMilliSeconds, DurationSecondsWithFrac, serde_as};
+use serde_with::{DurationMilliSecondsWithFrac, DurationSecondsWithFrac, serde_as};
 
 /// Settings of a gateway node.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -19,6 +21,9 @@
     pub timing: Timing,
     /// Retry budget.
     pub retry: Retry,
+    /// Requests to cold hosts.
+    #[serde(default)]
+    pub cold: Cold,
     /// Admission queue.
     #[serde(default)]
     pub admission: Admission,
@@ -59,10 +64,11 @@
     /// Address.
     pub address: SocketAddr,
     /// Shortest lease that the store grants, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     #[serde(rename = "min_lease_ms")]
     pub min_lease: Duration,
     /// Number of partitions of a topic.
+    #[serde_as(as = "Rounded")]
     pub partitions: u32,
 }
 
@@ -84,7 +90,30 @@
     /// Retries per request that all nodes together may send.
     pub ratio: f64,
     /// Retries that all nodes together may send in addition, independent of the request rate.
-    pub reserve: u32,
+    pub reserve: f64,
+}
+
+/// Bound on the requests that a cold host gets within a second from all nodes together: the rate that
+/// the catalog declares, times `overrun`, plus `slack`.
+#[derive(Debug, Clone, PartialEq, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Cold {
+    /// Factor on the declared rate; [`Cold::DEFAULT_OVERRUN`] if missing.
+    pub overrun: Option<f64>,
+    /// Requests in addition; none if missing.
+    pub slack: Option<f64>,
+}
+
+/// Access
+impl Cold {
+    /// Factor on the declared rate if the settings name none.
+    pub const DEFAULT_OVERRUN: f64 = 1.5;
+
+    /// Returns the limit for a host that sustains `rate` requests per second.
+    pub fn limit(&self, rate: f64) -> cold::Limit {
+        let overrun = self.overrun.unwrap_or(Cold::DEFAULT_OVERRUN);
+        cold::Limit { rate, peak: rate * overrun + self.slack.unwrap_or(0.0) }
+    }
 }
 
 /// Admission queue, in which requests wait for an upstream with capacity.
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -9,12 +9,14 @@
 use cuminward_adapter::{catalog as catalog_record, host as host_record, topic};
 use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::{
-    catalog, engine, host, id, loss,
+    catalog, engine, host, id, loss, nodes,
     replica::{self, Group},
     slowdown,
     table::{Record, Table},
 };
 
+use crate::settings;
+
 use super::{
     routing::{self, Member, Pool, Snapshot, Upstream},
     stats::Stats,
@@ -24,6 +26,10 @@
 pub(crate) struct Cluster {
     node: id::Node,
     events: Arc<Sink>,
+    /// Bound on the requests to cold hosts.
+    pub(crate) cold: settings::Cold,
+    /// All nodes.
+    pub(crate) nodes: nodes::List,
     /// Newest records of the declarations.
     pub(crate) declarations: Table,
     /// Newest records of the host list, as the hosts wrote them.
@@ -45,10 +51,12 @@
 /// Life cycle
 impl Cluster {
     /// Creates a state without any records.
-    pub(crate) fn new(node: id::Node, events: Arc<Sink>) -> Cluster {
+    pub(crate) fn new(node: id::Node, cold: settings::Cold, events: Arc<Sink>) -> Cluster {
         Cluster {
+            nodes: nodes::List::new(node.clone()),
             node,
             events,
+            cold,
             declarations: Table::default(),
             host_list: Table::default(),
             catalog: None,
@@ -316,7 +324,7 @@
             slots: engine.slots,
             members: members.collect(),
             slowdown: group.members.values().map(|it| it.slowdown).fold(slowdown::NORMAL, f64::max),
-            cold_rate: service.cold_rate,
+            cold_share: self.cold_share(now, service, &head.id),
             stats: self.upstream_stats(now, &name, &head.id),
             name,
         }
@@ -338,6 +346,7 @@
                 key,
                 affinity: routing::affinity(&self.node, key),
                 stats: self.upstream_stats(now, &name, &host.id),
+                cold_share: self.cold_share(now, service, &host.id),
                 name,
                 host: host.id,
                 address: host.address,
@@ -345,12 +354,19 @@
                 slots: host.slots,
                 members: vec![member],
                 slowdown: slowdown::NORMAL,
-                cold_rate: service.cold_rate,
             }));
         }
         pool
     }
 
+    /// Returns this node's share of the rate of requests that a host sustains while it is cold; `None` if
+    /// the host is warm or its rate isn't limited.
+    fn cold_share(&self, now: Duration, service: &catalog::Service, host: &str) -> Option<f64> {
+        let rate = service.cold_rate?;
+        self.cold_until.get(host).filter(|until| **until > now)?;
+        Some(self.cold.limit(rate).share(&self.nodes, host))
+    }
+
     fn upstream_stats(&mut self, now: Duration, name: &str, host: &str) -> Arc<Stats> {
         let stats = Arc::clone(self.stats.entry(name.to_owned()).or_default());
         if let Some(until) = self.cold_until.get(host).filter(|until| **until > now) {
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -49,6 +49,10 @@
 const STEWARD_PROBE_INTERVAL: Duration = Duration::from_millis(400);
 const PROBE_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Part of a node's share of the retry reserve that one process of the node uses. An earlier process may
+/// have used the rest a moment ago.
+const RESERVE_PART: f64 = 0.5;
+
 /// Shared state of a node.
 pub(crate) struct State {
     /// Settings with which the node started.
@@ -71,7 +75,7 @@
     crashes: Mutex<crash::Tracker>,
     /// This node's shares of the retry budgets, by service.
     retry_budgets: Mutex<HashMap<id::Service, Arc<Budget>>>,
-    /// Number of known nodes, this one included.
+    /// Number of nodes in the list of all nodes, this one included.
     node_count: AtomicUsize,
     /// When the node began to stop, in milliseconds since its start; 0 if it isn't stopping.
     stop_began_ms: AtomicU64,
@@ -114,7 +118,8 @@
             ..pool::Options::default()
         };
         let has_traffic = AtomicBool::new(!settings.node.is_first_start);
-        let cluster = Mutex::new(cluster::Cluster::new(node, Arc::clone(&events)));
+        let cluster =
+            Mutex::new(cluster::Cluster::new(node, settings.cold.clone(), Arc::clone(&events)));
         Ok(State {
             events,
             current_settings: ArcSwap::from_pointee(settings.clone()),
@@ -207,18 +212,28 @@
             return Arc::clone(it);
         }
         let current = self.current_settings();
-        let retry = &current.retry;
-        let reserve = (retry.reserve as usize / self.node_count().max(1)).max(1);
-        let budget = Arc::new(Budget::new((retry.ratio * 1000.0) as u32, reserve as u32));
+        let budget = Arc::new(Budget::empty((current.retry.ratio * 1000.0) as u32));
+        if let Some(reserve) = self.retry_reserve() {
+            budget.set_capacity(reserve);
+            budget.add(reserve);
+        }
         budgets.insert(service.to_owned(), Arc::clone(&budget));
         budget
     }
+
+    /// Returns the retries that this node may send independent of its requests; `None` until the list of
+    /// nodes is complete.
+    fn retry_reserve(&self) -> Option<f64> {
+        let reserve = self.current_settings().retry.reserve;
+        self.cluster().nodes.divide(reserve * RESERVE_PART)
+    }
 }
 
 /// Mutation
 impl State {
     /// Replaces the current settings. Settings that are used only at the start keep their old values.
     pub(crate) fn reload(&self, settings: Settings) {
+        self.cluster().cold = settings.cold.clone();
         self.current_settings.store(Arc::new(settings));
         self.retry_budgets.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
@@ -239,10 +254,36 @@
         self.has_traffic.store(true, Ordering::Relaxed);
     }
 
-    /// Sets the number of nodes. If it grew, the retry budgets are divided again among the nodes.
-    pub(crate) fn set_node_count(&self, count: usize) {
-        if self.node_count.swap(count, Ordering::Relaxed) < count {
-            self.retry_budgets.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    /// Adds nodes to the list of all nodes, which contains all that have registered if `is_complete`.
+    /// If the list changes, limits on all nodes together are divided again.
+    pub(crate) fn add_nodes<'a>(
+        &self,
+        names: impl IntoIterator<Item = &'a str>,
+        is_complete: bool,
+    ) {
+        let mut cluster = self.cluster();
+        let mut is_changed = false;
+        for name in names {
+            is_changed |= cluster.nodes.add(name);
+        }
+        let is_completed = is_complete && cluster.nodes.set_complete();
+        self.node_count.store(cluster.nodes.len(), Ordering::Relaxed);
+        drop(cluster);
+        if is_changed || is_completed {
+            self.divide_retry_reserve(is_completed);
+            self.publish();
+        }
+    }
+
+    /// Divides the reserve of the retry budgets again. It is added to them if it wasn't known before.
+    fn divide_retry_reserve(&self, is_new: bool) {
+        let Some(reserve) = self.retry_reserve() else { return };
+        let budgets = self.retry_budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        for budget in budgets.values() {
+            budget.set_capacity(reserve);
+            if is_new {
+                budget.add(reserve);
+            }
         }
     }
 
--- a/cuminward-gateway/src/state/routing.rs
+++ b/cuminward-gateway/src/state/routing.rs
@@ -51,9 +51,9 @@
     pub(crate) members: Vec<Member>,
     /// Slowdown factor of the slowest member; 1 is the usual speed.
     pub(crate) slowdown: slowdown::Factor,
-    /// Largest rate of requests from all nodes together while the upstream is cold, in requests per
-    /// second; `None` if there is no limit.
-    pub(crate) cold_rate: Option<f64>,
+    /// This node's share of the request rate while the upstream is cold, in requests per second; `None` if
+    /// there is no limit.
+    pub(crate) cold_share: Option<f64>,
     pub(crate) stats: Arc<Stats>,
 }
 
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod id;
 pub mod loss;
 pub mod message;
+pub mod nodes;
 pub mod placement;
 pub mod queue;
 pub mod replica;
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod host;
 mod loss;
 mod message;
+mod nodes;
 mod placement;
 mod queue;
 mod replica;
