fix: cuminward-serving, cuminward-gateway: probes of a lost or busy host don't grow with the number of nodes

Change: three nodes by rendezvous hash, and the steward, probe a lost host; the others that found it lost go on while they hear of it, and probe it themselves when they hear nothing. Only losses that a node probed are passed on, so nodes can't keep a host lost for each other; a withdrawn report ends the extension at once. A node that hears of a loss probes it only if it has requests there, is a prober or the steward; for others the replica counts as suspect.

--- a/cuminward-gateway/src/control/health_check.rs
+++ b/cuminward-gateway/src/control/health_check.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use cuminward_event::kind::Kind;
-use cuminward_serving::slowdown;
+use cuminward_serving::{progress, slowdown};
 use futures::future;
 use tokio::{
     sync::mpsc,
@@ -24,9 +24,6 @@
 /// another replica, if another attempt is allowed.
 const STALLED_AFTER: Duration = Duration::from_millis(450);
 
-/// Time without progress of a busy replica after which its members are probed.
-const CHECK_AFTER: Duration = Duration::from_millis(220);
-
 /// Time without progress after which a replica is given up although all its members answer.
 const GIVE_UP_AFTER: Duration = Duration::from_millis(1500);
 
@@ -58,8 +55,8 @@
             if stalled_for > STALLED_AFTER {
                 upstream.stats.interrupt.notify_waiters();
             }
-            if (is_check_requested || stalled_for > CHECK_AFTER) && in_progress.insert(upstream.key)
-            {
+            let is_stalled = stalled_for > upstream.stats.check_after();
+            if (is_check_requested || is_stalled) && in_progress.insert(upstream.key) {
                 let (state, upstream) = (Arc::clone(&state), Arc::clone(upstream));
                 let sender = sender.clone();
                 tokio::spawn(async move {
@@ -77,7 +74,8 @@
     let now = state.now();
     let (due, is_changed) = {
         let mut cluster = state.cluster();
-        (cluster.take_due_probes(now, state.probe_interval()), cluster.expire_losses(now))
+        let (interval, is_steward) = (state.probe_interval(), state.election.is_steward());
+        (cluster.take_due_probes(now, interval, is_steward), cluster.expire_losses(now))
     };
     if is_changed {
         state.publish();
@@ -154,6 +152,7 @@
         upstream.stats.record_failure(now);
         upstream.stats.mark_lost(now);
     } else {
-        time::sleep(CHECK_AFTER).await;
+        // The next check of the same stall is due when the stall has doubled.
+        time::sleep(stalled_for.max(progress::MIN_CHECK_AFTER)).await;
     }
 }
--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -28,7 +28,7 @@
     pub(crate) listing: id::Offset,
     /// Number of the node's requests in flight, for each upstream that has any.
     pub(crate) flights: Vec<(Key, u32)>,
-    /// Hosts that count as lost because they didn't answer the node.
+    /// Hosts that didn't answer a recent probe of the node.
     pub(crate) lost: Vec<id::Host>,
     /// Number of host crashes that the node saw, by fingerprint of the request that caused them.
     pub(crate) crashes: Vec<(Fingerprint, u32)>,
@@ -69,7 +69,7 @@
             declarations: cluster.declarations.end(),
             listing: cluster.host_list.end(),
             flights,
-            lost: cluster.lost_hosts(now).into_iter().collect(),
+            lost: cluster.probed_losses(now),
             crashes: state.crashes().own_counts(now).collect(),
         }
     }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -187,26 +187,54 @@
     if is_new {
         state.add_nodes([node.as_str()], false);
     }
-    probe_reported_losses(state, &node, &loss::find_new(&lost_before, &lost));
+    withdraw_losses(state, &loss::find_new(&lost, &lost_before));
+    handle_reported_losses(state, &node, &lost_before, &lost);
     if !crashes.is_empty() {
         update_remote_crashes(state, peers, now);
     }
 }
 
-/// Probes hosts that another node newly reported as lost, if they are members of replicas.
-fn probe_reported_losses(state: &Arc<State>, from: &str, lost: &[&str]) {
+/// Ends losses that were only extended by the reports of a node that reports them no longer.
+fn withdraw_losses(state: &State, withdrawn: &[&str]) {
+    if withdrawn.is_empty() {
+        return;
+    }
+    let now = state.now();
+    let mut cluster = state.cluster();
+    let ended = withdrawn.iter().filter(|it| cluster.withdraw_reported_loss(now, it)).count();
+    drop(cluster);
+    if ended > 0 {
+        state.publish();
+    }
+}
+
+/// Handles the losses that another node reports. A replica with a lost member counts as suspect; the
+/// member is probed if this node has requests at the replica, or is one of the nodes that probe the
+/// member.
+fn handle_reported_losses(state: &Arc<State>, from: &str, before: &[id::Host], lost: &[id::Host]) {
     let now = state.now();
     let mut cluster = state.cluster();
-    let lost: Vec<&str> =
-        lost.iter().copied().filter(|it| cluster.record_reported_loss(now, it)).collect();
+    let reported = lost.iter().filter(|it| cluster.record_reported_loss(now, it));
+    let reported: Vec<&id::Host> = reported.collect();
+    let lost: Vec<(&str, bool)> =
+        reported.into_iter().map(|it| (it.as_str(), cluster.is_prober(it))).collect();
     drop(cluster);
     if lost.is_empty() {
         return;
     }
-    state.events.emit(Kind::LossReported { from: from.to_owned(), hosts: lost.join(",") });
+    let new: Vec<&str> =
+        lost.iter().map(|it| it.0).filter(|it| !before.iter().any(|old| old == it)).collect();
+    if !new.is_empty() {
+        state.events.emit(Kind::LossReported { from: from.to_owned(), hosts: new.join(",") });
+    }
+    let is_steward = state.election.is_steward();
     for upstream in state.routing.load().including_retired().filter(|it| it.is_replica()) {
-        for member in upstream.members.iter().filter(|it| lost.contains(&it.host.as_str())) {
-            health_check::spawn_probe(state, member.clone());
+        for member in &upstream.members {
+            let Some((_, is_prober)) = lost.iter().find(|it| it.0 == member.host) else { continue };
+            upstream.stats.record_reported_loss(now);
+            if *is_prober || is_steward || upstream.stats.in_flight() > 0 {
+                health_check::spawn_probe(state, member.clone());
+            }
         }
     }
 }
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -77,6 +77,16 @@
         self.losses.lost_hosts(now)
     }
 
+    /// Returns the hosts that didn't answer a recent probe of this node.
+    pub(crate) fn probed_losses(&self, now: Duration) -> Vec<id::Host> {
+        self.losses.probed_losses(now).cloned().collect()
+    }
+
+    /// Returns whether this node is one of the nodes that probe a host while it is lost.
+    pub(crate) fn is_prober(&self, host: &str) -> bool {
+        self.nodes.rank(routing::key(host)) < loss::PROBERS
+    }
+
     /// Returns the services that have a model engine, with their engines.
     pub(crate) fn engines(&self) -> Vec<(id::Service, engine::Engine)> {
         let Some(catalog) = &self.catalog else { return Vec::new() };
@@ -227,6 +237,12 @@
         self.losses.record_report(now, id)
     }
 
+    /// Records that another node no longer reports a host as lost. Returns whether the host counted as lost
+    /// until now.
+    pub(crate) fn withdraw_reported_loss(&mut self, now: Duration, id: &str) -> bool {
+        self.losses.record_withdrawal(now, id)
+    }
+
     /// Returns whether another node recently reported a host as lost.
     pub(crate) fn is_reported_lost(&self, now: Duration, id: &str) -> bool {
         self.losses.has_recent_report(now, id)
@@ -242,11 +258,19 @@
         self.losses.expire(now)
     }
 
-    /// Returns the lost and slow hosts in the host list that are due for a probe, and schedules their
-    /// next one after `interval`.
-    pub(crate) fn take_due_probes(&mut self, now: Duration, interval: Duration) -> Vec<Member> {
+    /// Returns the lost and slow hosts in the host list that are due for a probe of this node, and
+    /// schedules their next one after `interval`. A steward probes all lost hosts.
+    pub(crate) fn take_due_probes(
+        &mut self,
+        now: Duration,
+        interval: Duration,
+        is_steward: bool,
+    ) -> Vec<Member> {
         let slow = self.slowdowns.take_due_probes(now, interval);
-        let due = self.losses.take_due_probes(now, interval).into_iter().chain(slow);
+        let nodes = &self.nodes;
+        let is_prober = |host: &str| is_steward || nodes.rank(routing::key(host)) < loss::PROBERS;
+        let lost = self.losses.take_due_probes(now, interval, is_prober);
+        let due = lost.into_iter().chain(slow);
         due.filter_map(|host| {
             let address = self.hosts.get(&host)?.address.clone();
             Some(Member { host, address })
--- a/cuminward-gateway/src/state/stats.rs
+++ b/cuminward-gateway/src/state/stats.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use cuminward_serving::cold::Bucket;
+use cuminward_serving::{cold::Bucket, progress};
 use tokio::sync::Notify;
 
 /// Time without progress after which a busy upstream counts as suspect.
@@ -18,6 +18,9 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(500);
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
 
+/// Time for which an upstream counts as suspect after another node reported one of its members as lost.
+const REPORTED_LOSS_BACKOFF: Duration = Duration::from_millis(1500);
+
 /// Load and health of one upstream.
 #[derive(Debug, Default)]
 pub(crate) struct Stats {
@@ -28,6 +31,8 @@
     /// When the last bytes arrived from the upstream, or when it got a request while idle, in
     /// milliseconds since the node's start.
     progress_ms: AtomicU64,
+    /// Longest recent pause between two parts of responses, in milliseconds.
+    longest_pause_ms: AtomicU64,
     /// When the upstream was last marked as lost, in milliseconds since the node's start; 0 if never.
     lost_ms: AtomicU64,
     /// Until when the upstream counts as suspect after a failure, in milliseconds since the node's
@@ -70,6 +75,12 @@
         (self.in_flight() > 0).then(|| now.saturating_sub(progress))
     }
 
+    /// Returns the time without progress after which the members are checked.
+    pub(crate) fn check_after(&self) -> Duration {
+        let longest = Duration::from_millis(self.longest_pause_ms.load(Ordering::Relaxed));
+        progress::check_after(longest)
+    }
+
     /// Returns whether the upstream was marked as lost after `since`.
     pub(crate) fn is_lost_since(&self, since: Duration) -> bool {
         self.lost_ms.load(Ordering::Relaxed) > since.as_millis() as u64
@@ -99,7 +110,7 @@
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn begin_request(self: &Arc<Stats>, now: Duration) -> InFlight {
         if self.in_flight.fetch_add(1, Ordering::Relaxed) == 0 {
-            self.record_progress(now);
+            self.progress_ms.store(now.as_millis() as u64, Ordering::Relaxed);
         }
         InFlight { stats: Arc::clone(self) }
     }
@@ -112,7 +123,11 @@
 
     /// Records that bytes arrived from the upstream.
     pub(crate) fn record_progress(&self, now: Duration) {
-        self.progress_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+        let last = self.progress_ms.swap(now.as_millis() as u64, Ordering::Relaxed);
+        let pause = now.saturating_sub(Duration::from_millis(last));
+        let recent = Duration::from_millis(self.longest_pause_ms.load(Ordering::Relaxed));
+        let longest = progress::longest_pause(recent, pause);
+        self.longest_pause_ms.store(longest.as_millis() as u64, Ordering::Relaxed);
     }
 
     /// Requests a health check of the members.
@@ -138,6 +153,13 @@
         self.backoff_until_ms.fetch_max(until, Ordering::Relaxed);
     }
 
+    /// Records that another node reported a member of the upstream as lost: the upstream counts as suspect
+    /// until the report expires or is repeated.
+    pub(crate) fn record_reported_loss(&self, now: Duration) {
+        let until = (now + REPORTED_LOSS_BACKOFF).as_millis() as u64;
+        self.backoff_until_ms.fetch_max(until, Ordering::Relaxed);
+    }
+
     /// Marks the upstream as lost and interrupts its requests in flight.
     pub(crate) fn mark_lost(&self, now: Duration) {
         self.lost_ms.store(now.as_millis() as u64, Ordering::Relaxed);
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod message;
 pub mod nodes;
 pub mod placement;
+pub mod progress;
 pub mod queue;
 pub mod replica;
 pub mod request;
--- a/cuminward-serving/tests/all/loss.rs
+++ b/cuminward-serving/tests/all/loss.rs
@@ -27,13 +27,13 @@
     tracker.record_loss(ms(1000), "h", INTERVAL);
     for round in 1..10 {
         let now = ms(1000 + round * 400);
-        expect_that!(tracker.take_due_probes(now, INTERVAL), elements_are![eq("h")]);
-        expect_that!(tracker.take_due_probes(now, INTERVAL), is_empty());
+        expect_that!(tracker.take_due_probes(now, INTERVAL, |_| true), elements_are![eq("h")]);
+        expect_that!(tracker.take_due_probes(now, INTERVAL, |_| true), is_empty());
         expect_that!(tracker.record_loss(now, "h", INTERVAL), eq(false));
     }
     expect_that!(tracker.clear_loss("h"), eq(true));
     expect_that!(tracker.clear_loss("h"), eq(false));
-    expect_that!(tracker.take_due_probes(ms(9000), INTERVAL), is_empty());
+    expect_that!(tracker.take_due_probes(ms(9000), INTERVAL, |_| true), is_empty());
 }
 
 #[gtest]
@@ -56,3 +56,76 @@
     tracker.record_loss(ms(3100), "g", INTERVAL);
     expect_that!(tracker.record_report(ms(3200), "g"), eq(false), "already counts as lost");
 }
+
+#[gtest]
+fn reports_extend_a_loss_that_this_node_found_itself() {
+    let mut tracker = Tracker::default();
+    tracker.record_loss(ms(1000), "h", INTERVAL);
+    for now in (1400..9000).step_by(200).map(ms) {
+        tracker.record_report(now, "h");
+        expect_that!(tracker.take_due_probes(now, INTERVAL, |_| false), is_empty(), "{now:?}");
+        expect_that!(tracker.lost_hosts(now).len(), eq(1), "{now:?}");
+    }
+    expect_that!(tracker.probed_losses(ms(9000)).count(), eq(0), "it isn't passed on");
+    expect_that!(tracker.record_withdrawal(ms(9000), "h"), eq(true));
+    expect_that!(tracker.lost_hosts(ms(9000)), is_empty());
+}
+
+#[gtest]
+fn a_report_alone_makes_no_loss() {
+    let mut tracker = Tracker::default();
+    for now in (1000..9000).step_by(200).map(ms) {
+        tracker.record_report(now, "h");
+        expect_that!(tracker.lost_hosts(now), is_empty(), "{now:?}");
+    }
+    expect_that!(tracker.record_withdrawal(ms(9000), "h"), eq(false));
+}
+
+#[gtest]
+fn a_node_without_reports_probes_the_host_itself() {
+    let mut tracker = Tracker::default();
+    tracker.record_loss(ms(1000), "h", INTERVAL);
+    let due = tracker.take_due_probes(ms(1400), INTERVAL, |_| false);
+    expect_that!(due, elements_are![eq("h")], "nobody has reported the host");
+    tracker.record_report(ms(1500), "h");
+    expect_that!(tracker.take_due_probes(ms(1900), INTERVAL, |_| false), is_empty());
+    let due = tracker.take_due_probes(ms(3700), INTERVAL, |_| false);
+    expect_that!(due, elements_are![eq("h")], "the last report is old");
+}
+
+/// Plays a lost host in front of nodes that pass on what they probed, and counts the probes.
+fn probes_per_second(nodes: usize, gossip: Duration) -> f64 {
+    let interval = ms(1000);
+    let mut trackers = vec![Tracker::default(); nodes];
+    trackers.iter_mut().for_each(|it| {
+        it.record_loss(ms(1000), "h", interval);
+    });
+    let mut probes = 0;
+    for now in (1000..21_000).step_by(20).map(ms) {
+        for (index, tracker) in trackers.iter_mut().enumerate() {
+            let is_prober = index < cuminward_serving::loss::PROBERS;
+            if !tracker.take_due_probes(now, interval, |_| is_prober).is_empty() {
+                probes += 1;
+                tracker.record_loss(now, "h", interval);
+            }
+        }
+        if now.as_millis() % gossip.as_millis() == 0 {
+            let reporting = trackers.iter().filter(|it| it.probed_losses(now).count() > 0).count();
+            trackers.iter_mut().filter(|_| reporting > 0).for_each(|it| {
+                it.record_report(now, "h");
+            });
+        }
+        let all_lost = trackers.iter().all(|it| it.lost_hosts(now).len() == 1);
+        expect_that!(all_lost, eq(true), "{nodes} nodes, {now:?}");
+    }
+    f64::from(probes) / 20.0
+}
+
+#[gtest]
+fn the_probes_of_a_lost_host_do_not_grow_with_the_nodes() {
+    for nodes in [3, 9, 95, 400] {
+        let probes = probes_per_second(nodes, ms(1200));
+        expect_that!(probes, le(4.0), "{nodes} nodes");
+        expect_that!(probes, ge(2.0), "{nodes} nodes");
+    }
+}
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod message;
 mod nodes;
 mod placement;
+mod progress;
 mod queue;
 mod replica;
 mod scaling;
