fix: cuminward-serving, cuminward-gateway, cuminward-upstream: requests prefer upstreams to which a connection is open

Cause: 95 nodes with few requests each spread them over all upstreams of their subset, so a connection was seldom used again before it was closed; and the connections of reports were dropped after 2 s, though a report is asked for again on a new connection anyway.

Change: an upstream with an idle connection is preferred as if it had a tenth of its slots less load; reports use connections that were idle for up to 9 s, as requests do.

--- a/cuminward-gateway/src/control/host_client.rs
+++ b/cuminward-gateway/src/control/host_client.rs
@@ -17,7 +17,7 @@
 const MAX_BODY_BYTES: usize = 256 << 10;
 
 /// Longest idle time of a connection that is reused.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(9);
 
 /// Timeout of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cuminward_adapter::header;
 use cuminward_event::kind::Kind;
-use cuminward_serving::{attempt::Failure, event, request};
+use cuminward_serving::{attempt::Failure, catalog::Retry, event, request};
 use cuminward_upstream::{body, plain};
 use http::{HeaderValue, Request, StatusCode, header as names, response::Parts};
 use http_body_util::Full;
@@ -37,6 +37,11 @@
     pub(crate) cause: String,
 }
 
+/// Returns the longest time that a connection may have been idle to be used for a request.
+pub(crate) fn max_idle(retry: Retry) -> Duration {
+    if retry.is_retryable() { MAX_IDLE } else { MAX_IDLE_NON_RETRYABLE }
+}
+
 /// Sends a request to the upstream of a slot and waits for the head of its response.
 ///
 /// # Errors
@@ -51,7 +56,7 @@
     timeout: Duration,
 ) -> Result<Response, Fault> {
     let request = build_request(context, slot, last_event);
-    let idle = if context.route.retry.is_retryable() { MAX_IDLE } else { MAX_IDLE_NON_RETRYABLE };
+    let idle = max_idle(context.route.retry);
     let address = &slot.upstream.address;
     let may_have_run_before = context.may_have_run();
     context.set_may_have_run(true);
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -11,7 +11,7 @@
 };
 use tokio::time::{self, Instant};
 
-use super::{context::Context, report};
+use super::{context::Context, exchange, report};
 use crate::state::{
     State,
     admission::{Criteria, Grant, Target},
@@ -57,7 +57,8 @@
 ) -> Result<Slot, Unavailable> {
     let started = Instant::now();
     let target = Target { service: context.service.clone(), model: context.meta.model.clone() };
-    let criteria = Criteria { target, tried: tried.to_vec() };
+    let max_idle = exchange::max_idle(context.route.retry);
+    let criteria = Criteria { target, tried: tried.to_vec(), max_idle };
     let grant = if state.admission.has_waiting(&criteria.target) {
         None
     } else {
@@ -147,6 +148,7 @@
         load: it.stats.load(),
         slots: it.slots,
         is_same_domain: it.domain == *domain,
+        is_connected: state.upstreams.has_idle(&it.address, criteria.max_idle),
         health: assess_health(it, now),
         slowdown: it.slowdown,
         affinity: it.affinity,
--- a/cuminward-gateway/src/state/admission.rs
+++ b/cuminward-gateway/src/state/admission.rs
@@ -6,6 +6,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use cuminward_serving::{
@@ -22,6 +23,8 @@
     pub(crate) target: Target,
     /// Hosts of earlier attempts, which must not get the request again.
     pub(crate) tried: Vec<id::Host>,
+    /// Longest time for which a connection that the request uses may have been idle.
+    pub(crate) max_idle: Duration,
 }
 
 /// Service and model that a request is for.
--- a/cuminward-serving/src/select.rs
+++ b/cuminward-serving/src/select.rs
@@ -13,6 +13,8 @@
     pub slots: u32,
     /// Whether the upstream is in the failure domain of this node.
     pub is_same_domain: bool,
+    /// Whether this node has an idle connection to the upstream.
+    pub is_connected: bool,
     /// Health of the upstream.
     pub health: Health,
     /// Factor by which the upstream is slower than usual.
@@ -40,6 +42,11 @@
 /// node is preferred to one in another domain.
 const SAME_DOMAIN_BONUS: f64 = 0.05;
 
+/// Additional load, as a share of the slots, up to which an upstream to which this node has an idle
+/// connection is preferred. Many nodes with few requests each would otherwise use every upstream so
+/// seldom that its connection has been closed meanwhile.
+const CONNECTED_BONUS: f64 = 0.1;
+
 /// Returns the index of the upstream with the lowest load relative to its slots. Only upstreams in
 /// the best health state that any of them has are considered, and of these only the `subset_size`
 /// ones with the highest affinity. Returns `None` if there are no candidates.
@@ -59,9 +66,10 @@
 }
 
 /// Returns the load that the upstream would have with the request, as a share of its slots and
-/// corrected for slowdown and failure domain. Lower is better.
+/// corrected for slowdown, failure domain and connection. Lower is better.
 fn score(it: &Candidate) -> f64 {
     let share = f64::from(it.load + 1) / f64::from(it.slots.max(1));
-    let bonus = if it.is_same_domain { SAME_DOMAIN_BONUS } else { 0.0 };
-    share * it.slowdown - bonus
+    let domain_bonus = if it.is_same_domain { SAME_DOMAIN_BONUS } else { 0.0 };
+    let connected_bonus = if it.is_connected { CONNECTED_BONUS } else { 0.0 };
+    share * it.slowdown - domain_bonus - connected_bonus
 }
--- a/cuminward-serving/tests/all/select.rs
+++ b/cuminward-serving/tests/all/select.rs
@@ -17,6 +17,7 @@
             load,
             slots,
             is_same_domain,
+            is_connected: false,
             health,
             slowdown: 1.0,
             affinity: 0,
@@ -24,6 +25,7 @@
         }
     };
     let of = |health, it| Candidate { health, ..it };
+    let connected = |it| Candidate { is_connected: true, ..it };
     let cases = [
         Case { name: "none", candidates: vec![], expected: None },
         Case {
@@ -46,6 +48,21 @@
             candidates: vec![it(9, 10, true), it(1, 10, false)],
             expected: Some(1),
         },
+        Case {
+            name: "connected, equal load",
+            candidates: vec![it(1, 10, false), connected(it(1, 10, false))],
+            expected: Some(1),
+        },
+        Case {
+            name: "connected and in another domain",
+            candidates: vec![it(1, 10, true), connected(it(1, 10, false))],
+            expected: Some(1),
+        },
+        Case {
+            name: "connected, more load",
+            candidates: vec![it(1, 10, false), connected(it(3, 10, false))],
+            expected: Some(0),
+        },
         Case {
             name: "slower",
             candidates: vec![Candidate { slowdown: 5.0, ..it(1, 10, false) }, it(4, 10, false)],
@@ -81,6 +98,7 @@
         load,
         slots: 10,
         is_same_domain: false,
+        is_connected: false,
         health,
         slowdown: 1.0,
         affinity,
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -135,6 +135,14 @@
         self.inner.opened.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the pool holds an open connection to an address that was idle for at most
+    /// `idle_timeout`.
+    pub fn has_idle(&self, address: &str, idle_timeout: Duration) -> bool {
+        let shard = self.inner.shard(address);
+        let newest = shard.get(address).and_then(|it| it.last());
+        newest.is_some_and(|it| !it.is_closed() && it.last_used.elapsed() <= idle_timeout)
+    }
+
     /// Returns the counter of bytes sent and received on all connections.
     pub fn counter(&self) -> &Counter {
         &self.inner.counter
