fix: cuminward-serving, cuminward-gateway: requests stay at a slow replica that no other can replace; retries counted in a sliding window

Cause: with 84 nodes, a node has about one request at a replica, so 450 ms without an event of its own meant 'stalled' although the replica only read long prompts of other nodes' requests. The budget held one or two retries however long nothing had been retried, so streams ended when a failure domain went dark. Hosts that answered 421 were tried again by each request. Requests for a service without any upstream waited for their whole time.

Change: a request moves before its first event only if a retry is allowed and another replica has room now, after twice the mean time to the first event, 450 to 1500 ms; a replica is given up 1.05 s later. Retries of a node are counted over the window of the settings: a part of its requests in that window, plus its share of the reserve (half of it in the first window of a process). An upstream that answers 421 gets nothing for 1.5 s. Without any upstream a request is rejected at once; rejections name what was known, and Retry-After differs between callers.

--- a/cuminward-gateway/src/control/health_check.rs
+++ b/cuminward-gateway/src/control/health_check.rs
@@ -20,13 +20,6 @@
 /// Interval of the checks.
 const INTERVAL: Duration = Duration::from_millis(40);
 
-/// Time without progress of a busy replica after which requests that got no event from it yet move to
-/// another replica, if another attempt is allowed.
-const STALLED_AFTER: Duration = Duration::from_millis(450);
-
-/// Time without progress after which a replica is given up although all its members answer.
-const GIVE_UP_AFTER: Duration = Duration::from_millis(1500);
-
 /// Timeout of a probe on a new connection. A try on a kept connection comes first and takes up to half
 /// of it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(160);
@@ -52,7 +45,7 @@
         for upstream in snapshot.including_retired().filter(|it| it.is_replica()) {
             let is_check_requested = upstream.stats.take_health_check_request();
             let stalled_for = upstream.stats.time_since_progress(now).unwrap_or_default();
-            if stalled_for > STALLED_AFTER {
+            if stalled_for > progress::move_after(state.mean_first_event()) {
                 upstream.stats.interrupt.notify_waiters();
             }
             let is_stalled = stalled_for > upstream.stats.check_after();
@@ -124,7 +117,7 @@
 }
 
 /// Probes all members of a replica. A replica that makes no progress although its members answer is
-/// given up after [`GIVE_UP_AFTER`].
+/// given up after [`progress::give_up_after`].
 async fn check_members(state: &State, upstream: &Upstream) {
     let probes = upstream.members.iter().map(|it| probe(state, it));
     let results = future::join_all(probes).await;
@@ -134,9 +127,10 @@
         results.iter().map(|it| if let ProbeResult::Alive(factor) = it { *factor } else { 0.0 });
     let factor = factors.fold(0.0, slowdown::Factor::max);
     let stalled_for = upstream.stats.time_since_progress(now).unwrap_or_default();
+    let give_up_after = progress::give_up_after(state.mean_first_event());
     let verdict = match () {
         () if is_lost => "lost",
-        () if stalled_for > GIVE_UP_AFTER => "given-up",
+        () if stalled_for > give_up_after => "given-up",
         () => "kept",
     };
     state.events.emit(Kind::ReplicaStalled {
@@ -148,7 +142,7 @@
     if is_lost {
         return;
     }
-    if stalled_for > GIVE_UP_AFTER {
+    if stalled_for > give_up_after {
         upstream.stats.record_failure(now);
         upstream.stats.mark_lost(now);
     } else {
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -85,6 +85,9 @@
                 context.set_may_have_run(may_have_run_before);
             }
             slot.upstream.stats.record_failure(state.now());
+            if metadata.is_misdirected {
+                slot.upstream.stats.record_misdirection(state.now());
+            }
             Err(fault)
         }
     }
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -4,11 +4,10 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cuminward_route::attempt::Budget;
 use cuminward_serving::{
     attempt::{self, Failure, Next},
     event::{self, Event, Splitter},
-    id,
+    id, progress,
     queue::Progress,
 };
 use cuminward_upstream::body;
@@ -23,14 +22,13 @@
 };
 use crate::state::State;
 
-/// Shortest time from the start of an attempt until a stalled replica is abandoned.
-const MIN_TIME_BEFORE_FAILOVER: Duration = Duration::from_millis(350);
+/// `Retry-After` of a request that upstreams refused.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Yields the events of one request's stream, across attempts at several upstreams.
 pub(crate) struct Stream {
     state: Arc<State>,
     context: Arc<Context>,
-    budget: Arc<Budget>,
     attempts: attempt::Counts,
     /// Hosts to which the request was sent.
     tried: Vec<id::Host>,
@@ -51,9 +49,8 @@
     splitter: Splitter,
     /// When the request was sent, since the node's start.
     started: Duration,
-    /// Whether the request fails over if the replica stalls. Requires that another attempt is allowed,
-    /// and becomes false once this attempt yields an event.
-    may_fail_over: bool,
+    /// Whether the attempt has yielded an event.
+    has_yielded: bool,
 }
 
 /// An item of a stream.
@@ -66,8 +63,8 @@
 
 /// Why a stream ended early. Holds the cause for logs.
 pub(crate) enum Error {
-    /// The request wasn't executed.
-    Refused(String),
+    /// The request wasn't executed; the caller should send it again after this time.
+    Refused(String, Duration),
     /// The request may have been executed.
     Failed(String),
 }
@@ -93,13 +90,11 @@
 impl Stream {
     /// Creates the stream of a request. Nothing is sent yet.
     pub(crate) fn new(state: Arc<State>, context: Arc<Context>) -> Stream {
-        let budget = state.retry_budget(&context.service);
-        budget.deposit();
+        state.record_request(&context.service);
         Stream {
             last_event: context.meta.last_event,
             state,
             context,
-            budget,
             attempts: attempt::Counts::default(),
             tried: Vec::new(),
             upstream: String::new(),
@@ -134,12 +129,11 @@
             let slot = self.acquire_slot().await?;
             let left = self.context.remaining();
             let started = self.state.now();
-            let may_fail_over = self.may_fail_over();
             let sending =
                 exchange::send(&self.state, &self.context, &slot, self.resume_after(), left);
             let sent = tokio::select! {
                 sent = sending => sent,
-                () = wait_for_stall(&self.state, &slot, started, may_fail_over) => Err(Fault {
+                () = self.wait_for_stall(&slot, started, true) => Err(Fault {
                     failure: Failure::Unknown,
                     cause: String::from("the replica stalled before responding"),
                 }),
@@ -149,7 +143,7 @@
                     let head = Box::new(exchange::response_head(response.head));
                     let splitter = Splitter::default();
                     let body = response.body;
-                    let current = Attempt { slot, body, splitter, started, may_fail_over };
+                    let current = Attempt { slot, body, splitter, started, has_yielded: false };
                     self.current = Some(current);
                     return Ok(FirstResponse::Stream(head));
                 }
@@ -223,15 +217,25 @@
 
     /// Reads the next event of the current attempt, its end or its failure.
     async fn read_upstream(&mut self) -> UpstreamItem {
-        let Some(current) = &mut self.current else { return UpstreamItem::End };
+        let Some(mut current) = self.current.take() else { return UpstreamItem::End };
+        let item = self.read_attempt(&mut current).await;
+        self.current = Some(current);
+        item
+    }
+
+    async fn read_attempt(&self, current: &mut Attempt) -> UpstreamItem {
         loop {
             if let Some(event) = current.splitter.next_event() {
-                current.may_fail_over = false;
+                if !current.has_yielded {
+                    current.has_yielded = true;
+                    self.state.record_first_event(self.state.now() - current.started);
+                }
                 return UpstreamItem::Event(event);
             }
+            let may_move = !current.has_yielded;
             let frame = tokio::select! {
                 frame = current.body.frame() => frame,
-                () = wait_for_stall(&self.state, &current.slot, current.started, current.may_fail_over) => {
+                () = self.wait_for_stall(&current.slot, current.started, may_move) => {
                     return unknown_failure(String::from("the replica lost a member or stalled"));
                 }
             };
@@ -267,7 +271,7 @@
     async fn acquire_slot(&mut self) -> Result<Slot, Error> {
         let progress = if self.has_yielded { Progress::Started } else { Progress::New };
         let slot = slot::acquire(&self.state, &self.context, &self.tried, progress).await;
-        let slot = slot.map_err(|_| self.error(String::from("no replica has capacity")))?;
+        let slot = slot.map_err(|it| self.error(it.to_string(), it.retry_after()))?;
         self.tried.push(slot.upstream.host.clone());
         self.upstream.clone_from(&slot.upstream.name);
         Ok(slot)
@@ -289,21 +293,50 @@
             self.last_event,
             next,
         );
-        if next == Next::Retry && self.budget.withdraw() {
+        if next == Next::Retry && self.state.try_retry(&self.context.service) {
             return Ok(());
         }
-        Err(self.error(fault.cause))
+        Err(self.error(fault.cause, RETRY_AFTER))
     }
 
     /// Returns the error that ends the stream: [`Error::Failed`] if any attempt may have been executed,
     /// otherwise [`Error::Refused`].
-    fn error(&self, cause: String) -> Error {
-        if self.attempts.maybe_ran == 0 { Error::Refused(cause) } else { Error::Failed(cause) }
+    fn error(&self, cause: String, retry_after: Duration) -> Error {
+        if self.attempts.maybe_ran == 0 {
+            Error::Refused(cause, retry_after)
+        } else {
+            Error::Failed(cause)
+        }
+    }
+
+    /// Waits until the replica of a slot is lost or, if `may_move` is set, until it has stalled while the
+    /// request can be sent to another replica at once. A request that can't be sent elsewhere stays.
+    async fn wait_for_stall(&self, slot: &Slot, started: Duration, may_move: bool) {
+        let stats = &slot.upstream.stats;
+        loop {
+            let interrupt = stats.interrupt.notified();
+            let mut interrupt = std::pin::pin!(interrupt);
+            interrupt.as_mut().enable();
+            if stats.is_lost_since(started) {
+                return;
+            }
+            interrupt.await;
+            let now = self.state.now();
+            let waited = now.saturating_sub(started);
+            let move_after = progress::move_after(self.state.mean_first_event());
+            let has_stalled = stats.time_since_progress(now).is_some_and(|it| it > move_after);
+            if may_move && waited > move_after && has_stalled && self.can_move() {
+                self.state.record_first_event(waited * 2);
+                return;
+            }
+        }
     }
 
-    /// Returns whether another attempt would be allowed after the one that starts now.
-    fn may_fail_over(&self) -> bool {
+    /// Returns whether the request may be sent once more and another replica has capacity for it.
+    fn can_move(&self) -> bool {
         self.attempts.maybe_ran + 1 < self.context.route.max_attempts
+            && self.state.has_retry(&self.context.service)
+            && slot::has_capacity(&self.state, &self.context, &self.tried)
     }
 
     /// Returns the event after which the upstream continues the stream; `None` before the first event, as
@@ -316,21 +349,3 @@
 fn unknown_failure(cause: String) -> UpstreamItem {
     UpstreamItem::Fault(Fault { failure: Failure::Unknown, cause })
 }
-
-/// Waits until the replica of a slot is lost or, for a request that may fail over, stalls.
-async fn wait_for_stall(state: &State, slot: &Slot, started: Duration, may_fail_over: bool) {
-    let stats = &slot.upstream.stats;
-    loop {
-        let interrupt = stats.interrupt.notified();
-        let mut interrupt = std::pin::pin!(interrupt);
-        interrupt.as_mut().enable();
-        if stats.is_lost_since(started) {
-            return;
-        }
-        interrupt.await;
-        let waited = state.now().saturating_sub(started);
-        if may_fail_over && waited > MIN_TIME_BEFORE_FAILOVER && stats.is_suspect(state.now()) {
-            return;
-        }
-    }
-}
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -1,6 +1,6 @@
 //! Selection of an upstream for a request, and the admission queue in front of the upstreams.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::RangeInclusive, sync::Arc, time::Duration};
 
 use cuminward_serving::{
     id,
@@ -38,17 +38,62 @@
     }
 }
 
-/// No upstream had capacity for the request in time.
+/// Why no upstream could be reserved for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Unavailable;
+pub(crate) enum Unavailable {
+    /// There is no upstream that could serve the request, however long it waited.
+    Absent,
+    /// None of the upstreams had capacity in time.
+    Full {
+        /// Number of upstreams of the service and model.
+        upstreams: usize,
+        /// Number of these whose slots are all in use, as far as this node knows.
+        full: usize,
+        /// Number of these that are cold.
+        cold: usize,
+        /// Number of these that failed or made no progress lately.
+        suspect: usize,
+    },
+}
+
+/// `Retry-After` sent if there is no upstream: lists of hosts are read, and replicas formed, within about
+/// a second. Each caller gets another time in this range, so that they don't return together.
+const ABSENT_RETRY_AFTER_MS: RangeInclusive<u64> = 500..=1000;
+
+/// `Retry-After` sent if all upstreams are full.
+const FULL_RETRY_AFTER_MS: RangeInclusive<u64> = 250..=400;
+
+/// Access
+impl Unavailable {
+    /// Returns the time after which the caller should try again.
+    pub(crate) fn retry_after(self) -> Duration {
+        let range = match self {
+            Unavailable::Absent => ABSENT_RETRY_AFTER_MS,
+            Unavailable::Full { .. } => FULL_RETRY_AFTER_MS,
+        };
+        Duration::from_millis(rand::random_range(range))
+    }
+}
+
+impl std::fmt::Display for Unavailable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Unavailable::Absent => write!(f, "no upstream is known"),
+            Unavailable::Full { upstreams, full, cold, suspect } => write!(
+                f,
+                "no upstream has capacity: {upstreams} known, {full} full, {cold} cold, {suspect} suspect"
+            ),
+        }
+    }
+}
 
 /// Reserves an upstream on a host that isn't among `tried`. A new request waits in the admission queue
-/// for at most the time that the settings allow; one whose caller already has a part of the response
-/// waits until the deadline.
+/// for at most the time that the settings allow, and not at all if there is no upstream; one whose
+/// caller already has a part of the response waits until the deadline.
 ///
 /// # Errors
 ///
-/// Returns [`Unavailable`] if no upstream has capacity in time.
+/// [`Unavailable`] tells whether there is no upstream, or none had capacity in time.
 pub(crate) async fn acquire(
     state: &Arc<State>,
     context: &Context,
@@ -56,9 +101,10 @@
     progress: Progress,
 ) -> Result<Slot, Unavailable> {
     let started = Instant::now();
-    let target = Target { service: context.service.clone(), model: context.meta.model.clone() };
-    let max_idle = exchange::max_idle(context.route.retry);
-    let criteria = Criteria { target, tried: tried.to_vec(), max_idle };
+    let criteria = criteria(context, tried);
+    if progress == Progress::New && is_absent(state, &criteria.target) {
+        return Err(Unavailable::Absent);
+    }
     let grant = if state.admission.has_waiting(&criteria.target) {
         None
     } else {
@@ -73,6 +119,23 @@
     Ok(Slot { upstream, state: Arc::clone(state), in_flight: Some(in_flight) })
 }
 
+/// Returns whether an upstream on a host that isn't among `tried` could be reserved at once.
+pub(crate) fn has_capacity(state: &State, context: &Context, tried: &[id::Host]) -> bool {
+    let snapshot = state.routing.load();
+    let criteria = criteria(context, tried);
+    !state.admission.has_waiting(&criteria.target)
+        && choose_upstream(state, &snapshot, &criteria, state.now()).is_some()
+}
+
+/// Returns the conditions that an upstream for a request must meet.
+fn criteria(context: &Context, tried: &[id::Host]) -> Criteria {
+    Criteria {
+        target: Target { service: context.service.clone(), model: context.meta.model.clone() },
+        tried: tried.to_vec(),
+        max_idle: exchange::max_idle(context.route.retry),
+    }
+}
+
 /// Waits in the admission queue until an upstream is assigned or the wait times out.
 async fn wait_for_upstream(
     state: &Arc<State>,
@@ -88,10 +151,35 @@
             (Instant::now() + wait).min(context.deadline)
         }
     };
+    let target = criteria.target.clone();
     let mut ticket = state.admission.enqueue(criteria, progress, context.priority);
     state.capacity_changed.notify_one();
     let grant = time::timeout_at(until, &mut ticket.grant).await;
-    grant.ok().and_then(Result::ok).ok_or(Unavailable)
+    grant.ok().and_then(Result::ok).ok_or_else(|| assess_capacity(state, &target))
+}
+
+/// Returns whether there is no upstream for a target.
+fn is_absent(state: &State, target: &Target) -> bool {
+    state.routing.load().upstreams(&target.service, target.model.as_deref()).is_empty()
+}
+
+/// Returns what this node knows about the upstreams of a target, none of which had capacity.
+fn assess_capacity(state: &State, target: &Target) -> Unavailable {
+    let snapshot = state.routing.load();
+    let now = state.now();
+    let fill = state.current_settings().admission.fill;
+    let upstreams = snapshot.upstreams(&target.service, target.model.as_deref());
+    Unavailable::Full {
+        upstreams: upstreams.len(),
+        full: upstreams.iter().filter(|it| !has_free_slot(it, fill)).count(),
+        cold: upstreams.iter().filter(|it| it.stats.is_cold(now)).count(),
+        suspect: upstreams.iter().filter(|it| it.stats.is_suspect(now)).count(),
+    }
+}
+
+/// Returns whether fewer requests are in flight at an upstream than it has slots, times `fill`.
+fn has_free_slot(upstream: &Upstream, fill: f64) -> bool {
+    f64::from(upstream.stats.load()) < f64::from(upstream.slots) * fill
 }
 
 /// Assigns upstreams to the requests in the admission queue until the task is dropped.
@@ -137,7 +225,8 @@
 ) -> Option<&'a Arc<Upstream>> {
     let fill = state.current_settings().admission.fill;
     let has_capacity = |it: &&Arc<Upstream>| {
-        f64::from(it.stats.load()) < f64::from(it.slots) * fill
+        has_free_slot(it, fill)
+            && !it.stats.is_excluded(now)
             && !criteria.tried.contains(&it.host)
             && cold_rate(it, now).is_none_or(|rate| it.stats.has_cold_permit(now, rate))
     };
--- a/cuminward-gateway/src/forward/stream.rs
+++ b/cuminward-gateway/src/forward/stream.rs
@@ -1,6 +1,6 @@
 //! Requests with a streamed response.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
@@ -23,9 +23,6 @@
 /// Largest response that isn't a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 
-/// `Retry-After` of a request that wasn't executed.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// Handles a request with a streamed response. The head is held back until the first event, so that
 /// until then the request can fail over to another upstream or be rejected.
 pub(crate) async fn run(state: &Arc<State>, context: &Arc<Context>) -> Response<Body> {
@@ -89,7 +86,7 @@
                 );
                 return;
             }
-            Ok(Err(resumable::Error::Refused(cause) | resumable::Error::Failed(cause))) => cause,
+            Ok(Err(resumable::Error::Refused(cause, _) | resumable::Error::Failed(cause))) => cause,
             Err(_) => String::from("deadline exceeded"),
         };
         report::record_broken_stream(
@@ -137,7 +134,7 @@
     attempts: u32,
 ) -> Response<Body> {
     let (rejection, cause) = match error {
-        resumable::Error::Refused(cause) => (Rejection::unavailable(RETRY_AFTER), cause),
+        resumable::Error::Refused(cause, after) => (Rejection::unavailable(*after), cause),
         resumable::Error::Failed(cause) => (Rejection::new(StatusCode::BAD_GATEWAY), cause),
     };
     report::record_rejection(state, context, rejection.status, cause, attempts);
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -29,7 +29,7 @@
 /// the route's latency objective.
 const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 1.2;
 
-/// `Retry-After` of a request that wasn't executed.
+/// `Retry-After` of a request that upstreams refused.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// A response of an upstream that was read completely.
@@ -43,11 +43,14 @@
     let mut attempts = attempt::Counts::default();
     let mut tried: Vec<id::Host> = Vec::new();
     let mut last_failure: Option<BufferedResponse> = None;
-    let budget = state.retry_budget(&context.service);
-    budget.deposit();
+    state.record_request(&context.service);
     loop {
-        let Ok(slot) = slot::acquire(state, context, &tried, Progress::New).await else {
-            return give_up(state, context, last_failure, attempts, "no upstream has capacity");
+        let slot = match slot::acquire(state, context, &tried, Progress::New).await {
+            Ok(it) => it,
+            Err(error) => {
+                let (retry_after, cause) = (error.retry_after(), error.to_string());
+                return give_up(state, context, last_failure, attempts, retry_after, &cause);
+            }
         };
         tried.push(slot.upstream.host.clone());
         let upstream = slot.upstream.name.clone();
@@ -70,8 +73,8 @@
         attempts.record_failure(fault.failure);
         let next = attempt::decide(attempts, fault.failure, &context.bounds());
         report::record_failed_attempt(state, context, &upstream, &fault, None, next);
-        if next != Next::Retry || !budget.withdraw() {
-            return give_up(state, context, last_failure, attempts, &fault.cause);
+        if next != Next::Retry || !state.try_retry(&context.service) {
+            return give_up(state, context, last_failure, attempts, RETRY_AFTER, &fault.cause);
         }
     }
 }
@@ -129,19 +132,20 @@
 }
 
 /// Returns the last failed response if there is one, otherwise a rejection: 503 if no attempt was
-/// executed, 504 after the deadline, else 502.
+/// executed, 504 after the deadline, else 502. `retry_after` goes with a 503.
 fn give_up(
     state: &State,
     context: &Context,
     last_failure: Option<BufferedResponse>,
     attempts: attempt::Counts,
+    retry_after: Duration,
     cause: &str,
 ) -> Response<Body> {
     if let Some(response) = last_failure {
         return into_response(response);
     }
     let rejection = if attempts.maybe_ran == 0 {
-        Rejection::unavailable(RETRY_AFTER)
+        Rejection::unavailable(retry_after)
     } else if context.remaining().is_zero() {
         Rejection::new(StatusCode::GATEWAY_TIMEOUT)
     } else {
--- a/cuminward-gateway/src/settings.rs
+++ b/cuminward-gateway/src/settings.rs
@@ -84,6 +84,7 @@
 }
 
 /// Retry budget, shared by all nodes.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Retry {
@@ -91,6 +92,22 @@
     pub ratio: f64,
     /// Retries that all nodes together may send in addition, independent of the request rate.
     pub reserve: f64,
+    /// Length of the windows in which requests and retries are counted, in seconds;
+    /// [`Retry::DEFAULT_WINDOW`] if missing.
+    #[serde_as(as = "Option<DurationSecondsWithFrac<f64>>")]
+    #[serde(rename = "window_s", default)]
+    pub window: Option<Duration>,
+}
+
+/// Access
+impl Retry {
+    /// Length of the windows if the settings name none.
+    pub const DEFAULT_WINDOW: Duration = Duration::from_secs(10);
+
+    /// Returns the length of the windows.
+    pub fn window(&self) -> Duration {
+        self.window.unwrap_or(Retry::DEFAULT_WINDOW)
+    }
 }
 
 /// Bound on the requests that a cold host gets within a second from all nodes together: the rate that
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -21,8 +21,7 @@
 use cuminward_adapter::store;
 use cuminward_core::hlc;
 use cuminward_event::{kind::Kind, line, sink::Sink};
-use cuminward_route::attempt::Budget;
-use cuminward_serving::{crash, id, slowdown};
+use cuminward_serving::{crash, id, progress, retry, slowdown};
 use cuminward_upstream::pool;
 use http_body_util::Full;
 use tokio::sync::Notify;
@@ -49,10 +48,6 @@
 const STEWARD_PROBE_INTERVAL: Duration = Duration::from_millis(400);
 const PROBE_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// Part of a node's share of the retry reserve that one process of the node uses. An earlier process may
-/// have used the rest a moment ago.
-const RESERVE_PART: f64 = 0.5;
-
 /// Shared state of a node.
 pub(crate) struct State {
     /// Settings with which the node started.
@@ -73,10 +68,13 @@
     pub(crate) election: election::Election,
     /// Requests that crash hosts.
     crashes: Mutex<crash::Tracker>,
-    /// This node's shares of the retry budgets, by service.
-    retry_budgets: Mutex<HashMap<id::Service, Arc<Budget>>>,
+    /// Requests and retries of this node, by service.
+    retry_budgets: Mutex<HashMap<id::Service, retry::Budget>>,
     /// Number of nodes in the list of all nodes, this one included.
     node_count: AtomicUsize,
+    /// Number of nodes among which limits on all nodes together are divided; 0 until the list of all nodes
+    /// was read.
+    sharing_nodes: AtomicUsize,
     /// When the node began to stop, in milliseconds since its start; 0 if it isn't stopping.
     stop_began_ms: AtomicU64,
     /// Wakes the election task when the node begins to stop.
@@ -96,6 +94,8 @@
     host_list_read_ms: AtomicU64,
     /// Whether the next digest goes to all other nodes at once.
     is_broadcast_requested: AtomicBool,
+    /// Mean time from sending a request with a streamed response to its first event, in milliseconds.
+    first_event_ms: AtomicU64,
 }
 
 /// Life cycle
@@ -134,6 +134,7 @@
             crashes: Mutex::default(),
             retry_budgets: Mutex::default(),
             node_count: AtomicUsize::new(1),
+            sharing_nodes: AtomicUsize::new(0),
             stop_began_ms: AtomicU64::new(0),
             stop_requested: Notify::new(),
             requests_in_flight: AtomicUsize::new(0),
@@ -142,6 +143,7 @@
             snapshot_changed: Notify::new(),
             host_list_read_ms: AtomicU64::new(0),
             is_broadcast_requested: AtomicBool::new(false),
+            first_event_ms: AtomicU64::new(0),
         })
     }
 }
@@ -184,6 +186,11 @@
         self.node_count.load(Ordering::Relaxed)
     }
 
+    /// Returns the mean time from sending a request with a streamed response to its first event.
+    pub(crate) fn mean_first_event(&self) -> Duration {
+        Duration::from_millis(self.first_event_ms.load(Ordering::Relaxed))
+    }
+
     /// Returns the interval at which this node probes a lost or slow host.
     pub(crate) fn probe_interval(&self) -> Duration {
         if self.election.is_steward() { STEWARD_PROBE_INTERVAL } else { PROBE_INTERVAL }
@@ -205,27 +212,22 @@
         self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns this node's share of the retry budget of a service.
-    pub(crate) fn retry_budget(&self, service: &str) -> Arc<Budget> {
-        let mut budgets = self.retry_budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(it) = budgets.get(service) {
-            return Arc::clone(it);
-        }
-        let current = self.current_settings();
-        let budget = Arc::new(Budget::empty((current.retry.ratio * 1000.0) as u32));
-        if let Some(reserve) = self.retry_reserve() {
-            budget.set_capacity(reserve);
-            budget.add(reserve);
-        }
-        budgets.insert(service.to_owned(), Arc::clone(&budget));
-        budget
+    /// Returns whether a retry of a request for a service is allowed now.
+    pub(crate) fn has_retry(&self, service: &str) -> bool {
+        let (now, limit) = (self.now(), self.retry_limit());
+        self.retry_budgets().get(service).is_some_and(|it| it.has_retry(now, &limit))
+    }
+
+    /// Returns this node's limit on retries.
+    fn retry_limit(&self) -> retry::Limit {
+        let settings = &self.current_settings().retry;
+        let nodes = self.sharing_nodes.load(Ordering::Relaxed);
+        let reserve = if nodes > 0 { settings.reserve / nodes as f64 } else { 0.0 };
+        retry::Limit { ratio: settings.ratio, reserve, window: settings.window() }
     }
 
-    /// Returns the retries that this node may send independent of its requests; `None` until the list of
-    /// nodes is complete.
-    fn retry_reserve(&self) -> Option<f64> {
-        let reserve = self.current_settings().retry.reserve;
-        self.cluster().nodes.divide(reserve * RESERVE_PART)
+    fn retry_budgets(&self) -> MutexGuard<'_, HashMap<id::Service, retry::Budget>> {
+        self.retry_budgets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -235,7 +237,6 @@
     pub(crate) fn reload(&self, settings: Settings) {
         self.cluster().cold = settings.cold.clone();
         self.current_settings.store(Arc::new(settings));
-        self.retry_budgets.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
     /// Marks the node as stopping, so that it is no longer ready, and wakes the election task so that it resigns.
@@ -266,27 +267,34 @@
         for name in names {
             is_changed |= cluster.nodes.add(name);
         }
-        let is_completed = is_complete && cluster.nodes.set_complete();
-        self.node_count.store(cluster.nodes.len(), Ordering::Relaxed);
+        is_changed |= is_complete && cluster.nodes.set_complete();
+        let count = cluster.nodes.len();
+        let sharing = if cluster.nodes.is_complete() { count } else { 0 };
         drop(cluster);
-        if is_changed || is_completed {
-            self.divide_retry_reserve(is_completed);
+        self.node_count.store(count, Ordering::Relaxed);
+        self.sharing_nodes.store(sharing, Ordering::Relaxed);
+        if is_changed {
             self.publish();
         }
     }
 
-    /// Divides the reserve of the retry budgets again. It is added to them if it wasn't known before.
-    fn divide_retry_reserve(&self, is_new: bool) {
-        let Some(reserve) = self.retry_reserve() else { return };
-        let budgets = self.retry_budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        for budget in budgets.values() {
-            budget.set_capacity(reserve);
-            if is_new {
-                budget.add(reserve);
-            }
+    /// Counts a request for a service, which allows a part of a retry.
+    pub(crate) fn record_request(&self, service: &str) {
+        let (now, limit) = (self.now(), self.retry_limit());
+        let mut budgets = self.retry_budgets();
+        if let Some(budget) = budgets.get_mut(service) {
+            budget.record_request(now, &limit);
+        } else {
+            budgets.entry(service.to_owned()).or_default().record_request(now, &limit);
         }
     }
 
+    /// Counts a retry of a request for a service if one is allowed now. Returns whether it is.
+    pub(crate) fn try_retry(&self, service: &str) -> bool {
+        let (now, limit) = (self.now(), self.retry_limit());
+        self.retry_budgets().get_mut(service).is_some_and(|it| it.try_retry(now, &limit))
+    }
+
     /// Marks a host as lost because it doesn't answer. Its replica gets no more requests, and requests
     /// in flight at that replica are interrupted.
     pub(crate) fn mark_host_lost(&self, host: &str, cause: &str) {
@@ -310,6 +318,12 @@
         }
     }
 
+    /// Records the time from sending a request to its first event, or until it moved without one.
+    pub(crate) fn record_first_event(&self, time: Duration) {
+        let mean = progress::mean_first_event(self.mean_first_event(), time);
+        self.first_event_ms.store(mean.as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Returns whether the next digest goes to all other nodes at once, and clears the mark.
     pub(crate) fn take_broadcast_request(&self) -> bool {
         self.is_broadcast_requested.swap(false, Ordering::Relaxed)
--- a/cuminward-gateway/src/state/stats.rs
+++ b/cuminward-gateway/src/state/stats.rs
@@ -18,6 +18,10 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(500);
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
 
+/// Time for which an upstream gets no requests after its host said that it isn't the intended one. The
+/// list of hosts is read within this time.
+const MISDIRECTION_PAUSE: Duration = Duration::from_millis(1500);
+
 /// Time for which an upstream counts as suspect after another node reported one of its members as lost.
 const REPORTED_LOSS_BACKOFF: Duration = Duration::from_millis(1500);
 
@@ -38,6 +42,9 @@
     /// Until when the upstream counts as suspect after a failure, in milliseconds since the node's
     /// start.
     backoff_until_ms: AtomicU64,
+    /// Until when the upstream gets no requests, since its host said that it isn't the intended one, in
+    /// milliseconds since the node's start.
+    excluded_until_ms: AtomicU64,
     /// Whether the members of the upstream are due for a health check.
     is_check_requested: AtomicBool,
     /// Number of failures since the last success.
@@ -93,6 +100,11 @@
             || self.backoff_until_ms.load(Ordering::Relaxed) > now.as_millis() as u64
     }
 
+    /// Returns whether the upstream gets no requests, since its host said that it isn't the intended one.
+    pub(crate) fn is_excluded(&self, now: Duration) -> bool {
+        self.excluded_until_ms.load(Ordering::Relaxed) > now.as_millis() as u64
+    }
+
     /// Returns whether the upstream is cold, that is, still warming up after its start.
     pub(crate) fn is_cold(&self, now: Duration) -> bool {
         self.cold_until_ms.load(Ordering::Relaxed) > now.as_millis() as u64
@@ -153,6 +165,13 @@
         self.backoff_until_ms.fetch_max(until, Ordering::Relaxed);
     }
 
+    /// Records that the host of the upstream said that it isn't the intended one, or doesn't take requests
+    /// for its group any more. The upstream gets no requests until the host list has been read again.
+    pub(crate) fn record_misdirection(&self, now: Duration) {
+        let until = (now + MISDIRECTION_PAUSE).as_millis() as u64;
+        self.excluded_until_ms.fetch_max(until, Ordering::Relaxed);
+    }
+
     /// Records that another node reported a member of the upstream as lost: the upstream counts as suspect
     /// until the report expires or is repeated.
     pub(crate) fn record_reported_loss(&self, now: Duration) {
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -188,6 +188,27 @@
 impl Site {
     /// Declares a catalog with the usual routes and optionally one more.
     pub(crate) fn configure(&self, version: u64, more: Option<Route>) {
+        self.declare(version, more, 1);
+    }
+
+    /// Declares a catalog with the usual routes in which replicas span `size` hosts, and makes the hosts
+    /// of the engine one replica if there are that many.
+    pub(crate) fn join_replicas(&self, version: u64, size: usize) {
+        for (rank, host) in self.replicas.iter().enumerate() {
+            let mut entry = replica_entry(host);
+            let group = entry.engine.as_mut().and_then(|it| it.group.as_mut());
+            let group = group.expect("the entry of a replica has a group");
+            group.name = String::from("g");
+            group.rank = rank;
+            if rank > 0 {
+                group.phase = entry::Phase::Ready;
+            }
+            self.store.put_entry(&host.id, &entry);
+        }
+        self.declare(version, None, size);
+    }
+
+    fn declare(&self, version: u64, more: Option<Route>, size: usize) {
         let usual = |prefix, retry, service| {
             let latency_objective = Some(Duration::from_millis(300));
             Route { latency_objective, ..route(prefix, retry, service) }
@@ -202,7 +223,7 @@
             service: ENGINE.to_owned(),
             slots: 6,
             model: MODEL.to_owned(),
-            size: 1,
+            size,
             load_time: Duration::from_secs(1),
             join_time: Duration::from_millis(500),
             open_time: Duration::from_millis(100),
--- a/cuminward-gateway/tests/all/streams.rs
+++ b/cuminward-gateway/tests/all/streams.rs
@@ -1,6 +1,6 @@
 //! Streams of events: failover to another replica and resumption.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cuminward_adapter_fake::{
     entry::Entry,
@@ -115,8 +115,10 @@
     let site = Site::start().await;
     let node = site.node("unserved").await;
     let headers = [(header::MODEL, "other")];
+    let started = Instant::now();
     let answer = node.send("POST", "/chat/1", &headers, "prompt").await.or_fail()?;
     expect_that!(answer.status.as_u16(), eq(503));
+    expect_that!(started.elapsed(), lt(Duration::from_millis(150)), "rejected without a wait");
     expect_that!(answer.headers.contains_key("retry-after"), eq(true));
     Ok(())
 }
@@ -141,3 +143,18 @@
     expect_that!(answer.body, eq(&events(1..=EVENTS)));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_stays_at_a_slow_replica_if_no_other_has_room() -> Result<()> {
+    let site = Site::empty().await;
+    site.join_replicas(1, 2);
+    let node = site.node("stays").await;
+    let slow = Behaviour::RespondAfter(Duration::from_millis(900), String::from("late"));
+    site.replicas[0].enqueue(slow);
+    let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await.or_fail()?;
+    expect_that!(answer.status.as_u16(), eq(200));
+    expect_that!(answer.body, eq("late"));
+    expect_that!(site.replicas[0].received().len(), eq(1));
+    Ok(())
+}
--- a/cuminward-gateway/tests/all/template.rs
+++ b/cuminward-gateway/tests/all/template.rs
@@ -37,6 +37,7 @@
         ("bounds.graceS", "8"),
         ("bounds.retryBudgetRatio", "0.2"),
         ("bounds.retrySlack", "43.87"),
+        ("bounds.budgetWindowS", "10"),
         ("bounds.coldOverrun", "1.5"),
         ("bounds.coldSlack", "5"),
     ]);
--- a/cuminward-gateway/tests/all/unary.rs
+++ b/cuminward-gateway/tests/all/unary.rs
@@ -3,12 +3,14 @@
 use std::time::Duration;
 
 use cuminward_adapter_fake::{
+    entry::Entry,
     header,
     host::{self, Behaviour},
 };
 use googletest::prelude::*;
+use tokio::time;
 
-use crate::site::Site;
+use crate::site::{self, Site};
 
 struct Case {
     name: &'static str,
@@ -136,3 +138,22 @@
     expect_that!(started.elapsed(), lt(Duration::from_millis(600)));
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_is_not_the_intended_one_gets_no_further_requests() -> Result<()> {
+    let site = Site::start().await;
+    let [first, second] = &site.plain[..] else { return fail!("the site has two plain hosts") };
+    let node = site.node("misdirected").await;
+    let drained = Entry { is_draining: true, ..site::plain_entry(second) };
+    site.store.put_entry(&second.id, &drained);
+    time::sleep(Duration::from_millis(1500)).await;
+    host::share_script(&site.plain, [Behaviour::Misdirect]);
+    for _ in 0..3 {
+        let answer = node.get("/desk/1", &[]).await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(503));
+    }
+    expect_that!(first.received().len(), eq(1), "only the first request was sent");
+    expect_that!(second.received(), is_empty());
+    Ok(())
+}
--- a/cuminward-route/src/attempt/budget.rs
+++ b/cuminward-route/src/attempt/budget.rs
@@ -12,7 +12,7 @@
     balance: AtomicI64,
     /// Units that each request adds.
     deposit: i64,
-    max_balance: AtomicI64,
+    max_balance: i64,
 }
 
 /// Life cycle
@@ -20,20 +20,8 @@
     /// Creates a budget that allows `permille` retries per thousand requests. It holds at most
     /// `reserve` retries and starts with that many.
     pub fn new(permille: u32, reserve: u32) -> Budget {
-        let balance = i64::from(reserve) * RETRY_COST;
-        Budget {
-            balance: AtomicI64::new(balance),
-            deposit: i64::from(permille),
-            max_balance: AtomicI64::new(balance),
-        }
-    }
-
-    /// Creates a budget that allows `permille` retries per thousand requests. It holds at most one
-    /// retry until [`set_capacity`](Budget::set_capacity) is called, and starts with none.
-    pub fn empty(permille: u32) -> Budget {
-        let budget = Budget::new(permille, 1);
-        budget.balance.store(0, Ordering::Relaxed);
-        budget
+        let max_balance = i64::from(reserve) * RETRY_COST;
+        Budget { balance: AtomicI64::new(max_balance), deposit: i64::from(permille), max_balance }
     }
 }
 
@@ -49,28 +37,10 @@
 impl Budget {
     /// Adds the deposit of an accepted request.
     pub fn deposit(&self) {
-        let max_balance = self.max_balance.load(Ordering::Relaxed);
-        let add = |it: i64| Some((it + self.deposit).min(max_balance));
+        let add = |it: i64| Some((it + self.deposit).min(self.max_balance));
         let _ = self.balance.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
-    /// Adds retries, which may be a fraction of one.
-    pub fn add(&self, retries: f64) {
-        let max_balance = self.max_balance.load(Ordering::Relaxed);
-        let units = (retries * RETRY_COST as f64) as i64;
-        let add = |it: i64| Some((it + units).min(max_balance));
-        let _ = self.balance.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
-    }
-
-    /// Sets the number of retries that the budget holds, at least one. What it holds beyond that is
-    /// lost; a larger capacity adds nothing by itself.
-    pub fn set_capacity(&self, retries: f64) {
-        let max_balance = ((retries * RETRY_COST as f64) as i64).max(RETRY_COST);
-        self.max_balance.store(max_balance, Ordering::Relaxed);
-        let cap = |it: i64| (it > max_balance).then_some(max_balance);
-        let _ = self.balance.fetch_update(Ordering::Relaxed, Ordering::Relaxed, cap);
-    }
-
     /// Withdraws one retry from the budget. Returns `false` if none is left.
     pub fn withdraw(&self) -> bool {
         let take = |it: i64| (it >= RETRY_COST).then_some(it - RETRY_COST);
--- a/cuminward-route/tests/all/attempt.rs
+++ b/cuminward-route/tests/all/attempt.rs
@@ -94,28 +94,3 @@
     expect_that!(retries, le(1_005));
     expect_that!(retries, ge(990));
 }
-
-#[gtest]
-fn a_divided_reserve_never_sums_to_more_than_the_whole() {
-    for (nodes, reserve) in [(9, 109.0), (95, 272.0), (400, 400.0), (1000, 400.0)] {
-        let share = reserve / f64::from(nodes);
-        let budgets: Vec<Budget> = (0..nodes).map(|_| Budget::empty(200)).collect();
-        let mut retries = 0;
-        for budget in &budgets {
-            retries += u32::from(budget.withdraw());
-            budget.set_capacity(share);
-            budget.add(share);
-            // More nodes are found several times, which must not fill the budget again.
-            for more in 1..10 {
-                budget.set_capacity(reserve / f64::from(nodes + more));
-                while budget.withdraw() {
-                    retries += 1;
-                }
-            }
-        }
-        expect_that!(f64::from(retries), le(reserve), "{nodes} nodes");
-        budgets.iter().for_each(|it| (0..10).for_each(|_| it.deposit()));
-        let earned = budgets.iter().filter(|it| it.available() > 0).count();
-        expect_that!(earned, eq(budgets.len()), "{nodes} nodes: ten requests earn a retry");
-    }
-}
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod queue;
 pub mod replica;
 pub mod request;
+pub mod retry;
 pub mod scaling;
 pub mod select;
 pub mod slowdown;
--- /dev/null
+++ b/cuminward-serving/src/retry.rs
@@ -0,0 +1,90 @@
+//! Retry budget: limits the retries of all nodes together to a part of the requests, and a reserve.
+//!
+//! Each node keeps to the limit on its own: within every window of time, its retries are at most the
+//! given part of the requests that it got in that window, plus its share of the reserve. The sum
+//! over all nodes then keeps to the limit too. What a node has not used for a while may be used at
+//! once, as when a failure domain is lost and many streams have to continue elsewhere.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// Number of parts of a window that are counted separately.
+const PARTS: u32 = 10;
+
+/// Part of a node's share of the reserve that a process uses within the first window after its
+/// start. An earlier process of the node may have used the rest a moment ago.
+const STARTING_PART: f64 = 0.5;
+
+/// Limit on the retries for one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Retries per request.
+    pub ratio: f64,
+    /// This node's share of the retries that are allowed in each window in addition; 0 as long as
+    /// it isn't known.
+    pub reserve: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+/// Requests and retries of the last window.
+#[derive(Debug, Clone, Default)]
+pub struct Budget {
+    parts: VecDeque<Part>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Part {
+    /// Time since the node's start, in parts of the window.
+    number: u32,
+    requests: u32,
+    retries: u32,
+}
+
+/// Access
+impl Budget {
+    /// Returns whether a retry is allowed now.
+    pub fn has_retry(&self, now: Duration, limit: &Limit) -> bool {
+        let current = part_number(now, limit.window);
+        let is_recent = |it: &&Part| it.number + PARTS > current;
+        let (mut requests, mut retries) = (0, 0);
+        for part in self.parts.iter().filter(is_recent) {
+            requests += part.requests;
+            retries += part.retries;
+        }
+        let reserve =
+            if now < limit.window { limit.reserve * STARTING_PART } else { limit.reserve };
+        f64::from(retries + 1) <= f64::from(requests) * limit.ratio + reserve
+    }
+}
+
+/// Mutation
+impl Budget {
+    /// Counts a request of a caller.
+    pub fn record_request(&mut self, now: Duration, limit: &Limit) {
+        self.part(now, limit).requests += 1;
+    }
+
+    /// Counts a retry if one is allowed now. Returns whether it is.
+    pub fn try_retry(&mut self, now: Duration, limit: &Limit) -> bool {
+        let is_allowed = self.has_retry(now, limit);
+        if is_allowed {
+            self.part(now, limit).retries += 1;
+        }
+        is_allowed
+    }
+
+    /// Returns the current part of the window, and removes those that have passed.
+    fn part(&mut self, now: Duration, limit: &Limit) -> &mut Part {
+        let number = part_number(now, limit.window);
+        self.parts.retain(|it| it.number + PARTS > number);
+        if self.parts.back().is_none_or(|it| it.number < number) {
+            self.parts.push_back(Part { number, requests: 0, retries: 0 });
+        }
+        self.parts.back_mut().expect("a part was added if there was none")
+    }
+}
+
+fn part_number(now: Duration, window: Duration) -> u32 {
+    let part = (window / PARTS).max(Duration::from_millis(1));
+    (now.as_millis() / part.as_millis()) as u32
+}
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod progress;
 mod queue;
 mod replica;
+mod retry;
 mod scaling;
 mod select;
 mod slowdown;
--- a/cuminward-serving/tests/all/progress.rs
+++ b/cuminward-serving/tests/all/progress.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cuminward_serving::progress::{MAX_CHECK_AFTER, MIN_CHECK_AFTER, check_after, longest_pause};
+use cuminward_serving::progress::{
+    MAX_CHECK_AFTER, MIN_CHECK_AFTER, check_after, give_up_after, longest_pause, mean_first_event,
+    move_after,
+};
 use googletest::prelude::*;
 
 fn ms(ms: u64) -> Duration {
@@ -49,3 +52,34 @@
     expect_that!(fixed, ge(300), "the load of this test has long pauses");
     expect_that!(checks, le(fixed / 20));
 }
+
+#[gtest]
+fn requests_wait_longer_for_a_first_event_while_first_events_take_long_everywhere() {
+    let cases = [
+        ("no sample", vec![], 450),
+        ("calm", vec![180; 20], 450),
+        ("loaded", vec![500; 20], 1000),
+        ("overloaded", vec![1200; 20], 1500),
+        ("calm again", [vec![1200; 20], vec![150; 30]].concat(), 450),
+    ];
+    for (name, samples, expected) in cases {
+        let mean =
+            samples.iter().fold(Duration::ZERO, |it, sample| mean_first_event(it, ms(*sample)));
+        let (at_least, at_most) = (ms(expected), ms(expected + 20));
+        expect_that!(move_after(mean), all!(ge(at_least), le(at_most)), "{name}");
+        expect_that!(give_up_after(mean), gt(move_after(mean) + ms(1000)), "{name}");
+    }
+}
+
+#[gtest]
+fn requests_that_moved_without_an_event_raise_the_mean() {
+    // A load under which no request gets its first event in time: each moves, until the limit has
+    // grown enough for them to stay.
+    let mut mean = ms(200);
+    let mut moved = 0;
+    while move_after(mean) < ms(900) && moved < 100 {
+        moved += 1;
+        mean = mean_first_event(mean, move_after(mean) * 2);
+    }
+    expect_that!(moved, le(5));
+}
--- /dev/null
+++ b/cuminward-serving/tests/all/retry.rs
@@ -0,0 +1,97 @@
+//! Retry budget.
+
+use std::time::Duration;
+
+use cuminward_serving::retry::{Budget, Limit};
+use googletest::prelude::*;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+struct Case {
+    name: &'static str,
+    nodes: u32,
+    /// Reserve of all nodes together.
+    reserve: f64,
+    /// Requests of a node per second.
+    rate: u64,
+}
+
+/// Returns the largest number of retries of all nodes beyond what is allowed, in any window, if each
+/// node retries whenever it may.
+fn largest_excess(case: &Case) -> f64 {
+    let limit = Limit { ratio: 0.2, reserve: case.reserve / f64::from(case.nodes), window: WINDOW };
+    let mut budgets = vec![Budget::default(); case.nodes as usize];
+    let mut totals: Vec<(u32, u32)> = Vec::new();
+    for step in 0..400 {
+        let now = ms(step * 100);
+        let (mut requests, mut retries) = (0, 0);
+        for (node, budget) in budgets.iter_mut().enumerate() {
+            // No node retries for a while; then a failure makes all of them retry at once.
+            let due = (step + node as u64) % 10 < case.rate;
+            if due {
+                budget.record_request(now, &limit);
+                requests += 1;
+            }
+            while step >= 150 && budget.try_retry(now, &limit) {
+                retries += 1;
+            }
+        }
+        totals.push((requests, retries));
+    }
+    let windows = totals.windows(100).map(|it| {
+        let requests: u32 = it.iter().map(|it| it.0).sum();
+        let retries: u32 = it.iter().map(|it| it.1).sum();
+        f64::from(retries) - f64::from(requests) * 0.2 - case.reserve
+    });
+    windows.fold(f64::MIN, f64::max)
+}
+
+#[gtest]
+fn all_nodes_together_keep_to_the_limit_in_every_window() {
+    let cases = [
+        Case { name: "few nodes", nodes: 9, reserve: 109.0, rate: 5 },
+        Case { name: "the large site", nodes: 95, reserve: 272.0, rate: 8 },
+        Case { name: "as many nodes as retries", nodes: 400, reserve: 400.0, rate: 3 },
+        Case { name: "more nodes than retries", nodes: 400, reserve: 100.0, rate: 1 },
+        Case { name: "no requests", nodes: 95, reserve: 272.0, rate: 0 },
+    ];
+    for case in cases {
+        // A part of the window is counted as a whole, so a tenth of the requests may be missing.
+        let tolerance = f64::from(case.nodes) * case.rate as f64 * 0.2;
+        expect_that!(largest_excess(&case), le(tolerance), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn what_was_not_used_for_a_while_may_be_used_at_once() {
+    let limit = Limit { ratio: 0.2, reserve: 1.4, window: WINDOW };
+    let mut budget = Budget::default();
+    (0..100).for_each(|it| budget.record_request(ms(it * 100), &limit));
+    let retries = (0..100).filter(|_| budget.try_retry(ms(10_000), &limit)).count();
+    expect_that!(retries, all!(ge(19), le(21)));
+    expect_that!(budget.has_retry(ms(10_100), &limit), eq(false));
+    expect_that!(budget.has_retry(ms(21_000), &limit), eq(true), "the window has passed");
+}
+
+#[gtest]
+fn a_process_that_just_started_uses_half_of_the_reserve() {
+    let limit = Limit { ratio: 0.2, reserve: 10.0, window: WINDOW };
+    for (name, now, expected) in [("at the start", ms(500), 5), ("later", ms(10_500), 10)] {
+        let mut budget = Budget::default();
+        let retries = (0..100).filter(|_| budget.try_retry(now, &limit)).count();
+        expect_that!(retries, eq(expected), "{name}");
+    }
+}
+
+#[gtest]
+fn nothing_is_allowed_before_the_share_is_known() {
+    let limit = Limit { ratio: 0.2, reserve: 0.0, window: WINDOW };
+    let mut budget = Budget::default();
+    expect_that!(budget.try_retry(ms(1), &limit), eq(false));
+    (0..5).for_each(|_| budget.record_request(ms(2), &limit));
+    expect_that!(budget.try_retry(ms(3), &limit), eq(true), "requests earn retries");
+}
