fix: cuminward-serving, cuminward-gateway: requests wait only while they can be in time; responses without the request id prove nothing

And a response that was left over on a connection and carries no id was taken for the answer to the next request; with 'not run' in its head, a request that must run at most once was sent again or rejected as not run.

Change: a request waits for its objective less the mean time to the first event, at least a tenth of the objective. A response without the id of the request counts as a failure of unknown outcome.

--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -101,6 +101,11 @@
     metadata: &request::Response,
 ) -> Result<(), Fault> {
     let fault = |failure, cause: &str| Err(Fault { failure, cause: cause.to_owned() });
+    // A response without the id may be one that was left over on the connection, so that nothing it
+    // says can be taken for this request.
+    if context.meta.id.is_some() && metadata.id.is_none() {
+        return fault(Failure::Unknown, "the response carries no request id");
+    }
     if metadata.id.is_some() && metadata.id != context.meta.id {
         return fault(Failure::Unknown, "the response carries the id of another request");
     }
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -4,7 +4,7 @@
 
 use cuminward_serving::{
     id,
-    queue::Progress,
+    queue::{self, Progress},
     scaling,
     select::{self, Health},
     slowdown,
@@ -146,9 +146,11 @@
     let until = match progress {
         Progress::Started => context.deadline,
         Progress::New => {
-            let wait =
+            let objective =
                 context.route.latency_objective.mul_f64(state.current_settings().admission.wait);
-            (Instant::now() + wait).min(context.deadline)
+            let is_stream = context.route.retry.is_stream();
+            let service_time = if is_stream { state.mean_first_event() } else { Duration::ZERO };
+            (Instant::now() + queue::longest_wait(objective, service_time)).min(context.deadline)
         }
     };
     let target = criteria.target.clone();
--- a/cuminward-gateway/src/settings.rs
+++ b/cuminward-gateway/src/settings.rs
@@ -140,7 +140,8 @@
     /// Requests in flight at an upstream, as a multiple of its slots, from which further requests wait in
     /// the queue.
     pub fill: f64,
-    /// Longest wait in the queue, as a multiple of the route's latency objective.
+    /// Time within which the first part of the response should come, as a multiple of the route's latency
+    /// objective. A request waits as long as that still seems possible.
     pub wait: f64,
 }
 
--- a/cuminward-gateway/tests/all/unary.rs
+++ b/cuminward-gateway/tests/all/unary.rs
@@ -157,3 +157,15 @@
     expect_that!(second.received(), is_empty());
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_the_id_of_the_request_proves_nothing() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("leftover").await;
+    host::share_script(&site.plain, [Behaviour::RespondLeftover]);
+    let answer = node.send("POST", "/book/1", &[], "").await.or_fail()?;
+    expect_that!(answer.status.as_u16(), eq(502));
+    expect_that!(site.plain_requests(), eq(1), "the request may have run");
+    Ok(())
+}
--- a/cuminward-serving/src/queue.rs
+++ b/cuminward-serving/src/queue.rs
@@ -1,6 +1,6 @@
 //! Admission queue: the order in which waiting requests get upstreams.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 /// Sort key of a waiting request; the lowest is served first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,6 +22,18 @@
     New,
 }
 
+/// Shortest limit on the wait of a request, as a part of its latency objective: a slot that becomes
+/// free a moment later is still used by a request that will be a little late.
+const MIN_WAIT: f64 = 0.1;
+
+/// Returns the longest time that a request waits for an upstream: as long as it could still get the
+/// first part of its response within `objective`, if that takes `service_time` from then on. When
+/// load exceeds capacity, requests that wait longer are served too late, one after the other, and
+/// none is served in time.
+pub fn longest_wait(objective: Duration, service_time: Duration) -> Duration {
+    objective.saturating_sub(service_time).max(objective.mul_f64(MIN_WAIT))
+}
+
 /// Queue of requests that wait for the same upstreams.
 #[derive(Debug, Clone)]
 pub struct Queue<T> {
