--- a/cuminward-core/src/number.rs
+++ b/cuminward-core/src/number.rs
@@ -8,8 +8,8 @@
 /// the maximum.
 pub struct Rounded;
 
-/// Rounds a number as [`Rounded`] does. Returns `None` if it is negative or not finite.
-pub fn round(value: f64) -> Option<u64> {
+/// Returns `None` for a number that is negative or not finite.
+fn round(value: f64) -> Option<u64> {
     (value.is_finite() && value >= 0.0).then(|| value.round() as u64)
 }
 
