feat: cuminward-upstream, cuminward-gateway, cuminward-event: events and metrics tell how the end of a stream was marked

Two hypotheses couldn't be told from each other: the end of a connection taken for the end of a stream, or a failure that is lost inside the node. Change: a body knows its framing (length, chunked, HTTP/2 frames, end of the connection). Event 2407 stream-ended gives framing, last event and the bytes that followed it, whenever there are such bytes and for sampled requests; the counter cuminward_gateway_stream_ends_total counts all by framing and remainder. No decision is changed. Conclusion: the next step is a test with a stream that ends with its connection.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -768,6 +768,17 @@
         /// Reason.
         cause: String,
     }
+    /// An upstream ended a stream without an error; written if bytes followed its last event, and for sampled requests.
+    2407 Info "stream-ended" StreamEnded {
+        /// Name of the upstream.
+        upstream: String,
+        /// How the end was marked: `length`, `chunked`, `http2` or `connection` (closed by the upstream).
+        framing: String,
+        /// Id of the last event sent to the caller; 0 if there was none.
+        last_event: u64,
+        /// Number of bytes that followed the last complete event.
+        remainder: u64,
+    }
 }
 
 /// Access
--- a/cuminward-gateway/src/forward/report.rs
+++ b/cuminward-gateway/src/forward/report.rs
@@ -7,6 +7,7 @@
     attempt::{Failure, Next},
     event,
 };
+use cuminward_upstream::body;
 use http::StatusCode;
 
 use super::{context::Context, exchange::Fault, reply::Rejection};
@@ -18,12 +19,25 @@
 /// Failed attempts, by what is known about their execution.
 const FAILED_ATTEMPTS: &str = "cuminward_gateway_failed_attempts_total";
 
+/// Streams that upstreams ended without an error, by framing and by whether bytes followed the last event.
+const STREAM_ENDS: &str = "cuminward_gateway_stream_ends_total";
+
 /// Seconds from the arrival of a request to the first part of its response.
 const FIRST_PART: &str = "cuminward_gateway_first_part_seconds";
 
 /// Seconds that a request waited for an upstream.
 const WAIT: &str = "cuminward_gateway_wait_seconds";
 
+/// End of a stream that an upstream ended without an error.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StreamEnd {
+    pub(super) framing: body::Framing,
+    /// Id of the last event sent to the caller.
+    pub(super) last_event: Option<event::Id>,
+    /// Number of bytes that followed the last complete event.
+    pub(super) remainder: usize,
+}
+
 /// Outcome of a request that was answered.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Completion {
@@ -105,6 +119,24 @@
     state.events.emit_for(context.id(), kind);
 }
 
+/// Records that an upstream ended a stream without an error.
+pub(super) fn record_stream_end(state: &State, context: &Context, upstream: &str, end: &StreamEnd) {
+    let framing = end.framing.to_string();
+    let has_remainder = if end.remainder > 0 { "yes" } else { "no" };
+    let labels = [("framing", framing.clone()), ("remainder", has_remainder.to_owned())];
+    metrics::counter!(STREAM_ENDS, &labels).increment(1);
+    if end.remainder == 0 && !context.is_sampled() {
+        return;
+    }
+    let kind = Kind::StreamEnded {
+        upstream: upstream.to_owned(),
+        framing,
+        last_event: end.last_event.unwrap_or(0),
+        remainder: end.remainder as u64,
+    };
+    state.events.emit_for(context.id(), kind);
+}
+
 /// Records that an admitted request was refused or failed by this node.
 pub(super) fn record_rejection(
     state: &State,
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -241,6 +241,7 @@
             };
             let Some(frame) = frame else {
                 let remainder = current.splitter.take_remainder();
+                self.record_end(current, remainder.len());
                 return if remainder.is_empty() {
                     UpstreamItem::End
                 } else {
@@ -263,6 +264,13 @@
         }
     }
 
+    /// Reports that the upstream of an attempt ended the stream without an error.
+    fn record_end(&self, current: &Attempt, remainder: usize) {
+        let framing = current.body.framing();
+        let end = report::StreamEnd { framing, last_event: self.last_event, remainder };
+        report::record_stream_end(&self.state, &self.context, &self.upstream, &end);
+    }
+
     /// Reserves a slot of an upstream for the next attempt.
     ///
     /// # Errors
--- a/cuminward-upstream/src/body.rs
+++ b/cuminward-upstream/src/body.rs
@@ -1,12 +1,15 @@
 //! Response bodies with a read timeout.
 
 use std::{
+    fmt,
     pin::Pin,
     task::{Context, Poll, ready},
     time::Duration,
 };
 
 use bytes::Bytes;
+use cuminward_derive::value;
+use http::{Response, Version, header};
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -20,10 +23,52 @@
 /// Maximum time to read the rest of a body after its last used part.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How the end of a response body is marked.
+#[value]
+pub enum Framing {
+    /// The head tells the length.
+    Length,
+    /// Each part has its own length, and the last one is marked.
+    Chunked,
+    /// The last frame of HTTP/2 is marked.
+    Http2,
+    /// The body ends when the upstream closes the connection, which it also does when it fails.
+    Connection,
+}
+
+/// Life cycle
+impl Framing {
+    /// Returns the framing that the head of a response declares.
+    pub(crate) fn from_head<T>(response: &Response<T>) -> Framing {
+        if response.version() == Version::HTTP_2 {
+            return Framing::Http2;
+        }
+        let headers = response.headers();
+        match headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+            Some(it) if it.as_bytes().trim_ascii_end().ends_with(b"chunked") => Framing::Chunked,
+            Some(_) => Framing::Connection,
+            None if headers.contains_key(header::CONTENT_LENGTH) => Framing::Length,
+            None => Framing::Connection,
+        }
+    }
+}
+
+impl fmt::Display for Framing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Framing::Length => "length",
+            Framing::Chunked => "chunked",
+            Framing::Http2 => "http2",
+            Framing::Connection => "connection",
+        })
+    }
+}
+
 /// Body of a response. The connection returns to its pool when the body has been read completely,
 /// and is discarded when the body fails, times out or is dropped earlier.
 pub struct Body<B> {
     incoming: Incoming,
+    framing: Framing,
     lease: Lease<B>,
     read_timeout: Duration,
     deadline: Pin<Box<Sleep>>,
@@ -32,12 +77,26 @@
 
 /// Life cycle
 impl<B> Body<B> {
-    pub(crate) fn new(incoming: Incoming, mut lease: Lease<B>, read_timeout: Duration) -> Body<B> {
+    pub(crate) fn new(
+        incoming: Incoming,
+        framing: Framing,
+        mut lease: Lease<B>,
+        read_timeout: Duration,
+    ) -> Body<B> {
         let ended = http_body::Body::is_end_stream(&incoming);
         if ended {
             lease.release();
         }
-        Body { incoming, lease, read_timeout, deadline: Box::pin(time::sleep(read_timeout)), ended }
+        let deadline = Box::pin(time::sleep(read_timeout));
+        Body { incoming, framing, lease, read_timeout, deadline, ended }
+    }
+}
+
+/// Access
+impl<B> Body<B> {
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 }
 
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -19,7 +19,7 @@
 use tokio::time;
 
 use crate::{
-    body::Body,
+    body::{Body, Framing},
     connection::{Connection, Payload, Protocol},
     count::Counter,
     error::Error,
@@ -184,7 +184,8 @@
             let mut error = match sent {
                 Ok(response) => {
                     let read_timeout = self.inner.options.read_timeout;
-                    return Ok(response.map(|it| Body::new(it, lease, read_timeout)));
+                    let framing = Framing::from_head(&response);
+                    return Ok(response.map(|it| Body::new(it, framing, lease, read_timeout)));
                 }
                 Err(it) => it,
             };
--- a/cuminward-upstream/tests/all/plain.rs
+++ b/cuminward-upstream/tests/all/plain.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cuminward_core::outcome::Outcome;
-use cuminward_upstream::{error::Error, plain, pool};
+use cuminward_upstream::{body, error::Error, plain, pool};
 use googletest::prelude::*;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -139,3 +139,38 @@
         expect_that!(upstream.connections.load(Ordering::SeqCst), eq(connections));
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn body_tells_how_its_end_is_marked() {
+    struct Case {
+        reply: String,
+        end: End,
+        framing: body::Framing,
+    }
+    let cases = [
+        Case { reply: fake::json(200, "abc"), end: End::KeepOpen, framing: body::Framing::Length },
+        Case {
+            reply: fake::chunked(&["abc"], true),
+            end: End::KeepOpen,
+            framing: body::Framing::Chunked,
+        },
+        Case {
+            reply: String::from("HTTP/1.1 200 X\r\n\r\nabc"),
+            end: End::Close,
+            framing: body::Framing::Connection,
+        },
+        Case {
+            reply: String::from("HTTP/1.1 200 X\r\ntransfer-encoding: identity\r\n\r\nabc"),
+            end: End::Close,
+            framing: body::Framing::Connection,
+        },
+    ];
+    for case in cases {
+        let upstream = Upstream::start(&case.reply, case.end).await;
+        let sent = client(TIMEOUT).call(&upstream.address, request(Method::POST), TIMEOUT).await;
+        let response = sent.map_err(|it| it.error).expect("the upstream answers");
+        expect_that!(response.body().framing(), eq(case.framing), "{}", case.reply);
+        expect_that!(read(response).await, ok(anything()), "{}", case.reply);
+    }
+}
