fix: cuminward-gateway: failing test of streams that end with their connection

A fake host streams with neither a length nor chunks and closes the connection: inside an event, inside the first event, right after the head, and twice in a row.

--- a/cuminward-gateway/tests/all/streams.rs
+++ b/cuminward-gateway/tests/all/streams.rs
@@ -83,15 +83,86 @@
         },
     ];
     for case in cases {
-        let site = Site::start().await;
-        let node = site.node("streams").await;
-        host::share_script(&site.replicas, case.script);
-        let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await.or_fail()?;
-        expect_that!(answer.status.as_u16(), eq(case.status), "{}", case.name);
-        expect_that!(answer.is_complete, eq(case.is_complete), "{}", case.name);
-        expect_that!(answer.body, eq(&events(1..=case.last)), "{}", case.name);
-        let received: Vec<_> = site.replicas.iter().flat_map(|it| it.received()).collect();
-        expect_that!(received.len(), eq(case.attempts), "{}", case.name);
+        check(case).await?;
+    }
+    Ok(())
+}
+
+/// Plays a case on a site of its own.
+async fn check(case: Case) -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("streams").await;
+    host::share_script(&site.replicas, case.script);
+    let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await.or_fail()?;
+    expect_that!(answer.status.as_u16(), eq(case.status), "{}", case.name);
+    expect_that!(answer.is_complete, eq(case.is_complete), "{}", case.name);
+    expect_that!(answer.body, eq(&events(1..=case.last)), "{}", case.name);
+    let received: Vec<_> = site.replicas.iter().flat_map(|it| it.received()).collect();
+    expect_that!(received.len(), eq(case.attempts), "{}", case.name);
+    Ok(())
+}
+
+/// Returns a behaviour whose response ends with its connection.
+fn unframed(behaviour: Behaviour) -> Behaviour {
+    Behaviour::Unframed(Box::new(behaviour))
+}
+
+/// Guards against incident inc1, in which streams that ended inside an event reached callers as complete.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_with_its_connection_inside_an_event_was_broken_off() -> Result<()> {
+    let cases = [
+        Case {
+            name: "complete",
+            script: vec![unframed(Behaviour::Stream)],
+            status: 200,
+            is_complete: true,
+            last: EVENTS,
+            attempts: 1,
+        },
+        Case {
+            name: "ends midway",
+            script: vec![unframed(Behaviour::StreamUntil(3))],
+            status: 200,
+            is_complete: true,
+            last: EVENTS,
+            attempts: 2,
+        },
+        Case {
+            name: "ends inside the first event",
+            script: vec![unframed(Behaviour::StreamUntil(0))],
+            status: 200,
+            is_complete: true,
+            last: EVENTS,
+            attempts: 2,
+        },
+        Case {
+            name: "ends right after the head",
+            script: vec![unframed(Behaviour::StreamNothing)],
+            status: 200,
+            is_complete: true,
+            last: EVENTS,
+            attempts: 2,
+        },
+        Case {
+            name: "ends midway twice",
+            script: vec![unframed(Behaviour::StreamUntil(3)), unframed(Behaviour::StreamUntil(5))],
+            status: 200,
+            is_complete: false,
+            last: 5,
+            attempts: 2,
+        },
+        Case {
+            name: "ends inside the first event twice",
+            script: vec![unframed(Behaviour::StreamUntil(0)), unframed(Behaviour::StreamUntil(0))],
+            status: 502,
+            is_complete: true,
+            last: 0,
+            attempts: 2,
+        },
+    ];
+    for case in cases {
+        check(case).await?;
     }
     Ok(())
 }
