fix: cuminward-gateway: a stream whose second upstream doesn't stream isn't complete

Callers saw: 200 with the first server's stamp and an empty body that is framed as complete, if the first upstream broke off before its first event and the second one answered with an error or with something else than a stream. Cause: Stream::open returns a response that isn't a stream to whoever called it, as long as no event was yielded; Stream::next dropped it, found no current attempt and took that for the end of the stream. Change: after a head was returned, such a response is a failed attempt; a read without an attempt is a failure. Figures: the new test failed before in the two cases before the first event (200 instead of 502), and passes now, with the other tests of streams. Why it works: the end of a stream is reported only by a body that was read to its end.

--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -38,6 +38,8 @@
     current: Option<Attempt>,
     /// Last event that was yielded; before the first one, the last event that the caller named.
     last_event: Option<event::Id>,
+    /// Whether the head of a stream was returned, after which only a stream can follow.
+    has_head: bool,
     /// Whether the caller has received an event.
     has_yielded: bool,
 }
@@ -98,6 +100,7 @@
             tried: Vec::new(),
             upstream: String::new(),
             current: None,
+            has_head: false,
             has_yielded: false,
         }
     }
@@ -144,14 +147,16 @@
                     let body = response.body;
                     let current = Attempt { slot, body, splitter, started, has_yielded: false };
                     self.current = Some(current);
+                    self.has_head = true;
                     return Ok(FirstResponse::Stream(head));
                 }
-                Ok(response) if !self.has_yielded => {
+                Ok(response) if !self.has_head => {
                     return Ok(FirstResponse::Other(Box::new(response), slot));
                 }
                 Ok(response) => {
+                    let status = response.head.status;
                     let cause =
-                        format!("the upstream responded with status {}", response.head.status);
+                        format!("the upstream responded with status {status}, not a stream");
                     drop(slot);
                     self.handle_failure(Fault { failure: Failure::Unknown, cause })?;
                 }
@@ -216,7 +221,7 @@
     /// Reads the next event of the current attempt, its end or its failure.
     async fn read_upstream(&mut self) -> UpstreamItem {
         let Some(mut current) = self.current.take() else {
-            return UpstreamItem::End(Bytes::new());
+            return unknown_failure(String::from("no upstream is streaming"));
         };
         let item = self.read_attempt(&mut current).await;
         self.current = Some(current);
--- a/cuminward-gateway/tests/all/streams.rs
+++ b/cuminward-gateway/tests/all/streams.rs
@@ -102,6 +102,42 @@
     Ok(())
 }
 
+/// Guards against streams that ended as complete without an event when the second upstream failed.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_of_the_second_upstream_does_not_complete_a_stream() -> Result<()> {
+    let cases = [
+        Case {
+            name: "before the first event",
+            script: vec![Behaviour::StreamUntil(0), Behaviour::Fail(500)],
+            status: 502,
+            is_complete: true,
+            last: 0,
+            attempts: 2,
+        },
+        Case {
+            name: "a success that isn't a stream",
+            script: vec![Behaviour::StreamUntil(0), Behaviour::Respond(String::from("text"))],
+            status: 502,
+            is_complete: true,
+            last: 0,
+            attempts: 2,
+        },
+        Case {
+            name: "midway",
+            script: vec![Behaviour::StreamUntil(3), Behaviour::Fail(500)],
+            status: 200,
+            is_complete: false,
+            last: 3,
+            attempts: 2,
+        },
+    ];
+    for case in cases {
+        check(case).await?;
+    }
+    Ok(())
+}
+
 /// Returns a behaviour whose response ends with its connection.
 fn unframed(behaviour: Behaviour) -> Behaviour {
     Behaviour::Unframed(Box::new(behaviour))
