fix: cuminward-gateway: only a stream that was marked as ended is complete for its caller

Cause: the body towards a caller ended as complete when the task that forwards the events was gone, such as after a panic or while the process ends. Change: the last part of a complete stream says so; a body whose parts end without it is cut off.

--- a/cuminward-gateway/src/forward/reply.rs
+++ b/cuminward-gateway/src/forward/reply.rs
@@ -26,7 +26,17 @@
 
 enum Content {
     Full(Option<Bytes>),
-    Stream(mpsc::Receiver<Result<Bytes, Truncated>>),
+    Stream(mpsc::Receiver<Part>),
+    /// A stream whose end has been sent.
+    Ended,
+}
+
+/// A part of a streamed body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Part {
+    Bytes(Bytes),
+    /// The end of a complete body. A body whose parts end without it is truncated.
+    End,
 }
 
 /// Runs a function when it is dropped.
@@ -87,7 +97,7 @@
     }
 
     /// Creates a body whose parts arrive through a channel.
-    pub(crate) fn stream(parts: mpsc::Receiver<Result<Bytes, Truncated>>) -> Body {
+    pub(crate) fn stream(parts: mpsc::Receiver<Part>) -> Body {
         Body { content: Content::Stream(parts), guard: None }
     }
 }
@@ -110,16 +120,26 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         let next = match &mut self.content {
             Content::Full(bytes) => bytes.take().map(Ok),
-            Content::Stream(parts) => ready!(parts.poll_recv(cx)),
+            Content::Stream(parts) => match ready!(parts.poll_recv(cx)) {
+                Some(Part::Bytes(bytes)) => Some(Ok(bytes)),
+                Some(Part::End) => None,
+                None => Some(Err(Truncated)),
+            },
+            Content::Ended => None,
         };
         if next.is_none() {
+            self.content = Content::Ended;
             self.guard = None;
         }
         Poll::Ready(next.map(|it| it.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(&self.content, Content::Full(bytes) if bytes.as_ref().is_none_or(Bytes::is_empty))
+        match &self.content {
+            Content::Full(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Content::Stream(_) => false,
+            Content::Ended => true,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -128,6 +148,7 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |it| it.len() as u64))
             }
             Content::Stream(_) => SizeHint::default(),
+            Content::Ended => SizeHint::with_exact(0),
         }
     }
 }
--- a/cuminward-gateway/src/forward/stream.rs
+++ b/cuminward-gateway/src/forward/stream.rs
@@ -10,7 +10,7 @@
 use super::{
     context::Context,
     exchange,
-    reply::{self, Body, Rejection, Truncated},
+    reply::{self, Body, Part, Rejection},
     report::{self, Completion},
     resumable::{self, FirstResponse, Item},
     slot::Slot,
@@ -53,16 +53,17 @@
     Response::from_parts(*head, Body::stream(receiver))
 }
 
-/// Forwards events until the stream ends, the deadline passes or the caller disconnects.
+/// Forwards events until the stream ends, the deadline passes or the caller disconnects. Only a complete
+/// stream is marked as ended.
 async fn forward_events(
     state: Arc<State>,
     context: Arc<Context>,
     mut stream: resumable::Stream,
     first: Bytes,
     first_ms: u64,
-    sender: mpsc::Sender<Result<Bytes, Truncated>>,
+    sender: mpsc::Sender<Part>,
 ) {
-    if sender.send(Ok(first)).await.is_err() {
+    if sender.send(Part::Bytes(first)).await.is_err() {
         return;
     }
     loop {
@@ -72,7 +73,7 @@
         };
         let cause = match item {
             Ok(Ok(Item::Bytes(bytes))) => {
-                if sender.send(Ok(bytes)).await.is_err() {
+                if sender.send(Part::Bytes(bytes)).await.is_err() {
                     return;
                 }
                 continue;
@@ -80,8 +81,9 @@
             Ok(Ok(Item::End(padding))) => {
                 // Sending fails only if the caller has disconnected.
                 if !padding.is_empty() {
-                    let _ = sender.send(Ok(padding)).await;
+                    let _ = sender.send(Part::Bytes(padding)).await;
                 }
+                let _ = sender.send(Part::End).await;
                 let (status, attempts) = (StatusCode::OK, stream.attempts());
                 report::record_completion(
                     &state,
@@ -100,8 +102,6 @@
             stream.last_event(),
             stream.attempts(),
         );
-        // Sending fails only if the caller has disconnected; the truncation needs no signal then.
-        let _ = sender.send(Err(Truncated)).await;
         return;
     }
 }
--- a/cuminward-gateway/tests/all/lifecycle.rs
+++ b/cuminward-gateway/tests/all/lifecycle.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use cuminward_adapter_fake::host::Behaviour;
+use cuminward_adapter_fake::{header, host::Behaviour};
 use googletest::prelude::*;
-use tokio::time;
+use tokio::{runtime::Runtime, time};
 
-use crate::site::{self, Site, is_ready};
+use crate::site::{self, EVENTS, Site, is_ready};
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
@@ -64,3 +64,28 @@
     }
     stopping.await.or_fail()
 }
+
+/// Guards against streams that reach their callers as complete because the task that forwards them is gone.
+#[gtest]
+fn a_stream_that_a_node_drops_at_its_end_does_not_look_complete() -> Result<()> {
+    const ROUNDS: usize = 20;
+    const STREAMS: usize = 10;
+    let outside = Runtime::new().or_fail()?;
+    for round in 0..ROUNDS {
+        let inside = Runtime::new().or_fail()?;
+        let site = outside.block_on(Site::start());
+        let node = inside.block_on(site.node("dropped"));
+        let callers = node.callers;
+        let headers = [(header::MODEL, site::MODEL)];
+        let send = || async move { site::send(callers, "POST", "/chat/1", &headers, "").await };
+        let calls: Vec<_> = (0..STREAMS).map(|_| outside.spawn(send())).collect();
+        std::thread::sleep(Duration::from_millis(70));
+        drop(inside);
+        for call in calls {
+            let Ok(answer) = outside.block_on(call).or_fail()? else { continue };
+            let has_all = answer.body.contains(&format!("id: {EVENTS}\n"));
+            expect_that!(answer.is_complete, eq(has_all), "round {round}: {}", answer.body);
+        }
+    }
+    Ok(())
+}
