--- a/cuminward-upstream/tests/all/fake.rs
+++ b/cuminward-upstream/tests/all/fake.rs
@@ -1,16 +1,22 @@
 //! A fake upstream that responds to every request with the same bytes.
 
-use std::sync::{
-    Arc, Mutex,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    task,
+    task, time,
 };
 
+/// Delay between the bytes of a response and the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(20);
+
 /// What happens to a connection after the bytes of a response.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum End {
@@ -18,6 +24,8 @@
     KeepOpen,
     /// The upstream closes the connection.
     Close,
+    /// The upstream resets the connection a moment later.
+    Reset,
     /// The upstream keeps the connection open but sends nothing more.
     Stall,
 }
@@ -76,6 +84,11 @@
         match end {
             End::KeepOpen => {}
             End::Close => return,
+            End::Reset => {
+                time::sleep(RESET_DELAY).await;
+                stream.set_zero_linger().expect("the option is valid for any open socket");
+                return;
+            }
             End::Stall => std::future::pending().await,
         }
     }
--- a/cuminward-upstream/tests/all/plain.rs
+++ b/cuminward-upstream/tests/all/plain.rs
@@ -40,6 +40,7 @@
         expected: std::result::Result<(u16, usize), Outcome>,
     }
     let not_run = "HTTP/1.1 503 X\r\ncuminward-not-run: true\r\ncontent-length: 0\r\n\r\n";
+    let unframed = "HTTP/1.1 200 X\r\n\r\nabc";
     let truncated = "HTTP/1.1 200 X\r\ncontent-length: 10\r\n\r\nabc";
     let cases = [
         Case {
@@ -90,6 +91,24 @@
             end: End::Stall,
             expected: Err(Outcome::Unknown),
         },
+        Case {
+            name: "neither length nor chunks, closed",
+            reply: unframed.to_owned(),
+            end: End::Close,
+            expected: Ok((200, 3)),
+        },
+        Case {
+            name: "neither length nor chunks, reset",
+            reply: unframed.to_owned(),
+            end: End::Reset,
+            expected: Err(Outcome::Unknown),
+        },
+        Case {
+            name: "neither length nor chunks, stall",
+            reply: unframed.to_owned(),
+            end: End::Stall,
+            expected: Err(Outcome::Unknown),
+        },
     ];
     for case in cases {
         let upstream = Upstream::start(&case.reply, case.end).await;
