--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -668,6 +668,12 @@
         address: String,
         /// Fingerprint of the request.
         fingerprint: u64,
+        /// Ids of the parts of the prompt, in hexadecimal, separated by commas.
+        parts: String,
+        /// Number of events that the host had sent for the request.
+        events: u64,
+        /// Milliseconds from sending the request to the host until it was broken off.
+        after_ms: u64,
     }
     /// Newer cluster state was fetched from another node.
     2305 Info "knowledge-fetched" StateFetched {
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -58,6 +58,7 @@
     let request = build_request(context, slot, last_event);
     let idle = max_idle(context.route.retry);
     let address = &slot.upstream.address;
+    let started = state.now();
     let may_have_run_before = context.may_have_run();
     context.set_may_have_run(true);
     let sent = state.upstreams.send(address, request, idle, timeout).await;
@@ -68,7 +69,7 @@
             context.set_may_have_run(may_have_run_before || !is_unsent);
             slot.upstream.stats.record_failure(state.now());
             if !is_unsent {
-                detect_crash(state, context, address);
+                detect_crash(state, context, address, Progress { started, events: 0 });
             } else if slot.upstream.is_replica() {
                 slot.upstream.stats.request_health_check();
             }
@@ -165,17 +166,35 @@
     head.status == StatusCode::OK && content.is_some_and(|it| it.starts_with(b"text/event-stream"))
 }
 
+/// How far an attempt had come when it was broken off.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Progress {
+    /// When the request was sent, since the node's start.
+    pub(crate) started: Duration,
+    /// Number of events that had arrived.
+    pub(crate) events: u64,
+}
+
 /// Probes the host of a broken connection in a task of its own, and counts a crash for the request's
 /// fingerprint if the host accepts no new connection.
-pub(crate) fn detect_crash(state: &Arc<State>, context: &Context, address: &str) {
+pub(crate) fn detect_crash(
+    state: &Arc<State>,
+    context: &Context,
+    address: &str,
+    progress: Progress,
+) {
     let (state, address) = (Arc::clone(state), address.to_owned());
     let (fingerprint, id) = (context.fingerprint, context.id().to_owned());
+    let parts: Vec<String> = context.meta.prompt_parts.iter().map(|it| format!("{it:x}")).collect();
+    let after_ms = state.now().saturating_sub(progress.started).as_millis() as u64;
     tokio::spawn(async move {
         tokio::time::sleep(CRASH_PROBE_DELAY).await;
         let connecting = tokio::net::TcpStream::connect(&address);
         let connected = tokio::time::timeout(CRASH_PROBE_TIMEOUT, connecting).await;
         if !matches!(connected, Ok(Ok(_))) {
-            state.events.emit_for(&id, Kind::HostCrashed { address, fingerprint });
+            let (parts, events) = (parts.join(","), progress.events);
+            let kind = Kind::HostCrashed { address, fingerprint, parts, events, after_ms };
+            state.events.emit_for(&id, kind);
             state.crashes().record_crash(state.now(), fingerprint);
         }
     });
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -51,8 +51,8 @@
     splitter: Splitter,
     /// When the request was sent, since the node's start.
     started: Duration,
-    /// Whether the attempt has yielded an event.
-    has_yielded: bool,
+    /// Number of events that the attempt has yielded.
+    events: u64,
 }
 
 /// An item of a stream.
@@ -145,7 +145,7 @@
                     let head = Box::new(exchange::response_head(response.head));
                     let splitter = Splitter::default();
                     let body = response.body;
-                    let current = Attempt { slot, body, splitter, started, has_yielded: false };
+                    let current = Attempt { slot, body, splitter, started, events: 0 };
                     self.current = Some(current);
                     self.has_head = true;
                     return Ok(FirstResponse::Stream(head));
@@ -231,13 +231,13 @@
     async fn read_attempt(&self, current: &mut Attempt) -> UpstreamItem {
         loop {
             if let Some(event) = current.splitter.next_event() {
-                if !current.has_yielded {
-                    current.has_yielded = true;
+                current.events += 1;
+                if current.events == 1 {
                     self.state.record_first_event(self.state.now() - current.started);
                 }
                 return UpstreamItem::Event(event);
             }
-            let may_move = !current.has_yielded;
+            let may_move = current.events == 0;
             let frame = tokio::select! {
                 frame = current.body.frame() => frame,
                 () = self.wait_for_stall(&current.slot, current.started, may_move) => {
@@ -267,7 +267,7 @@
         let end =
             report::StreamEnd { framing, last_event: self.last_event, remainder: remainder.len() };
         report::record_stream_end(&self.state, &self.context, &self.upstream, &end);
-        let has_events = current.has_yielded || self.last_event.is_some();
+        let has_events = current.events > 0 || self.last_event.is_some();
         match remainder {
             Remainder::PartialEvent(_) => {
                 self.break_off(current, format!("the stream ended inside an event ({framing})"))
@@ -281,7 +281,9 @@
 
     /// Ends an attempt whose stream was broken off, which may indicate a crash of the host.
     fn break_off(&self, current: &Attempt, cause: String) -> UpstreamItem {
-        exchange::detect_crash(&self.state, &self.context, &current.slot.upstream.address);
+        let progress = exchange::Progress { started: current.started, events: current.events };
+        let address = &current.slot.upstream.address;
+        exchange::detect_crash(&self.state, &self.context, address, progress);
         unknown_failure(cause)
     }
 
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -118,10 +118,11 @@
     slot: &Slot,
     timeout: Duration,
 ) -> Result<BufferedResponse, Fault> {
+    let progress = exchange::Progress { started: state.now(), events: 0 };
     let response = exchange::send(state, context, slot, None, timeout).await?;
     let body = Limited::new(response.body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|error| {
-        exchange::detect_crash(state, context, &slot.upstream.address);
+        exchange::detect_crash(state, context, &slot.upstream.address, progress);
         Fault { failure: Failure::Unknown, cause: error.to_string() }
     })?;
     Ok(BufferedResponse { head: exchange::response_head(response.head), body: body.to_bytes() })
--- a/cuminward-serving/src/id.rs
+++ b/cuminward-serving/src/id.rs
@@ -25,6 +25,9 @@
 /// Identifier of one attempt of a caller to send a request.
 pub type Request = String;
 
+/// Identifier of a part of a prompt, such as an instruction that many requests begin with.
+pub type PromptPart = u64;
+
 /// Version of the catalog.
 pub type Version = u64;
 
