fix: cuminward-gateway: failing test of prompts with a part that crashes hosts

The fake host can crash on a part of a prompt: it ends with all its connections and listens again 400 ms later. Twelve requests with such a part, no two alike, are sent through two nodes, and requests that share their first part after each.

--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod groups;
 mod lifecycle;
+mod quarantine;
 mod site;
 mod streams;
 mod template;
