--- a/cuminward-gateway/tests/all/quarantine.rs
+++ b/cuminward-gateway/tests/all/quarantine.rs
@@ -90,3 +90,24 @@
     expect_that!(crashes, le(MAX_CRASHES));
     Ok(())
 }
+
+/// Guards against the refusal of requests that were in flight when another one crashed their hosts.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_was_in_flight_at_two_crashes_of_another_one_is_not_refused() -> Result<()> {
+    let (site, nodes) = start("blamed").await;
+    let (crashing, sound) = parts(0);
+    let first = send(&nodes[0], &sound, "first").await;
+    expect_that!(first, some(eq(200)));
+    // Both are sent to one host, and again to the other one.
+    let _ = tokio::join!(
+        send(&nodes[0], &crashing, "crashing"),
+        send(&nodes[0], &sound, "sound"),
+        send(&nodes[0], &sound, "sound"),
+    );
+    recover(&site).await;
+    for node in &nodes {
+        expect_that!(send(node, &sound, "sound").await, some(eq(200)));
+    }
+    Ok(())
+}
