fix: cuminward-serving, cuminward-gateway: parts of prompts that crash hosts are quarantined

Cause: nodes count crashes for a hash of path, key and body. Requests that share the part which crashes hosts are all different otherwise, so that none was ever refused for it. Class: a harmful input identified by what differs between its occurrences instead of by what they have in common. Evidence: host-crashed with the parts: one part in flight at all 29 crashes, and never with an event. Ruled out: slow news; all six nodes report a crash within 50 ms. Change: a part of a prompt that isn't the last one is suspect if a request with it was in flight at a crash and had got fewer than four events. At three crashes it is quarantined: requests with it are refused as not run, also those that wait or would be sent again. A request with the part that got four events, or a complete response, within 10 s before a crash or at any time after it acquits the part. Crashes within 20 ms count as one. Parts that were together at all crashes of one of them block only together, until a crash or a response tells them apart. Nodes tell each other crashes and responses in their digests, at once after a crash; a crash has the same id everywhere.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -785,6 +785,20 @@
         /// Number of bytes that followed the last complete event.
         remainder: u64,
     }
+    /// Requests with a subject are no longer sent to hosts, since hosts crashed while such requests began.
+    2408 Error "quarantine-began" QuarantineBegan {
+        /// What the requests have in common: `part:` and the id of a part of the prompt.
+        subject: String,
+        /// What a request must have as well, as the crashes can't tell it apart; separated by commas.
+        companions: String,
+        /// Number of crashes.
+        crashes: u64,
+    }
+    /// Requests with a subject are sent to hosts again.
+    2409 Info "quarantine-ended" QuarantineEnded {
+        /// What the requests have in common, as in `quarantine-began`.
+        subject: String,
+    }
 }
 
 /// Access
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 use cuminward_adapter::header;
 use cuminward_event::kind::Kind;
-use cuminward_serving::{attempt::Failure, catalog::Retry, event, request};
+use cuminward_serving::{attempt::Failure, catalog::Retry, event, quarantine, request};
 use cuminward_upstream::{body, plain};
 use http::{HeaderValue, Request, StatusCode, header as names, response::Parts};
 use http_body_util::Full;
+use tokio::{net::TcpStream, time};
 
 use super::{context::Context, slot::Slot};
-use crate::state::State;
+use crate::state::{State, routing::Upstream};
 
 /// Longest time that a pooled connection may have been idle to be reused for a retryable or for a
 /// non-retryable request.
@@ -50,7 +51,7 @@
 /// response doesn't pass [`check_response`].
 pub(crate) async fn send(
     state: &Arc<State>,
-    context: &Context,
+    context: &Arc<Context>,
     slot: &Slot,
     last_event: Option<event::Id>,
     timeout: Duration,
@@ -69,7 +70,7 @@
             context.set_may_have_run(may_have_run_before || !is_unsent);
             slot.upstream.stats.record_failure(state.now());
             if !is_unsent {
-                detect_crash(state, context, address, Progress { started, events: 0 });
+                detect_crash(state, context, &slot.upstream, Progress { started, events: 0 });
             } else if slot.upstream.is_replica() {
                 slot.upstream.stats.request_health_check();
             }
@@ -175,27 +176,47 @@
     pub(crate) events: u64,
 }
 
-/// Probes the host of a broken connection in a task of its own, and counts a crash for the request's
-/// fingerprint if the host accepts no new connection.
+/// Probes the host of a broken connection in a task of its own, and records a crash if the host accepts no new
+/// connection.
 pub(crate) fn detect_crash(
     state: &Arc<State>,
-    context: &Context,
-    address: &str,
+    context: &Arc<Context>,
+    upstream: &Arc<Upstream>,
     progress: Progress,
 ) {
-    let (state, address) = (Arc::clone(state), address.to_owned());
-    let (fingerprint, id) = (context.fingerprint, context.id().to_owned());
-    let parts: Vec<String> = context.meta.prompt_parts.iter().map(|it| format!("{it:x}")).collect();
-    let after_ms = state.now().saturating_sub(progress.started).as_millis() as u64;
+    let (state, context) = (Arc::clone(state), Arc::clone(context));
+    let (upstream, broken_at) = (Arc::clone(upstream), state.now());
     tokio::spawn(async move {
-        tokio::time::sleep(CRASH_PROBE_DELAY).await;
-        let connecting = tokio::net::TcpStream::connect(&address);
-        let connected = tokio::time::timeout(CRASH_PROBE_TIMEOUT, connecting).await;
+        time::sleep(CRASH_PROBE_DELAY).await;
+        let connecting = TcpStream::connect(&upstream.address);
+        let connected = time::timeout(CRASH_PROBE_TIMEOUT, connecting).await;
         if !matches!(connected, Ok(Ok(_))) {
-            let (parts, events) = (parts.join(","), progress.events);
-            let kind = Kind::HostCrashed { address, fingerprint, parts, events, after_ms };
-            state.events.emit_for(&id, kind);
-            state.crashes().record_crash(state.now(), fingerprint);
+            record_crash(&state, &context, &upstream, progress, broken_at);
         }
     });
 }
+
+/// Records a crash of an upstream at which a request was in flight. The parts of its prompt are blamed unless the
+/// response had come too far.
+fn record_crash(
+    state: &State,
+    context: &Context,
+    upstream: &Upstream,
+    progress: Progress,
+    broken_at: Duration,
+) {
+    let parts = &context.meta.prompt_parts;
+    let ids: Vec<String> = parts.iter().map(|it| format!("{it:x}")).collect();
+    let kind = Kind::HostCrashed {
+        address: upstream.address.clone(),
+        fingerprint: context.fingerprint,
+        parts: ids.join(","),
+        events: progress.events,
+        after_ms: broken_at.saturating_sub(progress.started).as_millis() as u64,
+    };
+    state.events.emit_for(context.id(), kind);
+    state.crashes().record_crash(state.now(), context.fingerprint);
+    if progress.events < quarantine::HARMLESS_EVENTS {
+        state.record_crash(broken_at, parts, upstream.key);
+    }
+}
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -7,7 +7,7 @@
 use cuminward_serving::{
     attempt::{self, Failure, Next},
     event::{self, Event, Remainder, Splitter},
-    id, progress,
+    id, progress, quarantine,
     queue::Progress,
 };
 use cuminward_upstream::body;
@@ -232,9 +232,7 @@
         loop {
             if let Some(event) = current.splitter.next_event() {
                 current.events += 1;
-                if current.events == 1 {
-                    self.state.record_first_event(self.state.now() - current.started);
-                }
+                self.record_event(current);
                 return UpstreamItem::Event(event);
             }
             let may_move = current.events == 0;
@@ -275,15 +273,35 @@
             Remainder::Padding(_) if !has_events && framing == body::Framing::Connection => {
                 self.break_off(current, String::from("the connection ended before the first event"))
             }
-            Remainder::Padding(bytes) => UpstreamItem::End(bytes),
+            Remainder::Padding(bytes) => {
+                if current.events > 0 {
+                    self.record_harmless();
+                }
+                UpstreamItem::End(bytes)
+            }
         }
     }
 
+    /// Records what an event of an attempt tells about replicas and about the request.
+    fn record_event(&self, current: &Attempt) {
+        if current.events == 1 {
+            self.state.record_first_event(self.state.now() - current.started);
+        }
+        if current.events == quarantine::HARMLESS_EVENTS {
+            self.record_harmless();
+        }
+    }
+
+    /// Records that the request crashes no host.
+    fn record_harmless(&self) {
+        self.state.quarantine.record_response(self.state.now(), &self.context.meta.prompt_parts);
+    }
+
     /// Ends an attempt whose stream was broken off, which may indicate a crash of the host.
     fn break_off(&self, current: &Attempt, cause: String) -> UpstreamItem {
         let progress = exchange::Progress { started: current.started, events: current.events };
-        let address = &current.slot.upstream.address;
-        exchange::detect_crash(&self.state, &self.context, address, progress);
+        let upstream = &current.slot.upstream;
+        exchange::detect_crash(&self.state, &self.context, upstream, progress);
         unknown_failure(cause)
     }
 
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -43,6 +43,8 @@
 pub(crate) enum Unavailable {
     /// There is no upstream that could serve the request, however long it waited.
     Absent,
+    /// The request contains what has crashed several hosts.
+    Quarantined,
     /// None of the upstreams had capacity in time.
     Full {
         /// Number of upstreams of the service and model.
@@ -60,6 +62,9 @@
 /// a second. Each caller gets another time in this range, so that they don't return together.
 const ABSENT_RETRY_AFTER_MS: RangeInclusive<u64> = 500..=1000;
 
+/// `Retry-After` sent if the request is quarantined, which lasts for minutes.
+const QUARANTINED_RETRY_AFTER_MS: RangeInclusive<u64> = 30_000..=40_000;
+
 /// `Retry-After` sent if all upstreams are full.
 const FULL_RETRY_AFTER_MS: RangeInclusive<u64> = 250..=400;
 
@@ -69,6 +74,7 @@
     pub(crate) fn retry_after(self) -> Duration {
         let range = match self {
             Unavailable::Absent => ABSENT_RETRY_AFTER_MS,
+            Unavailable::Quarantined => QUARANTINED_RETRY_AFTER_MS,
             Unavailable::Full { .. } => FULL_RETRY_AFTER_MS,
         };
         Duration::from_millis(rand::random_range(range))
@@ -79,6 +85,9 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Unavailable::Absent => write!(f, "no upstream is known"),
+            Unavailable::Quarantined => {
+                write!(f, "the request contains a part of a prompt that crashed several hosts")
+            }
             Unavailable::Full { upstreams, full, cold, suspect } => write!(
                 f,
                 "no upstream has capacity: {upstreams} known, {full} full, {cold} cold, {suspect} suspect"
@@ -102,6 +111,7 @@
 ) -> Result<Slot, Unavailable> {
     let started = Instant::now();
     let criteria = criteria(context, tried);
+    check_quarantine(state, context)?;
     if progress == Progress::New && is_absent(state, &criteria.target) {
         return Err(Unavailable::Absent);
     }
@@ -114,11 +124,25 @@
         Some(it) => it,
         None => wait_for_upstream(state, context, criteria, progress).await?,
     };
+    check_quarantine(state, context)?;
     report::record_choice(state, context, &grant.upstream, started.elapsed());
     let Grant { upstream, in_flight } = grant;
     Ok(Slot { upstream, state: Arc::clone(state), in_flight: Some(in_flight) })
 }
 
+/// Checks that the request may be sent to a host. Every attempt does so, as the request may have become
+/// quarantined since the last one, or while it waited.
+///
+/// # Errors
+///
+/// [`Unavailable::Quarantined`].
+fn check_quarantine(state: &State, context: &Context) -> Result<(), Unavailable> {
+    if state.quarantine.blocks(state.now(), &context.meta.prompt_parts) {
+        return Err(Unavailable::Quarantined);
+    }
+    Ok(())
+}
+
 /// Returns whether an upstream on a host that isn't among `tried` could be reserved at once.
 pub(crate) fn has_capacity(state: &State, context: &Context, tried: &[id::Host]) -> bool {
     let snapshot = state.routing.load();
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -88,7 +88,7 @@
 /// Sends the request to an upstream and reads the response, and records the result in the statistics of the upstream.
 async fn send_attempt(
     state: &Arc<State>,
-    context: &Context,
+    context: &Arc<Context>,
     slot: &Slot,
     is_last: bool,
 ) -> Result<BufferedResponse, Fault> {
@@ -114,7 +114,7 @@
 /// Sends the request and reads the whole response. An incomplete response may indicate a crash of the host.
 async fn send_and_buffer(
     state: &Arc<State>,
-    context: &Context,
+    context: &Arc<Context>,
     slot: &Slot,
     timeout: Duration,
 ) -> Result<BufferedResponse, Fault> {
@@ -122,7 +122,7 @@
     let response = exchange::send(state, context, slot, None, timeout).await?;
     let body = Limited::new(response.body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|error| {
-        exchange::detect_crash(state, context, &slot.upstream.address, progress);
+        exchange::detect_crash(state, context, &slot.upstream, progress);
         Fault { failure: Failure::Unknown, cause: error.to_string() }
     })?;
     Ok(BufferedResponse { head: exchange::response_head(response.head), body: body.to_bytes() })
--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -5,7 +5,7 @@
 use cuminward_derive::record;
 use cuminward_serving::{crash::Fingerprint, id, message};
 
-use crate::state::{State, routing::Key};
+use crate::state::{State, quarantine, routing::Key};
 
 /// Summary of the state of a node.
 #[record]
@@ -32,6 +32,8 @@
     pub(crate) lost: Vec<id::Host>,
     /// Number of host crashes that the node saw, by fingerprint of the request that caused them.
     pub(crate) crashes: Vec<(Fingerprint, u32)>,
+    /// What the node knows about subjects of crashing requests.
+    pub(crate) quarantine: quarantine::Report,
 }
 
 /// Access
@@ -71,6 +73,7 @@
             flights,
             lost: cluster.probed_losses(now),
             crashes: state.crashes().own_counts(now).collect(),
+            quarantine: state.quarantine.report(now),
         }
     }
 }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -143,6 +143,7 @@
         }
         time::sleep(MIN_INTERVAL).await;
         update_from_digests(&state, &peers);
+        state.update_quarantine();
         let rest = MAX_INTERVAL - MIN_INTERVAL;
         if state.routing.load().routable().all(|it| it.stats.in_flight() == 0) {
             // There is no load to report, so the next digest can wait until the snapshot changes.
@@ -179,6 +180,7 @@
     }
     let now = state.now();
     let (node, lost, crashes) = (digest.node.clone(), digest.lost.clone(), digest.crashes.clone());
+    let quarantine = digest.quarantine.clone();
     let lost_before = peers.reported_losses(&node);
     let is_new = !peers.contains(&node);
     if !peers.store_digest(now, digest) {
@@ -192,6 +194,10 @@
     if !crashes.is_empty() {
         update_remote_crashes(state, peers, now);
     }
+    if !quarantine.is_empty() {
+        state.quarantine.apply(now, &quarantine);
+        state.update_quarantine();
+    }
 }
 
 /// Ends losses that were only extended by the reports of a node that reports them no longer.
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod admission;
 pub(crate) mod cluster;
 pub(crate) mod election;
+pub(crate) mod quarantine;
 pub(crate) mod routing;
 pub(crate) mod stats;
 
@@ -68,6 +69,8 @@
     pub(crate) election: election::Election,
     /// Requests that crash hosts.
     crashes: Mutex<crash::Tracker>,
+    /// What crashing requests have in common.
+    pub(crate) quarantine: quarantine::Quarantine,
     /// Requests and retries of this node, by service.
     retry_budgets: Mutex<HashMap<id::Service, retry::Budget>>,
     /// Number of nodes in the list of all nodes, this one included.
@@ -132,6 +135,7 @@
             store,
             election: election::Election::default(),
             crashes: Mutex::default(),
+            quarantine: quarantine::Quarantine::new(),
             retry_budgets: Mutex::default(),
             node_count: AtomicUsize::new(1),
             sharing_nodes: AtomicUsize::new(0),
@@ -324,6 +328,34 @@
         self.first_event_ms.store(mean.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Records that a request with these parts of the prompt was in flight at a crash.
+    pub(crate) fn record_crash(&self, at: Duration, parts: &[id::PromptPart], crash: id::Crash) {
+        if self.quarantine.record_crash(at, parts, crash) {
+            self.is_broadcast_requested.store(true, Ordering::Relaxed);
+            self.update_quarantine();
+        }
+    }
+
+    /// Decides anew which requests may be sent to hosts, after crashes or responses.
+    pub(crate) fn update_quarantine(&self) {
+        for change in self.quarantine.update(self.now()) {
+            self.events.emit(match change {
+                quarantine::Change::Began { subject, companions, crashes } => {
+                    let companions: Vec<String> =
+                        companions.iter().map(ToString::to_string).collect();
+                    Kind::QuarantineBegan {
+                        subject: subject.to_string(),
+                        companions: companions.join(","),
+                        crashes: crashes as u64,
+                    }
+                }
+                quarantine::Change::Ended { subject } => {
+                    Kind::QuarantineEnded { subject: subject.to_string() }
+                }
+            });
+        }
+    }
+
     /// Returns whether the next digest goes to all other nodes at once, and clears the mark.
     pub(crate) fn take_broadcast_request(&self) -> bool {
         self.is_broadcast_requested.swap(false, Ordering::Relaxed)
--- a/cuminward-serving/src/id.rs
+++ b/cuminward-serving/src/id.rs
@@ -28,6 +28,9 @@
 /// Identifier of a part of a prompt, such as an instruction that many requests begin with.
 pub type PromptPart = u64;
 
+/// Identifier of a crash of a host: a hash of the upstream that ended with it, which never serves again.
+pub type Crash = u64;
+
 /// Version of the catalog.
 pub type Version = u64;
 
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod nodes;
 pub mod placement;
 pub mod progress;
+pub mod quarantine;
 pub mod queue;
 pub mod replica;
 pub mod request;
--- /dev/null
+++ b/cuminward-serving/src/quarantine.rs
@@ -0,0 +1,292 @@
+//! Quarantine of what crashing requests have in common.
+//!
+//! A request may crash each host that begins to respond to it, and other requests that contain the
+//! same part of a prompt do so too. All requests in flight at a crash look alike to the nodes, so
+//! that one crash tells little. A subject, such as a part of a prompt, is quarantined once it was in
+//! flight at several crashes and nothing has shown it to be harmless: no request with it got a
+//! response shortly before or at any time after these crashes.
+//!
+//! Parts that come together in crashing requests can't be told apart at first. Only requests with all of
+//! them are quarantined then: one with a single part of them either gets a response, which shows that this
+//! part is harmless, or crashes a host without the other parts.
+//!
+//! Nodes exchange what they saw. A crash has the same id on all nodes, so that it counts once.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt,
+    time::Duration,
+};
+
+use cuminward_derive::{record, value};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::id;
+
+/// Property of a request that may be what crashes hosts.
+#[value]
+pub enum Subject {
+    /// Part of the prompt.
+    Part(id::PromptPart),
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Subject::Part(id) => write!(f, "part:{id:x}"),
+        }
+    }
+}
+
+/// A crash of a host while a request with a subject was in flight there, as nodes tell each other.
+#[serde_as]
+#[record]
+pub struct Sighting {
+    /// Subject of the request.
+    pub subject: Subject,
+    /// The crash.
+    pub crash: id::Crash,
+    /// Time since the crash.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+}
+
+/// A request with a subject that got a response, as nodes tell each other.
+#[serde_as]
+#[record]
+pub struct Proof {
+    /// Subject of the request.
+    pub subject: Subject,
+    /// Time since the response.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+}
+
+/// Number of events of a response from which on its request is known not to crash hosts. A request
+/// that does so crashes them as they begin to respond.
+pub const HARMLESS_EVENTS: u64 = 4;
+
+/// Number of crashes from which a subject is quarantined.
+pub const THRESHOLD: usize = 3;
+
+/// Time between two crashes below which they count as one: hosts that lose power together were not
+/// crashed by requests.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time for which a response proves that later crashes have another cause. Limited, as a new version
+/// of a model may crash where the old one didn't.
+pub const PROOF_VALIDITY: Duration = Duration::from_secs(10);
+
+/// Time after its last crash for which a subject counts as suspect, and as quarantined.
+const SUSPICION: Duration = Duration::from_secs(60);
+const QUARANTINE: Duration = Duration::from_secs(600);
+
+/// Largest number of subjects and of crashes of one subject that are kept.
+const MAX_SUBJECTS: usize = 256;
+const MAX_CRASHES: usize = 8;
+
+/// Largest number of sightings that are sent to other nodes.
+const MAX_SENT: usize = 64;
+
+/// Subjects that were in flight at crashes.
+#[derive(Debug, Clone, Default)]
+pub struct Tracker {
+    suspects: HashMap<Subject, Suspect>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Suspect {
+    crashes: BTreeMap<id::Crash, Crash>,
+    /// When a request with the subject last got a response, if one did.
+    proven_at: Option<Duration>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Crash {
+    at: Duration,
+    /// Whether this node saw the crash itself.
+    is_own: bool,
+}
+
+/// Quarantine of a subject.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Quarantine {
+    /// When the quarantine ends.
+    pub ends_at: Duration,
+    /// Other subjects that a request must have as well to be quarantined.
+    pub companions: Vec<Subject>,
+}
+
+/// Subjects of which no request may be sent to a host.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Quarantined {
+    subjects: BTreeMap<Subject, Quarantine>,
+}
+
+/// Access
+impl Quarantined {
+    /// Returns whether a request with these subjects may not be sent to a host.
+    pub fn contains(&self, now: Duration, request: &[Subject]) -> bool {
+        let quarantines = request.iter().filter_map(|it| self.subjects.get(it));
+        let mut current = quarantines.filter(|it| it.ends_at > now);
+        current.any(|it| it.companions.iter().all(|it| request.contains(it)))
+    }
+
+    /// Returns whether no subject is quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.subjects.is_empty()
+    }
+
+    /// Iterates over the quarantined subjects.
+    pub fn iter(&self) -> impl Iterator<Item = (&Subject, &Quarantine)> {
+        self.subjects.iter()
+    }
+
+    /// Returns the quarantine of a subject.
+    pub fn get(&self, subject: &Subject) -> Option<&Quarantine> {
+        self.subjects.get(subject)
+    }
+}
+
+/// Returns the subjects of a request with these parts of the prompt. The last part belongs to the
+/// request alone.
+pub fn subjects(parts: &[id::PromptPart]) -> Vec<Subject> {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().copied().map(Subject::Part).collect()
+}
+
+/// Access
+impl Suspect {
+    /// Returns the times of the crashes that have no other cause as far as is known, and at which `other`
+    /// wasn't in flight.
+    fn crash_times(&self, other: Option<&Suspect>) -> Vec<Duration> {
+        let is_blamed =
+            |at: Duration| self.proven_at.is_none_or(|proven| proven + PROOF_VALIDITY < at);
+        let is_separate = |id| other.is_none_or(|it| !it.crashes.contains_key(id));
+        let crashes = self.crashes.iter().filter(|(id, it)| is_blamed(it.at) && is_separate(*id));
+        let mut times: Vec<Duration> = crashes.map(|(_, it)| it.at).collect();
+        times.sort_unstable();
+        times.dedup_by(|later, earlier| *later - *earlier < MIN_INTERVAL);
+        times
+    }
+
+    /// Returns whether the subject is or was quarantined.
+    fn is_confirmed(&self) -> bool {
+        self.crash_times(None).len() >= THRESHOLD
+    }
+
+    /// Returns whether another subject was in flight at all crashes of this one, so that it may be what
+    /// crashes hosts.
+    fn is_explained_by(&self, other: &Suspect) -> bool {
+        self.crash_times(Some(other)).is_empty()
+    }
+
+    /// Returns when the subject is no longer suspect; zero if it isn't.
+    fn expires_at(&self) -> Duration {
+        let times = self.crash_times(None);
+        let retention = if times.len() >= THRESHOLD { QUARANTINE } else { SUSPICION };
+        times.last().map_or(Duration::ZERO, |it| *it + retention)
+    }
+}
+
+/// Access
+impl Tracker {
+    /// Returns the subjects that are suspect.
+    pub fn subjects(&self) -> impl Iterator<Item = Subject> {
+        self.suspects.keys().copied()
+    }
+
+    /// Returns the quarantined subjects.
+    pub fn quarantined(&self, now: Duration) -> Quarantined {
+        let is_current = |it: &Suspect| it.is_confirmed() && it.expires_at() > now;
+        let mut current: Vec<(Subject, &Suspect)> = self
+            .suspects
+            .iter()
+            .filter(|(_, it)| is_current(it))
+            .map(|(subject, it)| (*subject, it))
+            .collect();
+        current.sort_unstable_by_key(|(subject, _)| *subject);
+        let quarantine = |suspect: &Suspect| {
+            let others = current.iter().filter(|(_, it)| !std::ptr::eq(*it, suspect));
+            let explaining = others.filter(|(_, it)| suspect.is_explained_by(it));
+            let companions = explaining.map(|(subject, _)| *subject).collect();
+            Quarantine { ends_at: suspect.expires_at(), companions }
+        };
+        let subjects = current.iter().map(|(subject, it)| (*subject, quarantine(it))).collect();
+        Quarantined { subjects }
+    }
+
+    /// Returns the sightings to be sent to other nodes: those of this node, and for subjects that are
+    /// quarantined those of all nodes, so that they outlast the nodes that saw the crashes.
+    pub fn sightings(&self, now: Duration) -> Vec<Sighting> {
+        let mut sightings = Vec::new();
+        for (subject, suspect) in &self.suspects {
+            let is_confirmed = suspect.is_confirmed();
+            let sent = suspect.crashes.iter().filter(|(_, it)| it.is_own || is_confirmed);
+            sightings.extend(sent.map(|(crash, it)| Sighting {
+                subject: *subject,
+                crash: *crash,
+                age: now.saturating_sub(it.at),
+            }));
+        }
+        sightings.sort_by_key(|it| it.age);
+        sightings.truncate(MAX_SENT);
+        sightings
+    }
+
+    /// Returns the number of crashes for which a subject is blamed.
+    pub fn crash_count(&self, subject: Subject) -> usize {
+        self.suspects.get(&subject).map_or(0, |it| it.crash_times(None).len())
+    }
+}
+
+/// Mutation
+impl Tracker {
+    /// Records that a request with a subject was in flight at a crash that this node saw. Returns whether
+    /// that is new.
+    pub fn record_crash(&mut self, now: Duration, subject: Subject, crash: id::Crash) -> bool {
+        self.insert(subject, crash, Crash { at: now, is_own: true })
+    }
+
+    /// Records a crash that another node saw.
+    pub fn record_sighting(&mut self, now: Duration, sighting: &Sighting) {
+        let at = now.saturating_sub(sighting.age);
+        self.insert(sighting.subject, sighting.crash, Crash { at, is_own: false });
+    }
+
+    /// Records that a request with a subject got a response. Ignored unless the subject is suspect.
+    pub fn record_proof(&mut self, at: Duration, subject: Subject) {
+        if let Some(suspect) = self.suspects.get_mut(&subject) {
+            suspect.proven_at = suspect.proven_at.max(Some(at));
+        }
+    }
+
+    /// Removes the subjects that are no longer suspect.
+    pub fn expire(&mut self, now: Duration) {
+        self.suspects.retain(|_, it| it.expires_at() > now);
+    }
+
+    fn insert(&mut self, subject: Subject, crash: id::Crash, new: Crash) -> bool {
+        if self.suspects.len() >= MAX_SUBJECTS && !self.suspects.contains_key(&subject) {
+            self.remove_oldest();
+        }
+        let suspect = self.suspects.entry(subject).or_default();
+        if let Some(known) = suspect.crashes.get_mut(&crash) {
+            known.at = known.at.min(new.at);
+            known.is_own |= new.is_own;
+            return false;
+        }
+        suspect.crashes.insert(crash, new);
+        if suspect.crashes.len() > MAX_CRASHES {
+            let oldest = suspect.crashes.iter().min_by_key(|(_, it)| it.at).map(|it| *it.0);
+            oldest.map(|it| suspect.crashes.remove(&it));
+        }
+        true
+    }
+
+    /// Removes the subject that is suspect for the shortest further time.
+    fn remove_oldest(&mut self) {
+        let oldest = self.suspects.iter().min_by_key(|(_, it)| it.expires_at()).map(|it| *it.0);
+        oldest.map(|it| self.suspects.remove(&it));
+    }
+}
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod nodes;
 mod placement;
 mod progress;
+mod quarantine;
 mod queue;
 mod replica;
 mod retry;
--- /dev/null
+++ b/cuminward-serving/tests/all/quarantine.rs
@@ -0,0 +1,277 @@
+//! Quarantine of what crashing requests have in common.
+
+use std::time::Duration;
+
+use cuminward_serving::quarantine::{
+    PROOF_VALIDITY, Quarantined, Sighting, Subject, THRESHOLD, Tracker, subjects,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+/// Subjects of the cases.
+const A: Subject = Subject::Part(0xa);
+const B: Subject = Subject::Part(0xb);
+
+/// Time before the first step of a case, in milliseconds.
+const START_MS: u64 = 100_000;
+
+/// What a tracker is told.
+enum Step {
+    /// A crash with this id while requests with these subjects were in flight.
+    Crash(u64, &'static [Subject]),
+    /// A response to a request with a subject.
+    Response(Subject),
+}
+
+use Step::{Crash, Response};
+
+struct Case {
+    name: &'static str,
+    /// Milliseconds after the start, and what happens then.
+    steps: &'static [(u64, Step)],
+    /// Milliseconds after the start at which the result is checked.
+    checked_at: u64,
+    /// Requests, by their subjects, that are quarantined.
+    quarantined: &'static [&'static [Subject]],
+}
+
+/// Requests that each case checks.
+const REQUESTS: [&[Subject]; 3] = [&[A], &[B], &[A, B]];
+
+fn at(after_start: u64) -> Duration {
+    Duration::from_millis(START_MS + after_start)
+}
+
+fn play(steps: &[(u64, Step)]) -> Tracker {
+    let mut tracker = Tracker::default();
+    for (after, step) in steps {
+        match step {
+            Crash(id, subjects) => {
+                for subject in *subjects {
+                    tracker.record_crash(at(*after), *subject, *id);
+                }
+            }
+            Response(subject) => tracker.record_proof(at(*after), *subject),
+        }
+    }
+    tracker
+}
+
+fn blocked(quarantined: &Quarantined, now: Duration) -> Vec<&'static [Subject]> {
+    REQUESTS.into_iter().filter(|it| quarantined.contains(now, it)).collect()
+}
+
+#[gtest]
+fn subjects_are_quarantined_after_crashes_that_nothing_else_explains() {
+    let cases = [
+        Case {
+            name: "two crashes",
+            steps: &[(0, Crash(1, &[A])), (500, Crash(2, &[A]))],
+            checked_at: 600,
+            quarantined: &[],
+        },
+        Case {
+            name: "three crashes",
+            steps: &[(0, Crash(1, &[A])), (500, Crash(2, &[A])), (900, Crash(3, &[A]))],
+            checked_at: 900,
+            quarantined: &[&[A], &[A, B]],
+        },
+        Case {
+            name: "one crash, seen three times",
+            steps: &[(0, Crash(1, &[A])), (500, Crash(1, &[A])), (900, Crash(1, &[A]))],
+            checked_at: 900,
+            quarantined: &[],
+        },
+        Case {
+            name: "hosts that ended at the same time",
+            steps: &[(0, Crash(1, &[A])), (5, Crash(2, &[A])), (9, Crash(3, &[A]))],
+            checked_at: 900,
+            quarantined: &[],
+        },
+        Case {
+            name: "a response after the crashes",
+            steps: &[
+                (0, Crash(1, &[A])),
+                (500, Crash(2, &[A])),
+                (900, Crash(3, &[A])),
+                (950, Response(A)),
+            ],
+            checked_at: 950,
+            quarantined: &[],
+        },
+        Case {
+            name: "a response between the crashes",
+            steps: &[
+                (0, Crash(1, &[A])),
+                (400, Response(A)),
+                (500, Crash(2, &[A])),
+                (900, Crash(3, &[A])),
+            ],
+            checked_at: 900,
+            quarantined: &[],
+        },
+        Case {
+            name: "a response long before the others",
+            steps: &[
+                (0, Crash(1, &[A])),
+                (400, Response(A)),
+                (10_500, Crash(2, &[A])),
+                (10_900, Crash(3, &[A])),
+                (11_300, Crash(4, &[A])),
+            ],
+            checked_at: 11_300,
+            quarantined: &[&[A], &[A, B]],
+        },
+        Case {
+            name: "two subjects that always come together",
+            steps: &[(0, Crash(1, &[A, B])), (500, Crash(2, &[A, B])), (900, Crash(3, &[A, B]))],
+            checked_at: 900,
+            quarantined: &[&[A, B]],
+        },
+        Case {
+            name: "one of two subjects got a response",
+            steps: &[
+                (0, Crash(1, &[A, B])),
+                (500, Crash(2, &[A, B])),
+                (900, Crash(3, &[A, B])),
+                (950, Response(A)),
+            ],
+            checked_at: 950,
+            quarantined: &[&[B], &[A, B]],
+        },
+        Case {
+            name: "one of two subjects crashes another host",
+            steps: &[
+                (0, Crash(1, &[A, B])),
+                (500, Crash(2, &[A, B])),
+                (900, Crash(3, &[A, B])),
+                (1300, Crash(4, &[B])),
+            ],
+            checked_at: 1300,
+            quarantined: &[&[B], &[A, B]],
+        },
+        Case {
+            name: "one of two subjects crashed another host before",
+            steps: &[
+                (0, Crash(1, &[B])),
+                (500, Crash(2, &[A, B])),
+                (900, Crash(3, &[A, B])),
+                (1300, Crash(4, &[A, B])),
+            ],
+            checked_at: 1300,
+            quarantined: &[&[B], &[A, B]],
+        },
+        Case {
+            name: "two subjects that crash hosts by themselves",
+            steps: &[
+                (0, Crash(1, &[A])),
+                (300, Crash(2, &[B])),
+                (600, Crash(3, &[A])),
+                (900, Crash(4, &[B])),
+                (1200, Crash(5, &[A])),
+                (1500, Crash(6, &[B])),
+            ],
+            checked_at: 1500,
+            quarantined: &[&[A], &[B], &[A, B]],
+        },
+        Case {
+            name: "the quarantine lasts",
+            steps: &[(0, Crash(1, &[A])), (500, Crash(2, &[A])), (900, Crash(3, &[A]))],
+            checked_at: 600_000,
+            quarantined: &[&[A], &[A, B]],
+        },
+        Case {
+            name: "the quarantine ends",
+            steps: &[(0, Crash(1, &[A])), (500, Crash(2, &[A])), (900, Crash(3, &[A]))],
+            checked_at: 601_000,
+            quarantined: &[],
+        },
+    ];
+    for case in cases {
+        let tracker = play(case.steps);
+        let now = at(case.checked_at);
+        let blocked = blocked(&tracker.quarantined(now), now);
+        expect_that!(blocked, eq(case.quarantined), "{}", case.name);
+    }
+}
+
+#[gtest]
+fn the_last_part_of_a_prompt_is_no_subject() {
+    expect_that!(subjects(&[]), is_empty());
+    expect_that!(subjects(&[0xa]), is_empty());
+    expect_that!(subjects(&[0xa, 0xb, 1]), elements_are![eq(&A), eq(&B)]);
+}
+
+#[gtest]
+fn nodes_agree_after_they_told_each_other_what_they_saw() {
+    let now = at(1000);
+    let first = play(&[(0, Crash(1, &[A])), (500, Crash(2, &[A]))]);
+    let mut second = play(&[(5, Crash(1, &[A])), (900, Crash(3, &[A]))]);
+    expect_that!(second.quarantined(now).is_empty(), eq(true));
+    for sighting in first.sightings(now) {
+        second.record_sighting(now, &sighting);
+    }
+    expect_that!(second.quarantined(now).contains(now, &[A]), eq(true));
+    // The third node hears of all crashes from the second one, also of those that only the first one saw.
+    let mut third = Tracker::default();
+    for sighting in second.sightings(now) {
+        third.record_sighting(now, &sighting);
+    }
+    expect_that!(third.quarantined(now), eq(&second.quarantined(now)));
+}
+
+#[gtest]
+fn suspects_expire_and_are_bounded() {
+    let mut tracker = Tracker::default();
+    for number in 0..2000 {
+        tracker.record_crash(at(number), Subject::Part(number), number);
+    }
+    expect_that!(tracker.subjects().count(), all!(gt(100), le(256)));
+    expect_that!(tracker.sightings(at(2000)).len(), le(64));
+    tracker.expire(at(70_000));
+    expect_that!(tracker.subjects().count(), eq(0));
+}
+
+proptest! {
+    /// Crashes, whatever their cause, don't make a node refuse what gets responses all the time.
+    #[test]
+    fn a_subject_that_gets_responses_is_never_quarantined(
+        crashes in proptest::collection::vec((0_u64..60_000, 0_u64..40), 1..80),
+    ) {
+        let mut tracker = Tracker::default();
+        let mut crashes = crashes;
+        crashes.sort_unstable();
+        let mut answered = Duration::ZERO;
+        for (after, id) in crashes {
+            // The last response came at most half of its validity ago.
+            answered = answered.max(at(after).saturating_sub(PROOF_VALIDITY / 2));
+            tracker.record_crash(at(after), A, id);
+            tracker.record_proof(answered, A);
+            prop_assert!(!tracker.quarantined(at(after)).contains(at(after), &[A]));
+        }
+    }
+
+    /// Sightings that arrive in any order and more than once have the same result.
+    #[test]
+    fn the_order_of_sightings_does_not_matter(
+        ages in proptest::collection::vec(0_u64..5000, THRESHOLD..8),
+        swaps in proptest::collection::vec((0_usize..8, 0_usize..8), 0..10),
+    ) {
+        let now = at(0);
+        let sighting = |(crash, age): (usize, &u64)| Sighting {
+            subject: A,
+            crash: crash as u64,
+            age: Duration::from_millis(*age),
+        };
+        let sightings: Vec<Sighting> = ages.iter().enumerate().map(sighting).collect();
+        let mut shuffled = [&sightings[..], &sightings[..]].concat();
+        for (left, right) in swaps {
+            let length = shuffled.len();
+            shuffled.swap(left % length, right % length);
+        }
+        let [mut first, mut second] = [Tracker::default(), Tracker::default()];
+        sightings.iter().for_each(|it| first.record_sighting(now, it));
+        shuffled.iter().for_each(|it| second.record_sighting(now, it));
+        prop_assert_eq!(first.quarantined(now), second.quarantined(now));
+    }
+}
