fix: cuminward-serving, cuminward-gateway: requests in flight at the crashes of others aren't refused

Cause: each crash was counted for the fingerprint of every request in flight at the host, however far its response had come, and a request that a crash interrupts is sent to the next host at once, so that two crashes within a second were enough. Nothing ever acquitted a request; the counts of several nodes were added up, so that one crash could count more than once. Class: blame by presence alone. Change: the fingerprint is a subject of the same quarantine as the parts of prompts: only requests with fewer than four events are suspect, a response acquits, a crash counts once, and a part that was in flight at all crashes of a request explains them. The separate counts and their place in the digest are gone. Every attempt checks the quarantine, also after a wait.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -787,7 +787,7 @@
     }
     /// Requests with a subject are no longer sent to hosts, since hosts crashed while such requests began.
     2408 Error "quarantine-began" QuarantineBegan {
-        /// What the requests have in common: `part:` and the id of a part of the prompt.
+        /// What the requests have in common: `request:` and a fingerprint, or `part:` and the id of a part of the prompt.
         subject: String,
         /// What a request must have as well, as the crashes can't tell it apart; separated by commas.
         companions: String,
--- a/cuminward-gateway/src/forward/admit.rs
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -28,16 +28,12 @@
 /// `Retry-After` sent after [`ADMISSION_GRACE`] has passed: the caller should try another node at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
-/// `Retry-After` sent for a request that has repeatedly crashed hosts.
-const CRASHING_RETRY_AFTER: Duration = Duration::from_secs(30);
-
 /// Admits a request and reads its body.
 ///
 /// # Errors
 ///
 /// Returns a [`Rejection`] if the node is shutting down or has no catalog, if no route or team matches,
-/// if the headers or the body are too large, if the body can't be read, or if the request is known to
-/// crash hosts.
+/// if the headers or the body are too large, or if the body can't be read.
 pub(crate) async fn admit(
     state: &State,
     request: Request<Incoming>,
@@ -65,12 +61,7 @@
     let service = target.service.clone();
     let version = catalog.version;
     let input = Input { parts, body, meta, route, service, team, hides_key, version, started };
-    let context = Context::new(input);
-    if state.crashes().is_quarantined(state.now(), context.fingerprint) {
-        return Err(Rejection::unavailable(CRASHING_RETRY_AFTER)
-            .with_cause("the request repeatedly crashed the hosts that ran it"));
-    }
-    Ok(context)
+    Ok(Context::new(input))
 }
 
 /// Checks that the headers don't exceed the size limit of the catalog.
--- a/cuminward-gateway/src/forward/context.rs
+++ b/cuminward-gateway/src/forward/context.rs
@@ -9,7 +9,11 @@
 };
 
 use bytes::Bytes;
-use cuminward_serving::{attempt, catalog, crash, id, request};
+use cuminward_serving::{
+    attempt, catalog, crash, id,
+    quarantine::{self, Subject},
+    request,
+};
 use http::request::Parts;
 use tokio::time::Instant;
 use xxhash_rust::xxh3;
@@ -26,6 +30,8 @@
     pub(crate) hides_key: bool,
     pub(crate) priority: u8,
     pub(crate) fingerprint: crash::Fingerprint,
+    /// What a crash while the request is in flight may be due to.
+    pub(crate) subjects: Vec<Subject>,
     /// Version of the catalog that admitted the request.
     pub(crate) version: id::Version,
     pub(crate) started: Instant,
@@ -67,6 +73,7 @@
             priority: team_priority.unwrap_or(it.route.priority),
             team: it.team,
             fingerprint,
+            subjects: quarantine::subjects(fingerprint, &it.meta.prompt_parts),
             version: it.version,
             started: it.started,
             deadline: it.started + timeout.saturating_sub(DEADLINE_MARGIN),
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -196,7 +196,7 @@
     });
 }
 
-/// Records a crash of an upstream at which a request was in flight. The parts of its prompt are blamed unless the
+/// Records a crash of an upstream at which a request was in flight. The request may have caused it unless the
 /// response had come too far.
 fn record_crash(
     state: &State,
@@ -215,8 +215,7 @@
         after_ms: broken_at.saturating_sub(progress.started).as_millis() as u64,
     };
     state.events.emit_for(context.id(), kind);
-    state.crashes().record_crash(state.now(), context.fingerprint);
     if progress.events < quarantine::HARMLESS_EVENTS {
-        state.record_crash(broken_at, parts, upstream.key);
+        state.record_crash(broken_at, &context.subjects, upstream.key);
     }
 }
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -294,7 +294,7 @@
 
     /// Records that the request crashes no host.
     fn record_harmless(&self) {
-        self.state.quarantine.record_response(self.state.now(), &self.context.meta.prompt_parts);
+        self.state.quarantine.record_response(self.state.now(), &self.context.subjects);
     }
 
     /// Ends an attempt whose stream was broken off, which may indicate a crash of the host.
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -43,7 +43,7 @@
 pub(crate) enum Unavailable {
     /// There is no upstream that could serve the request, however long it waited.
     Absent,
-    /// The request contains what has crashed several hosts.
+    /// The request, or a part of its prompt, has crashed several hosts.
     Quarantined,
     /// None of the upstreams had capacity in time.
     Full {
@@ -86,7 +86,7 @@
         match self {
             Unavailable::Absent => write!(f, "no upstream is known"),
             Unavailable::Quarantined => {
-                write!(f, "the request contains a part of a prompt that crashed several hosts")
+                write!(f, "the request, or a part of its prompt, crashed several hosts")
             }
             Unavailable::Full { upstreams, full, cold, suspect } => write!(
                 f,
@@ -137,7 +137,7 @@
 ///
 /// [`Unavailable::Quarantined`].
 fn check_quarantine(state: &State, context: &Context) -> Result<(), Unavailable> {
-    if state.quarantine.blocks(state.now(), &context.meta.prompt_parts) {
+    if state.quarantine.blocks(state.now(), &context.subjects) {
         return Err(Unavailable::Quarantined);
     }
     Ok(())
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -105,7 +105,10 @@
         Err(Fault { failure: Failure::Unknown, cause })
     });
     match &result {
-        Ok(_) => slot.upstream.stats.record_success(),
+        Ok(_) => {
+            slot.upstream.stats.record_success();
+            state.quarantine.record_response(state.now(), &context.subjects);
+        }
         Err(_) => slot.upstream.stats.record_failure(state.now()),
     }
     result
--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use cuminward_derive::record;
-use cuminward_serving::{crash::Fingerprint, id, message};
+use cuminward_serving::{id, message};
 
 use crate::state::{State, quarantine, routing::Key};
 
@@ -30,9 +30,7 @@
     pub(crate) flights: Vec<(Key, u32)>,
     /// Hosts that didn't answer a recent probe of the node.
     pub(crate) lost: Vec<id::Host>,
-    /// Number of host crashes that the node saw, by fingerprint of the request that caused them.
-    pub(crate) crashes: Vec<(Fingerprint, u32)>,
-    /// What the node knows about subjects of crashing requests.
+    /// What the node knows about crashing requests.
     pub(crate) quarantine: quarantine::Report,
 }
 
@@ -72,7 +70,6 @@
             listing: cluster.host_list.end(),
             flights,
             lost: cluster.probed_losses(now),
-            crashes: state.crashes().own_counts(now).collect(),
             quarantine: state.quarantine.report(now),
         }
     }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -9,7 +9,7 @@
 };
 
 use cuminward_event::kind::Kind;
-use cuminward_serving::{crash::Fingerprint, id, loss, scaling};
+use cuminward_serving::{id, loss, scaling};
 use tokio::{net::UdpSocket, time};
 
 use super::digest::{Builder, Digest};
@@ -179,7 +179,7 @@
         state.record_traffic();
     }
     let now = state.now();
-    let (node, lost, crashes) = (digest.node.clone(), digest.lost.clone(), digest.crashes.clone());
+    let (node, lost) = (digest.node.clone(), digest.lost.clone());
     let quarantine = digest.quarantine.clone();
     let lost_before = peers.reported_losses(&node);
     let is_new = !peers.contains(&node);
@@ -191,9 +191,6 @@
     }
     withdraw_losses(state, &loss::find_new(&lost, &lost_before));
     handle_reported_losses(state, &node, &lost_before, &lost);
-    if !crashes.is_empty() {
-        update_remote_crashes(state, peers, now);
-    }
     if !quarantine.is_empty() {
         state.quarantine.apply(now, &quarantine);
         state.update_quarantine();
@@ -245,20 +242,6 @@
     }
 }
 
-fn update_remote_crashes(state: &State, peers: &Peers, now: Duration) {
-    let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
-    for peer in peers.lock().values() {
-        let crashes = peer.digest.iter().flat_map(|it| &it.crashes);
-        for (fingerprint, count) in crashes {
-            *counts.entry(*fingerprint).or_default() += count;
-        }
-    }
-    let mut tracker = state.crashes();
-    for (fingerprint, count) in counts {
-        tracker.set_peer_count(now, fingerprint, count);
-    }
-}
-
 /// Updates what depends on the digests of the other nodes: whether this node is a candidate for the
 /// role of steward, and the load of the upstreams.
 fn update_from_digests(state: &State, peers: &Peers) {
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -22,7 +22,7 @@
 use cuminward_adapter::store;
 use cuminward_core::hlc;
 use cuminward_event::{kind::Kind, line, sink::Sink};
-use cuminward_serving::{crash, id, progress, retry, slowdown};
+use cuminward_serving::{id, progress, quarantine::Subject, retry, slowdown};
 use cuminward_upstream::pool;
 use http_body_util::Full;
 use tokio::sync::Notify;
@@ -67,8 +67,6 @@
     pub(crate) store: store::Client,
     /// This node's role in the election of stewards.
     pub(crate) election: election::Election,
-    /// Requests that crash hosts.
-    crashes: Mutex<crash::Tracker>,
     /// What crashing requests have in common.
     pub(crate) quarantine: quarantine::Quarantine,
     /// Requests and retries of this node, by service.
@@ -134,7 +132,6 @@
             upstreams: pool::Pool::new(options),
             store,
             election: election::Election::default(),
-            crashes: Mutex::default(),
             quarantine: quarantine::Quarantine::new(),
             retry_budgets: Mutex::default(),
             node_count: AtomicUsize::new(1),
@@ -211,11 +208,6 @@
         self.cluster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Locks and returns the tracker of requests that crash hosts.
-    pub(crate) fn crashes(&self) -> MutexGuard<'_, crash::Tracker> {
-        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Returns whether a retry of a request for a service is allowed now.
     pub(crate) fn has_retry(&self, service: &str) -> bool {
         let (now, limit) = (self.now(), self.retry_limit());
@@ -328,9 +320,9 @@
         self.first_event_ms.store(mean.as_millis() as u64, Ordering::Relaxed);
     }
 
-    /// Records that a request with these parts of the prompt was in flight at a crash.
-    pub(crate) fn record_crash(&self, at: Duration, parts: &[id::PromptPart], crash: id::Crash) {
-        if self.quarantine.record_crash(at, parts, crash) {
+    /// Records that a request with these subjects was in flight at a crash.
+    pub(crate) fn record_crash(&self, at: Duration, request: &[Subject], crash: id::Crash) {
+        if self.quarantine.record_crash(at, request, crash) {
             self.is_broadcast_requested.store(true, Ordering::Relaxed);
             self.update_quarantine();
         }
--- a/cuminward-gateway/src/state/quarantine.rs
+++ b/cuminward-gateway/src/state/quarantine.rs
@@ -12,13 +12,14 @@
 use cuminward_derive::record;
 use cuminward_serving::{
     id,
-    quarantine::{PROOF_VALIDITY, Proof, Quarantined, Sighting, Subject, Tracker, subjects},
+    quarantine::{PROOF_VALIDITY, Proof, Quarantined, Sighting, Subject, Tracker},
 };
 
 /// Number of parts of the table of responses, each with its own lock.
 const SHARDS: usize = 16;
 
-/// Number of entries of a part from which expired ones are removed before another is added.
+/// Number of entries of a part from which expired ones are removed before another is added, and all if none
+/// has expired.
 const MAX_ENTRIES: usize = 1024;
 
 /// When a request with a subject last got a response from this node.
@@ -80,10 +81,9 @@
 
 /// Access
 impl Quarantine {
-    /// Returns whether a request with these parts of the prompt may not be sent to a host.
-    pub(crate) fn blocks(&self, now: Duration, parts: &[id::PromptPart]) -> bool {
-        let quarantined = self.quarantined.load();
-        !quarantined.is_empty() && quarantined.contains(now, &subjects(parts))
+    /// Returns whether a request with these subjects may not be sent to a host.
+    pub(crate) fn blocks(&self, now: Duration, request: &[Subject]) -> bool {
+        self.quarantined.load().contains(now, request)
     }
 
     fn tracker(&self) -> MutexGuard<'_, Tracker> {
@@ -98,29 +98,27 @@
 
 /// Mutation
 impl Quarantine {
-    /// Records a response that shows that a request with these parts of the prompt crashes no host.
-    pub(crate) fn record_response(&self, now: Duration, parts: &[id::PromptPart]) {
-        for subject in subjects(parts) {
-            let mut responses = self.responses(subject);
+    /// Records a response that shows that a request with these subjects crashes no host.
+    pub(crate) fn record_response(&self, now: Duration, request: &[Subject]) {
+        for subject in request {
+            let mut responses = self.responses(*subject);
             if responses.len() >= MAX_ENTRIES {
                 responses.retain(|_, at| now.saturating_sub(*at) < PROOF_VALIDITY);
             }
-            responses.insert(subject, now);
+            if responses.len() >= MAX_ENTRIES {
+                responses.clear();
+            }
+            responses.insert(*subject, now);
         }
     }
 
-    /// Records that a request with these parts of the prompt was in flight at a crash. Returns whether
-    /// other nodes should hear of it soon.
-    pub(crate) fn record_crash(
-        &self,
-        now: Duration,
-        parts: &[id::PromptPart],
-        crash: id::Crash,
-    ) -> bool {
+    /// Records that a request with these subjects was in flight at a crash. Returns whether other nodes should
+    /// hear of it soon.
+    pub(crate) fn record_crash(&self, at: Duration, request: &[Subject], crash: id::Crash) -> bool {
         let mut tracker = self.tracker();
         let mut is_new = false;
-        for subject in subjects(parts) {
-            is_new |= tracker.record_crash(now, subject, crash);
+        for subject in request {
+            is_new |= tracker.record_crash(at, *subject, crash);
         }
         is_new
     }
--- a/cuminward-serving/src/quarantine.rs
+++ b/cuminward-serving/src/quarantine.rs
@@ -6,6 +6,9 @@
 //! flight at several crashes and nothing has shown it to be harmless: no request with it got a
 //! response shortly before or at any time after these crashes.
 //!
+//! A request that a caller sends again is a subject too. If a part was in flight at all its crashes, the part
+//! explains them, and not the other way round.
+//!
 //! Parts that come together in crashing requests can't be told apart at first. Only requests with all of
 //! them are quarantined then: one with a single part of them either gets a response, which shows that this
 //! part is harmless, or crashes a host without the other parts.
@@ -21,18 +24,29 @@
 use cuminward_derive::{record, value};
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::id;
+use crate::{crash, id};
 
 /// Property of a request that may be what crashes hosts.
 #[value]
 pub enum Subject {
+    /// The request itself, when its caller sends it again.
+    Request(crash::Fingerprint),
     /// Part of the prompt.
     Part(id::PromptPart),
 }
 
+/// Access
+impl Subject {
+    /// Returns whether the subject is a part of a prompt, which many requests may have.
+    fn is_part(self) -> bool {
+        matches!(self, Subject::Part(_))
+    }
+}
+
 impl fmt::Display for Subject {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Subject::Request(fingerprint) => write!(f, "request:{fingerprint}"),
             Subject::Part(id) => write!(f, "part:{id:x}"),
         }
     }
@@ -113,7 +127,7 @@
 pub struct Quarantine {
     /// When the quarantine ends.
     pub ends_at: Duration,
-    /// Other subjects that a request must have as well to be quarantined.
+    /// Parts that a request must have as well to be quarantined.
     pub companions: Vec<Subject>,
 }
 
@@ -150,9 +164,10 @@
 
 /// Returns the subjects of a request with these parts of the prompt. The last part belongs to the
 /// request alone.
-pub fn subjects(parts: &[id::PromptPart]) -> Vec<Subject> {
+pub fn subjects(fingerprint: crash::Fingerprint, parts: &[id::PromptPart]) -> Vec<Subject> {
     let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    shared.iter().copied().map(Subject::Part).collect()
+    let parts = shared.iter().copied().map(Subject::Part);
+    std::iter::once(Subject::Request(fingerprint)).chain(parts).collect()
 }
 
 /// Access
@@ -208,7 +223,8 @@
         current.sort_unstable_by_key(|(subject, _)| *subject);
         let quarantine = |suspect: &Suspect| {
             let others = current.iter().filter(|(_, it)| !std::ptr::eq(*it, suspect));
-            let explaining = others.filter(|(_, it)| suspect.is_explained_by(it));
+            let explaining =
+                others.filter(|(subject, it)| subject.is_part() && suspect.is_explained_by(it));
             let companions = explaining.map(|(subject, _)| *subject).collect();
             Quarantine { ends_at: suspect.expires_at(), companions }
         };
