fix: cuminward-serving: parts that were in flight at the same crashes in different requests are quarantined separately

Cause: a part counted as explained by another one that was in flight at all of its crashes, although requests with the one had come without the other; then only requests with both were refused, and no such request came. Change: sightings tell which other parts all suspect requests with a part have had. Two parts that were in flight at the same crashes explain each other only if one always came with the other. A part that was in flight at more crashes explains the others as before.

--- a/cuminward-gateway/src/state/quarantine.rs
+++ b/cuminward-gateway/src/state/quarantine.rs
@@ -115,12 +115,7 @@
     /// Records that a request with these subjects was in flight at a crash. Returns whether other nodes should
     /// hear of it soon.
     pub(crate) fn record_crash(&self, at: Duration, request: &[Subject], crash: id::Crash) -> bool {
-        let mut tracker = self.tracker();
-        let mut is_new = false;
-        for subject in request {
-            is_new |= tracker.record_crash(at, *subject, crash);
-        }
-        is_new
+        self.tracker().record_crash(at, request, crash)
     }
 
     /// Records what another node told.
--- a/cuminward-serving/src/quarantine.rs
+++ b/cuminward-serving/src/quarantine.rs
@@ -16,7 +16,7 @@
 //! Nodes exchange what they saw. A crash has the same id on all nodes, so that it counts once.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     fmt,
     time::Duration,
 };
@@ -63,6 +63,8 @@
     /// Time since the crash.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+    /// Other parts that all suspect requests with the subject have had.
+    pub companions: BTreeSet<Subject>,
 }
 
 /// A request with a subject that got a response, as nodes tell each other.
@@ -111,6 +113,8 @@
 #[derive(Debug, Clone, Default)]
 struct Suspect {
     crashes: BTreeMap<id::Crash, Crash>,
+    /// Other parts that all suspect requests with the subject have had; `None` before the first request.
+    companions: Option<BTreeSet<Subject>>,
     /// When a request with the subject last got a response, if one did.
     proven_at: Option<Duration>,
 }
@@ -190,10 +194,15 @@
         self.crash_times(None).len() >= THRESHOLD
     }
 
-    /// Returns whether another subject was in flight at all crashes of this one, so that it may be what
+    /// Returns whether a part was in flight at all crashes of this suspect, so that the part may be what
     /// crashes hosts.
-    fn is_explained_by(&self, other: &Suspect) -> bool {
-        self.crash_times(Some(other)).is_empty()
+    fn is_explained_by(&self, part: &Suspect) -> bool {
+        self.crash_times(Some(part)).is_empty()
+    }
+
+    /// Returns whether all requests of this suspect have had a part.
+    fn always_has(&self, part: Subject) -> bool {
+        self.companions.as_ref().is_some_and(|it| it.contains(&part))
     }
 
     /// Returns when the subject is no longer suspect; zero if it isn't.
@@ -221,14 +230,21 @@
             .map(|(subject, it)| (*subject, it))
             .collect();
         current.sort_unstable_by_key(|(subject, _)| *subject);
-        let quarantine = |suspect: &Suspect| {
-            let others = current.iter().filter(|(_, it)| !std::ptr::eq(*it, suspect));
-            let explaining =
-                others.filter(|(subject, it)| subject.is_part() && suspect.is_explained_by(it));
-            let companions = explaining.map(|(subject, _)| *subject).collect();
+        // Two parts that were in flight at the same crashes explain each other only if they came together.
+        let explains = |(part, it): &(Subject, &Suspect), subject: Subject, suspect: &Suspect| {
+            let is_mutual = subject.is_part() && it.is_explained_by(suspect);
+            part.is_part()
+                && *part != subject
+                && suspect.is_explained_by(it)
+                && (!is_mutual || suspect.always_has(*part))
+        };
+        let quarantine = |subject: Subject, suspect: &Suspect| {
+            let explaining = current.iter().filter(|it| explains(it, subject, suspect));
+            let companions = explaining.map(|(part, _)| *part).collect();
             Quarantine { ends_at: suspect.expires_at(), companions }
         };
-        let subjects = current.iter().map(|(subject, it)| (*subject, quarantine(it))).collect();
+        let subjects =
+            current.iter().map(|(subject, it)| (*subject, quarantine(*subject, it))).collect();
         Quarantined { subjects }
     }
 
@@ -243,6 +259,7 @@
                 subject: *subject,
                 crash: *crash,
                 age: now.saturating_sub(it.at),
+                companions: suspect.companions.clone().unwrap_or_default(),
             }));
         }
         sightings.sort_by_key(|it| it.age);
@@ -258,16 +275,23 @@
 
 /// Mutation
 impl Tracker {
-    /// Records that a request with a subject was in flight at a crash that this node saw. Returns whether
-    /// that is new.
-    pub fn record_crash(&mut self, now: Duration, subject: Subject, crash: id::Crash) -> bool {
-        self.insert(subject, crash, Crash { at: now, is_own: true })
+    /// Records that a request with these subjects was in flight at a crash that this node saw. Returns
+    /// whether a subject wasn't known to have been in flight at it.
+    pub fn record_crash(&mut self, at: Duration, request: &[Subject], crash: id::Crash) -> bool {
+        let mut is_new = false;
+        for subject in request {
+            let others = request.iter().filter(|it| it.is_part() && *it != subject);
+            let companions = others.copied().collect();
+            is_new |= self.insert(*subject, crash, Crash { at, is_own: true }, &companions);
+        }
+        is_new
     }
 
     /// Records a crash that another node saw.
     pub fn record_sighting(&mut self, now: Duration, sighting: &Sighting) {
         let at = now.saturating_sub(sighting.age);
-        self.insert(sighting.subject, sighting.crash, Crash { at, is_own: false });
+        let crash = Crash { at, is_own: false };
+        self.insert(sighting.subject, sighting.crash, crash, &sighting.companions);
     }
 
     /// Records that a request with a subject got a response. Ignored unless the subject is suspect.
@@ -282,11 +306,19 @@
         self.suspects.retain(|_, it| it.expires_at() > now);
     }
 
-    fn insert(&mut self, subject: Subject, crash: id::Crash, new: Crash) -> bool {
+    fn insert(
+        &mut self,
+        subject: Subject,
+        crash: id::Crash,
+        new: Crash,
+        companions: &BTreeSet<Subject>,
+    ) -> bool {
         if self.suspects.len() >= MAX_SUBJECTS && !self.suspects.contains_key(&subject) {
             self.remove_oldest();
         }
         let suspect = self.suspects.entry(subject).or_default();
+        let known = suspect.companions.get_or_insert_with(|| companions.clone());
+        known.retain(|it| companions.contains(it));
         if let Some(known) = suspect.crashes.get_mut(&crash) {
             known.at = known.at.min(new.at);
             known.is_own |= new.is_own;
--- a/cuminward-serving/tests/all/crash.rs
+++ b/cuminward-serving/tests/all/crash.rs
@@ -1,6 +1,6 @@
 //! Quarantine of requests that crash hosts.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use cuminward_serving::{
     crash::fingerprint,
@@ -26,14 +26,15 @@
 
 /// Returns the sighting of a crash by another node, a second after the crash.
 fn sighting(crash: u64) -> Sighting {
-    Sighting { subject: REQUEST, crash, age: Duration::from_secs(1) }
+    let companions = BTreeSet::new();
+    Sighting { subject: REQUEST, crash, age: Duration::from_secs(1), companions }
 }
 
 #[gtest]
 fn crashes_of_all_nodes_count_together_and_expire() {
     let now = Duration::from_secs(100);
     let mut tracker = Tracker::default();
-    tracker.record_crash(now, REQUEST, 1);
+    tracker.record_crash(now, &[REQUEST], 1);
     expect_that!(tracker.quarantined(now).is_empty(), eq(true));
     expect_that!(tracker.sightings(now).len(), eq(1));
     for crash in 2..=THRESHOLD as u64 {
@@ -69,8 +70,8 @@
     let mut tracker = Tracker::default();
     for crash in 0..THRESHOLD as u64 {
         let at = Duration::from_secs(100 + crash);
-        tracker.record_crash(at, part, crash);
-        tracker.record_crash(at, REQUEST, crash);
+        tracker.record_crash(at, &[Subject::Request(8), part], crash);
+        tracker.record_crash(at, &[REQUEST], crash);
     }
     let now = Duration::from_secs(105);
     let quarantined = tracker.quarantined(now);
--- a/cuminward-serving/tests/all/quarantine.rs
+++ b/cuminward-serving/tests/all/quarantine.rs
@@ -1,6 +1,6 @@
 //! Quarantine of what crashing requests have in common.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use cuminward_serving::quarantine::{
     PROOF_VALIDITY, Quarantined, Sighting, Subject, THRESHOLD, Tracker, subjects,
@@ -17,7 +17,7 @@
 
 /// What a tracker is told.
 enum Step {
-    /// A crash with this id while requests with these subjects were in flight.
+    /// A crash with this id while a request with these subjects was in flight.
     Crash(u64, &'static [Subject]),
     /// A response to a request with a subject.
     Response(Subject),
@@ -46,10 +46,8 @@
     let mut tracker = Tracker::default();
     for (after, step) in steps {
         match step {
-            Crash(id, subjects) => {
-                for subject in *subjects {
-                    tracker.record_crash(at(*after), *subject, *id);
-                }
+            Crash(id, request) => {
+                tracker.record_crash(at(*after), request, *id);
             }
             Response(subject) => tracker.record_proof(at(*after), *subject),
         }
@@ -161,6 +159,44 @@
             checked_at: 1300,
             quarantined: &[&[B], &[A, B]],
         },
+        Case {
+            name: "two subjects of different requests at the same crashes",
+            steps: &[
+                (0, Crash(1, &[A])),
+                (0, Crash(1, &[B])),
+                (500, Crash(2, &[A])),
+                (500, Crash(2, &[B])),
+                (900, Crash(3, &[A])),
+                (900, Crash(3, &[B])),
+            ],
+            checked_at: 900,
+            quarantined: &[&[A], &[B], &[A, B]],
+        },
+        Case {
+            name: "two subjects that come together, and once at the same crash in different requests",
+            steps: &[
+                (0, Crash(1, &[A, B])),
+                (500, Crash(2, &[A, B])),
+                (900, Crash(3, &[A])),
+                (900, Crash(3, &[B])),
+            ],
+            checked_at: 900,
+            quarantined: &[&[A], &[B], &[A, B]],
+        },
+        Case {
+            name: "a subject of other requests at some of the crashes",
+            steps: &[
+                (0, Crash(1, &[A])),
+                (300, Crash(2, &[A])),
+                (300, Crash(2, &[B])),
+                (600, Crash(3, &[A])),
+                (600, Crash(3, &[B])),
+                (900, Crash(4, &[A])),
+                (900, Crash(4, &[B])),
+            ],
+            checked_at: 900,
+            quarantined: &[&[A], &[A, B]],
+        },
         Case {
             name: "two subjects that crash hosts by themselves",
             steps: &[
@@ -225,7 +261,7 @@
 fn suspects_expire_and_are_bounded() {
     let mut tracker = Tracker::default();
     for number in 0..2000 {
-        tracker.record_crash(at(number), Subject::Part(number), number);
+        tracker.record_crash(at(number), &[Subject::Part(number)], number);
     }
     expect_that!(tracker.subjects().count(), all!(gt(100), le(256)));
     expect_that!(tracker.sightings(at(2000)).len(), le(64));
@@ -246,7 +282,7 @@
         for (after, id) in crashes {
             // The last response came at most half of its validity ago.
             answered = answered.max(at(after).saturating_sub(PROOF_VALIDITY / 2));
-            tracker.record_crash(at(after), A, id);
+            tracker.record_crash(at(after), &[A], id);
             tracker.record_proof(answered, A);
             prop_assert!(!tracker.quarantined(at(after)).contains(at(after), &[A]));
         }
@@ -263,6 +299,7 @@
             subject: A,
             crash: crash as u64,
             age: Duration::from_millis(*age),
+            companions: BTreeSet::new(),
         };
         let sightings: Vec<Sighting> = ages.iter().enumerate().map(sighting).collect();
         let mut shuffled = [&sightings[..], &sightings[..]].concat();
