fix: cuminward-serving: rare parts aren't refused, and parts that begin to crash hosts are, for all of a response's validity

A part that begins to crash hosts after it got responses would have been let through for 10 s; that was seen in a test only. Cause: one fixed time had to serve both. Change: a response is valid for 60 s, but five crashes since refute it. A part without a response is blamed before one with a response.

--- a/cuminward-gateway/src/state/quarantine.rs
+++ b/cuminward-gateway/src/state/quarantine.rs
@@ -20,7 +20,7 @@
 
 /// Number of entries of a part from which expired ones are removed before another is added, and all if none
 /// has expired.
-const MAX_ENTRIES: usize = 1024;
+const MAX_ENTRIES: usize = 4096;
 
 /// When a request with a subject last got a response from this node.
 type Responses = HashMap<Subject, Duration>;
--- a/cuminward-serving/src/quarantine.rs
+++ b/cuminward-serving/src/quarantine.rs
@@ -89,9 +89,12 @@
 /// crashed by requests.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time for which a response proves that later crashes have another cause. Limited, as a new version
-/// of a model may crash where the old one didn't.
-pub const PROOF_VALIDITY: Duration = Duration::from_secs(10);
+/// Number of crashes since the last response from which they count although the response is valid. A
+/// new version of a model may crash where the old one didn't.
+const REFUTING_CRASHES: usize = 5;
+
+/// Time for which a response shows that later crashes have another cause.
+pub const PROOF_VALIDITY: Duration = Duration::from_secs(60);
 
 /// Time after its last crash for which a subject counts as suspect, and as quarantined.
 const SUSPICION: Duration = Duration::from_secs(60);
@@ -176,13 +179,20 @@
 
 /// Access
 impl Suspect {
-    /// Returns the times of the crashes that have no other cause as far as is known, and at which `other`
-    /// wasn't in flight.
+    /// Returns the times of the crashes for which the subject is blamed, and at which `other` wasn't in
+    /// flight.
     fn crash_times(&self, other: Option<&Suspect>) -> Vec<Duration> {
-        let is_blamed =
-            |at: Duration| self.proven_at.is_none_or(|proven| proven + PROOF_VALIDITY < at);
+        let Some(proven_at) = self.proven_at else { return self.crash_times_after(None, other) };
+        let is_refuted = self.crash_times_after(Some(proven_at), None).len() >= REFUTING_CRASHES;
+        let start = if is_refuted { proven_at } else { proven_at + PROOF_VALIDITY };
+        self.crash_times_after(Some(start), other)
+    }
+
+    /// Returns the times of the crashes after `start` at which `other` wasn't in flight.
+    fn crash_times_after(&self, start: Option<Duration>, other: Option<&Suspect>) -> Vec<Duration> {
+        let is_later = |at: Duration| start.is_none_or(|start| start < at);
         let is_separate = |id| other.is_none_or(|it| !it.crashes.contains_key(id));
-        let crashes = self.crashes.iter().filter(|(id, it)| is_blamed(it.at) && is_separate(*id));
+        let crashes = self.crashes.iter().filter(|(id, it)| is_later(it.at) && is_separate(*id));
         let mut times: Vec<Duration> = crashes.map(|(_, it)| it.at).collect();
         times.sort_unstable();
         times.dedup_by(|later, earlier| *later - *earlier < MIN_INTERVAL);
@@ -194,10 +204,24 @@
         self.crash_times(None).len() >= THRESHOLD
     }
 
-    /// Returns whether a part was in flight at all crashes of this suspect, so that the part may be what
-    /// crashes hosts.
-    fn is_explained_by(&self, part: &Suspect) -> bool {
-        self.crash_times(Some(part)).is_empty()
+    /// Returns whether a part, rather than this subject, may be what crashes hosts: it was in flight at all
+    /// crashes. If the reverse holds as well, a part without a response is blamed before one with a response,
+    /// and two others explain each other only if they came together.
+    fn is_explained_by(&self, subject: Subject, part: Subject, other: &Suspect) -> bool {
+        if !self.was_always_beside(other) {
+            return false;
+        }
+        let is_mutual = subject.is_part() && other.was_always_beside(self);
+        match (self.proven_at, other.proven_at) {
+            (None, Some(_)) => false,
+            (Some(_), None) => true,
+            _ => !is_mutual || self.always_has(part),
+        }
+    }
+
+    /// Returns whether another subject was in flight at all crashes of this one.
+    fn was_always_beside(&self, other: &Suspect) -> bool {
+        self.crash_times(Some(other)).is_empty()
     }
 
     /// Returns whether all requests of this suspect have had a part.
@@ -205,10 +229,10 @@
         self.companions.as_ref().is_some_and(|it| it.contains(&part))
     }
 
-    /// Returns when the subject is no longer suspect; zero if it isn't.
+    /// Returns when the crashes no longer count; zero if there are none since the last response.
     fn expires_at(&self) -> Duration {
-        let times = self.crash_times(None);
-        let retention = if times.len() >= THRESHOLD { QUARANTINE } else { SUSPICION };
+        let times = self.crash_times_after(self.proven_at, None);
+        let retention = if self.is_confirmed() { QUARANTINE } else { SUSPICION };
         times.last().map_or(Duration::ZERO, |it| *it + retention)
     }
 }
@@ -230,13 +254,8 @@
             .map(|(subject, it)| (*subject, it))
             .collect();
         current.sort_unstable_by_key(|(subject, _)| *subject);
-        // Two parts that were in flight at the same crashes explain each other only if they came together.
         let explains = |(part, it): &(Subject, &Suspect), subject: Subject, suspect: &Suspect| {
-            let is_mutual = subject.is_part() && it.is_explained_by(suspect);
-            part.is_part()
-                && *part != subject
-                && suspect.is_explained_by(it)
-                && (!is_mutual || suspect.always_has(*part))
+            part.is_part() && *part != subject && suspect.is_explained_by(subject, *part, it)
         };
         let quarantine = |subject: Subject, suspect: &Suspect| {
             let explaining = current.iter().filter(|it| explains(it, subject, suspect));
