--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -774,7 +774,7 @@
         /// Reason.
         cause: String,
     }
-    /// An upstream ended a stream without an error; written if bytes followed its last event, and for sampled requests.
+    /// An upstream ended a stream without an error; written if bytes followed, and if sampled.
     2407 Info "stream-ended" StreamEnded {
         /// Name of the upstream.
         upstream: String,
@@ -787,7 +787,7 @@
     }
     /// Requests with a subject are no longer sent to hosts, since hosts crashed while such requests began.
     2408 Error "quarantine-began" QuarantineBegan {
-        /// What the requests have in common: `request:` and a fingerprint, or `part:` and the id of a part of the prompt.
+        /// `request:` and a fingerprint, or `part:` and the id of a part of the prompt.
         subject: String,
         /// What a request must have as well, as the crashes can't tell it apart; separated by commas.
         companions: String,
