feat: cuminward-adapter, cuminward-event, cuminward-gateway: logs tell the era of the store and which declarations are dropped for their offset

Nothing told in which era a response of the store was made, which records a read returned and why they weren't applied. The client reads the era from each response, a node logs each new one, each declaration that it drops for its offset, and the first kept record when a read asks for one that isn't. No change of logic.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -603,6 +603,30 @@
         /// Error message.
         cause: String,
     }
+    /// A new era of the store was noticed: the first one, or the store came back from an older copy.
+    2108 Warn "store-era-began" StoreEraBegan {
+        /// The era.
+        era: u64,
+        /// Era before; 0 at the node's start.
+        previous: u64,
+        /// Offset after the newest known declaration.
+        declarations: u64,
+        /// Offset after the newest known record of the host list.
+        hosts: u64,
+    }
+    /// A declaration was read but not applied, as a newer record of its key is known.
+    2109 Info "declaration-outdated" DeclarationOutdated {
+        /// Key of the record.
+        key: String,
+        /// Era of the store when the record was read.
+        era: u64,
+        /// Offset of the record.
+        offset: u64,
+        /// Offset of the known record.
+        known_offset: u64,
+        /// Value of the record: `same` as the known one, or `other`.
+        value: String,
+    }
     /// The store assigned another set of steward partitions to this node.
     2201 Info "duties-divided" PartitionsAssigned {
         /// Partitions assigned to this node.
--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -55,7 +55,7 @@
         };
         needs_all = match &read {
             Ok(()) => false,
-            Err(store::Error::Trimmed) => true,
+            Err(store::Error::Missing { .. }) => true,
             Err(_) => needs_all,
         };
         health.record(&state.events, state.now(), read.as_ref().err());
@@ -67,6 +67,7 @@
 
 async fn read_all_declarations(state: &State) -> Result<(), store::Error> {
     let page = state.store.read_newest(topic::DECLARATIONS).await?;
+    emit_outdated(state, &page.records);
     state.cluster().replace_declarations(page.records, page.next_offset);
     state.publish();
     Ok(())
@@ -76,6 +77,7 @@
     let from = state.cluster().declarations.end();
     let wait = Duration::from_millis(rand::random_range(DECLARATION_WAIT_MS));
     let page = state.store.read(topic::DECLARATIONS, from, wait).await?;
+    emit_outdated(state, &page.records);
     let mut is_changed = false;
     for record in page.records {
         is_changed |= state.cluster().apply_declaration(&record);
@@ -86,6 +88,39 @@
     Ok(())
 }
 
+/// Records an event for each declaration that differs from a known newer one of its key.
+fn emit_outdated(state: &State, records: &[Record]) {
+    let era = *state.store.era().borrow();
+    for record in records {
+        let Some(known) = state.cluster().declarations.record(&record.key) else { continue };
+        if known.offset < record.offset || known == *record {
+            continue;
+        }
+        let value = if known.value == record.value { "same" } else { "other" };
+        state.events.emit(Kind::DeclarationOutdated {
+            key: record.key.clone(),
+            era,
+            offset: record.offset,
+            known_offset: known.offset,
+            value: value.to_owned(),
+        });
+    }
+}
+
+/// Records an event whenever the store comes back from an older copy, until the task is dropped.
+pub(crate) async fn watch_era(state: Arc<State>) {
+    let mut eras = state.store.era();
+    let mut previous = *eras.borrow_and_update();
+    while eras.changed().await.is_ok() {
+        let era = *eras.borrow_and_update();
+        let cluster = state.cluster();
+        let (declarations, hosts) = (cluster.declarations.end(), cluster.host_list.end());
+        drop(cluster);
+        state.events.emit(Kind::StoreEraBegan { era, previous, declarations, hosts });
+        previous = era;
+    }
+}
+
 /// Follows the host list until the task is dropped.
 pub(crate) async fn follow_host_list(state: Arc<State>) {
     let mut reader = HostListReader::new();
@@ -195,7 +230,7 @@
 
     fn record(&mut self, state: &State, error: Option<&store::Error>) {
         let now = state.now();
-        if error == Some(&store::Error::Trimmed) {
+        if matches!(error, Some(store::Error::Missing { .. })) {
             self.needs_all = true;
         }
         let outage = self.health.record(&state.events, now, error);
--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -130,6 +130,7 @@
     fn start_control(&mut self) {
         let state = Arc::clone(&self.state);
         self.tasks.spawn(async move { election::run(&state).await });
+        self.tasks.spawn(topics::watch_era(Arc::clone(&self.state)));
         self.tasks.spawn(topics::follow_declarations(Arc::clone(&self.state)));
         self.tasks.spawn(topics::follow_host_list(Arc::clone(&self.state)));
         self.tasks.spawn(steward::run(Arc::clone(&self.state)));
--- a/cuminward-serving/src/id.rs
+++ b/cuminward-serving/src/id.rs
@@ -43,5 +43,9 @@
 /// Count of the orders that a host has accepted since its start.
 pub type Seq = u64;
 
-/// Position in a partition of the store's log.
+/// Position in a partition of the store's log, within an era.
 pub type Offset = u64;
+
+/// Number of the store's history: grows by one each time the store comes back from an older copy, which
+/// loses its newest records and hands their offsets out again.
+pub type Era = u64;
--- a/cuminward-serving/src/table.rs
+++ b/cuminward-serving/src/table.rs
@@ -47,6 +47,16 @@
         self.end
     }
 
+    /// Returns the newest known record of a key, including a deletion.
+    pub fn record(&self, key: &str) -> Option<Record> {
+        let row = self.rows.get(key)?;
+        Some(Record {
+            offset: row.offset,
+            key: key.to_owned(),
+            value: row.value.as_ref().map(|it| it.to_vec()),
+        })
+    }
+
     /// Returns the keys that are not deleted, with their values.
     pub fn rows(&self) -> impl Iterator<Item = (&str, &Bytes)> {
         self.rows.iter().filter_map(|(key, row)| Some((key.as_str(), row.value.as_ref()?)))
