fix: cuminward-gateway: failing test of changes that are written after the store lost records

The fake store can go back to a backup: what was written since is lost, its offsets are given out again, the era grows, and a read from beyond the end gets 410. A node applies some versions, the store goes back, the operator writes some of them again and then a new one.

--- a/cuminward-gateway/tests/all/configuration.rs
+++ b/cuminward-gateway/tests/all/configuration.rs
@@ -21,7 +21,7 @@
 }
 
 /// Polls a path until it returns the status; returns whether that happens within [`IN_FORCE`].
-async fn wait_for_status(node: &Node, path: &str, status: u16) -> bool {
+pub(crate) async fn wait_for_status(node: &Node, path: &str, status: u16) -> bool {
     let poll = async {
         while node.get(path, &[]).await.map(|it| it.status.as_u16()).ok() != Some(status) {
             time::sleep(Duration::from_millis(20)).await;
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod groups;
 mod lifecycle;
 mod quarantine;
+mod restored;
 mod site;
 mod streams;
 mod template;
