fix: cuminward-serving, cuminward-adapter, cuminward-gateway: positions in the store have their era

Ruled out: reads that don't get there (the record was read 23 ms after its acknowledgement), other nodes that bring back what was (no node took the record).

A position is now an era and an offset, ordered by era first, in tables, reads, digests and the exchange between nodes; none of them keeps or sends a bare offset.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -574,11 +574,15 @@
         version: u64,
         /// Number of routes.
         routes: u64,
+        /// Era of the store when the record was read.
+        era: u64,
         /// Offset of the catalog's record in the store.
         offset: u64,
     }
     /// A declared catalog is invalid; the previous one stays in force.
     2104 Error "catalog-unreadable" CatalogInvalid {
+        /// Era of the store when the record was read.
+        era: u64,
         /// Offset of the catalog's record in the store.
         offset: u64,
         /// Error message.
@@ -622,6 +626,8 @@
         era: u64,
         /// Offset of the record.
         offset: u64,
+        /// Era of the known record.
+        known_era: u64,
         /// Offset of the known record.
         known_offset: u64,
         /// Value of the record: `same` as the known one, or `other`.
--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -4,7 +4,7 @@
 
 use cuminward_adapter::{store, topic};
 use cuminward_event::{kind::Kind, sink::Sink};
-use cuminward_serving::{id, scaling, table::Record};
+use cuminward_serving::{position::Position, scaling, table::Record};
 use tokio::time;
 
 use crate::state::State;
@@ -53,6 +53,10 @@
         } else {
             read_next_declarations(&state).await
         };
+        if read == Err(store::Error::EraEnded) {
+            needs_all = true;
+            continue;
+        }
         needs_all = match &read {
             Ok(()) => false,
             Err(store::Error::Missing { .. }) => true,
@@ -68,7 +72,7 @@
 async fn read_all_declarations(state: &State) -> Result<(), store::Error> {
     let page = state.store.read_newest(topic::DECLARATIONS).await?;
     emit_outdated(state, &page.records);
-    state.cluster().replace_declarations(page.records, page.next_offset);
+    state.cluster().replace_declarations(page.records, page.next);
     state.publish();
     Ok(())
 }
@@ -90,18 +94,18 @@
 
 /// Records an event for each declaration that differs from a known newer one of its key.
 fn emit_outdated(state: &State, records: &[Record]) {
-    let era = *state.store.era().borrow();
     for record in records {
         let Some(known) = state.cluster().declarations.record(&record.key) else { continue };
-        if known.offset < record.offset || known == *record {
+        if known.position < record.position || known == *record {
             continue;
         }
         let value = if known.value == record.value { "same" } else { "other" };
         state.events.emit(Kind::DeclarationOutdated {
             key: record.key.clone(),
-            era,
-            offset: record.offset,
-            known_offset: known.offset,
+            era: record.position.era,
+            offset: record.position.offset,
+            known_era: known.position.era,
+            known_offset: known.position.offset,
             value: value.to_owned(),
         });
     }
@@ -114,7 +118,8 @@
     while eras.changed().await.is_ok() {
         let era = *eras.borrow_and_update();
         let cluster = state.cluster();
-        let (declarations, hosts) = (cluster.declarations.end(), cluster.host_list.end());
+        let (declarations, hosts) =
+            (cluster.declarations.end().offset, cluster.host_list.end().offset);
         drop(cluster);
         state.events.emit(Kind::StoreEraBegan { era, previous, declarations, hosts });
         previous = era;
@@ -146,8 +151,8 @@
 struct HostListReader {
     /// Whether the next read fetches the newest record of every key.
     needs_all: bool,
-    /// Offset at which the next read begins. Later records may already be known from other nodes.
-    next: id::Offset,
+    /// Position at which the next read begins. Later records may already be known from other nodes.
+    next: Position,
     health: Health,
     /// Until when deletions are deferred, since the node's start, as the hosts may write their records
     /// again.
@@ -161,7 +166,7 @@
     fn new() -> HostListReader {
         HostListReader {
             needs_all: true,
-            next: 0,
+            next: Position::default(),
             health: Health::new("list of hosts"),
             deferred_until: Duration::ZERO,
             deferred: Vec::new(),
@@ -172,11 +177,16 @@
 /// Mutation
 impl HostListReader {
     async fn read(&mut self, state: &State) -> Result<(), store::Error> {
-        let is_changed = if self.needs_all {
-            self.read_all(state).await?
-        } else {
-            self.read_next(state).await?
-        };
+        let mut is_changed = false;
+        if !self.needs_all {
+            match self.read_next(state).await {
+                Err(store::Error::EraEnded) => self.needs_all = true,
+                read => is_changed = read?,
+            }
+        }
+        if self.needs_all {
+            is_changed = self.read_all(state).await?;
+        }
         if is_changed | self.apply_deferred(state) {
             state.publish();
         }
@@ -193,8 +203,8 @@
             }
             return Ok(true);
         }
-        cluster.replace_host_list(now, page.records, page.next_offset);
-        self.next = page.next_offset;
+        cluster.replace_host_list(now, page.records, page.next);
+        self.next = page.next;
         self.needs_all = false;
         Ok(true)
     }
@@ -206,14 +216,14 @@
         let mut is_changed = false;
         for record in page.records {
             if record.value.is_none() && now < self.deferred_until {
-                cluster.host_list.advance(record.offset + 1);
+                cluster.host_list.advance(record.position.next());
                 self.deferred.push(record);
             } else {
                 is_changed |= cluster.apply_host_record(now, &record);
             }
         }
-        cluster.host_list.advance(page.next_offset);
-        self.next = page.next_offset;
+        cluster.host_list.advance(page.next);
+        self.next = page.next;
         Ok(is_changed)
     }
 
--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use cuminward_derive::record;
-use cuminward_serving::{id, message};
+use cuminward_serving::{id, message, position::Position};
 
 use crate::state::{State, quarantine, routing::Key};
 
@@ -22,10 +22,10 @@
     pub(crate) address: SocketAddr,
     /// Whether callers may have sent requests, to any node, since the system first started.
     pub(crate) has_traffic: bool,
-    /// Offset that follows the newest declaration that the node has.
-    pub(crate) declarations: id::Offset,
-    /// Offset that follows the newest record of the host list that the node has.
-    pub(crate) listing: id::Offset,
+    /// Position that follows the newest declaration that the node has.
+    pub(crate) declarations: Position,
+    /// Position that follows the newest record of the host list that the node has.
+    pub(crate) listing: Position,
     /// Number of the node's requests in flight, for each upstream that has any.
     pub(crate) flights: Vec<(Key, u32)>,
     /// Hosts that didn't answer a recent probe of the node.
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -5,7 +5,7 @@
 
 use cuminward_derive::record;
 use cuminward_event::kind::Kind;
-use cuminward_serving::{id, table::Record};
+use cuminward_serving::{id, position::Position, table::Record};
 use futures::StreamExt;
 use tarpc::{
     client, context,
@@ -17,7 +17,7 @@
 use super::gossip::Peers;
 use crate::state::State;
 
-/// Interval at which this node compares its offsets with those in the digests of others.
+/// Interval at which this node compares its positions with those in the digests of others.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Interval at which a node that doesn't read the store fetches from a node that does.
@@ -36,7 +36,7 @@
 /// node.
 const MAX_HOST_LIST_LAG: id::Offset = 100;
 
-/// Records that a node has from two offsets on.
+/// Records that a node has from two positions on.
 #[record]
 pub(crate) struct Delta {
     /// Declarations.
@@ -46,13 +46,13 @@
 }
 
 mod service {
-    use cuminward_serving::id;
+    use cuminward_serving::position::Position;
 
     use super::Delta;
 
     #[tarpc::service]
     pub trait AntiEntropy {
-        async fn records_since(declarations: id::Offset, listing: id::Offset) -> Delta;
+        async fn records_since(declarations: Position, listing: Position) -> Delta;
     }
 }
 
@@ -67,8 +67,8 @@
     async fn records_since(
         self,
         _: context::Context,
-        declarations: id::Offset,
-        listing: id::Offset,
+        declarations: Position,
+        listing: Position,
     ) -> Delta {
         let cluster = self.state.cluster();
         Delta {
@@ -183,16 +183,22 @@
     let (declarations, listing) = known_ends(state);
     let fresh = peers.recently_seen(state.now()).into_iter();
     let newer = fresh.filter(|it| {
-        it.digest.as_ref().is_some_and(|it| {
-            it.declarations > declarations || it.listing > listing + MAX_HOST_LIST_LAG
-        })
+        it.digest
+            .as_ref()
+            .is_some_and(|it| it.declarations > declarations || is_far_behind(listing, it.listing))
     });
     let newest = newer.max_by_key(|it| it.digest.as_ref().map(|it| (it.declarations, it.listing)));
     newest.map(|it| it.address)
 }
 
-/// Returns the offsets that follow the newest declaration and the newest host record that this node has.
-fn known_ends(state: &State) -> (id::Offset, id::Offset) {
+/// Returns whether a host list that ends at `own` lags so far behind one that ends at `other` that the missing
+/// records are fetched.
+fn is_far_behind(own: Position, other: Position) -> bool {
+    other.era > own.era || other.era == own.era && other.offset > own.offset + MAX_HOST_LIST_LAG
+}
+
+/// Returns the positions that follow the newest declaration and the newest host record that this node has.
+fn known_ends(state: &State) -> (Position, Position) {
     let cluster = state.cluster();
     (cluster.declarations.end(), cluster.host_list.end())
 }
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -10,6 +10,7 @@
 use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::{
     catalog, engine, host, id, loss, nodes,
+    position::Position,
     replica::{self, Group},
     slowdown,
     table::{Record, Table},
@@ -112,8 +113,8 @@
         true
     }
 
-    /// Replaces all declarations by the complete list of the newest records before the offset `end`.
-    pub(crate) fn replace_declarations(&mut self, records: Vec<Record>, end: id::Offset) {
+    /// Replaces all declarations by the complete list of the newest records before the position `end`.
+    pub(crate) fn replace_declarations(&mut self, records: Vec<Record>, end: Position) {
         for record in &records {
             self.apply_declaration(record);
         }
@@ -135,20 +136,21 @@
             return;
         }
         let Some(value) = value.filter(|_| key == topic::CATALOG_KEY) else { return };
-        let offset = self.declarations.end().saturating_sub(1);
+        let position = self.declarations.end().previous();
         match catalog_record::decode(value) {
-            Ok(catalog) => self.set_catalog(catalog, offset),
+            Ok(catalog) => self.set_catalog(catalog, position),
             Err(error) => {
-                let cause = error.to_string();
-                self.events.emit(Kind::CatalogInvalid { offset, cause });
+                let (Position { era, offset }, cause) = (position, error.to_string());
+                self.events.emit(Kind::CatalogInvalid { era, offset, cause });
             }
         }
     }
 
-    fn set_catalog(&mut self, catalog: catalog::Catalog, offset: id::Offset) {
+    fn set_catalog(&mut self, catalog: catalog::Catalog, position: Position) {
         if self.catalog.as_ref().is_none_or(|it| it.version < catalog.version) {
             let (version, routes) = (catalog.version, catalog.routes.len() as u64);
-            self.events.emit(Kind::CatalogApplied { version, routes, offset });
+            let Position { era, offset } = position;
+            self.events.emit(Kind::CatalogApplied { version, routes, era, offset });
             self.catalog = Some(Arc::new(catalog));
         }
     }
@@ -162,13 +164,8 @@
         true
     }
 
-    /// Replaces the host list by the complete list of the newest records before the offset `end`.
-    pub(crate) fn replace_host_list(
-        &mut self,
-        now: Duration,
-        records: Vec<Record>,
-        end: id::Offset,
-    ) {
+    /// Replaces the host list by the complete list of the newest records before the position `end`.
+    pub(crate) fn replace_host_list(&mut self, now: Duration, records: Vec<Record>, end: Position) {
         for record in &records {
             self.apply_host_record(now, record);
         }
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod message;
 pub mod nodes;
 pub mod placement;
+pub mod position;
 pub mod progress;
 pub mod quarantine;
 pub mod queue;
--- a/cuminward-serving/src/table.rs
+++ b/cuminward-serving/src/table.rs
@@ -1,6 +1,6 @@
 //! Table of the newest record of each key of a topic.
 //!
-//! The table keeps the offset of each record, so that copies can be updated from the store or from
+//! The table keeps the position of each record, so that copies can be updated from the store or from
 //! other nodes in any order.
 
 use std::collections::BTreeMap;
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use cuminward_derive::record;
 
-use crate::id;
+use crate::position::Position;
 
 /// Maximum number of deleted keys that are kept as tombstones, so that other nodes receive the
 /// deletion.
@@ -19,7 +19,7 @@
 #[derive(Eq)]
 pub struct Record {
     /// Position in the partition.
-    pub offset: id::Offset,
+    pub position: Position,
     /// Key.
     pub key: String,
     /// Value; `None` if the key was deleted.
@@ -30,20 +30,20 @@
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     rows: BTreeMap<String, Row>,
-    /// Offset after the newest record that was seen.
-    end: id::Offset,
+    /// Position after the newest record that was seen.
+    end: Position,
 }
 
 #[derive(Debug, Clone)]
 struct Row {
-    offset: id::Offset,
+    position: Position,
     value: Option<Bytes>,
 }
 
 /// Access
 impl Table {
-    /// Returns the offset after the newest record that was seen.
-    pub fn end(&self) -> id::Offset {
+    /// Returns the position after the newest record that was seen.
+    pub fn end(&self) -> Position {
         self.end
     }
 
@@ -51,7 +51,7 @@
     pub fn record(&self, key: &str) -> Option<Record> {
         let row = self.rows.get(key)?;
         Some(Record {
-            offset: row.offset,
+            position: row.position,
             key: key.to_owned(),
             value: row.value.as_ref().map(|it| it.to_vec()),
         })
@@ -62,12 +62,12 @@
         self.rows.iter().filter_map(|(key, row)| Some((key.as_str(), row.value.as_ref()?)))
     }
 
-    /// Returns the records with the offset `from` or a later one, including deletions.
-    pub fn records_since(&self, from: id::Offset) -> Vec<Record> {
-        let newer = self.rows.iter().filter(|(_, row)| row.offset >= from);
+    /// Returns the records at the position `from` or a later one, including deletions.
+    pub fn records_since(&self, from: Position) -> Vec<Record> {
+        let newer = self.rows.iter().filter(|(_, row)| row.position >= from);
         newer
             .map(|(key, row)| Record {
-                offset: row.offset,
+                position: row.position,
                 key: key.clone(),
                 value: row.value.as_ref().map(|it| it.to_vec()),
             })
@@ -79,21 +79,21 @@
 impl Table {
     /// Applies a record. Returns whether it is newer than the known record of its key.
     pub fn apply(&mut self, record: Record) -> bool {
-        self.end = self.end.max(record.offset + 1);
+        self.advance(record.position.next());
         let known = self.rows.get(&record.key);
-        if known.is_some_and(|it| it.offset >= record.offset) {
+        if known.is_some_and(|it| it.position >= record.position) {
             return false;
         }
-        let row = Row { offset: record.offset, value: record.value.map(Bytes::from) };
+        let row = Row { position: record.position, value: record.value.map(Bytes::from) };
         self.rows.insert(record.key, row);
         self.evict_oldest_tombstone();
         true
     }
 
-    /// Applies a complete list of the newest records before the offset `end`. A known key that is
+    /// Applies a complete list of the newest records before the position `end`. A known key that is
     /// missing from the list was deleted, unless its record is newer than the list. Returns the keys
     /// that were deleted this way.
-    pub fn apply_snapshot(&mut self, records: Vec<Record>, end: id::Offset) -> Vec<String> {
+    pub fn apply_snapshot(&mut self, records: Vec<Record>, end: Position) -> Vec<String> {
         let listed: std::collections::HashSet<String> =
             records.iter().map(|it| it.key.clone()).collect();
         for record in records {
@@ -101,29 +101,29 @@
         }
         let mut missing = Vec::new();
         for (key, row) in &mut self.rows {
-            if row.value.is_some() && row.offset < end && !listed.contains(key) {
+            if row.value.is_some() && row.position < end && !listed.contains(key) {
                 row.value = None;
-                row.offset = end.saturating_sub(1).max(row.offset);
+                row.position = end.previous().max(row.position);
                 missing.push(key.clone());
             }
         }
-        self.end = self.end.max(end);
+        self.advance(end);
         missing
     }
 
-    /// Records that everything before the offset `end` has been seen.
-    pub fn advance(&mut self, end: id::Offset) {
+    /// Records that everything before the position `end` has been seen.
+    pub fn advance(&mut self, end: Position) {
         self.end = self.end.max(end);
     }
 
-    /// Removes the tombstone with the lowest offset if there are more than [`MAX_TOMBSTONES`].
+    /// Removes the tombstone with the lowest position if there are more than [`MAX_TOMBSTONES`].
     fn evict_oldest_tombstone(&mut self) {
         let deleted = self.rows.values().filter(|it| it.value.is_none()).count();
         if deleted <= MAX_TOMBSTONES {
             return;
         }
         let oldest = self.rows.iter().filter(|(_, it)| it.value.is_none());
-        let oldest = oldest.min_by_key(|(_, it)| it.offset).map(|(key, _)| key.clone());
+        let oldest = oldest.min_by_key(|(_, it)| it.position).map(|(key, _)| key.clone());
         if let Some(key) = oldest {
             self.rows.remove(&key);
         }
--- a/cuminward-serving/tests/all/table.rs
+++ b/cuminward-serving/tests/all/table.rs
@@ -1,11 +1,22 @@
 //! Tables of the newest records.
 
-use cuminward_serving::table::{Record, Table};
+use cuminward_serving::{
+    position::Position,
+    table::{Record, Table},
+};
 use googletest::prelude::*;
 use proptest::prelude::*;
 
+fn at(offset: u64) -> Position {
+    Position { era: 1, offset }
+}
+
 fn record(offset: u64, key: &str, value: Option<&str>) -> Record {
-    Record { offset, key: key.to_owned(), value: value.map(|it| it.as_bytes().to_vec()) }
+    Record {
+        position: at(offset),
+        key: key.to_owned(),
+        value: value.map(|it| it.as_bytes().to_vec()),
+    }
 }
 
 fn rows(table: &Table) -> Vec<(String, String)> {
@@ -21,7 +32,7 @@
     expect_that!(table.apply(record(5, "a", None)), eq(true));
     expect_that!(table.apply(record(4, "a", Some("4"))), eq(false));
     expect_that!(rows(&table), is_empty());
-    expect_that!(table.end(), eq(6));
+    expect_that!(table.end(), eq(at(6)));
 }
 
 #[gtest]
@@ -29,7 +40,7 @@
     let mut table = Table::default();
     table.apply(record(1, "gone", Some("1")));
     table.apply(record(9, "newer", Some("9")));
-    let missing = table.apply_snapshot(vec![record(4, "listed", Some("4"))], 6);
+    let missing = table.apply_snapshot(vec![record(4, "listed", Some("4"))], at(6));
     expect_that!(missing, elements_are![eq("gone")]);
     expect_that!(
         rows(&table),
@@ -38,7 +49,7 @@
             eq(&(String::from("newer"), String::from("9")))
         ]
     );
-    expect_that!(table.end(), eq(10));
+    expect_that!(table.end(), eq(at(10)));
 }
 
 proptest! {
@@ -68,9 +79,50 @@
         }
         prop_assert_eq!(rows(&straight), rows(&other));
         let mut third = Table::default();
-        for it in straight.records_since(0) {
+        for it in straight.records_since(Position::default()) {
             third.apply(it);
         }
         prop_assert_eq!(rows(&straight), rows(&third));
     }
 }
+
+/// A store that came back from an older copy hands its offsets out again.
+#[gtest]
+fn records_of_a_newer_era_replace_those_of_former_eras_whatever_their_offsets() {
+    struct Case {
+        /// Eras and offsets of the records in the order of arrival; each value names its record.
+        arrivals: &'static [(u64, u64)],
+        newest: (u64, u64),
+    }
+    let cases = [
+        Case { arrivals: &[(1, 9), (2, 3)], newest: (2, 3) },
+        Case { arrivals: &[(2, 3), (1, 9)], newest: (2, 3) },
+        Case { arrivals: &[(1, 3), (2, 3)], newest: (2, 3) },
+        Case { arrivals: &[(1, 9), (3, 1), (2, 5)], newest: (3, 1) },
+        Case { arrivals: &[(2, 3), (2, 4), (1, 9)], newest: (2, 4) },
+    ];
+    for Case { arrivals, newest } in cases {
+        let mut table = Table::default();
+        for (era, offset) in arrivals {
+            let position = Position { era: *era, offset: *offset };
+            let value = Some(format!("{era}/{offset}").into_bytes());
+            table.apply(Record { position, key: String::from("a"), value });
+        }
+        let (era, offset) = newest;
+        let expected = (String::from("a"), format!("{era}/{offset}"));
+        expect_that!(rows(&table), elements_are![eq(&expected)], "{arrivals:?}");
+        expect_that!(table.end(), eq(Position { era, offset }.next()), "{arrivals:?}");
+    }
+}
+
+#[gtest]
+fn a_newer_era_is_ahead_of_a_former_one_with_more_records() {
+    let mut behind = Table::default();
+    behind.apply(record(9, "a", Some("1")));
+    let mut ahead = Table::default();
+    let position = Position { era: 2, offset: 4 };
+    ahead.apply(Record { position, key: String::from("a"), value: Some(b"2".to_vec()) });
+    expect_that!(ahead.end(), gt(behind.end()));
+    expect_that!(ahead.records_since(behind.end()).len(), eq(1));
+    expect_that!(behind.records_since(ahead.end()), is_empty());
+}
