fix: cuminward-serving, cuminward-gateway: what the store lost stays in force while it may be written again

When the store comes back from an older copy, a node took what the copy lacks for deleted and what it lists for current: callers' requests reached a failure domain that operators had taken out, and hosts that were draining or gone, and hosts that had just registered got none, until operators and hosts wrote again.

A missing record of a newer era deletes nothing at once: hosts stay for 2.5 s, declarations for 10 s, and what nobody wrote again is then dropped. An entry that says an incarnation is ready that was draining or gone is withheld for 5 s, longer than the store lists hosts that write nothing. Declarations move out of cluster.rs into a module of their own.

--- a/cuminward-gateway/src/control/mod.rs
+++ b/cuminward-gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control tasks: follow the store, elect stewards, plan replicas and check the health of hosts.
 
 pub(crate) mod election;
+pub(crate) mod era;
 pub(crate) mod health_check;
 pub(crate) mod host_client;
 pub(crate) mod steward;
--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -99,7 +99,7 @@
     let cluster = state.cluster();
     let hosts = cluster.hosts_of(service);
     let lost = cluster.lost_hosts(now);
-    let evacuated = cluster.evacuated.clone();
+    let evacuated = cluster.declarations.evacuated.clone();
     drop(cluster);
     let has_traffic = state.has_traffic();
     let statuses_before = steward.model_statuses().to_vec();
--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -4,7 +4,7 @@
 
 use cuminward_adapter::{store, topic};
 use cuminward_event::{kind::Kind, sink::Sink};
-use cuminward_serving::{position::Position, scaling, table::Record};
+use cuminward_serving::{position::Position, restore, scaling, table::Record};
 use tokio::time;
 
 use crate::state::State;
@@ -36,9 +36,6 @@
 /// Duration of a store outage after which records that expired during the outage may reappear.
 const MIN_OUTAGE: Duration = Duration::from_millis(800);
 
-/// Time after an outage within which hosts that are alive write their records again.
-const REAPPEARANCE_GRACE: Duration = Duration::from_millis(2500);
-
 /// Follows the declarations until the task is dropped.
 pub(crate) async fn follow_declarations(state: Arc<State>) {
     let mut needs_all = true;
@@ -71,8 +68,7 @@
 
 async fn read_all_declarations(state: &State) -> Result<(), store::Error> {
     let page = state.store.read_newest(topic::DECLARATIONS).await?;
-    emit_outdated(state, &page.records);
-    state.cluster().replace_declarations(page.records, page.next);
+    state.cluster().replace_declarations(state.now(), page.records, page.next);
     state.publish();
     Ok(())
 }
@@ -81,10 +77,9 @@
     let from = state.cluster().declarations.end();
     let wait = Duration::from_millis(rand::random_range(DECLARATION_WAIT_MS));
     let page = state.store.read(topic::DECLARATIONS, from, wait).await?;
-    emit_outdated(state, &page.records);
     let mut is_changed = false;
     for record in page.records {
-        is_changed |= state.cluster().apply_declaration(&record);
+        is_changed |= state.cluster().apply_declaration(state.now(), &record);
     }
     if is_changed {
         state.publish();
@@ -92,40 +87,6 @@
     Ok(())
 }
 
-/// Records an event for each declaration that differs from a known newer one of its key.
-fn emit_outdated(state: &State, records: &[Record]) {
-    for record in records {
-        let Some(known) = state.cluster().declarations.record(&record.key) else { continue };
-        if known.position < record.position || known == *record {
-            continue;
-        }
-        let value = if known.value == record.value { "same" } else { "other" };
-        state.events.emit(Kind::DeclarationOutdated {
-            key: record.key.clone(),
-            era: record.position.era,
-            offset: record.position.offset,
-            known_era: known.position.era,
-            known_offset: known.position.offset,
-            value: value.to_owned(),
-        });
-    }
-}
-
-/// Records an event whenever the store comes back from an older copy, until the task is dropped.
-pub(crate) async fn watch_era(state: Arc<State>) {
-    let mut eras = state.store.era();
-    let mut previous = *eras.borrow_and_update();
-    while eras.changed().await.is_ok() {
-        let era = *eras.borrow_and_update();
-        let cluster = state.cluster();
-        let (declarations, hosts) =
-            (cluster.declarations.end().offset, cluster.host_list.end().offset);
-        drop(cluster);
-        state.events.emit(Kind::StoreEraBegan { era, previous, declarations, hosts });
-        previous = era;
-    }
-}
-
 /// Follows the host list until the task is dropped.
 pub(crate) async fn follow_host_list(state: Arc<State>) {
     let mut reader = HostListReader::new();
@@ -197,7 +158,9 @@
         let page = state.store.read_newest(topic::HOSTS).await?;
         let now = state.now();
         let mut cluster = state.cluster();
-        if now < self.deferred_until {
+        // If the list is of a newer era, what it lacks isn't removed at once anyway.
+        let is_same_era = page.next.era == cluster.host_list.end().era;
+        if now < self.deferred_until && is_same_era {
             for record in page.records {
                 cluster.apply_host_record(now, &record);
             }
@@ -245,7 +208,7 @@
         }
         let outage = self.health.record(&state.events, now, error);
         if outage > MIN_OUTAGE {
-            self.deferred_until = now + REAPPEARANCE_GRACE;
+            self.deferred_until = now + restore::HOST_GRACE;
         }
     }
 
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -216,7 +216,7 @@
     let mut cluster = state.cluster();
     let mut is_changed = false;
     for record in delta.declarations {
-        is_changed |= cluster.apply_declaration(&record);
+        is_changed |= cluster.apply_declaration(now, &record);
     }
     for record in delta.listing {
         is_changed |= cluster.apply_host_record(now, &record);
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -6,19 +6,20 @@
     time::Duration,
 };
 
-use cuminward_adapter::{catalog as catalog_record, host as host_record, topic};
+use cuminward_adapter::host as host_record;
 use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::{
-    catalog, engine, host, id, loss, nodes,
+    catalog, departure, engine, host, id, loss, nodes,
     position::Position,
     replica::{self, Group},
-    slowdown,
+    restore, slowdown,
     table::{Record, Table},
 };
 
 use crate::settings;
 
 use super::{
+    declarations::Declarations,
     routing::{self, Member, Pool, Snapshot, Upstream},
     stats::Stats,
 };
@@ -31,14 +32,17 @@
     pub(crate) cold: settings::Cold,
     /// All nodes.
     pub(crate) nodes: nodes::List,
-    /// Newest records of the declarations.
-    pub(crate) declarations: Table,
+    /// When the store came back from an older copy.
+    restore: restore::Watch,
+    /// Newest known declarations.
+    pub(crate) declarations: Declarations,
     /// Newest records of the host list, as the hosts wrote them.
     pub(crate) host_list: Table,
-    pub(crate) catalog: Option<Arc<catalog::Catalog>>,
-    /// Failure domains that operators took out of service.
-    pub(crate) evacuated: BTreeSet<id::Domain>,
     pub(crate) hosts: BTreeMap<id::Host, host::Host>,
+    /// Hosts that are leaving or have left.
+    departures: departure::Tracker,
+    /// Hosts that have left and are listed again since the store came back from an older copy.
+    withheld: BTreeSet<id::Host>,
     /// Time until which each host is cold, since the node's start.
     cold_until: BTreeMap<id::Host, Duration>,
     /// Hosts that don't answer.
@@ -56,13 +60,14 @@
         Cluster {
             nodes: nodes::List::new(node.clone()),
             node,
+            declarations: Declarations::new(Arc::clone(&events)),
             events,
             cold,
-            declarations: Table::default(),
+            restore: restore::Watch::default(),
             host_list: Table::default(),
-            catalog: None,
-            evacuated: BTreeSet::new(),
             hosts: BTreeMap::new(),
+            departures: departure::Tracker::default(),
+            withheld: BTreeSet::new(),
             cold_until: BTreeMap::new(),
             losses: loss::Tracker::default(),
             slowdowns: slowdown::Tracker::default(),
@@ -90,7 +95,7 @@
 
     /// Returns the services that have a model engine, with their engines.
     pub(crate) fn engines(&self) -> Vec<(id::Service, engine::Engine)> {
-        let Some(catalog) = &self.catalog else { return Vec::new() };
+        let Some(catalog) = &self.declarations.catalog else { return Vec::new() };
         let engines = catalog.services.iter();
         engines.filter_map(|(name, it)| Some((name.clone(), it.engine.clone()?))).collect()
     }
@@ -105,58 +110,55 @@
 /// Mutation
 impl Cluster {
     /// Applies a record of a declaration. Returns whether it is newer than the known one.
-    pub(crate) fn apply_declaration(&mut self, record: &Record) -> bool {
-        if !self.declarations.apply(record.clone()) {
-            return false;
-        }
-        self.process_declaration(&record.key, record.value.as_deref());
-        true
+    pub(crate) fn apply_declaration(&mut self, now: Duration, record: &Record) -> bool {
+        self.restore.observe(now, record.position.era);
+        self.declarations.apply(record)
     }
 
     /// Replaces all declarations by the complete list of the newest records before the position `end`.
-    pub(crate) fn replace_declarations(&mut self, records: Vec<Record>, end: Position) {
-        for record in &records {
-            self.apply_declaration(record);
-        }
-        for key in self.declarations.apply_snapshot(records, end) {
-            self.process_declaration(&key, None);
-        }
+    pub(crate) fn replace_declarations(
+        &mut self,
+        now: Duration,
+        records: Vec<Record>,
+        end: Position,
+    ) {
+        self.restore.observe(now, end.era);
+        self.declarations.replace(records, end);
     }
 
-    fn process_declaration(&mut self, key: &str, value: Option<&[u8]>) {
-        if let Some(domain) = topic::evacuated_domain(key) {
-            let (is_changed, state) = match value {
-                Some(_) => (self.evacuated.insert(domain.to_owned()), "out"),
-                None => (self.evacuated.remove(domain), "in"),
-            };
-            if is_changed {
-                let (domain, state) = (domain.to_owned(), state.to_owned());
-                self.events.emit(Kind::DomainTrafficSwitched { domain, state });
-            }
-            return;
+    /// Removes what nobody wrote again in time after the store came back from an older copy. Returns whether
+    /// anything changed.
+    pub(crate) fn drop_former_eras(&mut self, now: Duration) -> bool {
+        let mut is_changed = false;
+        if !self.restore.is_within(now, restore::DECLARATION_GRACE) {
+            is_changed |= self.declarations.drop_former_eras();
         }
-        let Some(value) = value.filter(|_| key == topic::CATALOG_KEY) else { return };
-        let position = self.declarations.end().previous();
-        match catalog_record::decode(value) {
-            Ok(catalog) => self.set_catalog(catalog, position),
-            Err(error) => {
-                let (Position { era, offset }, cause) = (position, error.to_string());
-                self.events.emit(Kind::CatalogInvalid { era, offset, cause });
+        if !self.restore.is_within(now, restore::HOST_GRACE) {
+            let dropped = self.host_list.drop_former_eras(|_| true);
+            is_changed |= !dropped.is_empty();
+            for host in dropped {
+                self.process_host_record(now, &host, None);
             }
         }
+        if !self.restore.is_within(now, restore::DEPARTURE_GRACE) {
+            is_changed |= self.apply_withheld(now);
+        }
+        is_changed
     }
 
-    fn set_catalog(&mut self, catalog: catalog::Catalog, position: Position) {
-        if self.catalog.as_ref().is_none_or(|it| it.version < catalog.version) {
-            let (version, routes) = (catalog.version, catalog.routes.len() as u64);
-            let Position { era, offset } = position;
-            self.events.emit(Kind::CatalogApplied { version, routes, era, offset });
-            self.catalog = Some(Arc::new(catalog));
+    /// Applies the entries that were withheld.
+    fn apply_withheld(&mut self, now: Duration) -> bool {
+        let withheld = std::mem::take(&mut self.withheld);
+        for id in &withheld {
+            let Some(record) = self.host_list.record(id) else { continue };
+            self.process_host_record(now, id, record.value.as_deref());
         }
+        !withheld.is_empty()
     }
 
     /// Applies a record of the host list. Returns whether it is newer than the known one.
     pub(crate) fn apply_host_record(&mut self, now: Duration, record: &Record) -> bool {
+        self.restore.observe(now, record.position.era);
         if !self.host_list.apply(record.clone()) {
             return false;
         }
@@ -166,6 +168,7 @@
 
     /// Replaces the host list by the complete list of the newest records before the position `end`.
     pub(crate) fn replace_host_list(&mut self, now: Duration, records: Vec<Record>, end: Position) {
+        self.restore.observe(now, end.era);
         for record in &records {
             self.apply_host_record(now, record);
         }
@@ -177,7 +180,8 @@
     fn process_host_record(&mut self, now: Duration, id: &str, value: Option<&[u8]>) {
         let Some(value) = value else {
             self.slowdowns.forget(id);
-            if self.hosts.remove(id).is_some() {
+            if let Some(host) = self.hosts.remove(id) {
+                self.departures.record(now, &host);
                 self.events.emit(Kind::HostRemoved { host: id.to_owned() });
             }
             return;
@@ -195,6 +199,17 @@
 
     fn set_host(&mut self, now: Duration, mut host: host::Host) {
         let id = host.id.clone();
+        if self.departures.contradicts(&host) {
+            if self.restore.is_within(now, restore::DEPARTURE_GRACE) {
+                // The entry may be one of before, which the store has again.
+                self.withheld.insert(id);
+                return;
+            }
+            self.departures.forget(&id);
+        }
+        if host.state == host::State::Draining {
+            self.departures.record(now, &host);
+        }
         if host.cold_left > Duration::ZERO {
             self.cold_until.insert(id.clone(), now + host.cold_left);
         }
@@ -277,7 +292,7 @@
 
     /// Creates the routing snapshot for requests.
     pub(crate) fn snapshot(&mut self, now: Duration) -> Snapshot {
-        let Some(catalog) = self.catalog.clone() else { return Snapshot::default() };
+        let Some(catalog) = self.declarations.catalog.clone() else { return Snapshot::default() };
         let lost = self.lost_hosts(now);
         let mut services: HashMap<id::Service, Pool> = HashMap::new();
         for (name, service) in &catalog.services {
@@ -313,7 +328,7 @@
                 && group.is_staying()
                 && !group.members.values().any(|it| lost.contains(&it.id));
             let Some(head) = group.head().filter(|_| is_usable) else { continue };
-            if self.evacuated.contains(&head.domain) {
+            if self.declarations.evacuated.contains(&head.domain) {
                 continue;
             }
             let upstream = self.replica_upstream(now, service, engine, &group, head);
@@ -355,7 +370,7 @@
         let usable = self.hosts.values().filter(|it| {
             it.service == name
                 && it.state == host::State::Ready
-                && !self.evacuated.contains(&it.domain)
+                && !self.declarations.evacuated.contains(&it.domain)
         });
         let hosts: Vec<host::Host> = usable.cloned().collect();
         let mut pool = Pool::default();
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod admission;
 pub(crate) mod cluster;
+pub(crate) mod declarations;
 pub(crate) mod election;
 pub(crate) mod quarantine;
 pub(crate) mod routing;
--- a/cuminward-gateway/tests/all/restored.rs
+++ b/cuminward-gateway/tests/all/restored.rs
@@ -1,13 +1,34 @@
 //! The store comes back from an older copy: it loses its newest records and hands their offsets out again.
 
-use cuminward_adapter_fake::catalog::{Retry, Route};
+use std::time::{Duration, Instant};
+
+use cuminward_adapter_fake::{
+    catalog::{Retry, Route},
+    entry::Entry,
+};
 use googletest::prelude::*;
+use tokio::time;
 
 use crate::{
     configuration::wait_for_status,
-    site::{PLAIN, Site, route},
+    site::{Node, PLAIN, Site, plain_entry, route},
 };
 
+/// Time for which a test checks that something doesn't happen.
+const CHECK_TIME: Duration = Duration::from_secs(2);
+
+/// Returns whether all requests for a path get the status during [`CHECK_TIME`].
+async fn keeps_status(node: &Node, path: &str, status: u16) -> bool {
+    let started = Instant::now();
+    while started.elapsed() < CHECK_TIME {
+        if node.get(path, &[]).await.map(|it| it.status.as_u16()).ok() != Some(status) {
+            return false;
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    true
+}
+
 /// Returns a route that the usual catalog doesn't have.
 fn new_route(prefix: &str) -> Option<Route> {
     Some(Route { max_attempts: 1, is_anonymous: true, ..route(prefix, Retry::Idempotent, PLAIN) })
@@ -54,3 +75,64 @@
         expect_that!(wait_for_status(&node, &newest, 404).await, eq(true), "{name}");
     }
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_domain_whose_evacuation_the_store_lost_stays_out_of_service() {
+    let site = Site::start().await;
+    let node = site.node("evacuated").await;
+    let backup = site.store.backup();
+    site.store.set_evacuated("mercado", true);
+    expect_that!(wait_for_status(&node, "/book/1", 503).await, eq(true));
+    site.store.restore(backup);
+    expect_that!(keeps_status(&node, "/book/1", 503).await, eq(true));
+    site.store.set_evacuated("mercado", true);
+    expect_that!(keeps_status(&node, "/book/1", 503).await, eq(true));
+    site.store.set_evacuated("mercado", false);
+    expect_that!(wait_for_status(&node, "/book/1", 200).await, eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_that_left_get_no_requests_although_the_store_lists_them_as_ready_again() {
+    for is_removed in [false, true] {
+        let site = Site::start().await;
+        let node = site.node("left").await;
+        let leaving = &site.plain[0];
+        site.store.put_raw_entry(&site.plain[1].id, "");
+        let backup = site.store.backup();
+        if is_removed {
+            site.store.put_raw_entry(&leaving.id, "");
+        } else {
+            let entry = Entry { is_draining: true, ..plain_entry(leaving) };
+            site.store.put_entry(&leaving.id, &entry);
+        }
+        expect_that!(wait_for_status(&node, "/book/1", 503).await, eq(true));
+        leaving.clear_received();
+        site.store.restore(backup);
+        expect_that!(keeps_status(&node, "/book/1", 503).await, eq(true));
+        expect_that!(leaving.received(), is_empty(), "removed {is_removed}");
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_whose_entries_the_store_lost_stay_in_use_while_they_may_write_them_again() {
+    let site = Site::start().await;
+    let entries: Vec<Entry> = site.plain.iter().map(plain_entry).collect();
+    for host in &site.plain {
+        site.store.put_raw_entry(&host.id, "");
+    }
+    let backup = site.store.backup();
+    for (host, entry) in site.plain.iter().zip(&entries) {
+        site.store.put_entry(&host.id, entry);
+    }
+    let node = site.node("rewriting").await;
+    site.store.restore(backup);
+    expect_that!(keeps_status(&node, "/book/1", 200).await, eq(true));
+    site.store.put_entry(&site.plain[0].id, &entries[0]);
+    time::sleep(CHECK_TIME).await;
+    site.plain[1].clear_received();
+    expect_that!(keeps_status(&node, "/book/1", 200).await, eq(true));
+    expect_that!(site.plain[1].received(), is_empty());
+}
--- a/cuminward-serving/src/table.rs
+++ b/cuminward-serving/src/table.rs
@@ -91,8 +91,8 @@
     }
 
     /// Applies a complete list of the newest records before the position `end`. A known key that is
-    /// missing from the list was deleted, unless its record is newer than the list. Returns the keys
-    /// that were deleted this way.
+    /// missing from the list was deleted, unless its record is newer than the list, or of a former era: the
+    /// store may have lost it. Returns the keys that were deleted this way.
     pub fn apply_snapshot(&mut self, records: Vec<Record>, end: Position) -> Vec<String> {
         let listed: std::collections::HashSet<String> =
             records.iter().map(|it| it.key.clone()).collect();
@@ -101,7 +101,8 @@
         }
         let mut missing = Vec::new();
         for (key, row) in &mut self.rows {
-            if row.value.is_some() && row.position < end && !listed.contains(key) {
+            let is_older = row.position.era == end.era && row.position < end;
+            if row.value.is_some() && is_older && !listed.contains(key) {
                 row.value = None;
                 row.position = end.previous().max(row.position);
                 missing.push(key.clone());
@@ -111,6 +112,19 @@
         missing
     }
 
+    /// Deletes the keys for which the newest era has no record and `may_drop` returns true. Returns them.
+    pub fn drop_former_eras(&mut self, may_drop: impl Fn(&str) -> bool) -> Vec<String> {
+        let position = self.end.previous();
+        let mut dropped = Vec::new();
+        for (key, row) in &mut self.rows {
+            if row.value.is_some() && row.position.era < self.end.era && may_drop(key) {
+                *row = Row { position, value: None };
+                dropped.push(key.clone());
+            }
+        }
+        dropped
+    }
+
     /// Records that everything before the position `end` has been seen.
     pub fn advance(&mut self, end: Position) {
         self.end = self.end.max(end);
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod queue;
 mod replica;
+mod restore;
 mod retry;
 mod scaling;
 mod select;
