fix: cuminward-serving, cuminward-adapter, cuminward-gateway: fencing tokens of stewards have the era of the store

A token is era x 1,000,000 + generation, which grows as long as the store loses fewer generations than that at once. A node gives up the partitions of a former era when it notices a new one, joins with generation 0, creates the topic of the election again, and plans nothing for 2.5 s, until leases of before have ended and hosts have written their entries again.

--- a/cuminward-gateway/src/control/election.rs
+++ b/cuminward-gateway/src/control/election.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cuminward_adapter::{store, topic};
-use cuminward_serving::id;
+use cuminward_serving::{fencing, id};
 use tokio::time;
 
 use crate::state::{State, election::Assignment};
@@ -22,12 +22,15 @@
 pub(crate) async fn run(state: &State) {
     let member = &new_member(state);
     let interval = member.lease / RENEWALS_PER_LEASE;
-    let mut generation = 0;
-    if let Err(error) = state.store.create_topic(topic::DUTIES).await {
-        log::warn!("can't create the topic of the election of stewards: {error}");
-    }
+    let eras = state.store.era();
+    let mut generation = Generation::default();
+    // Era in which the topic of the election was created.
+    let mut topic_era = None;
     let mut is_member = false;
     loop {
+        if topic_era != Some(*eras.borrow()) && create_topic(state).await {
+            topic_era = Some(*eras.borrow());
+        }
         let is_candidate = !state.election.is_observer() && !state.is_stopping();
         if is_candidate {
             generation = renew(state, member, generation).await;
@@ -40,18 +43,35 @@
     }
 }
 
+/// Generation of the group of candidates that this node received last.
+#[derive(Debug, Clone, Copy, Default)]
+struct Generation {
+    era: id::Era,
+    number: u64,
+}
+
+/// Creates the topic of the election, which the store may have lost. Returns whether it exists now.
+async fn create_topic(state: &State) -> bool {
+    let created = state.store.create_topic(topic::DUTIES).await;
+    if let Err(error) = &created {
+        log::warn!("can't create the topic of the election of stewards: {error}");
+    }
+    created.is_ok()
+}
+
 /// Renews this node's membership and takes the assigned partitions. Returns the generation of the
-/// assignment, which serves as fencing token, or the former one if the store can't be reached.
-async fn renew(state: &State, member: &store::Member, generation: u64) -> u64 {
+/// assignment, or the former one if the store can't be reached.
+async fn renew(state: &State, member: &store::Member, generation: Generation) -> Generation {
     let requested_at = state.now();
-    match state.store.join(member, generation).await {
+    let is_current = generation.era == *state.store.era().borrow();
+    let known = if is_current { generation.number } else { 0 };
+    match state.store.join(member, known).await {
         Ok(membership) => {
-            let (token, until) = (membership.generation, requested_at + member.lease);
-            state.election.set_assignment(
-                &state.events,
-                Assignment { token, partitions: membership.partitions, until },
-            );
-            token
+            let store::Assignment { era, generation: number, partitions } = membership;
+            let (token, until) = (fencing::token(era, number), requested_at + member.lease);
+            let assignment = Assignment { token, partitions, until };
+            state.election.set_assignment(&state.events, assignment);
+            Generation { era, number }
         }
         Err(error) => {
             log::debug!("can't renew the membership in group {GROUP}: {error}");
--- a/cuminward-gateway/src/control/era.rs
+++ b/cuminward-gateway/src/control/era.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use cuminward_event::kind::Kind;
-use cuminward_serving::{id, restore};
+use cuminward_serving::{fencing, id, restore};
 use tokio::time;
 
 use crate::state::State;
@@ -26,6 +26,8 @@
             Ok(Ok(())) => {
                 let previous = std::mem::replace(&mut era, *eras.borrow_and_update());
                 emit_began(&state, era, previous);
+                // The store may have assigned the partitions to another node by now.
+                state.election.release(fencing::token(era, 0));
                 if previous > 0 {
                     check_until = state.now() + CHECK_TIME;
                 }
--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -53,7 +53,10 @@
             settle(&state, &mut stewards, &settled);
         }
         let mut has_pending_changes = false;
-        let engines = state.cluster().engines();
+        let cluster = state.cluster();
+        let is_unsettled = cluster.is_host_list_unsettled(state.now());
+        let engines = cluster.engines();
+        drop(cluster);
         for (index, (service, engine)) in engines.into_iter().enumerate() {
             let partitions = state.settings.store.partitions;
             let Some(token) = state.election.token(state.now(), index, partitions) else {
@@ -68,8 +71,9 @@
                 state.election.won.notify_one();
                 state.now()
             });
-            if state.host_list_read_at() < elected_at {
-                // The known host list may lack the effects of the former steward's orders.
+            if state.host_list_read_at() < elected_at || is_unsettled {
+                // The known host list may lack the effects of the former steward's orders. A steward of a
+                // former era of the store, which may still hold its lease, has none when the list is settled.
                 continue;
             }
             steward.renew_token(token);
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -83,6 +83,12 @@
         self.losses.lost_hosts(now)
     }
 
+    /// Returns whether the host list may contain entries of before, as the store has just come back from an
+    /// older copy.
+    pub(crate) fn is_host_list_unsettled(&self, now: Duration) -> bool {
+        self.restore.is_within(now, restore::HOST_GRACE)
+    }
+
     /// Returns the hosts that didn't answer a recent probe of this node.
     pub(crate) fn probed_losses(&self, now: Duration) -> Vec<id::Host> {
         self.losses.probed_losses(now).cloned().collect()
--- a/cuminward-gateway/tests/all/groups.rs
+++ b/cuminward-gateway/tests/all/groups.rs
@@ -21,23 +21,25 @@
 /// Time within which the steward has read a change of the host list.
 const STEWARD_READS: Duration = Duration::from_millis(800);
 
-/// Starts an engine with a single host, which the steward can make a replica of its own.
-async fn single_host_cluster(site: &Site, id: &str) -> Result<Cluster> {
-    let cluster = Cluster::new(Arc::clone(&site.store), DELAYS, 1, EVENTS);
-    let listener = TcpListener::bind("127.0.0.1:0").await.or_fail()?;
-    let spec = Spec {
-        id: id.to_owned(),
-        service: ENGINE.to_owned(),
-        domain: String::from("mercado"),
-        fabric: Some(String::from("f")),
-        address: listener.local_addr().or_fail()?,
-    };
-    cluster.start(spec, listener);
+/// Starts an engine whose replicas have `size` hosts.
+pub(crate) async fn start_cluster(site: &Site, ids: &[&str], size: usize) -> Result<Cluster> {
+    let cluster = Cluster::new(Arc::clone(&site.store), DELAYS, size, EVENTS);
+    for id in ids {
+        let listener = TcpListener::bind("127.0.0.1:0").await.or_fail()?;
+        let spec = Spec {
+            id: (*id).to_owned(),
+            service: ENGINE.to_owned(),
+            domain: String::from("mercado"),
+            fabric: Some(String::from("f")),
+            address: listener.local_addr().or_fail()?,
+        };
+        cluster.start(spec, listener);
+    }
     Ok(cluster)
 }
 
 /// Waits up to 10 s; returns whether the only group has opened.
-async fn wait_until_open(cluster: &Cluster) -> bool {
+pub(crate) async fn wait_until_open(cluster: &Cluster) -> bool {
     for _ in 0..200 {
         if cluster.open_group_count() == 1 {
             return true;
@@ -51,7 +53,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_outdated_host_entry_causes_no_order() -> Result<()> {
     let site = Site::start().await;
-    let cluster = single_host_cluster(&site, "w-0").await?;
+    let cluster = start_cluster(&site, &["w-0"], 1).await?;
     let _node = site.node("outdated").await;
     expect_that!(wait_until_open(&cluster).await, eq(true));
     time::sleep(STEWARD_READS).await;
--- a/cuminward-gateway/tests/all/restored.rs
+++ b/cuminward-gateway/tests/all/restored.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use cuminward_adapter::{store, topic};
 use cuminward_adapter_fake::{
     catalog::{Retry, Route},
     entry::Entry,
@@ -11,6 +12,7 @@
 
 use crate::{
     configuration::wait_for_status,
+    groups::{start_cluster, wait_until_open},
     site::{Node, PLAIN, Site, plain_entry, route},
 };
 
@@ -136,3 +138,44 @@
     expect_that!(keeps_status(&node, "/book/1", 200).await, eq(true));
     expect_that!(site.plain[1].received(), is_empty());
 }
+
+/// Makes the generation of the group of candidates grow by the changes of its members.
+async fn raise_generation(site: &Site, changes: usize) -> Result<()> {
+    let client = store::Client::new(site.store.address.to_string(), CHECK_TIME);
+    let member = store::Member {
+        group: String::from("stewards"),
+        name: String::from("other"),
+        topic: topic::DUTIES.to_owned(),
+        lease: CHECK_TIME,
+    };
+    for _ in 0..changes / 2 {
+        client.join(&member, 0).await.or_fail()?;
+        client.leave(&member).await.or_fail()?;
+    }
+    Ok(())
+}
+
+/// The store counts the generations of the candidates again, from which fencing tokens are made.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_accept_orders_of_a_steward_that_is_elected_after_the_store_lost_elections()
+-> Result<()> {
+    let site = Site::start().await;
+    site.join_replicas(2, 2);
+    let cluster = start_cluster(&site, &["w-0", "w-1"], 2).await?;
+    let backup = site.store.backup();
+    raise_generation(&site, 20).await?;
+    let former = site.node("former-steward").await;
+    expect_that!(wait_until_open(&cluster).await, eq(true));
+    site.store.restore(backup);
+    cluster.rewrite_entries();
+    drop(former);
+    let _successor = site.node("successor").await;
+    // The head ends; the other host has seen the fencing tokens of before.
+    cluster.crash("w-0");
+    cluster.restart("w-0");
+    expect_that!(cluster.open_group_count(), eq(0));
+    expect_that!(wait_until_open(&cluster).await, eq(true));
+    expect_that!(cluster.violations(), is_empty());
+    Ok(())
+}
--- a/cuminward-serving/tests/all/restore.rs
+++ b/cuminward-serving/tests/all/restore.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use cuminward_serving::{departure::Tracker, host, position::Position, restore::Watch, table};
+use cuminward_serving::{
+    departure::Tracker, fencing, host, position::Position, restore::Watch, table,
+};
 use googletest::prelude::*;
 
 use crate::fixture;
@@ -72,3 +74,13 @@
     let late = table::Record { value: None, ..record(1, 9, "kept") };
     expect_that!(table.apply(late), eq(false));
 }
+
+#[gtest]
+fn the_fencing_tokens_of_a_newer_era_are_larger_whatever_their_generations() {
+    let tokens: Vec<u64> = [(0, 1), (0, 9), (1, 1), (1, 999_999), (2, 1), (2, 3), (3, 1)]
+        .into_iter()
+        .map(|(era, generation)| fencing::token(era, generation))
+        .collect();
+    expect_that!(tokens.is_sorted_by(|a, b| a < b), eq(true), "{tokens:?}");
+    expect_that!(fencing::token(u64::MAX, u64::MAX), eq(u64::MAX));
+}
