fix: cuminward-gateway, cuminward-serving: a node that starts before operators write again gets the newest catalog from the others

A node that started after the store had come back from an older copy, and before the operator had written again, served the catalog of the copy: callers of an added route got 404 from it. The others had the newer one in force but handed out records by position only, and in their tables the older record of the newer era had taken its place.

Nodes order catalogs by version, and by position where the versions are equal; they keep the record of the one in force, name its version in digests, and send it to a node that has an older one. Digests also carry eras, so that a node that doesn't reach the store learns of one from the others.

--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use cuminward_derive::record;
-use cuminward_serving::{id, message, position::Position};
+use cuminward_serving::{id, message};
 
+use super::pull::{self, Known};
 use crate::state::{State, quarantine, routing::Key};
 
 /// Summary of the state of a node.
@@ -22,10 +23,8 @@
     pub(crate) address: SocketAddr,
     /// Whether callers may have sent requests, to any node, since the system first started.
     pub(crate) has_traffic: bool,
-    /// Position that follows the newest declaration that the node has.
-    pub(crate) declarations: Position,
-    /// Position that follows the newest record of the host list that the node has.
-    pub(crate) listing: Position,
+    /// Declarations and host list that the node has.
+    pub(crate) known: Known,
     /// Number of the node's requests in flight, for each upstream that has any.
     pub(crate) flights: Vec<(Key, u32)>,
     /// Hosts that didn't answer a recent probe of the node.
@@ -58,6 +57,7 @@
         let snapshot = state.routing.load();
         let flights = snapshot.routable().map(|it| (it.key, it.stats.in_flight()));
         let flights = flights.filter(|(_, count)| *count > 0).collect();
+        let known = pull::own_knowledge(state);
         let cluster = state.cluster();
         Digest {
             node: state.settings.node.name.clone(),
@@ -66,8 +66,7 @@
             number: self.number,
             address: state.settings.listen.peers,
             has_traffic: state.has_traffic(),
-            declarations: cluster.declarations.end(),
-            listing: cluster.host_list.end(),
+            known,
             flights,
             lost: cluster.probed_losses(now),
             quarantine: state.quarantine.report(now),
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -178,6 +178,7 @@
     if digest.has_traffic {
         state.record_traffic();
     }
+    state.store.record_era(digest.known.era());
     let now = state.now();
     let (node, lost) = (digest.node.clone(), digest.lost.clone());
     let quarantine = digest.quarantine.clone();
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use cuminward_derive::record;
+use cuminward_derive::{record, value};
 use cuminward_event::kind::Kind;
 use cuminward_serving::{id, position::Position, table::Record};
 use futures::StreamExt;
@@ -36,7 +36,26 @@
 /// node.
 const MAX_HOST_LIST_LAG: id::Offset = 100;
 
-/// Records that a node has from two positions on.
+/// What a node has, so that others send it only what is newer.
+#[value]
+pub(crate) struct Known {
+    /// Version of the catalog in force; 0 if there is none.
+    pub version: id::Version,
+    /// Position that follows the newest declaration.
+    pub declarations: Position,
+    /// Position that follows the newest record of the host list.
+    pub listing: Position,
+}
+
+/// Access
+impl Known {
+    /// Returns the newest era of the store that the node has read.
+    pub(crate) fn era(&self) -> id::Era {
+        self.declarations.era.max(self.listing.era)
+    }
+}
+
+/// Records that a node has and another one lacks.
 #[record]
 pub(crate) struct Delta {
     /// Declarations.
@@ -46,13 +65,11 @@
 }
 
 mod service {
-    use cuminward_serving::position::Position;
-
-    use super::Delta;
+    use super::{Delta, Known};
 
     #[tarpc::service]
     pub trait AntiEntropy {
-        async fn records_since(declarations: Position, listing: Position) -> Delta;
+        async fn records_since(known: Known) -> Delta;
     }
 }
 
@@ -64,16 +81,11 @@
 }
 
 impl AntiEntropy for Server {
-    async fn records_since(
-        self,
-        _: context::Context,
-        declarations: Position,
-        listing: Position,
-    ) -> Delta {
+    async fn records_since(self, _: context::Context, known: Known) -> Delta {
         let cluster = self.state.cluster();
         Delta {
-            declarations: cluster.declarations.records_since(declarations),
-            listing: cluster.host_list.records_since(listing),
+            declarations: cluster.declarations.records_since(known.declarations, known.version),
+            listing: cluster.host_list.records_since(known.listing),
         }
     }
 }
@@ -171,8 +183,8 @@
                 client
             }
         };
-        let (declarations, listing) = known_ends(&self.state);
-        let delta = client.records_since(context::current(), declarations, listing).await;
+        let known = own_knowledge(&self.state);
+        let delta = client.records_since(context::current(), known).await;
         delta.map_err(io::Error::other)
     }
 }
@@ -180,15 +192,15 @@
 /// Returns the address of the node with the newest records, if its declarations are newer than those of
 /// this node or its host list is ahead by more than [`MAX_HOST_LIST_LAG`].
 fn find_newer_peer(state: &State, peers: &Peers) -> Option<SocketAddr> {
-    let (declarations, listing) = known_ends(state);
+    let own = own_knowledge(state);
     let fresh = peers.recently_seen(state.now()).into_iter();
-    let newer = fresh.filter(|it| {
-        it.digest
-            .as_ref()
-            .is_some_and(|it| it.declarations > declarations || is_far_behind(listing, it.listing))
+    let others = fresh.filter_map(|it| Some((it.digest?.known, it.address)));
+    let newer = others.filter(|(other, _)| {
+        other.version > own.version
+            || other.declarations > own.declarations
+            || is_far_behind(own.listing, other.listing)
     });
-    let newest = newer.max_by_key(|it| it.digest.as_ref().map(|it| (it.declarations, it.listing)));
-    newest.map(|it| it.address)
+    newer.max_by_key(|(other, _)| *other).map(|(_, address)| address)
 }
 
 /// Returns whether a host list that ends at `own` lags so far behind one that ends at `other` that the missing
@@ -197,10 +209,14 @@
     other.era > own.era || other.era == own.era && other.offset > own.offset + MAX_HOST_LIST_LAG
 }
 
-/// Returns the positions that follow the newest declaration and the newest host record that this node has.
-fn known_ends(state: &State) -> (Position, Position) {
+/// Returns what this node has.
+pub(crate) fn own_knowledge(state: &State) -> Known {
     let cluster = state.cluster();
-    (cluster.declarations.end(), cluster.host_list.end())
+    Known {
+        version: cluster.declarations.version(),
+        declarations: cluster.declarations.end(),
+        listing: cluster.host_list.end(),
+    }
 }
 
 fn emit_fetched(state: &State, address: SocketAddr, delta: &Delta) {
--- a/cuminward-gateway/src/state/declarations.rs
+++ b/cuminward-gateway/src/state/declarations.rs
@@ -1,6 +1,9 @@
 //! Newest known declarations of the operators: the catalog, and the failure domains out of service.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashSet},
+    sync::Arc,
+};
 
 use cuminward_adapter::{catalog as catalog_record, topic};
 use cuminward_event::{kind::Kind, sink::Sink};
@@ -34,27 +37,83 @@
         self.table.end()
     }
 
-    /// Returns the records at the position `from` or a later one, including deletions.
-    pub(crate) fn records_since(&self, from: Position) -> Vec<Record> {
-        self.table.records_since(from)
+    /// Returns the version of the catalog in force; 0 if there is none.
+    pub(crate) fn version(&self) -> id::Version {
+        self.catalog.as_ref().map_or(0, |it| it.version)
+    }
+
+    /// Returns the records at the position `from` or a later one, including deletions, and in any case the
+    /// catalog if it is newer than `version`.
+    pub(crate) fn records_since(&self, from: Position, version: id::Version) -> Vec<Record> {
+        let mut records = self.table.records_since(from);
+        records.retain(|it| it.key != topic::CATALOG_KEY);
+        if self.version() > version {
+            records.extend(self.table.record(topic::CATALOG_KEY));
+        }
+        records
     }
 }
 
 /// Mutation
 impl Declarations {
-    /// Applies a record. Returns whether it is newer than the known one.
+    /// Applies a record. Returns whether it is newer than the known one: an evacuation by its position, a
+    /// catalog by its version, since a store that came back from an older copy has an older catalog again.
     pub(crate) fn apply(&mut self, record: &Record) -> bool {
         let known = self.table.record(&record.key);
+        let is_newer = if record.key == topic::CATALOG_KEY {
+            self.apply_catalog(record, known.as_ref())
+        } else {
+            self.apply_by_position(record)
+        };
+        if let Some(known) = known.filter(|it| !is_newer && it.value != record.value) {
+            self.emit_outdated(record, &known);
+        }
+        is_newer
+    }
+
+    fn apply_by_position(&mut self, record: &Record) -> bool {
         if !self.table.apply(record.clone()) {
-            if let Some(known) = known.filter(|it| it != record) {
-                self.emit_outdated(record, &known);
-            }
             return false;
         }
-        self.process(record.position, &record.key, record.value.as_deref());
+        if let Some(domain) = topic::evacuated_domain(&record.key) {
+            self.set_evacuated(domain, record.value.is_some());
+        }
         true
     }
 
+    fn apply_catalog(&mut self, record: &Record, known: Option<&Record>) -> bool {
+        self.table.advance(record.position.next());
+        let Some(value) = record.value.as_deref() else { return false };
+        if known.is_some_and(|it| it.value == record.value) {
+            return false;
+        }
+        match catalog_record::decode(value) {
+            Ok(catalog) if self.is_newer(&catalog, record, known) => {
+                self.table.put(record.clone());
+                self.set_catalog(catalog, record.position);
+                true
+            }
+            Ok(_) => false,
+            Err(error) => {
+                let (Position { era, offset }, cause) = (record.position, error.to_string());
+                self.events.emit(Kind::CatalogInvalid { era, offset, cause });
+                false
+            }
+        }
+    }
+
+    /// Returns whether a catalog replaces the known one: it has a newer version, or the same version and a
+    /// newer position.
+    fn is_newer(
+        &self,
+        catalog: &catalog::Catalog,
+        record: &Record,
+        known: Option<&Record>,
+    ) -> bool {
+        let is_later = known.is_none_or(|it| it.position < record.position);
+        (catalog.version, is_later) > (self.version(), false)
+    }
+
     /// Replaces all declarations by the complete list of the newest records before the position `end`. Those
     /// that the list lacks since the store came back from an older copy stay in force; see
     /// [`Declarations::drop_former_eras`].
@@ -62,8 +121,9 @@
         for record in &records {
             self.apply(record);
         }
-        for key in self.table.apply_snapshot(records, end) {
-            self.process(end, &key, None);
+        let listed: HashSet<String> = records.into_iter().map(|it| it.key).collect();
+        for key in self.table.remove_unlisted(&listed, end) {
+            self.end_evacuation(&key);
         }
     }
 
@@ -71,25 +131,15 @@
     /// catalog. Returns whether there were any.
     pub(crate) fn drop_former_eras(&mut self) -> bool {
         let dropped = self.table.drop_former_eras(|key| key != topic::CATALOG_KEY);
-        let end = self.table.end();
         for key in &dropped {
-            self.process(end, key, None);
+            self.end_evacuation(key);
         }
         !dropped.is_empty()
     }
 
-    fn process(&mut self, position: Position, key: &str, value: Option<&[u8]>) {
+    fn end_evacuation(&mut self, key: &str) {
         if let Some(domain) = topic::evacuated_domain(key) {
-            self.set_evacuated(domain, value.is_some());
-            return;
-        }
-        let Some(value) = value.filter(|_| key == topic::CATALOG_KEY) else { return };
-        match catalog_record::decode(value) {
-            Ok(catalog) => self.set_catalog(catalog, position),
-            Err(error) => {
-                let (Position { era, offset }, cause) = (position, error.to_string());
-                self.events.emit(Kind::CatalogInvalid { era, offset, cause });
-            }
+            self.set_evacuated(domain, false);
         }
     }
 
@@ -106,12 +156,10 @@
     }
 
     fn set_catalog(&mut self, catalog: catalog::Catalog, position: Position) {
-        if self.catalog.as_ref().is_none_or(|it| it.version < catalog.version) {
-            let (version, routes) = (catalog.version, catalog.routes.len() as u64);
-            let Position { era, offset } = position;
-            self.events.emit(Kind::CatalogApplied { version, routes, era, offset });
-            self.catalog = Some(Arc::new(catalog));
-        }
+        let (version, routes) = (catalog.version, catalog.routes.len() as u64);
+        let Position { era, offset } = position;
+        self.events.emit(Kind::CatalogApplied { version, routes, era, offset });
+        self.catalog = Some(Arc::new(catalog));
     }
 
     fn emit_outdated(&self, record: &Record, known: &Record) {
--- a/cuminward-gateway/tests/all/restored.rs
+++ b/cuminward-gateway/tests/all/restored.rs
@@ -179,3 +179,22 @@
     expect_that!(cluster.violations(), is_empty());
     Ok(())
 }
+
+/// It knows nothing of before, and the store has only what was lost later.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_before_the_operator_writes_again_serves_the_catalog_of_the_other_nodes()
+{
+    let site = Site::start().await;
+    let node = site.node("running").await;
+    let backup = site.store.backup();
+    site.configure(2, new_route("/new/"));
+    expect_that!(wait_for_status(&node, "/new/1", 200).await, eq(true));
+    site.store.restore(backup);
+    let started = site.node("started").await;
+    expect_that!(wait_for_status(&started, "/new/1", 200).await, eq(true));
+    expect_that!(keeps_status(&node, "/new/1", 200).await, eq(true));
+    site.configure(3, new_route("/newest/"));
+    expect_that!(wait_for_status(&started, "/newest/1", 200).await, eq(true));
+    expect_that!(wait_for_status(&node, "/newest/1", 200).await, eq(true));
+}
--- a/cuminward-serving/src/table.rs
+++ b/cuminward-serving/src/table.rs
@@ -3,7 +3,7 @@
 //! The table keeps the position of each record, so that copies can be updated from the store or from
 //! other nodes in any order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use bytes::Bytes;
 use cuminward_derive::record;
@@ -84,21 +84,32 @@
         if known.is_some_and(|it| it.position >= record.position) {
             return false;
         }
+        self.put(record);
+        true
+    }
+
+    /// Stores a record in place of the known one of its key, whichever is newer.
+    pub fn put(&mut self, record: Record) {
+        self.advance(record.position.next());
         let row = Row { position: record.position, value: record.value.map(Bytes::from) };
         self.rows.insert(record.key, row);
         self.evict_oldest_tombstone();
-        true
     }
 
     /// Applies a complete list of the newest records before the position `end`. A known key that is
     /// missing from the list was deleted, unless its record is newer than the list, or of a former era: the
     /// store may have lost it. Returns the keys that were deleted this way.
     pub fn apply_snapshot(&mut self, records: Vec<Record>, end: Position) -> Vec<String> {
-        let listed: std::collections::HashSet<String> =
-            records.iter().map(|it| it.key.clone()).collect();
+        let listed: HashSet<String> = records.iter().map(|it| it.key.clone()).collect();
         for record in records {
             self.apply(record);
         }
+        self.remove_unlisted(&listed, end)
+    }
+
+    /// Deletes the keys that are missing from the complete list of the keys before the position `end`, as
+    /// [`Table::apply_snapshot`] does.
+    pub fn remove_unlisted(&mut self, listed: &HashSet<String>, end: Position) -> Vec<String> {
         let mut missing = Vec::new();
         for (key, row) in &mut self.rows {
             let is_older = row.position.era == end.era && row.position < end;
