fix: cuminward-gateway: nodes register again after the store lost them

Nodes registered once. After the store had come back from an older copy, a node that started read a list of nodes without those that had registered since, and took too large a part of the limits on all nodes together: requests to cold hosts and retries.

A node registers in each era, and then reads the list again at the pauses of its start. Registrations are spread over 5 ms a node, 2 s at the target of 400 nodes, as the store accepts some hundred calls a second.

--- a/cuminward-gateway/src/peer/discovery.rs
+++ b/cuminward-gateway/src/peer/discovery.rs
@@ -15,22 +15,42 @@
 /// Pause between later reads.
 const PAUSE: Duration = Duration::from_secs(10);
 
-/// Registers this node in the list and reads the list for other nodes until the task is dropped.
+/// Time per known node over which the nodes spread their registrations after the store came back from an older
+/// copy, so that it isn't overloaded.
+const SPREAD_PER_NODE: Duration = Duration::from_millis(5);
+
+/// Registers this node in the list and reads the list for other nodes until the task is dropped. Begins again
+/// when the store comes back from an older copy, which may lack nodes.
 pub(crate) async fn run(state: Arc<State>, peers: Arc<Peers>) {
-    let mut is_registered = false;
+    let mut eras = state.store.era();
+    // Era in which this node is registered.
+    let mut registered_era = None;
     let mut pauses = FIRST_PAUSES.into_iter();
     loop {
-        if !is_registered {
-            is_registered = register(&state).await;
+        let era = *eras.borrow_and_update();
+        if registered_era.is_some_and(|it| it != era) {
+            registered_era = None;
+            pauses = FIRST_PAUSES.into_iter();
+            time::sleep(random_delay(state.node_count())).await;
+        }
+        if registered_era.is_none() && register(&state).await {
+            registered_era = Some(*eras.borrow_and_update());
         }
         if let Err(error) = read_nodes(&state, &peers).await {
             log::debug!("can't read the list of nodes: {error}");
         }
+        let is_registered = registered_era.is_some();
         let pause = if is_registered { pauses.next().unwrap_or(PAUSE) } else { FIRST_PAUSES[0] };
-        time::sleep(pause).await;
+        // Whether the pause or the era ended, the list is read again.
+        let _ = time::timeout(pause, eras.changed()).await;
     }
 }
 
+/// Returns the delay of this node's registration after the store came back.
+fn random_delay(node_count: usize) -> Duration {
+    (SPREAD_PER_NODE * node_count as u32).mul_f64(rand::random())
+}
+
 async fn register(state: &State) -> bool {
     let address = state.settings.listen.peers.to_string();
     let node = &state.settings.node.name;
--- a/cuminward-gateway/tests/all/restored.rs
+++ b/cuminward-gateway/tests/all/restored.rs
@@ -198,3 +198,20 @@
     expect_that!(wait_for_status(&started, "/newest/1", 200).await, eq(true));
     expect_that!(wait_for_status(&node, "/newest/1", 200).await, eq(true));
 }
+
+/// Limits of all nodes together are divided by the nodes that the store lists.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_register_again_after_the_store_lost_them() {
+    let site = Site::start().await;
+    let backup = site.store.backup();
+    let _node = site.node("registered").await;
+    let is_listed = || site.store.value(topic::NODES, "registered").is_some();
+    expect_that!(is_listed(), eq(true));
+    for _ in 0..2 {
+        site.store.restore(backup.clone());
+        expect_that!(is_listed(), eq(false));
+        time::sleep(CHECK_TIME).await;
+        expect_that!(is_listed(), eq(true));
+    }
+}
--- a/cuminward-serving/src/departure.rs
+++ b/cuminward-serving/src/departure.rs
@@ -32,8 +32,8 @@
 
 /// Mutation
 impl Tracker {
-    /// Records that a host was draining, or was removed from the list, at `now`. If more than [`MAX_HOSTS`]
-    /// are known, the one that left first is forgotten.
+    /// Records that a host was draining, or was removed from the list, at `now`. If too many are known, the
+    /// one that left first is forgotten.
     pub fn record(&mut self, now: Duration, host: &host::Host) {
         let departure = Departure { started_ms: host.started_ms, at: now };
         self.hosts.insert(host.id.clone(), departure);
