--- a/cuminward-gateway/src/ingress/metrics.rs
+++ b/cuminward-gateway/src/ingress/metrics.rs
@@ -24,6 +24,9 @@
 /// Version of the catalog in force.
 const VERSION: &str = "cuminward_gateway_catalog_version";
 
+/// Newest era of the store that the node has seen.
+const STORE_ERA: &str = "cuminward_gateway_store_era";
+
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
 
@@ -65,6 +68,7 @@
         ::metrics::counter!(CONNECTIONS).absolute(state.upstreams.opened());
         let version = state.routing.load().catalog.as_ref().map_or(0, |it| it.version);
         ::metrics::gauge!(VERSION).set(version as f64);
+        ::metrics::gauge!(STORE_ERA).set(*state.store.era().borrow() as f64);
         handle.run_upkeep();
         handle.render()
     }
--- a/cuminward-gateway/tests/all/restored.rs
+++ b/cuminward-gateway/tests/all/restored.rs
@@ -215,3 +215,25 @@
         expect_that!(is_listed(), eq(true));
     }
 }
+
+/// It has records of the former era with greater offsets than those of the newest one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_cannot_read_the_store_gets_a_change_after_the_store_lost_records() {
+    let site = Site::start().await;
+    let isolated = site.isolated_node("isolated").await;
+    let node = site.node("connected").await;
+    let backup = site.store.backup();
+    for version in 2..5 {
+        site.configure(version, new_route(&format!("/lost-{version}/")));
+    }
+    site.store.set_evacuated("elsewhere", true);
+    expect_that!(wait_for_status(&isolated, "/lost-4/1", 200).await, eq(true));
+    site.store.restore(backup);
+    expect_that!(keeps_status(&isolated, "/lost-4/1", 200).await, eq(true));
+    site.configure(5, new_route("/new/"));
+    expect_that!(wait_for_status(&node, "/new/1", 200).await, eq(true));
+    expect_that!(wait_for_status(&isolated, "/new/1", 200).await, eq(true));
+    site.store.set_evacuated("mercado", true);
+    expect_that!(wait_for_status(&isolated, "/new/1", 503).await, eq(true));
+}
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use cuminward_adapter::topic;
 use cuminward_adapter_fake::{
     address,
     caller::{self, Call, Headers, Response},
@@ -48,6 +49,7 @@
     pub(crate) gateway: Gateway,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) peers: SocketAddr,
     pub(crate) settings: PathBuf,
 }
 
@@ -96,14 +98,26 @@
 
     /// Starts a node without waiting until it is ready.
     pub(crate) async fn starting_node(&self, name: &str) -> Node {
+        self.start_node(name, self.store.address).await
+    }
+
+    /// Starts a node that can't reach the store and is listed there, without waiting until it is ready.
+    pub(crate) async fn isolated_node(&self, name: &str) -> Node {
+        let closed = address::allocate().expect("a loopback port is free");
+        let node = self.start_node(name, closed).await;
+        self.store.put(topic::NODES, name, &node.peers.to_string());
+        node
+    }
+
+    async fn start_node(&self, name: &str, store: SocketAddr) -> Node {
         let free = || address::allocate().expect("a loopback port is free");
         let [callers, ready, peers] = [free(), free(), free()];
-        let text = settings_text(name, callers, ready, peers, self.store.address);
+        let text = settings_text(name, callers, ready, peers, store);
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{callers}.yaml"));
         std::fs::write(&path, text).expect("the directory of temporary files can be written");
         let settings = settings::load(&path).expect("the settings are valid");
         let gateway = Gateway::start(settings, path.clone()).await.expect("the ports are free");
-        Node { gateway, callers, ready, settings: path }
+        Node { gateway, callers, ready, peers, settings: path }
     }
 
     /// Returns whether a node forwards requests to the plain service. The probe is removed from the hosts'
