--- a/cuminward-gateway/tests/all/streams.rs
+++ b/cuminward-gateway/tests/all/streams.rs
@@ -22,63 +22,63 @@
 struct Case {
     name: &'static str,
     script: Vec<Behaviour>,
+    end: End,
+    attempts: usize,
+}
+
+/// How the caller's response ends.
+#[derive(Clone, Copy)]
+struct End {
     status: u16,
     is_complete: bool,
     /// Last event that the caller receives; 0 if none.
     last: u64,
-    attempts: usize,
+}
+
+/// All events arrive.
+const COMPLETE: End = End { status: 200, is_complete: true, last: EVENTS };
+
+/// The response is a failure.
+const FAILED: End = End { status: 502, is_complete: true, last: 0 };
+
+/// The response is broken off after an event.
+const fn broken_after(last: u64) -> End {
+    End { status: 200, is_complete: false, last }
 }
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_continues_at_another_replica_after_its_last_event() -> Result<()> {
     let cases = [
-        Case {
-            name: "complete",
-            script: vec![],
-            status: 200,
-            is_complete: true,
-            last: EVENTS,
-            attempts: 1,
-        },
+        Case { name: "complete", script: vec![], end: COMPLETE, attempts: 1 },
         Case {
             name: "cut off midway",
             script: vec![Behaviour::StreamUntil(3)],
-            status: 200,
-            is_complete: true,
-            last: EVENTS,
+            end: COMPLETE,
             attempts: 2,
         },
         Case {
             name: "cut off before the first event",
             script: vec![Behaviour::StreamUntil(0)],
-            status: 200,
-            is_complete: true,
-            last: EVENTS,
+            end: COMPLETE,
             attempts: 2,
         },
         Case {
             name: "cut off twice",
             script: vec![Behaviour::StreamUntil(3), Behaviour::StreamUntil(5)],
-            status: 200,
-            is_complete: false,
-            last: 5,
+            end: broken_after(5),
             attempts: 2,
         },
         Case {
             name: "refused at first",
             script: vec![Behaviour::Refuse],
-            status: 200,
-            is_complete: true,
-            last: EVENTS,
+            end: COMPLETE,
             attempts: 2,
         },
         Case {
             name: "lost twice before the first event",
             script: vec![Behaviour::StreamUntil(0), Behaviour::StreamUntil(0)],
-            status: 502,
-            is_complete: true,
-            last: 0,
+            end: FAILED,
             attempts: 2,
         },
     ];
@@ -94,9 +94,9 @@
     let node = site.node("streams").await;
     host::share_script(&site.replicas, case.script);
     let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await.or_fail()?;
-    expect_that!(answer.status.as_u16(), eq(case.status), "{}", case.name);
-    expect_that!(answer.is_complete, eq(case.is_complete), "{}", case.name);
-    expect_that!(answer.body, eq(&events(1..=case.last)), "{}", case.name);
+    expect_that!(answer.status.as_u16(), eq(case.end.status), "{}", case.name);
+    expect_that!(answer.is_complete, eq(case.end.is_complete), "{}", case.name);
+    expect_that!(answer.body, eq(&events(1..=case.end.last)), "{}", case.name);
     let received: Vec<_> = site.replicas.iter().flat_map(|it| it.received()).collect();
     expect_that!(received.len(), eq(case.attempts), "{}", case.name);
     Ok(())
@@ -110,25 +110,19 @@
         Case {
             name: "before the first event",
             script: vec![Behaviour::StreamUntil(0), Behaviour::Fail(500)],
-            status: 502,
-            is_complete: true,
-            last: 0,
+            end: FAILED,
             attempts: 2,
         },
         Case {
             name: "a success that isn't a stream",
             script: vec![Behaviour::StreamUntil(0), Behaviour::Respond(String::from("text"))],
-            status: 502,
-            is_complete: true,
-            last: 0,
+            end: FAILED,
             attempts: 2,
         },
         Case {
             name: "midway",
             script: vec![Behaviour::StreamUntil(3), Behaviour::Fail(500)],
-            status: 200,
-            is_complete: false,
-            last: 3,
+            end: broken_after(3),
             attempts: 2,
         },
     ];
@@ -151,49 +145,37 @@
         Case {
             name: "complete",
             script: vec![unframed(Behaviour::Stream)],
-            status: 200,
-            is_complete: true,
-            last: EVENTS,
+            end: COMPLETE,
             attempts: 1,
         },
         Case {
             name: "ends midway",
             script: vec![unframed(Behaviour::StreamUntil(3))],
-            status: 200,
-            is_complete: true,
-            last: EVENTS,
+            end: COMPLETE,
             attempts: 2,
         },
         Case {
             name: "ends inside the first event",
             script: vec![unframed(Behaviour::StreamUntil(0))],
-            status: 200,
-            is_complete: true,
-            last: EVENTS,
+            end: COMPLETE,
             attempts: 2,
         },
         Case {
             name: "ends right after the head",
             script: vec![unframed(Behaviour::StreamNothing)],
-            status: 200,
-            is_complete: true,
-            last: EVENTS,
+            end: COMPLETE,
             attempts: 2,
         },
         Case {
             name: "ends midway twice",
             script: vec![unframed(Behaviour::StreamUntil(3)), unframed(Behaviour::StreamUntil(5))],
-            status: 200,
-            is_complete: false,
-            last: 5,
+            end: broken_after(5),
             attempts: 2,
         },
         Case {
             name: "ends inside the first event twice",
             script: vec![unframed(Behaviour::StreamUntil(0)), unframed(Behaviour::StreamUntil(0))],
-            status: 502,
-            is_complete: true,
-            last: 0,
+            end: FAILED,
             attempts: 2,
         },
     ];
