feat: cuminward-gateway: the cause of an interrupted attempt names why, and how long the replica was silent

Logs said "the replica stalled before responding" or "lost a member or stalled" for three cases: a member that doesn't answer, a replica given up although its members answer, and a request that moves to another replica.

--- a/cuminward-event/tests/all/explain.rs
+++ b/cuminward-event/tests/all/explain.rs
@@ -17,7 +17,7 @@
     Kind::AttemptFailed {
         upstream: upstream.to_owned(),
         failure: String::from("unknown"),
-        cause: String::from("the replica lost a member or stalled"),
+        cause: String::from("the replica lost a member after a silence of 641 ms"),
         last_event: 4,
         next: String::from("again"),
     }
--- a/cuminward-gateway/src/control/health_check.rs
+++ b/cuminward-gateway/src/control/health_check.rs
@@ -144,7 +144,7 @@
     }
     if stalled_for > give_up_after {
         upstream.stats.record_failure(now);
-        upstream.stats.mark_lost(now);
+        upstream.stats.give_up(now);
     } else {
         // The next check of the same stall is due when the stall has doubled.
         time::sleep(stalled_for.max(progress::MIN_CHECK_AFTER)).await;
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -20,7 +20,7 @@
     report,
     slot::{self, Slot},
 };
-use crate::state::State;
+use crate::state::{State, stats::Interruption};
 
 /// `Retry-After` of a request that upstreams refused.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -71,6 +71,46 @@
     Failed(String),
 }
 
+/// End of an attempt whose connection is still open.
+#[derive(Debug, Clone, Copy)]
+struct Stall {
+    reason: StallReason,
+    /// Time since the replica last sent anything.
+    silence: Duration,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StallReason {
+    /// A member of the replica doesn't answer.
+    MemberLost,
+    /// The members answer, but the replica makes no progress.
+    GivenUp,
+    /// The request has got no event yet and moves to another replica.
+    Moved,
+}
+
+impl From<Interruption> for StallReason {
+    fn from(it: Interruption) -> StallReason {
+        match it {
+            Interruption::MemberLost => StallReason::MemberLost,
+            Interruption::GivenUp => StallReason::GivenUp,
+        }
+    }
+}
+
+/// Access
+impl Stall {
+    fn into_fault(self) -> Fault {
+        let reason = match self.reason {
+            StallReason::MemberLost => "the replica lost a member",
+            StallReason::GivenUp => "the replica was given up",
+            StallReason::Moved => "the request moves to another replica",
+        };
+        let cause = format!("{reason} after a silence of {} ms", self.silence.as_millis());
+        Fault { failure: Failure::Unknown, cause }
+    }
+}
+
 /// What was read from the upstream of the current attempt.
 enum UpstreamItem {
     Event(Event),
@@ -135,10 +175,7 @@
                 exchange::send(&self.state, &self.context, &slot, self.resume_after(), left);
             let sent = tokio::select! {
                 sent = sending => sent,
-                () = self.wait_for_stall(&slot, started, true) => Err(Fault {
-                    failure: Failure::Unknown,
-                    cause: String::from("the replica stalled before responding"),
-                }),
+                stall = self.wait_for_stall(&slot, started, true) => Err(stall.into_fault()),
             };
             match sent {
                 Ok(response) if exchange::is_stream(&response.head) => {
@@ -238,8 +275,8 @@
             let may_move = current.events == 0;
             let frame = tokio::select! {
                 frame = current.body.frame() => frame,
-                () = self.wait_for_stall(&current.slot, current.started, may_move) => {
-                    return unknown_failure(String::from("the replica lost a member or stalled"));
+                stall = self.wait_for_stall(&current.slot, current.started, may_move) => {
+                    return UpstreamItem::Fault(stall.into_fault());
                 }
             };
             let Some(frame) = frame else {
@@ -351,16 +388,17 @@
         }
     }
 
-    /// Waits until the replica of a slot is lost or, if `may_move` is set, until it has stalled while the
-    /// request can be sent to another replica at once. A request that can't be sent elsewhere stays.
-    async fn wait_for_stall(&self, slot: &Slot, started: Duration, may_move: bool) {
+    /// Waits until the replica of a slot is lost or given up or, if `may_move` is set, until it has stalled
+    /// while the request can be sent to another replica at once. A request that can't be sent elsewhere stays.
+    async fn wait_for_stall(&self, slot: &Slot, started: Duration, may_move: bool) -> Stall {
         let stats = &slot.upstream.stats;
         loop {
             let interrupt = stats.interrupt.notified();
             let mut interrupt = std::pin::pin!(interrupt);
             interrupt.as_mut().enable();
-            if stats.is_lost_since(started) {
-                return;
+            let silence = stats.time_since_progress(self.state.now()).unwrap_or_default();
+            if let Some(interruption) = stats.interruption_since(started) {
+                return Stall { reason: interruption.into(), silence };
             }
             interrupt.await;
             let now = self.state.now();
@@ -369,7 +407,7 @@
             let has_stalled = stats.time_since_progress(now).is_some_and(|it| it > move_after);
             if may_move && waited > move_after && has_stalled && self.can_move() {
                 self.state.record_first_event(waited * 2);
-                return;
+                return Stall { reason: StallReason::Moved, silence: waited };
             }
         }
     }
--- a/cuminward-gateway/src/state/stats.rs
+++ b/cuminward-gateway/src/state/stats.rs
@@ -37,8 +37,11 @@
     progress_ms: AtomicU64,
     /// Longest recent pause between two parts of responses, in milliseconds.
     longest_pause_ms: AtomicU64,
-    /// When the upstream was last marked as lost, in milliseconds since the node's start; 0 if never.
+    /// When a member of the upstream was last found lost, in milliseconds since the node's start; 0 if never.
     lost_ms: AtomicU64,
+    /// When the upstream was last given up although its members answered, in milliseconds since the node's
+    /// start; 0 if never.
+    given_up_ms: AtomicU64,
     /// Until when the upstream counts as suspect after a failure, in milliseconds since the node's
     /// start.
     backoff_until_ms: AtomicU64,
@@ -57,6 +60,15 @@
     pub(crate) interrupt: Notify,
 }
 
+/// Why the requests in flight at an upstream are interrupted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Interruption {
+    /// A member of the upstream doesn't answer.
+    MemberLost,
+    /// The members answer, but the upstream makes no progress.
+    GivenUp,
+}
+
 /// Guard that counts a request as in flight until it is dropped.
 pub(crate) struct InFlight {
     stats: Arc<Stats>,
@@ -88,9 +100,14 @@
         progress::check_after(longest)
     }
 
-    /// Returns whether the upstream was marked as lost after `since`.
-    pub(crate) fn is_lost_since(&self, since: Duration) -> bool {
-        self.lost_ms.load(Ordering::Relaxed) > since.as_millis() as u64
+    /// Returns why requests that are in flight since `since` are interrupted, if they are.
+    pub(crate) fn interruption_since(&self, since: Duration) -> Option<Interruption> {
+        let is_later = |it: &AtomicU64| it.load(Ordering::Relaxed) > since.as_millis() as u64;
+        if is_later(&self.lost_ms) {
+            Some(Interruption::MemberLost)
+        } else {
+            is_later(&self.given_up_ms).then_some(Interruption::GivenUp)
+        }
     }
 
     /// Returns whether the upstream is suspect and should get requests only if no other one can take
@@ -179,12 +196,18 @@
         self.backoff_until_ms.fetch_max(until, Ordering::Relaxed);
     }
 
-    /// Marks the upstream as lost and interrupts its requests in flight.
+    /// Interrupts the requests in flight, since a member of the upstream doesn't answer.
     pub(crate) fn mark_lost(&self, now: Duration) {
         self.lost_ms.store(now.as_millis() as u64, Ordering::Relaxed);
         self.interrupt.notify_waiters();
     }
 
+    /// Interrupts the requests in flight, since the upstream makes no progress although its members answer.
+    pub(crate) fn give_up(&self, now: Duration) {
+        self.given_up_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+        self.interrupt.notify_waiters();
+    }
+
     /// Sets until when the upstream is cold, unless a later time is set already.
     pub(crate) fn set_cold_until(&self, until: Duration) {
         self.cold_until_ms.fetch_max(until.as_millis() as u64, Ordering::Relaxed);
