--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod lifecycle;
 mod quarantine;
 mod restored;
+mod silence;
 mod site;
 mod streams;
 mod template;
--- a/cuminward-gateway/tests/all/restored.rs
+++ b/cuminward-gateway/tests/all/restored.rs
@@ -161,7 +161,7 @@
 async fn hosts_accept_orders_of_a_steward_that_is_elected_after_the_store_lost_elections()
 -> Result<()> {
     let site = Site::start().await;
-    site.join_replicas(2, 2);
+    site.join_replicas(2, 2, None);
     let cluster = start_cluster(&site, &["w-0", "w-1"], 2).await?;
     let backup = site.store.backup();
     raise_generation(&site, 20).await?;
--- /dev/null
+++ b/cuminward-gateway/tests/all/silence.rs
@@ -0,0 +1,89 @@
+//! Sound hosts that send nothing for a while and go on.
+
+use std::time::Duration;
+
+use cuminward_adapter_fake::{
+    catalog::{Retry, Route},
+    header,
+    host::{self, Behaviour},
+};
+use googletest::prelude::*;
+
+use crate::site::{self, EVENTS, Site};
+
+const MODEL: (&str, &str) = (header::MODEL, site::MODEL);
+
+/// Silence of a sound host.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// Number of hosts of a replica.
+const SIZE: usize = 2;
+
+struct Case {
+    name: &'static str,
+    /// Number of replicas of the site.
+    replicas: usize,
+    /// Behaviours for the requests that reach the replicas, one after the other.
+    script: Vec<Behaviour>,
+}
+
+/// Returns a route whose requests outlast several silences.
+fn patient_route() -> Route {
+    Route {
+        timeout: Duration::from_secs(6),
+        latency_objective: Some(Duration::from_millis(300)),
+        ..site::route("/long-chat/", Retry::Resumable, site::ENGINE)
+    }
+}
+
+/// Guards against streams that were broken off during a silence of the last upstream that they could use.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silence_ends_no_stream_that_can_not_go_on_elsewhere() -> Result<()> {
+    let silent_after = |event| Behaviour::StreamFallingSilent(event, SILENCE);
+    let cases = [
+        Case { name: "no other replica", replicas: 1, script: vec![silent_after(3)] },
+        Case {
+            name: "no other replica, before the first event",
+            replicas: 1,
+            script: vec![silent_after(0)],
+        },
+        Case {
+            name: "last attempt",
+            replicas: 3,
+            script: vec![Behaviour::StreamUntil(3), silent_after(5)],
+        },
+        Case {
+            name: "last attempt, before its first event",
+            replicas: 3,
+            script: vec![Behaviour::StreamUntil(3), silent_after(3)],
+        },
+        Case {
+            name: "last attempt, nothing sent to the caller",
+            replicas: 3,
+            script: vec![Behaviour::StreamUntil(0), silent_after(0)],
+        },
+        Case {
+            name: "members answer",
+            replicas: 1,
+            script: vec![Behaviour::StreamPausing(3, 2 * SILENCE + Duration::from_millis(600))],
+        },
+        Case {
+            name: "silent at both attempts",
+            replicas: 3,
+            script: vec![silent_after(3), silent_after(5)],
+        },
+    ];
+    for case in cases {
+        let site = Site::with_engine_hosts(case.replicas * SIZE).await;
+        site.join_replicas(1, SIZE, Some(patient_route()));
+        let node = site.node("silence").await;
+        host::share_script(&site.replicas, case.script);
+        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
+        let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(200), "{}", case.name);
+        expect_that!(answer.is_complete, eq(true), "{}", case.name);
+        expect_that!(answer.body, eq(&site::events(1..=EVENTS)), "{}", case.name);
+    }
+    Ok(())
+}
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -57,10 +57,17 @@
 impl Site {
     /// Starts a store and two hosts of each service, without a catalog.
     pub(crate) async fn empty() -> Site {
+        Site::with_engine_hosts(2).await
+    }
+
+    /// Starts a store, two hosts of the plain service and `count` hosts of the engine, without a catalog.
+    pub(crate) async fn with_engine_hosts(count: usize) -> Site {
         let store = Arc::new(Store::start().await.expect("a loopback port is free"));
         let (mut plain, mut replicas) = (Vec::new(), Vec::new());
         for index in 0..2 {
             plain.push(host(&format!("p-{index}")).await);
+        }
+        for index in 0..count {
             replicas.push(host(&format!("e-{index}")).await);
         }
         let site = Site { store, plain, replicas };
@@ -184,6 +191,11 @@
     Entry { service: ENGINE.to_owned(), engine: Some(engine), ..plain_entry(host) }
 }
 
+/// Returns the body of a stream with the events of these ids.
+pub(crate) fn events(ids: impl IntoIterator<Item = u64>) -> String {
+    ids.into_iter().map(|it| format!("id: {it}\ndata: part {it}\n\n")).collect()
+}
+
 /// Returns a route without a latency objective.
 pub(crate) fn route(prefix: &str, retry: Retry, service: &str) -> Route {
     Route {
@@ -206,20 +218,20 @@
     }
 
     /// Declares a catalog with the usual routes in which replicas span `size` hosts, and makes the hosts
-    /// of the engine one replica if there are that many.
-    pub(crate) fn join_replicas(&self, version: u64, size: usize) {
-        for (rank, host) in self.replicas.iter().enumerate() {
+    /// of the engine replicas of that size, in their order. The catalog may have one more route.
+    pub(crate) fn join_replicas(&self, version: u64, size: usize, more: Option<Route>) {
+        for (index, host) in self.replicas.iter().enumerate() {
             let mut entry = replica_entry(host);
             let group = entry.engine.as_mut().and_then(|it| it.group.as_mut());
             let group = group.expect("the entry of a replica has a group");
-            group.name = String::from("g");
-            group.rank = rank;
-            if rank > 0 {
+            group.name = format!("g-{}", index / size);
+            group.rank = index % size;
+            if group.rank > 0 {
                 group.phase = entry::Phase::Ready;
             }
             self.store.put_entry(&host.id, &entry);
         }
-        self.declare(version, None, size);
+        self.declare(version, more, size);
     }
 
     fn declare(&self, version: u64, more: Option<Route>, size: usize) {
--- a/cuminward-gateway/tests/all/streams.rs
+++ b/cuminward-gateway/tests/all/streams.rs
@@ -10,15 +10,10 @@
 use googletest::prelude::*;
 use tokio::time;
 
-use crate::site::{self, EVENTS, Site};
+use crate::site::{self, EVENTS, Site, events};
 
 const MODEL: (&str, &str) = (header::MODEL, site::MODEL);
 
-/// Returns the body of a stream with the events of these ids.
-fn events(ids: impl IntoIterator<Item = u64>) -> String {
-    ids.into_iter().map(|it| format!("id: {it}\ndata: part {it}\n\n")).collect()
-}
-
 struct Case {
     name: &'static str,
     script: Vec<Behaviour>,
@@ -237,7 +232,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_stays_at_a_slow_replica_if_no_other_has_room() -> Result<()> {
     let site = Site::empty().await;
-    site.join_replicas(1, 2);
+    site.join_replicas(1, 2, None);
     let node = site.node("stays").await;
     let slow = Behaviour::RespondAfter(Duration::from_millis(900), String::from("late"));
     site.replicas[0].enqueue(slow);
