fix: cuminward-gateway: a silence ends an attempt only when another one is reserved

Cause: an attempt ended as soon as its replica counted as lost or given up, and only then it was decided whether another attempt is allowed and has room. Without one, the node broke off a response whose upstream would have gone on. Class: something irrevocable is done on a suspicion, before its replacement stands.

Change: while an attempt is silent, a slot of another upstream is reserved and the retry counted; only then the attempt ends. Bytes that arrive meanwhile win. An attempt that can't be replaced goes on until its upstream or the deadline ends it. The progress that counts is the attempt's own, so that a silence that is over can't interrupt it later.

--- a/cuminward-gateway/src/forward/mod.rs
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -7,6 +7,7 @@
 mod report;
 mod resumable;
 pub(crate) mod slot;
+mod stall;
 mod stream;
 mod unary;
 
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -7,7 +7,7 @@
 use cuminward_serving::{
     attempt::{self, Failure, Next},
     event::{self, Event, Remainder, Splitter},
-    id, progress, quarantine,
+    id, quarantine,
     queue::Progress,
 };
 use cuminward_upstream::body;
@@ -19,8 +19,9 @@
     exchange::{self, Fault},
     report,
     slot::{self, Slot},
+    stall::{self, Replacement},
 };
-use crate::state::{State, stats::Interruption};
+use crate::state::State;
 
 /// `Retry-After` of a request that upstreams refused.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -36,6 +37,8 @@
     upstream: String,
     /// The attempt whose events are being read.
     current: Option<Attempt>,
+    /// Upstream that is reserved for the next attempt.
+    reserved: Option<Slot>,
     /// Last event that was yielded; before the first one, the last event that the caller named.
     last_event: Option<event::Id>,
     /// Whether the head of a stream was returned, after which only a stream can follow.
@@ -51,6 +54,8 @@
     splitter: Splitter,
     /// When the request was sent, since the node's start.
     started: Duration,
+    /// When bytes last arrived, or the head of the response, since the node's start.
+    progressed: Duration,
     /// Number of events that the attempt has yielded.
     events: u64,
 }
@@ -71,52 +76,22 @@
     Failed(String),
 }
 
-/// End of an attempt whose connection is still open.
-#[derive(Debug, Clone, Copy)]
-struct Stall {
-    reason: StallReason,
-    /// Time since the replica last sent anything.
-    silence: Duration,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StallReason {
-    /// A member of the replica doesn't answer.
-    MemberLost,
-    /// The members answer, but the replica makes no progress.
-    GivenUp,
-    /// The request has got no event yet and moves to another replica.
-    Moved,
-}
-
-impl From<Interruption> for StallReason {
-    fn from(it: Interruption) -> StallReason {
-        match it {
-            Interruption::MemberLost => StallReason::MemberLost,
-            Interruption::GivenUp => StallReason::GivenUp,
-        }
-    }
-}
-
-/// Access
-impl Stall {
-    fn into_fault(self) -> Fault {
-        let reason = match self.reason {
-            StallReason::MemberLost => "the replica lost a member",
-            StallReason::GivenUp => "the replica was given up",
-            StallReason::Moved => "the request moves to another replica",
-        };
-        let cause = format!("{reason} after a silence of {} ms", self.silence.as_millis());
-        Fault { failure: Failure::Unknown, cause }
-    }
-}
-
 /// What was read from the upstream of the current attempt.
 enum UpstreamItem {
     Event(Event),
     /// The end of a complete stream, with the bytes that follow its last event.
     End(Bytes),
     Fault(Fault),
+    /// The attempt has stalled, and another upstream is reserved for the request.
+    Stall(Replacement),
+}
+
+/// Result of sending the request to an upstream.
+enum Sent {
+    Response(Box<exchange::Response>),
+    Fault(Fault),
+    /// The upstream has stalled, and another one is reserved for the request.
+    Stall(Replacement),
 }
 
 /// The first response of an upstream that isn't retried.
@@ -140,6 +115,7 @@
             tried: Vec::new(),
             upstream: String::new(),
             current: None,
+            reserved: None,
             has_head: false,
             has_yielded: false,
         }
@@ -169,42 +145,74 @@
     pub(crate) async fn open(&mut self) -> Result<FirstResponse, Error> {
         loop {
             let slot = self.acquire_slot().await?;
-            let left = self.context.remaining();
             let started = self.state.now();
-            let sending =
-                exchange::send(&self.state, &self.context, &slot, self.resume_after(), left);
-            let sent = tokio::select! {
-                sent = sending => sent,
-                stall = self.wait_for_stall(&slot, started, true) => Err(stall.into_fault()),
-            };
-            match sent {
-                Ok(response) if exchange::is_stream(&response.head) => {
+            match self.send(&slot, started).await {
+                Sent::Response(response) if exchange::is_stream(&response.head) => {
                     let head = Box::new(exchange::response_head(response.head));
-                    let splitter = Splitter::default();
-                    let body = response.body;
-                    let current = Attempt { slot, body, splitter, started, events: 0 };
-                    self.current = Some(current);
+                    self.current = Some(Attempt {
+                        slot,
+                        body: response.body,
+                        splitter: Splitter::default(),
+                        started,
+                        progressed: self.state.now(),
+                        events: 0,
+                    });
                     self.has_head = true;
                     return Ok(FirstResponse::Stream(head));
                 }
-                Ok(response) if !self.has_head => {
-                    return Ok(FirstResponse::Other(Box::new(response), slot));
+                Sent::Response(response) if !self.has_head => {
+                    return Ok(FirstResponse::Other(response, slot));
                 }
-                Ok(response) => {
+                Sent::Response(response) => {
                     let status = response.head.status;
                     let cause =
                         format!("the upstream responded with status {status}, not a stream");
                     drop(slot);
                     self.handle_failure(Fault { failure: Failure::Unknown, cause })?;
                 }
-                Err(fault) => {
+                Sent::Fault(fault) => {
                     drop(slot);
                     self.handle_failure(fault)?;
                 }
+                Sent::Stall(replacement) => self.replace(replacement),
             }
         }
     }
 
+    /// Sends the request to the upstream of a slot and waits for the head of its response, or until another
+    /// upstream is reserved as this one has stalled.
+    async fn send(&self, slot: &Slot, started: Duration) -> Sent {
+        let left = self.context.remaining();
+        let sending = exchange::send(&self.state, &self.context, slot, self.resume_after(), left);
+        let watch = self.watch(slot, started, started, false);
+        tokio::select! {
+            biased;
+            sent = sending => match sent {
+                Ok(response) => Sent::Response(Box::new(response)),
+                Err(fault) => Sent::Fault(fault),
+            },
+            replacement = watch.replacement() => Sent::Stall(replacement),
+        }
+    }
+
+    /// Returns the watch of an attempt.
+    fn watch<'a>(
+        &'a self,
+        slot: &'a Slot,
+        started: Duration,
+        progressed: Duration,
+        has_events: bool,
+    ) -> stall::Watch<'a> {
+        let candidate = stall::Candidate {
+            state: &self.state,
+            context: &self.context,
+            tried: &self.tried,
+            failed: self.attempts,
+            progress: self.progress(),
+        };
+        stall::Watch { candidate, slot, started, progressed, has_events }
+    }
+
     /// Yields the next item, from another upstream if the current one fails.
     ///
     /// # Errors
@@ -232,6 +240,10 @@
                     self.current = None;
                     self.handle_failure(fault)?;
                 }
+                UpstreamItem::Stall(replacement) => {
+                    self.current = None;
+                    self.replace(replacement);
+                }
             }
         }
     }
@@ -272,12 +284,12 @@
                 self.record_event(current);
                 return UpstreamItem::Event(event);
             }
-            let may_move = current.events == 0;
+            let Attempt { slot, body, started, progressed, events, .. } = &mut *current;
+            let watch = self.watch(slot, *started, *progressed, *events > 0);
             let frame = tokio::select! {
-                frame = current.body.frame() => frame,
-                stall = self.wait_for_stall(&current.slot, current.started, may_move) => {
-                    return UpstreamItem::Fault(stall.into_fault());
-                }
+                biased;
+                frame = body.frame() => frame,
+                replacement = watch.replacement() => return UpstreamItem::Stall(replacement),
             };
             let Some(frame) = frame else {
                 return self.end_attempt(current);
@@ -286,7 +298,8 @@
                 Ok(it) => it,
                 Err(error) => return self.break_off(current, error.to_string()),
             };
-            current.slot.upstream.stats.record_progress(self.state.now());
+            current.progressed = self.state.now();
+            current.slot.upstream.stats.record_progress(current.progressed);
             let Ok(data) = frame.into_data() else { continue };
             if current.splitter.push(&data).is_err() {
                 return unknown_failure(String::from("an event exceeds the size limit"));
@@ -342,15 +355,25 @@
         unknown_failure(cause)
     }
 
-    /// Reserves a slot of an upstream for the next attempt.
+    /// Returns how far the response to the caller has come.
+    fn progress(&self) -> Progress {
+        if self.has_yielded { Progress::Started } else { Progress::New }
+    }
+
+    /// Returns the slot that is reserved for the next attempt, or reserves one.
     ///
     /// # Errors
     ///
     /// Fails if no upstream has capacity within the time that the request may wait.
     async fn acquire_slot(&mut self) -> Result<Slot, Error> {
-        let progress = if self.has_yielded { Progress::Started } else { Progress::New };
-        let slot = slot::acquire(&self.state, &self.context, &self.tried, progress).await;
-        let slot = slot.map_err(|it| self.error(it.to_string(), it.retry_after()))?;
+        let slot = match self.reserved.take() {
+            Some(it) => it,
+            None => {
+                let acquired =
+                    slot::acquire(&self.state, &self.context, &self.tried, self.progress()).await;
+                acquired.map_err(|it| self.error(it.to_string(), it.retry_after()))?
+            }
+        };
         self.tried.push(slot.upstream.host.clone());
         self.upstream.clone_from(&slot.upstream.name);
         Ok(slot)
@@ -378,6 +401,21 @@
         Err(self.error(fault.cause, RETRY_AFTER))
     }
 
+    /// Counts and reports a stalled attempt, and keeps the upstream that is reserved for the next one.
+    fn replace(&mut self, replacement: Replacement) {
+        let fault = replacement.stall.fault();
+        self.attempts.record_failure(fault.failure);
+        report::record_failed_attempt(
+            &self.state,
+            &self.context,
+            &self.upstream,
+            &fault,
+            self.last_event,
+            Next::Retry,
+        );
+        self.reserved = Some(replacement.slot);
+    }
+
     /// Returns the error that ends the stream: [`Error::Failed`] if any attempt may have been executed,
     /// otherwise [`Error::Refused`].
     fn error(&self, cause: String, retry_after: Duration) -> Error {
@@ -388,37 +426,6 @@
         }
     }
 
-    /// Waits until the replica of a slot is lost or given up or, if `may_move` is set, until it has stalled
-    /// while the request can be sent to another replica at once. A request that can't be sent elsewhere stays.
-    async fn wait_for_stall(&self, slot: &Slot, started: Duration, may_move: bool) -> Stall {
-        let stats = &slot.upstream.stats;
-        loop {
-            let interrupt = stats.interrupt.notified();
-            let mut interrupt = std::pin::pin!(interrupt);
-            interrupt.as_mut().enable();
-            let silence = stats.time_since_progress(self.state.now()).unwrap_or_default();
-            if let Some(interruption) = stats.interruption_since(started) {
-                return Stall { reason: interruption.into(), silence };
-            }
-            interrupt.await;
-            let now = self.state.now();
-            let waited = now.saturating_sub(started);
-            let move_after = progress::move_after(self.state.mean_first_event());
-            let has_stalled = stats.time_since_progress(now).is_some_and(|it| it > move_after);
-            if may_move && waited > move_after && has_stalled && self.can_move() {
-                self.state.record_first_event(waited * 2);
-                return Stall { reason: StallReason::Moved, silence: waited };
-            }
-        }
-    }
-
-    /// Returns whether the request may be sent once more and another replica has capacity for it.
-    fn can_move(&self) -> bool {
-        self.attempts.maybe_ran + 1 < self.context.route.max_attempts
-            && self.state.has_retry(&self.context.service)
-            && slot::has_capacity(&self.state, &self.context, &self.tried)
-    }
-
     /// Returns the event after which the upstream continues the stream; `None` before the first event, as
     /// the caller's own `Last-Event-ID` is forwarded then.
     fn resume_after(&self) -> Option<event::Id> {
--- /dev/null
+++ b/cuminward-gateway/src/forward/stall.rs
@@ -0,0 +1,169 @@
+//! Attempts that make no progress: when they are replaced by an attempt at another upstream.
+//!
+//! An upstream that is silent may go on after a moment. So an attempt isn't ended before a slot of another
+//! upstream is reserved and the retry is counted; an attempt that can't be replaced goes on.
+
+use std::{sync::Arc, time::Duration};
+
+use cuminward_serving::{
+    attempt::{self, Failure, Next},
+    id, progress,
+    queue::Progress,
+};
+use tokio::time;
+
+use super::{
+    context::Context,
+    exchange::Fault,
+    slot::{self, Slot},
+};
+use crate::state::{State, stats::Interruption};
+
+/// Time between two tries to replace an attempt.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Why an attempt is replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Reason {
+    /// A member of the replica doesn't answer.
+    MemberLost,
+    /// The members answer, but the replica makes no progress.
+    GivenUp,
+    /// The request has got no event yet and moves to another replica.
+    Moved,
+}
+
+impl std::fmt::Display for Reason {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Reason::MemberLost => "the replica lost a member",
+            Reason::GivenUp => "the replica was given up",
+            Reason::Moved => "the request moves to another replica",
+        })
+    }
+}
+
+impl From<Interruption> for Reason {
+    fn from(it: Interruption) -> Reason {
+        match it {
+            Interruption::MemberLost => Reason::MemberLost,
+            Interruption::GivenUp => Reason::GivenUp,
+        }
+    }
+}
+
+/// An attempt that makes no progress.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Stall {
+    pub(super) reason: Reason,
+    /// Time since the upstream last sent anything.
+    pub(super) silence: Duration,
+}
+
+/// Access
+impl Stall {
+    /// Returns the fault of the attempt that is replaced.
+    pub(super) fn fault(self) -> Fault {
+        let cause = format!("{} after a silence of {} ms", self.reason, self.silence.as_millis());
+        Fault { failure: Failure::Unknown, cause }
+    }
+}
+
+/// A reserved upstream for the attempt that replaces a stalled one. Its retry has been counted.
+pub(super) struct Replacement {
+    pub(super) stall: Stall,
+    pub(super) slot: Slot,
+}
+
+/// The request of an attempt, with what decides whether another attempt may follow.
+#[derive(Clone, Copy)]
+pub(super) struct Candidate<'a> {
+    pub(super) state: &'a Arc<State>,
+    pub(super) context: &'a Context,
+    /// Hosts to which the request was sent.
+    pub(super) tried: &'a [id::Host],
+    /// Failed attempts before the current one.
+    pub(super) failed: attempt::Counts,
+    pub(super) progress: Progress,
+}
+
+/// Access
+impl Candidate<'_> {
+    /// Returns whether another attempt may follow if the current one is ended.
+    fn may_retry(&self) -> bool {
+        let mut failed = self.failed;
+        failed.record_failure(Failure::Unknown);
+        attempt::decide(failed, Failure::Unknown, &self.context.bounds()) == Next::Retry
+            && self.state.has_retry(&self.context.service)
+    }
+
+    /// Returns whether another attempt may follow, and another upstream has capacity for it now.
+    fn can_move(&self) -> bool {
+        self.may_retry() && slot::has_capacity(self.state, self.context, self.tried)
+    }
+
+    /// Waits until a slot of another upstream is reserved, and counts the retry.
+    pub(super) async fn reserve(&self) -> Slot {
+        loop {
+            if self.may_retry() {
+                let slot = slot::acquire(self.state, self.context, self.tried, self.progress).await;
+                if let Ok(slot) = slot
+                    && self.state.try_retry(&self.context.service)
+                {
+                    return slot;
+                }
+            }
+            time::sleep(RETRY_INTERVAL).await;
+        }
+    }
+}
+
+/// An attempt at a replica whose progress is watched.
+pub(super) struct Watch<'a> {
+    pub(super) candidate: Candidate<'a>,
+    /// Upstream of the attempt.
+    pub(super) slot: &'a Slot,
+    /// When the request was sent, since the node's start.
+    pub(super) started: Duration,
+    /// When the attempt last received anything, or `started`.
+    pub(super) progressed: Duration,
+    /// Whether the attempt has received an event.
+    pub(super) has_events: bool,
+}
+
+/// Access
+impl Watch<'_> {
+    /// Waits until the attempt has stalled and a slot of another replica is reserved.
+    pub(super) async fn replacement(&self) -> Replacement {
+        let stall = self.stall().await;
+        let slot = self.candidate.reserve().await;
+        if stall.reason == Reason::Moved {
+            self.candidate.state.record_first_event(stall.silence * 2);
+        }
+        Replacement { stall, slot }
+    }
+
+    /// Waits until the replica is lost or given up or, if the attempt has received no event, until the replica
+    /// has stalled while the request can be sent to another one at once.
+    async fn stall(&self) -> Stall {
+        let (state, stats) = (self.candidate.state, &self.slot.upstream.stats);
+        loop {
+            let interrupt = stats.interrupt.notified();
+            let mut interrupt = std::pin::pin!(interrupt);
+            interrupt.as_mut().enable();
+            if let Some(interruption) = stats.interruption_since(self.progressed) {
+                let silence = state.now().saturating_sub(self.progressed);
+                return Stall { reason: interruption.into(), silence };
+            }
+            interrupt.await;
+            let now = state.now();
+            let waited = now.saturating_sub(self.started);
+            let move_after = progress::move_after(state.mean_first_event());
+            let has_stalled = stats.time_since_progress(now).is_some_and(|it| it > move_after);
+            let may_move = !self.has_events && waited > move_after && has_stalled;
+            if may_move && self.candidate.can_move() {
+                return Stall { reason: Reason::Moved, silence: waited };
+            }
+        }
+    }
+}
