fix: cuminward-serving, cuminward-gateway: groups stay together while a member is only silent

Callers' streams were cut, and requests refused, when a sound host fell silent for a second: the steward took a host that had left two probes unanswered (about 500 ms) for gone, and ordered the head of its group to leave.

Change: a lost host counts as gone when it refuses connections, or when a probe fails 800 ms or more after the first one that failed; a probe is due at that time. Only groups with a member that is gone are dissolved. Lost hosts still get no requests, orders or new groups. Errors of connections tell a refusal from a silence.

--- a/cuminward-gateway/src/control/health_check.rs
+++ b/cuminward-gateway/src/control/health_check.rs
@@ -110,7 +110,8 @@
         }
         Err(_) if started.elapsed() > MAX_PROBE_TIME => ProbeResult::Inconclusive,
         Err(error) => {
-            state.mark_host_lost(&member.host, &format!("{error:?}"));
+            let is_refusal = error == host_client::Error::Refused;
+            state.mark_host_lost(&member.host, is_refusal, &format!("{error:?}"));
             ProbeResult::Lost
         }
     }
--- a/cuminward-gateway/src/control/host_client.rs
+++ b/cuminward-gateway/src/control/host_client.rs
@@ -25,8 +25,10 @@
 /// Why no report of a host could be fetched.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Error {
-    /// The host couldn't be reached or didn't answer in time.
+    /// The host didn't answer in time, or its connection broke.
     Silent,
+    /// Nothing accepts connections at the host's address.
+    Refused,
     /// Another host answered at the address, or the report is malformed.
     Wrong,
 }
@@ -59,8 +61,7 @@
     idle: Duration,
 ) -> Result<host::Status, Error> {
     let request = build_request(Method::GET, host::REPORT_PATH, host, Bytes::new());
-    let response = exchange(state, address, request, idle, timeout).await;
-    let (status, body) = response.ok_or(Error::Silent)?;
+    let (status, body) = exchange(state, address, request, idle, timeout).await?;
     if status != StatusCode::OK {
         return Err(Error::Wrong);
     }
@@ -83,8 +84,8 @@
     let body = wire::encode(action, token, seq);
     let request = build_request(Method::POST, wire::PATH, host, body.into());
     match exchange(state, address, request, IDLE_TIMEOUT, ORDER_TIMEOUT).await {
-        Some((status, body)) => wire::decode_outcome(status, &body),
-        None => Outcome::Unanswered,
+        Ok((status, body)) => wire::decode_outcome(status, &body),
+        Err(_) => Outcome::Unanswered,
     }
 }
 
@@ -96,24 +97,31 @@
     request
 }
 
+/// Sends a request and reads the response.
+///
+/// # Errors
+///
+/// [`Error::Refused`] and [`Error::Silent`].
 async fn exchange(
     state: &State,
     address: &str,
     request: Request<Full<Bytes>>,
     idle: Duration,
     timeout: Duration,
-) -> Option<(StatusCode, Bytes)> {
+) -> Result<(StatusCode, Bytes), Error> {
     let exchange = async {
         let sent = state.upstreams.send(address, request, idle, timeout).await;
-        let response = sent
-            .map_err(|it| log::debug!("request to host {address} failed: {}", it.error))
-            .ok()?;
+        let response = sent.map_err(|it| {
+            log::debug!("request to host {address} failed: {}", it.error);
+            if it.error.is_connection_refused() { Error::Refused } else { Error::Silent }
+        })?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
-        let body = body
-            .map_err(|error| log::debug!("can't read the response of host {address}: {error}"))
-            .ok()?;
-        Some((status, body.to_bytes()))
+        let body = body.map_err(|error| {
+            log::debug!("can't read the response of host {address}: {error}");
+            Error::Silent
+        })?;
+        Ok((status, body.to_bytes()))
     };
-    tokio::time::timeout(timeout, exchange).await.unwrap_or(None)
+    tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(Error::Silent))
 }
--- a/cuminward-gateway/src/control/steward.rs
+++ b/cuminward-gateway/src/control/steward.rs
@@ -102,13 +102,13 @@
     let now = state.now();
     let cluster = state.cluster();
     let hosts = cluster.hosts_of(service);
-    let lost = cluster.lost_hosts(now);
+    let (lost, gone) = (cluster.lost_hosts(now), cluster.gone_hosts(now));
     let evacuated = cluster.declarations.evacuated.clone();
     drop(cluster);
     let has_traffic = state.has_traffic();
     let statuses_before = steward.model_statuses().to_vec();
-    let snapshot =
-        Snapshot { hosts: &hosts, lost: &lost, evacuated: &evacuated, engine, has_traffic };
+    let (lost, gone, evacuated) = (&lost, &gone, &evacuated);
+    let snapshot = Snapshot { hosts: &hosts, lost, gone, evacuated, engine, has_traffic };
     let orders = steward.tick(now, &snapshot);
     if statuses_before != steward.model_statuses() {
         let (service, levels) = (service.to_owned(), format_statuses(steward));
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -83,6 +83,11 @@
         self.losses.lost_hosts(now)
     }
 
+    /// Returns the lost hosts that won't go on, as far as that is known.
+    pub(crate) fn gone_hosts(&self, now: Duration) -> BTreeSet<id::Host> {
+        self.losses.gone_hosts(now)
+    }
+
     /// Returns whether the host list may contain entries of before, as the store has just come back from an
     /// older copy.
     pub(crate) fn is_host_list_unsettled(&self, now: Duration) -> bool {
@@ -243,10 +248,20 @@
         is_changed
     }
 
-    /// Marks a host as lost because it didn't answer; it is probed again after `interval`. Returns
-    /// whether it didn't count as lost before.
-    pub(crate) fn mark_lost(&mut self, now: Duration, id: &str, interval: Duration) -> bool {
-        self.losses.record_loss(now, id, interval)
+    /// Marks a host as lost because it didn't answer, or refused a connection; it is probed again after
+    /// `interval`. Returns whether it didn't count as lost before.
+    pub(crate) fn mark_lost(
+        &mut self,
+        now: Duration,
+        id: &str,
+        is_refusal: bool,
+        interval: Duration,
+    ) -> bool {
+        if is_refusal {
+            self.losses.record_refusal(now, id, interval)
+        } else {
+            self.losses.record_loss(now, id, interval)
+        }
     }
 
     /// Records that another node reported a host as lost. Returns whether this node should probe the
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -292,15 +292,15 @@
         self.retry_budgets().get_mut(service).is_some_and(|it| it.try_retry(now, &limit))
     }
 
-    /// Marks a host as lost because it doesn't answer. Its replica gets no more requests, and requests
+    /// Marks a host as lost because it doesn't answer, or refuses connections. Its replica gets no more requests, and requests
     /// in flight at that replica are interrupted.
-    pub(crate) fn mark_host_lost(&self, host: &str, cause: &str) {
+    pub(crate) fn mark_host_lost(&self, host: &str, is_refusal: bool, cause: &str) {
         let now = self.now();
         let snapshot = self.routing.load();
         let replica =
             snapshot.including_retired().find(|it| it.is_replica() && it.has_member(host));
         let mut cluster = self.cluster();
-        let is_newly_lost = cluster.mark_lost(now, host, self.probe_interval());
+        let is_newly_lost = cluster.mark_lost(now, host, is_refusal, self.probe_interval());
         let is_first_report = !cluster.is_reported_lost(now, host);
         drop(cluster);
         if is_newly_lost {
--- a/cuminward-gateway/tests/all/silence.rs
+++ b/cuminward-gateway/tests/all/silence.rs
@@ -8,6 +8,7 @@
     host::{self, Behaviour},
 };
 use googletest::prelude::*;
+use tokio::time;
 
 use crate::site::{self, EVENTS, Site};
 
@@ -87,3 +88,39 @@
     }
     Ok(())
 }
+
+struct Dissolution {
+    name: &'static str,
+    silence: Duration,
+    is_dissolved: bool,
+}
+
+/// Guards against replicas that were dissolved, and the streams at them cut, while a member was silent.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_silence_of_a_member_dissolves_no_replica() -> Result<()> {
+    let cases = [
+        Dissolution { name: "sound host", silence: SILENCE, is_dissolved: false },
+        Dissolution { name: "lost host", silence: 4 * SILENCE, is_dissolved: true },
+    ];
+    for case in cases {
+        let site = Site::with_engine_hosts(SIZE).await;
+        site.join_replicas(1, SIZE, Some(patient_route()));
+        let [head, member] = &site.replicas[..] else { return fail!("the site has two hosts") };
+        let node = site.node("dissolution").await;
+        head.enqueue(Behaviour::StreamPausing(3, SILENCE));
+        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
+        let fall_silent = async {
+            time::sleep(Duration::from_millis(100)).await;
+            member.fall_silent(case.silence);
+            time::sleep(case.silence).await;
+        };
+        let sending = node.send("POST", "/long-chat/1", &headers, "prompt");
+        let (answer, ()) = tokio::join!(sending, fall_silent);
+        expect_that!(answer.or_fail()?.is_complete, eq(true), "{}", case.name);
+        let leaves = |it: &serde_json::Value| it["operation"] == "leave";
+        let is_dissolved = head.orders().iter().any(leaves);
+        expect_that!(is_dissolved, eq(case.is_dissolved), "{}", case.name);
+    }
+    Ok(())
+}
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -229,6 +229,7 @@
             if group.rank > 0 {
                 group.phase = entry::Phase::Ready;
             }
+            host.report(&entry);
             self.store.put_entry(&host.id, &entry);
         }
         self.declare(version, more, size);
--- a/cuminward-serving/src/loss.rs
+++ b/cuminward-serving/src/loss.rs
@@ -18,6 +18,10 @@
 /// Number of probe intervals after which a loss expires unless it is confirmed.
 const LOSS_INTERVALS: u32 = 2;
 
+/// Time from the first probe that a host didn't answer after which an unanswered probe shows that the host is
+/// gone. Together with the time until the first one it is longer than a sound host may be silent.
+pub const MAX_SILENCE: Duration = Duration::from_millis(800);
+
 /// Time for which a report of another node that a host is lost is remembered.
 const REPORT_TTL: Duration = Duration::from_millis(1000);
 
@@ -38,6 +42,10 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Entry {
+    /// Time of the first unanswered probe.
+    since: Duration,
+    /// Whether the host refused a connection or was silent for longer than a sound host may be.
+    is_gone: bool,
     /// Time at which the loss expires unless it is confirmed by a probe of this node.
     expires_at: Duration,
     /// Time until which reports of other nodes extend the loss.
@@ -61,6 +69,12 @@
         lost.map(|(host, _)| host.clone()).collect()
     }
 
+    /// Returns the lost hosts that refuse connections or have been silent for longer than a sound host may be.
+    pub fn gone_hosts(&self, now: Duration) -> BTreeSet<id::Host> {
+        let gone = self.entries.iter().filter(|(_, it)| it.is_lost(now) && it.is_gone);
+        gone.map(|(host, _)| host.clone()).collect()
+    }
+
     /// Returns the hosts that didn't answer a recent probe of this node. Only these are reported to
     /// other nodes, so that nodes don't extend a loss for each other without any probe.
     pub fn probed_losses(&self, now: Duration) -> impl Iterator<Item = &id::Host> {
@@ -79,12 +93,28 @@
     /// Records that a host didn't answer; it is to be probed again after `interval`. Returns
     /// whether the host didn't count as lost before.
     pub fn record_loss(&mut self, now: Duration, host: &str, interval: Duration) -> bool {
+        self.record(now, host, interval, false)
+    }
+
+    /// Records that a host refused a connection, so that it counts as gone at once; otherwise like
+    /// [`Tracker::record_loss`].
+    pub fn record_refusal(&mut self, now: Duration, host: &str, interval: Duration) -> bool {
+        self.record(now, host, interval, true)
+    }
+
+    fn record(&mut self, now: Duration, host: &str, interval: Duration, is_refusal: bool) -> bool {
         self.entries.retain(|_, it| it.is_lost(now));
-        let extended_until = self.entries.get(host).map_or(Duration::ZERO, |it| it.extended_until);
+        let known = self.entries.get(host);
+        let since = known.map_or(now, |it| it.since);
+        let conclusive_at = since + MAX_SILENCE;
+        let is_gone = is_refusal || now >= conclusive_at || known.is_some_and(|it| it.is_gone);
+        let probe_at = now + interval;
         let entry = Entry {
+            since,
+            is_gone,
             expires_at: now + interval * LOSS_INTERVALS,
-            extended_until,
-            probe_at: now + interval,
+            extended_until: known.map_or(Duration::ZERO, |it| it.extended_until),
+            probe_at: if is_gone { probe_at } else { probe_at.min(conclusive_at) },
         };
         self.entries.insert(host.to_owned(), entry).is_none()
     }
--- a/cuminward-serving/src/placement/evaluate.rs
+++ b/cuminward-serving/src/placement/evaluate.rs
@@ -101,15 +101,15 @@
         snapshot: &Snapshot<'_>,
         group: &replica::Group<'_>,
     ) -> GroupAction {
-        let head = group.head().filter(|it| !snapshot.lost.contains(&it.id));
+        let head = group.head().filter(|it| !snapshot.gone.contains(&it.id));
         let Some(head) = head else {
             let has_left = self.has_head_left(snapshot, group);
             return if has_left { GroupAction::Release } else { GroupAction::Disband };
         };
         let formation = Formation { group: group.name.to_owned(), epoch: group.epoch };
         let size = group.declared_model(snapshot.engine).map_or(usize::MAX, |it| it.size);
-        let is_lost = |it: &&Host| snapshot.lost.contains(&it.id);
-        let is_intact = group.is_complete(size) && !group.members.values().any(is_lost);
+        let is_gone = |it: &&Host| snapshot.gone.contains(&it.id);
+        let is_intact = group.is_complete(size) && !group.members.values().any(is_gone);
         let is_draining = head.state == State::Draining || !group.is_staying();
         match group.phase() {
             Some(Phase::Open | Phase::Closing) if !is_intact => {
--- a/cuminward-serving/src/placement/mod.rs
+++ b/cuminward-serving/src/placement/mod.rs
@@ -41,6 +41,9 @@
     pub hosts: &'a BTreeMap<id::Host, Host>,
     /// Hosts that don't answer.
     pub lost: &'a BTreeSet<id::Host>,
+    /// Those of them that won't go on, as far as that is known: groups stay together while a member is only
+    /// silent.
+    pub gone: &'a BTreeSet<id::Host>,
     /// Evacuated failure domains, which get no work.
     pub evacuated: &'a BTreeSet<id::Domain>,
     /// Engine of the service.
--- a/cuminward-serving/tests/all/loss.rs
+++ b/cuminward-serving/tests/all/loss.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cuminward_serving::loss::{Tracker, find_new};
+use cuminward_serving::loss::{MAX_SILENCE, Tracker, find_new};
 use googletest::prelude::*;
 
 const INTERVAL: Duration = Duration::from_millis(400);
@@ -129,3 +129,48 @@
         expect_that!(probes, ge(2.0), "{nodes} nodes");
     }
 }
+
+struct Silence {
+    name: &'static str,
+    is_refused: bool,
+    /// Time for which probes confirm the loss.
+    lasts: Duration,
+    is_gone: bool,
+}
+
+#[gtest]
+fn a_silent_host_is_gone_only_after_the_longest_silence_of_a_sound_one() {
+    let cases = [
+        Silence { name: "just lost", is_refused: false, lasts: ms(0), is_gone: false },
+        Silence { name: "silent", is_refused: false, lasts: ms(799), is_gone: false },
+        Silence { name: "silent for long", is_refused: false, lasts: ms(1200), is_gone: true },
+        Silence { name: "refused", is_refused: true, lasts: ms(0), is_gone: true },
+    ];
+    for case in cases {
+        let mut tracker = Tracker::default();
+        let start = ms(1000);
+        if case.is_refused {
+            tracker.record_refusal(start, "h", INTERVAL);
+        }
+        for now in (0..=case.lasts.as_millis() as u64).map(|it| start + ms(it)) {
+            if now == start || !tracker.take_due_probes(now, INTERVAL, |_| true).is_empty() {
+                tracker.record_loss(now, "h", INTERVAL);
+            }
+        }
+        let gone = tracker.gone_hosts(start + case.lasts);
+        expect_that!(!gone.is_empty(), eq(case.is_gone), "{}", case.name);
+    }
+}
+
+/// Guards against hosts that counted as gone because the probe that they would have answered was still due.
+#[gtest]
+fn a_host_is_gone_only_when_a_late_probe_was_not_answered() {
+    let mut tracker = Tracker::default();
+    tracker.record_loss(ms(1000), "h", INTERVAL);
+    tracker.record_loss(ms(1000) + MAX_SILENCE - ms(160), "h", INTERVAL);
+    expect_that!(tracker.gone_hosts(ms(1000) + MAX_SILENCE), is_empty());
+    let due = tracker.take_due_probes(ms(1000) + MAX_SILENCE, INTERVAL, |_| true);
+    expect_that!(due, elements_are![eq("h")]);
+    tracker.record_loss(ms(1200) + MAX_SILENCE, "h", INTERVAL);
+    expect_that!(tracker.gone_hosts(ms(1200) + MAX_SILENCE).len(), eq(1));
+}
--- a/cuminward-serving/tests/all/placement/fleet.rs
+++ b/cuminward-serving/tests/all/placement/fleet.rs
@@ -310,6 +310,7 @@
         let snapshot = Snapshot {
             hosts: &self.listed,
             lost: &lost,
+            gone: &lost,
             evacuated: &self.evacuated,
             engine: &self.engine,
             has_traffic: self.has_traffic,
--- a/cuminward-upstream/src/connection.rs
+++ b/cuminward-upstream/src/connection.rs
@@ -1,7 +1,7 @@
 //! One connection to an upstream.
 
 use std::{
-    error,
+    error, io,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -15,13 +15,45 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use tokio::{net::TcpStream, task, time};
 
-use crate::{count, pool};
+use crate::{count, error::Error, pool};
 
 /// Maximum time for a pooled connection to become ready for a request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// Description of why a connection attempt failed.
-pub(crate) type Cause = String;
+/// Why a connection attempt failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Cause {
+    message: String,
+    /// Whether nothing accepts connections at the address.
+    is_refused: bool,
+}
+
+impl From<io::Error> for Cause {
+    fn from(it: io::Error) -> Cause {
+        let is_refused = it.kind() == io::ErrorKind::ConnectionRefused;
+        Cause { message: it.to_string(), is_refused }
+    }
+}
+
+impl From<hyper::Error> for Cause {
+    fn from(it: hyper::Error) -> Cause {
+        Cause { message: it.to_string(), is_refused: false }
+    }
+}
+
+/// Life cycle
+impl Cause {
+    fn timed_out(limit: Duration) -> Cause {
+        let message = format!("no connection within {} ms", limit.as_millis());
+        Cause { message, is_refused: false }
+    }
+
+    /// Returns the error of a call to an address.
+    pub(crate) fn into_error(self, address: &str) -> Error {
+        let Cause { message, is_refused } = self;
+        Error::Connect { address: address.to_owned(), message, is_refused }
+    }
+}
 
 /// Body of requests that a connection can send.
 pub trait Payload:
@@ -73,10 +105,9 @@
         counter: &Arc<count::Counter>,
     ) -> Result<Connection<B>, Cause> {
         let handshake = Connection::handshake(address, options, counter);
-        let (sender, task) =
-            time::timeout(options.connect_timeout, handshake).await.map_err(|_| {
-                format!("no connection within {} ms", options.connect_timeout.as_millis())
-            })??;
+        let limit = options.connect_timeout;
+        let opened = time::timeout(limit, handshake).await;
+        let (sender, task) = opened.map_err(|_| Cause::timed_out(limit))??;
         Ok(Connection { sender, task, number, last_used: Instant::now(), reused: false })
     }
 
@@ -85,14 +116,13 @@
         options: &pool::Options,
         counter: &Arc<count::Counter>,
     ) -> Result<(Sender<B>, task::AbortHandle), Cause> {
-        let stream = TcpStream::connect(address).await.map_err(|it| it.to_string())?;
-        stream.set_nodelay(true).map_err(|it| it.to_string())?;
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
         let counter = Arc::clone(counter);
         let io = TokioIo::new(count::Stream { inner: stream, counter });
         match options.protocol {
             Protocol::Http1 => {
-                let (sender, connection) =
-                    http1::handshake(io).await.map_err(|it| it.to_string())?;
+                let (sender, connection) = http1::handshake(io).await?;
                 Ok((Sender::Http1(sender), tokio::spawn(connection).abort_handle()))
             }
             Protocol::Http2 => {
@@ -102,8 +132,7 @@
                     .keep_alive_timeout(options.ping_timeout)
                     .keep_alive_while_idle(true)
                     .handshake(io)
-                    .await
-                    .map_err(|it| it.to_string())?;
+                    .await?;
                 Ok((Sender::Http2(sender), tokio::spawn(connection).abort_handle()))
             }
         }
--- a/cuminward-upstream/src/engine.rs
+++ b/cuminward-upstream/src/engine.rs
@@ -279,10 +279,8 @@
 }
 
 fn to_json(value: &impl Serialize) -> Result<Bytes, Error> {
-    serde_json::to_vec(value).map(Bytes::from).map_err(|it| Error::Connect {
-        address: String::new(),
-        message: format!("the request can't be encoded: {it}"),
-    })
+    let encoded = serde_json::to_vec(value).map(Bytes::from);
+    encoded.map_err(|it| Error::unsendable(&format!("the request can't be encoded: {it}")))
 }
 
 fn build_request(method: Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>, Error> {
@@ -291,7 +289,7 @@
         .uri(path)
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(body))
-        .map_err(|it| Error::Connect { address: String::new(), message: it.to_string() })
+        .map_err(|it| Error::unsendable(&it))
 }
 
 /// Returns the response if its status is a success, else the error that its headers and body
--- a/cuminward-upstream/src/error.rs
+++ b/cuminward-upstream/src/error.rs
@@ -14,6 +14,8 @@
         address: String,
         /// Cause of the failure.
         message: String,
+        /// Whether nothing accepts connections at the address.
+        is_refused: bool,
     },
     /// The upstream responded that it did not run the request.
     Refused(Answer),
@@ -85,6 +87,14 @@
     pub(crate) fence: Option<id::Fence>,
 }
 
+/// Life cycle
+impl Error {
+    /// Creates the error of a request that can't be sent to any upstream.
+    pub(crate) fn unsendable(cause: &impl fmt::Display) -> Error {
+        Error::Connect { address: String::new(), message: cause.to_string(), is_refused: false }
+    }
+}
+
 /// Access
 impl Error {
     /// Returns [`outcome::Outcome::NotRun`] if the request provably did not run, else
@@ -100,6 +110,11 @@
         }
     }
 
+    /// Returns whether nothing accepts connections at the address of the upstream.
+    pub fn is_connection_refused(&self) -> bool {
+        matches!(self, Error::Connect { is_refused: true, .. })
+    }
+
     /// Returns the number of tokens received in this stream before the failure.
     pub fn tokens(&self) -> u64 {
         match self {
@@ -125,7 +140,7 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Error::Connect { address, message } => {
+            Error::Connect { address, message, .. } => {
                 write!(f, "no connection to {address}: {message}")
             }
             Error::Refused(it) => {
--- a/cuminward-upstream/src/poll.rs
+++ b/cuminward-upstream/src/poll.rs
@@ -72,9 +72,7 @@
     if let Some(etag) = previous.and_then(|it| it.etag.as_ref()) {
         request = request.header(header::IF_NONE_MATCH, etag);
     }
-    request
-        .body(Full::new(Bytes::new()))
-        .map_err(|it| Error::Connect { address: String::new(), message: it.to_string() })
+    request.body(Full::new(Bytes::new())).map_err(|it| Error::unsendable(&it))
 }
 
 fn parse_load(headers: &HeaderMap) -> Option<host::Load> {
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     body::{Body, Framing},
-    connection::{Connection, Payload, Protocol},
+    connection::{Cause, Connection, Payload, Protocol},
     count::Counter,
     error::Error,
 };
@@ -193,9 +193,8 @@
                 return Err(Failure::disconnected(&error.into_error()));
             };
             if !reused {
-                let message = error.into_error().to_string();
-                let error = Error::Connect { address: address.to_owned(), message };
-                return Err(Failure { error, request: Some(unsent) });
+                let cause = Cause::from(error.into_error());
+                return Err(Failure { error: cause.into_error(address), request: Some(unsent) });
             }
             request = unsent;
         }
@@ -213,7 +212,7 @@
         let connection =
             Connection::open(address, &self.inner.options, number, &self.inner.counter)
                 .await
-                .map_err(|message| Error::Connect { address: address.to_owned(), message })?;
+                .map_err(|cause| cause.into_error(address))?;
         if let Some(shared) = connection.share() {
             self.inner.put(address, shared);
         }
