fix: cuminward-gateway: an idempotent request leaves a slow upstream only for another one that is reserved

Callers got 502 for an idempotent request whose only usable upstream would have responded 1.2 s later: the attempt ended after 1.2 objectives, whether or not another upstream could take the request.

Change: after the usual time the request waits for a slot of another upstream beside the response of the first; the retry is counted when the slot is reserved. silence::a_slow_upstream_keeps_a_request_that_no_other_can_take failed before (502) and passes now.

--- a/cuminward-gateway/src/forward/stall.rs
+++ b/cuminward-gateway/src/forward/stall.rs
@@ -31,6 +31,8 @@
     GivenUp,
     /// The request has got no event yet and moves to another replica.
     Moved,
+    /// There is no complete response after the usual time of an attempt.
+    TimedOut,
 }
 
 impl std::fmt::Display for Reason {
@@ -39,6 +41,7 @@
             Reason::MemberLost => "the replica lost a member",
             Reason::GivenUp => "the replica was given up",
             Reason::Moved => "the request moves to another replica",
+            Reason::TimedOut => "no complete response within the attempt timeout",
         })
     }
 }
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -19,14 +19,15 @@
     reply::{self, Body, Rejection},
     report::{self, Completion},
     slot::{self, Slot},
+    stall::{Candidate, Reason, Replacement, Stall},
 };
 use crate::state::State;
 
 /// Largest response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
-/// Timeout of an attempt after which an idempotent request is sent to another upstream, as a multiple of
-/// the route's latency objective.
+/// Usual time of an attempt, after which an idempotent request moves to another upstream, as a multiple of the
+/// route's latency objective.
 const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 1.2;
 
 /// `Retry-After` of a request that upstreams refused.
@@ -38,14 +39,27 @@
     body: Bytes,
 }
 
+/// Result of an attempt.
+enum Outcome {
+    Response(BufferedResponse),
+    Fault(Fault),
+    /// There was no response in the usual time, and another upstream is reserved for the request.
+    Stall(Replacement),
+}
+
 /// Handles a request with a single response, with retries as its route and the retry budget allow.
 pub(crate) async fn run(state: &Arc<State>, context: &Arc<Context>) -> Response<Body> {
     let mut attempts = attempt::Counts::default();
     let mut tried: Vec<id::Host> = Vec::new();
     let mut last_failure: Option<BufferedResponse> = None;
+    let mut reserved: Option<Slot> = None;
     state.record_request(&context.service);
     loop {
-        let slot = match slot::acquire(state, context, &tried, Progress::New).await {
+        let acquired = match reserved.take() {
+            Some(it) => Ok(it),
+            None => slot::acquire(state, context, &tried, Progress::New).await,
+        };
+        let slot = match acquired {
             Ok(it) => it,
             Err(error) => {
                 let (retry_after, cause) = (error.retry_after(), error.to_string());
@@ -55,19 +69,28 @@
         tried.push(slot.upstream.host.clone());
         let upstream = slot.upstream.name.clone();
         let is_last = attempts.maybe_ran + 1 >= context.route.max_attempts;
-        let fault = match send_attempt(state, context, &slot, is_last).await {
-            Ok(response) if is_final(context, &response, is_last) => {
+        let progress = Progress::New;
+        let candidate = Candidate { state, context, tried: &tried, failed: attempts, progress };
+        let fault = match send_attempt(&candidate, context, &slot, is_last).await {
+            Outcome::Stall(replacement) => {
+                let fault = replacement.stall.fault();
+                attempts.record_failure(fault.failure);
+                report::record_failed_attempt(state, context, &upstream, &fault, None, Next::Retry);
+                reserved = Some(replacement.slot);
+                continue;
+            }
+            Outcome::Response(response) if is_final(context, &response, is_last) => {
                 let (status, attempts) = (response.head.status, tried.len() as u32);
                 let completion = Completion { status, attempts, first_ms: context.age_ms() };
                 report::record_completion(state, context, &completion);
                 return into_response(response);
             }
-            Ok(response) => {
+            Outcome::Response(response) => {
                 let cause = format!("the upstream responded with status {}", response.head.status);
                 last_failure = Some(response);
                 Fault { failure: Failure::Unknown, cause }
             }
-            Err(fault) => fault,
+            Outcome::Fault(fault) => fault,
         };
         drop(slot);
         attempts.record_failure(fault.failure);
@@ -85,33 +108,50 @@
     is_last || context.route.retry != Retry::Idempotent || !response.head.status.is_server_error()
 }
 
-/// Sends the request to an upstream and reads the response, and records the result in the statistics of the upstream.
+/// Sends the request to an upstream and reads the response, and records the result in the statistics of the
+/// upstream. After the usual time of an attempt, the request moves to another upstream as soon as one is
+/// reserved.
 async fn send_attempt(
-    state: &Arc<State>,
+    candidate: &Candidate<'_>,
     context: &Arc<Context>,
     slot: &Slot,
     is_last: bool,
-) -> Result<BufferedResponse, Fault> {
+) -> Outcome {
+    let (state, started) = (candidate.state, candidate.state.now());
     let left = context.remaining();
-    let timeout = match context.route.retry {
-        Retry::Idempotent if !is_last => {
-            left.min(context.route.latency_objective.mul_f64(ATTEMPT_TIMEOUT_OBJECTIVES))
+    let may_move = context.route.retry == Retry::Idempotent && !is_last;
+    let usual = context.route.latency_objective.mul_f64(ATTEMPT_TIMEOUT_OBJECTIVES);
+    let reservation = async {
+        if !may_move {
+            return std::future::pending().await;
+        }
+        time::sleep(usual).await;
+        candidate.reserve().await
+    };
+    let outcome = tokio::select! {
+        biased;
+        sent = time::timeout(left, send_and_buffer(state, context, slot, left)) => match sent {
+            Ok(Ok(response)) => Outcome::Response(response),
+            Ok(Err(fault)) => Outcome::Fault(fault),
+            Err(_) => {
+                let cause = String::from("no complete response before the deadline");
+                Outcome::Fault(Fault { failure: Failure::Unknown, cause })
+            }
+        },
+        slot = reservation => {
+            let silence = state.now().saturating_sub(started);
+            let stall = Stall { reason: Reason::TimedOut, silence };
+            Outcome::Stall(Replacement { stall, slot })
         }
-        _ => left,
     };
-    let sent = time::timeout(timeout, send_and_buffer(state, context, slot, timeout)).await;
-    let result = sent.unwrap_or_else(|_| {
-        let cause = String::from("no complete response within the attempt timeout");
-        Err(Fault { failure: Failure::Unknown, cause })
-    });
-    match &result {
-        Ok(_) => {
+    match &outcome {
+        Outcome::Response(_) => {
             slot.upstream.stats.record_success();
             state.quarantine.record_response(state.now(), &context.subjects);
         }
-        Err(_) => slot.upstream.stats.record_failure(state.now()),
+        Outcome::Fault(_) | Outcome::Stall(_) => slot.upstream.stats.record_failure(state.now()),
     }
-    result
+    outcome
 }
 
 /// Sends the request and reads the whole response. An incomplete response may indicate a crash of the host.
--- a/cuminward-gateway/tests/all/silence.rs
+++ b/cuminward-gateway/tests/all/silence.rs
@@ -4,6 +4,7 @@
 
 use cuminward_adapter_fake::{
     catalog::{Retry, Route},
+    entry::Entry,
     header,
     host::{self, Behaviour},
 };
@@ -124,3 +125,20 @@
     }
     Ok(())
 }
+
+/// Guards against idempotent requests that failed although the only upstream would have responded in time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_upstream_keeps_a_request_that_no_other_can_take() -> Result<()> {
+    let site = Site::start().await;
+    let [first, second] = &site.plain[..] else { return fail!("the site has two plain hosts") };
+    let draining = Entry { is_draining: true, ..site::plain_entry(second) };
+    site.store.put_entry(&second.id, &draining);
+    let node = site.node("slow").await;
+    first.enqueue(Behaviour::RespondAfter(SILENCE, String::from("late")));
+    let answer = node.get("/desk/1", &[]).await.or_fail()?;
+    expect_that!(answer.status.as_u16(), eq(200));
+    expect_that!(answer.body, eq("late"));
+    expect_that!(first.received().len(), eq(1));
+    Ok(())
+}
