--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -684,6 +684,8 @@
         replica: String,
         /// Reason.
         cause: String,
+        /// Whether another node has reported the host as lost within the last second: `reported` or `unreported`.
+        others: String,
     }
     /// Another node reported hosts as lost; replicas with these hosts are probed.
     2303 Info "loss-heard" LossReported {
--- a/cuminward-event/tests/all/explain.rs
+++ b/cuminward-event/tests/all/explain.rs
@@ -25,7 +25,8 @@
 
 fn lost(replica: &str) -> Kind {
     let (host, cause) = (String::from("h1"), String::from("Silent"));
-    Kind::HostUnreachable { host, replica: replica.to_owned(), cause }
+    let others = String::from("unreported");
+    Kind::HostUnreachable { host, replica: replica.to_owned(), cause, others }
 }
 
 #[gtest]
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -306,7 +306,8 @@
         if is_newly_lost {
             let (host, cause) = (host.to_owned(), cause.to_owned());
             let replica = replica.map(|it| it.name.clone()).unwrap_or_default();
-            self.events.emit(Kind::HostUnreachable { host, replica, cause });
+            let others = if is_first_report { "unreported" } else { "reported" }.to_owned();
+            self.events.emit(Kind::HostUnreachable { host, replica, cause, others });
             self.is_broadcast_requested.fetch_or(is_first_report, Ordering::Relaxed);
             self.publish();
         }
