fix: cuminward-gateway: failing test of a node that loses its paths to all hosts

Gates between a node and the hosts hang, are reset, or live on while new connections are refused; callers, the store and another node still reach it.

--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod restored;
 mod silence;
 mod site;
+mod stranded;
 mod streams;
 mod template;
 mod unary;
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -116,7 +116,8 @@
         node
     }
 
-    async fn start_node(&self, name: &str, store: SocketAddr) -> Node {
+    /// Starts a node at a store, without waiting until it is ready.
+    pub(crate) async fn start_node(&self, name: &str, store: SocketAddr) -> Node {
         let free = || address::allocate().expect("a loopback port is free");
         let [callers, ready, peers] = [free(), free(), free()];
         let text = settings_text(name, callers, ready, peers, store);
@@ -191,6 +192,51 @@
     Entry { service: ENGINE.to_owned(), engine: Some(engine), ..plain_entry(host) }
 }
 
+/// Returns the list entry of the host with an index, if the hosts are replicas of `size` hosts in their order.
+pub(crate) fn member_entry(host: &Host, index: usize, size: usize) -> Entry {
+    let mut entry = replica_entry(host);
+    let group = entry.engine.as_mut().and_then(|it| it.group.as_mut());
+    let group = group.expect("the entry of a replica has a group");
+    group.name = format!("g-{}", index / size);
+    group.rank = index % size;
+    if group.rank > 0 {
+        group.phase = entry::Phase::Ready;
+    }
+    entry
+}
+
+/// Returns a catalog with the usual routes and optionally one more, in which replicas span `size` hosts.
+pub(crate) fn usual_catalog(version: u64, more: Option<Route>, size: usize) -> Catalog {
+    let usual = |prefix, retry, service| {
+        let latency_objective = Some(Duration::from_millis(300));
+        Route { latency_objective, ..route(prefix, retry, service) }
+    };
+    let mut routes = vec![
+        usual("/desk/", Retry::Idempotent, PLAIN),
+        usual("/book/", Retry::Never, PLAIN),
+        usual("/chat/", Retry::Resumable, ENGINE),
+    ];
+    routes.extend(more);
+    let engine = catalog::Engine {
+        service: ENGINE.to_owned(),
+        slots: 6,
+        model: MODEL.to_owned(),
+        size,
+        load_time: Duration::from_secs(1),
+        join_time: Duration::from_millis(500),
+        open_time: Duration::from_millis(100),
+    };
+    Catalog {
+        version,
+        routes,
+        max_connections: 100,
+        plain_service: PLAIN.to_owned(),
+        engine,
+        team: String::from("team"),
+        key: KEY.to_owned(),
+    }
+}
+
 /// Returns the body of a stream with the events of these ids.
 pub(crate) fn events(ids: impl IntoIterator<Item = u64>) -> String {
     ids.into_iter().map(|it| format!("id: {it}\ndata: part {it}\n\n")).collect()
@@ -221,14 +267,7 @@
     /// of the engine replicas of that size, in their order. The catalog may have one more route.
     pub(crate) fn join_replicas(&self, version: u64, size: usize, more: Option<Route>) {
         for (index, host) in self.replicas.iter().enumerate() {
-            let mut entry = replica_entry(host);
-            let group = entry.engine.as_mut().and_then(|it| it.group.as_mut());
-            let group = group.expect("the entry of a replica has a group");
-            group.name = format!("g-{}", index / size);
-            group.rank = index % size;
-            if group.rank > 0 {
-                group.phase = entry::Phase::Ready;
-            }
+            let entry = member_entry(host, index, size);
             host.report(&entry);
             self.store.put_entry(&host.id, &entry);
         }
@@ -236,34 +275,7 @@
     }
 
     fn declare(&self, version: u64, more: Option<Route>, size: usize) {
-        let usual = |prefix, retry, service| {
-            let latency_objective = Some(Duration::from_millis(300));
-            Route { latency_objective, ..route(prefix, retry, service) }
-        };
-        let mut routes = vec![
-            usual("/desk/", Retry::Idempotent, PLAIN),
-            usual("/book/", Retry::Never, PLAIN),
-            usual("/chat/", Retry::Resumable, ENGINE),
-        ];
-        routes.extend(more);
-        let engine = catalog::Engine {
-            service: ENGINE.to_owned(),
-            slots: 6,
-            model: MODEL.to_owned(),
-            size,
-            load_time: Duration::from_secs(1),
-            join_time: Duration::from_millis(500),
-            open_time: Duration::from_millis(100),
-        };
-        self.store.declare(&Catalog {
-            version,
-            routes,
-            max_connections: 100,
-            plain_service: PLAIN.to_owned(),
-            engine,
-            team: String::from("team"),
-            key: KEY.to_owned(),
-        });
+        self.store.declare(&usual_catalog(version, more, size));
     }
 
     /// Returns the number of requests that the hosts of the plain service received.
