fix: cuminward-gateway, cuminward-upstream, cuminward-serving: nodes without a path to a host connect through other nodes

Where the steward of a service was cut off, groups broke, and callers of the other nodes were refused too.

Cause: a node took what it couldn't reach itself for lost, whatever others reached. Class: a local observation taken for a fact about the other end.

Change: a host that isn't connected within 100 ms, or refuses, is asked for through up to three other nodes, which are known by their digests and may be of another failure domain. The bytes pass through unchanged in frames with an end mark; every decision stays with the caller's node. Three hosts that only others reach, and none reached since, make a node stranded: detours come first, idle connections are dropped, silent requests are replaced, other nodes don't use it as a relay, and its own paths are tried every 400 ms. A refusal counts only if no path contradicts it. Events paths-lost and paths-regained, gauge, counter of tunnels.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -728,6 +728,18 @@
         /// Slowdown factor of the host, in hundredths (100 is normal).
         pace: u64,
     }
+    /// The node lost its own paths to hosts that other nodes reach; it connects through these now.
+    2308 Warn "paths-lost" PathsLost {
+        /// Address of the last of these hosts.
+        address: String,
+        /// Number of nodes that connect this one to hosts.
+        relays: u64,
+    }
+    /// An own path to a host works again; the node connects over its own paths now.
+    2309 Info "paths-regained" PathsRegained {
+        /// Address of the host.
+        address: String,
+    }
     /// An upstream was chosen for a request; written for sampled requests only.
     2401 Info "upstream-chosen" UpstreamChosen {
         /// Name of the route.
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -6,10 +6,10 @@
 use cuminward_adapter::header;
 use cuminward_event::kind::Kind;
 use cuminward_serving::{attempt::Failure, catalog::Retry, event, quarantine, request};
-use cuminward_upstream::{body, plain};
+use cuminward_upstream::{body, connector::Connector, plain};
 use http::{HeaderValue, Request, StatusCode, header as names, response::Parts};
 use http_body_util::Full;
-use tokio::{net::TcpStream, time};
+use tokio::time;
 
 use super::{context::Context, slot::Slot};
 use crate::state::{State, routing::Upstream};
@@ -188,7 +188,7 @@
     let (upstream, broken_at) = (Arc::clone(upstream), state.now());
     tokio::spawn(async move {
         time::sleep(CRASH_PROBE_DELAY).await;
-        let connecting = TcpStream::connect(&upstream.address);
+        let connecting = state.upstreams.connector().connect(&upstream.address);
         let connected = time::timeout(CRASH_PROBE_TIMEOUT, connecting).await;
         if !matches!(connected, Ok(Ok(_))) {
             record_crash(&state, &context, &upstream, progress, broken_at);
--- a/cuminward-gateway/src/forward/stall.rs
+++ b/cuminward-gateway/src/forward/stall.rs
@@ -19,6 +19,9 @@
 };
 use crate::state::{State, stats::Interruption};
 
+/// Shortest silence after which an attempt over a lost path is replaced.
+const PATH_SILENCE: Duration = Duration::from_millis(250);
+
 /// Time between two tries to replace an attempt.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -29,6 +32,8 @@
     MemberLost,
     /// The members answer, but the replica makes no progress.
     GivenUp,
+    /// The node has lost its own path to the upstream since the request was sent.
+    PathLost,
     /// The request has got no event yet and moves to another replica.
     Moved,
     /// There is no complete response after the usual time of an attempt.
@@ -40,6 +45,7 @@
         f.write_str(match self {
             Reason::MemberLost => "the replica lost a member",
             Reason::GivenUp => "the replica was given up",
+            Reason::PathLost => "the path to the replica was lost",
             Reason::Moved => "the request moves to another replica",
             Reason::TimedOut => "no complete response within the attempt timeout",
         })
@@ -146,7 +152,13 @@
         Replacement { stall, slot }
     }
 
-    /// Waits until the replica is lost or given up or, if the attempt has received no event, until the replica
+    /// Returns whether the own path to the upstream was lost after the request was sent over it.
+    fn is_path_lost(&self) -> bool {
+        let lost_at = self.candidate.state.paths.detour_since(&self.slot.upstream.address);
+        lost_at.is_some_and(|it| it > self.started)
+    }
+
+    /// Waits until the path or the replica is lost, the replica is given up or, if the attempt has received no event, until the replica
     /// has stalled while the request can be sent to another one at once.
     async fn stall(&self) -> Stall {
         let (state, stats) = (self.candidate.state, &self.slot.upstream.stats);
@@ -158,6 +170,10 @@
                 let silence = state.now().saturating_sub(self.progressed);
                 return Stall { reason: interruption.into(), silence };
             }
+            let silence = state.now().saturating_sub(self.progressed);
+            if silence > PATH_SILENCE && self.is_path_lost() {
+                return Stall { reason: Reason::PathLost, silence };
+            }
             interrupt.await;
             let now = state.now();
             let waited = now.saturating_sub(self.started);
--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
     reload,
     settings::Settings,
     state::State,
+    tunnel::watch,
 };
 
 /// Interval at which a node that shuts down checks whether requests are still in flight.
@@ -84,9 +85,10 @@
         time::sleep(EVENT_FLUSH_TIME).await;
     }
 
-    /// Returns the number of callers' requests in flight.
+    /// Returns the number of requests in flight: those of callers, and those of other nodes in tunnels.
     fn requests_in_flight(&self) -> u64 {
-        self.state.requests_in_flight.load(Ordering::Relaxed) as u64
+        let own = self.state.requests_in_flight.load(Ordering::Relaxed);
+        (own + self.state.tunnels.load(Ordering::Relaxed)) as u64
     }
 
     /// Starts the listeners for callers, readiness checks and metrics.
@@ -135,6 +137,7 @@
         self.tasks.spawn(topics::follow_host_list(Arc::clone(&self.state)));
         self.tasks.spawn(steward::run(Arc::clone(&self.state)));
         self.tasks.spawn(health_check::run(Arc::clone(&self.state)));
+        self.tasks.spawn(watch::run(Arc::clone(&self.state)));
         self.tasks.spawn(forward::slot::dispatch_waiting(Arc::clone(&self.state)));
     }
 }
--- a/cuminward-gateway/src/ingress/metrics.rs
+++ b/cuminward-gateway/src/ingress/metrics.rs
@@ -24,6 +24,9 @@
 /// Version of the catalog in force.
 const VERSION: &str = "cuminward_gateway_catalog_version";
 
+/// Whether the node has lost its own paths to hosts: 0 or 1.
+const STRANDED: &str = "cuminward_gateway_stranded";
+
 /// Newest era of the store that the node has seen.
 const STORE_ERA: &str = "cuminward_gateway_store_era";
 
@@ -68,6 +71,7 @@
         ::metrics::counter!(CONNECTIONS).absolute(state.upstreams.opened());
         let version = state.routing.load().catalog.as_ref().map_or(0, |it| it.version);
         ::metrics::gauge!(VERSION).set(version as f64);
+        ::metrics::gauge!(STRANDED).set(f64::from(u8::from(state.paths.is_stranded())));
         ::metrics::gauge!(STORE_ERA).set(*state.store.era().borrow() as f64);
         handle.run_upkeep();
         handle.render()
--- a/cuminward-gateway/src/lib.rs
+++ b/cuminward-gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! `state` holds the data that all tasks share. `ingress` accepts callers' connections and passes requests
 //! to `forward`; `control` follows the store, runs the steward and health-checks replicas; `peer`
-//! exchanges state between nodes. `forward` and `control` don't depend on each other, only on `state`.
+//! exchanges state between nodes; `tunnel` connects to hosts through other nodes. `forward` and `control` don't depend
+//! on each other, only on `state`.
 
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
@@ -16,3 +17,4 @@
 mod reload;
 pub mod settings;
 mod state;
+mod tunnel;
--- a/cuminward-gateway/src/peer/digest.rs
+++ b/cuminward-gateway/src/peer/digest.rs
@@ -29,6 +29,8 @@
     pub(crate) flights: Vec<(Key, u32)>,
     /// Hosts that didn't answer a recent probe of the node.
     pub(crate) lost: Vec<id::Host>,
+    /// Whether the node connects other nodes to hosts.
+    pub(crate) is_relay: bool,
     /// What the node knows about crashing requests.
     pub(crate) quarantine: quarantine::Report,
 }
@@ -69,6 +71,7 @@
             known,
             flights,
             lost: cluster.probed_losses(now),
+            is_relay: !state.is_stopping() && !state.paths.is_stranded(),
             quarantine: state.quarantine.report(now),
         }
     }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -16,6 +16,7 @@
 use crate::{
     control::health_check,
     state::{State, routing::Key},
+    tunnel::paths::Relay,
 };
 
 /// Shortest and longest time between two digests.
@@ -244,14 +245,29 @@
 }
 
 /// Updates what depends on the digests of the other nodes: whether this node is a candidate for the
-/// role of steward, and the load of the upstreams.
+/// role of steward, the nodes that connect this one to hosts, and the load of the upstreams.
 fn update_from_digests(state: &State, peers: &Peers) {
     let fresh = peers.recently_seen(state.now());
     let others = peers_in_domain(&fresh, state).map(|(node, _)| node);
     state.election.set_observer(!scaling::is_candidate(&state.settings.node.name, others));
+    state.paths.set_relays(relays(state, &fresh));
     update_remote_load(state, fresh);
 }
 
+/// Returns the nodes that connect this one to hosts.
+fn relays(state: &State, peers: &[Peer]) -> Vec<Relay> {
+    let domain = &state.settings.node.domain;
+    let mut relays: Vec<Relay> = peers
+        .iter()
+        .filter_map(|peer| {
+            let digest = peer.digest.as_ref().filter(|it| it.is_relay)?;
+            Some(Relay { address: peer.address, is_same_domain: digest.domain == *domain })
+        })
+        .collect();
+    relays.sort_by_key(|it| it.address);
+    relays
+}
+
 /// Iterates over the nodes of this node's failure domain, with their addresses.
 fn peers_in_domain<'a>(
     peers: &'a [Peer],
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -9,13 +9,14 @@
 use futures::StreamExt;
 use tarpc::{
     client, context,
+    serde_transport::Transport,
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
-use tokio::time;
+use tokio::{net::TcpStream, time};
 
 use super::gossip::Peers;
-use crate::state::State;
+use crate::{ingress::listener, state::State, tunnel};
 
 /// Interval at which this node compares its positions with those in the digests of others.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
@@ -90,26 +91,39 @@
     }
 }
 
-/// Answers the calls of other nodes until the task is dropped.
+/// Serves the connections of other nodes until the task is dropped.
 ///
 /// # Errors
 ///
 /// Fails if the listener can't be opened.
 pub(crate) async fn serve(state: Arc<State>) -> io::Result<impl Future<Output = ()>> {
-    let address = state.settings.listen.peers;
-    let mut listener = tarpc::serde_transport::tcp::listen(address, Bincode::default).await?;
-    Ok(async move {
-        while let Some(accepted) = listener.next().await {
-            let Ok(transport) = accepted else { continue };
-            let server = Server { state: Arc::clone(&state) };
-            let channel = BaseChannel::with_defaults(transport);
-            let calls = channel.max_concurrent_requests(MAX_CALLS).execute(server.serve());
-            let answering = calls.for_each(|answer| async move {
-                tokio::spawn(answer);
-            });
-            tokio::spawn(time::timeout(MAX_CONNECTION_AGE, answering));
+    let listener = listener::open(state.settings.listen.peers).await?;
+    Ok(listener::accept(listener, move |stream| serve_connection(Arc::clone(&state), stream)))
+}
+
+/// Serves a connection of another node: a tunnel to a host, or calls.
+async fn serve_connection(state: Arc<State>, stream: TcpStream) {
+    let mut first = [0];
+    let peeked = time::timeout(MAX_CONNECTION_AGE, stream.peek(&mut first)).await;
+    match peeked {
+        Ok(Ok(1)) if first[0] == tunnel::PROTOCOL => tunnel::server::serve(state, stream).await,
+        Ok(Ok(1)) => {
+            // The connection ends with the timeout or with the other node.
+            let _ = time::timeout(MAX_CONNECTION_AGE, serve_calls(state, stream)).await;
         }
-    })
+        _ => {}
+    }
+}
+
+/// Answers the calls on a connection.
+async fn serve_calls(state: Arc<State>, stream: TcpStream) {
+    let transport = Transport::from((stream, Bincode::default()));
+    let channel = BaseChannel::with_defaults(transport);
+    let calls = channel.max_concurrent_requests(MAX_CALLS).execute(Server { state }.serve());
+    let answering = calls.for_each(|answer| async move {
+        tokio::spawn(answer);
+    });
+    answering.await;
 }
 
 /// Fetches newer records from other nodes until the task is dropped. A node that leaves reading the
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -39,6 +39,9 @@
     /// Newest records of the host list, as the hosts wrote them.
     pub(crate) host_list: Table,
     pub(crate) hosts: BTreeMap<id::Host, host::Host>,
+    /// Whether hosts came, left or changed their address since the last call of
+    /// [`Cluster::take_changed_addresses`].
+    are_addresses_changed: bool,
     /// Hosts that are leaving or have left.
     departures: departure::Tracker,
     /// Hosts that have left and are listed again since the store came back from an older copy.
@@ -66,6 +69,7 @@
             restore: restore::Watch::default(),
             host_list: Table::default(),
             hosts: BTreeMap::new(),
+            are_addresses_changed: false,
             departures: departure::Tracker::default(),
             withheld: BTreeSet::new(),
             cold_until: BTreeMap::new(),
@@ -192,6 +196,7 @@
         let Some(value) = value else {
             self.slowdowns.forget(id);
             if let Some(host) = self.hosts.remove(id) {
+                self.are_addresses_changed = true;
                 self.departures.record(now, &host);
                 self.events.emit(Kind::HostRemoved { host: id.to_owned() });
             }
@@ -203,7 +208,7 @@
             Err(error) => {
                 let (host, cause) = (id.to_owned(), error.to_string());
                 self.events.emit(Kind::HostEntryInvalid { host, cause });
-                self.hosts.remove(id);
+                self.are_addresses_changed |= self.hosts.remove(id).is_some();
             }
         }
     }
@@ -230,7 +235,9 @@
             self.slowdowns.forget(&id);
         }
         host.slowdown = self.slowdowns.factor(&id);
-        self.hosts.insert(id, host);
+        let address = host.address.clone();
+        let former = self.hosts.insert(id, host);
+        self.are_addresses_changed |= former.is_none_or(|it| it.address != address);
     }
 
     /// Records the slowdown factor that a host reported. A slow host is probed again after `interval`.
@@ -248,6 +255,12 @@
         is_changed
     }
 
+    /// Returns the hosts by address if any of these changed since the last call.
+    pub(crate) fn take_changed_addresses(&mut self) -> Option<HashMap<String, id::Host>> {
+        let hosts = self.hosts.iter().map(|(id, it)| (it.address.clone(), id.clone()));
+        std::mem::take(&mut self.are_addresses_changed).then(|| hosts.collect())
+    }
+
     /// Marks a host as lost because it didn't answer, or refused a connection; it is probed again after
     /// `interval`. Returns whether it didn't count as lost before.
     pub(crate) fn mark_lost(
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -28,7 +28,10 @@
 use http_body_util::Full;
 use tokio::sync::Notify;
 
-use crate::settings::Settings;
+use crate::{
+    settings::Settings,
+    tunnel::{dialer::Dialer, paths::Paths},
+};
 
 /// Timeout for connecting to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -64,7 +67,9 @@
     /// Declarations and hosts, as the control tasks maintain them.
     cluster: Mutex<cluster::Cluster>,
     /// Connection pool of the upstreams.
-    pub(crate) upstreams: pool::Pool<Full<Bytes>>,
+    pub(crate) upstreams: pool::Pool<Full<Bytes>, Dialer>,
+    /// Paths to hosts.
+    pub(crate) paths: Arc<Paths>,
     pub(crate) store: store::Client,
     /// This node's role in the election of stewards.
     pub(crate) election: election::Election,
@@ -85,6 +90,8 @@
     has_traffic: AtomicBool,
     /// Number of requests of callers in flight.
     pub(crate) requests_in_flight: AtomicUsize,
+    /// Number of tunnels of other nodes that pass through this one.
+    pub(crate) tunnels: AtomicUsize,
     /// Admission queues: requests that wait for an upstream.
     pub(crate) admission: admission::Queues,
     /// Wakes the task that assigns upstreams to waiting requests.
@@ -122,15 +129,18 @@
         let has_traffic = AtomicBool::new(!settings.node.is_first_start);
         let cluster =
             Mutex::new(cluster::Cluster::new(node, settings.cold.clone(), Arc::clone(&events)));
+        let started = Instant::now();
+        let paths = Arc::new(Paths::new(started, Arc::clone(&events)));
         Ok(State {
             events,
             current_settings: ArcSwap::from_pointee(settings.clone()),
             settings,
             has_traffic,
-            started: Instant::now(),
+            started,
             routing: ArcSwap::from_pointee(routing::Snapshot::default()),
             cluster,
-            upstreams: pool::Pool::new(options),
+            upstreams: pool::Pool::with_connector(options, Dialer::new(Arc::clone(&paths))),
+            paths,
             store,
             election: election::Election::default(),
             quarantine: quarantine::Quarantine::new(),
@@ -140,6 +150,7 @@
             stop_began_ms: AtomicU64::new(0),
             stop_requested: Notify::new(),
             requests_in_flight: AtomicUsize::new(0),
+            tunnels: AtomicUsize::new(0),
             admission: admission::Queues::default(),
             capacity_changed: Notify::new(),
             snapshot_changed: Notify::new(),
@@ -383,6 +394,9 @@
         let mut snapshot = cluster.snapshot(now);
         snapshot.carry_over_retired(&self.routing.load());
         self.routing.store(Arc::new(snapshot));
+        if let Some(hosts) = cluster.take_changed_addresses() {
+            self.paths.set_hosts(hosts);
+        }
         drop(cluster);
         self.capacity_changed.notify_one();
         self.snapshot_changed.notify_one();
--- /dev/null
+++ b/cuminward-gateway/src/tunnel/paths.rs
@@ -0,0 +1,166 @@
+//! Paths of this node to hosts, and the nodes through which it can take detours.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use cuminward_event::{kind::Kind, sink::Sink};
+use cuminward_serving::{
+    id,
+    path::{Address, Order, Tracker},
+};
+
+/// Another node that connects this one to hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Relay {
+    pub(crate) address: SocketAddr,
+    pub(crate) is_same_domain: bool,
+}
+
+/// What this node knows about paths. Requests read it only when they open a connection.
+pub(crate) struct Paths {
+    /// Start of the node, from which times are counted.
+    started: Instant,
+    events: Arc<Sink>,
+    tracker: Mutex<Tracker>,
+    /// Whether the node is stranded, as in `tracker`.
+    is_stranded: AtomicBool,
+    /// Addresses with new detours, whose idle connections are of no use.
+    detoured: Mutex<Vec<Address>>,
+    /// Hosts by address.
+    hosts: ArcSwap<HashMap<Address, id::Host>>,
+    relays: ArcSwap<Vec<Relay>>,
+}
+
+/// Life cycle
+impl Paths {
+    pub(crate) fn new(started: Instant, events: Arc<Sink>) -> Paths {
+        Paths {
+            started,
+            events,
+            tracker: Mutex::default(),
+            is_stranded: AtomicBool::new(false),
+            detoured: Mutex::default(),
+            hosts: ArcSwap::default(),
+            relays: ArcSwap::default(),
+        }
+    }
+}
+
+/// Access
+impl Paths {
+    /// Returns whether this node has lost its paths to hosts.
+    pub(crate) fn is_stranded(&self) -> bool {
+        self.is_stranded.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether detours are taken to any host.
+    pub(crate) fn has_detours(&self) -> bool {
+        self.tracker().has_detours(self.now())
+    }
+
+    /// Returns since when detours to a host are taken, since the node's start; `None` if they aren't.
+    pub(crate) fn detour_since(&self, address: &str) -> Option<Duration> {
+        self.tracker().detour_since(self.now(), address)
+    }
+
+    /// Returns the order in which paths to a host are tried.
+    pub(super) fn order(&self, address: &str) -> Order {
+        self.tracker().order(self.now(), address)
+    }
+
+    /// Returns the host at an address.
+    pub(super) fn host_at(&self, address: &str) -> Option<id::Host> {
+        self.hosts.load().get(address).cloned()
+    }
+
+    /// Returns the address of any host.
+    pub(super) fn random_address(&self) -> Option<Address> {
+        let hosts = self.hosts.load();
+        let index = rand::random_range(0..hosts.len().max(1));
+        hosts.keys().nth(index).cloned()
+    }
+
+    /// Returns the nodes that connect this one to hosts.
+    pub(super) fn relays(&self) -> Vec<Relay> {
+        self.relays.load().to_vec()
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn tracker(&self) -> MutexGuard<'_, Tracker> {
+        self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn detoured(&self) -> MutexGuard<'_, Vec<Address>> {
+        self.detoured.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Mutation
+impl Paths {
+    /// Replaces the hosts.
+    pub(crate) fn set_hosts(&self, hosts: HashMap<Address, id::Host>) {
+        self.hosts.store(Arc::new(hosts));
+    }
+
+    /// Replaces the nodes that connect this one to hosts.
+    pub(crate) fn set_relays(&self, relays: Vec<Relay>) {
+        if **self.relays.load() != relays {
+            self.relays.store(Arc::new(relays));
+        }
+    }
+
+    /// Returns the addresses to which detours were taken first since the last call.
+    pub(crate) fn take_detoured(&self) -> Vec<Address> {
+        std::mem::take(&mut *self.detoured())
+    }
+
+    /// Records that the own path to a host works.
+    pub(super) fn record_direct(&self, address: &str) {
+        let mut tracker = self.tracker();
+        let is_regained = tracker.record_direct(address);
+        self.is_stranded.store(tracker.is_stranded(), Ordering::Relaxed);
+        drop(tracker);
+        if is_regained {
+            self.events.emit(Kind::PathsRegained { address: address.to_owned() });
+        }
+    }
+
+    /// Records that another node reached a host which this node hasn't reached so far.
+    pub(super) fn record_detour(&self, address: &str) {
+        let mut tracker = self.tracker();
+        let is_new = tracker.detour_since(self.now(), address).is_none();
+        tracker.record_detour(self.now(), address);
+        drop(tracker);
+        if is_new {
+            self.detoured().push(address.to_owned());
+        }
+    }
+
+    /// Records that the own path to a host that another node reached didn't work.
+    pub(super) fn record_lost_path(&self, address: &str) {
+        let mut tracker = self.tracker();
+        let is_new = tracker.record_lost_path(self.now(), address);
+        self.is_stranded.store(tracker.is_stranded(), Ordering::Relaxed);
+        drop(tracker);
+        if is_new {
+            let relays = self.relays.load().len() as u64;
+            self.events.emit(Kind::PathsLost { address: address.to_owned(), relays });
+        }
+    }
+
+    /// Records that neither this node nor another one that it asked reached a host.
+    pub(super) fn record_unreachable(&self, address: &str) {
+        self.tracker().record_unreachable(self.now(), address);
+    }
+}
--- a/cuminward-gateway/tests/all/stranded.rs
+++ b/cuminward-gateway/tests/all/stranded.rs
@@ -35,7 +35,7 @@
 
 /// A site with a node whose paths to the hosts go through gates, and another one without.
 pub(crate) struct Cut {
-    pub(crate) site: Site,
+    _site: Site,
     /// The store as the node behind the gates sees it.
     _view: Arc<Store>,
     gates: Vec<Gate>,
@@ -62,7 +62,7 @@
         let stranded = site.start_node(&format!("{name}-stranded"), view.address).await;
         site.store.put(topic::NODES, &format!("{name}-stranded"), &stranded.peers.to_string());
         view.put(topic::NODES, &format!("{name}-other"), &other.peers.to_string());
-        let cut = Cut { site, _view: view, gates, stranded, other };
+        let cut = Cut { _site: site, _view: view, gates, stranded, other };
         cut.wait_until_serving().await?;
         Ok(cut)
     }
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod loss;
 pub mod message;
 pub mod nodes;
+pub mod path;
 pub mod placement;
 pub mod position;
 pub mod progress;
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod loss;
 mod message;
 mod nodes;
+mod path;
 mod placement;
 mod progress;
 mod quarantine;
--- a/cuminward-upstream/src/connection.rs
+++ b/cuminward-upstream/src/connection.rs
@@ -13,9 +13,14 @@
     client::conn::{TrySendError, http1, http2},
 };
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use tokio::{net::TcpStream, task, time};
+use tokio::{task, time};
 
-use crate::{count, error::Error, pool};
+use crate::{
+    connector::{Connected, Connector},
+    count,
+    error::Error,
+    pool,
+};
 
 /// Maximum time for a pooled connection to become ready for a request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -86,6 +91,8 @@
     pub(crate) number: u64,
     /// When the connection was opened or last returned to the pool.
     pub(crate) last_used: Instant,
+    /// Whether the connection may carry further requests.
+    pub(crate) is_reusable: bool,
     /// Whether the connection has carried an earlier request.
     pub(crate) reused: bool,
 }
@@ -98,32 +105,35 @@
 /// Life cycle
 impl<B: Payload> Connection<B> {
     /// Opens a connection to an address within the connect timeout.
-    pub(crate) async fn open(
+    pub(crate) async fn open<C: Connector>(
+        connector: &C,
         address: &str,
         options: &pool::Options,
         number: u64,
         counter: &Arc<count::Counter>,
     ) -> Result<Connection<B>, Cause> {
-        let handshake = Connection::handshake(address, options, counter);
+        let handshake = Connection::handshake(connector, address, options, counter);
         let limit = options.connect_timeout;
         let opened = time::timeout(limit, handshake).await;
-        let (sender, task) = opened.map_err(|_| Cause::timed_out(limit))??;
-        Ok(Connection { sender, task, number, last_used: Instant::now(), reused: false })
+        let (sender, task, is_reusable) = opened.map_err(|_| Cause::timed_out(limit))??;
+        let last_used = Instant::now();
+        Ok(Connection { sender, task, number, last_used, is_reusable, reused: false })
     }
 
-    async fn handshake(
+    async fn handshake<C: Connector>(
+        connector: &C,
         address: &str,
         options: &pool::Options,
         counter: &Arc<count::Counter>,
-    ) -> Result<(Sender<B>, task::AbortHandle), Cause> {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
+    ) -> Result<(Sender<B>, task::AbortHandle, bool), Cause> {
+        let Connected { stream, is_reusable } = connector.connect(address).await?;
         let counter = Arc::clone(counter);
         let io = TokioIo::new(count::Stream { inner: stream, counter });
         match options.protocol {
             Protocol::Http1 => {
                 let (sender, connection) = http1::handshake(io).await?;
-                Ok((Sender::Http1(sender), tokio::spawn(connection).abort_handle()))
+                let task = tokio::spawn(connection).abort_handle();
+                Ok((Sender::Http1(sender), task, is_reusable))
             }
             Protocol::Http2 => {
                 let (sender, connection) = http2::Builder::new(TokioExecutor::new())
@@ -133,7 +143,8 @@
                     .keep_alive_while_idle(true)
                     .handshake(io)
                     .await?;
-                Ok((Sender::Http2(sender), tokio::spawn(connection).abort_handle()))
+                let task = tokio::spawn(connection).abort_handle();
+                Ok((Sender::Http2(sender), task, is_reusable))
             }
         }
     }
@@ -147,6 +158,7 @@
                 task: self.task.clone(),
                 number: self.number,
                 last_used: Instant::now(),
+                is_reusable: self.is_reusable,
                 reused: true,
             }),
         }
--- a/cuminward-upstream/src/lib.rs
+++ b/cuminward-upstream/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod body;
 pub mod connection;
+pub mod connector;
 pub mod count;
 pub mod engine;
 pub mod error;
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -8,7 +8,7 @@
     collections::{HashMap, hash_map},
     hash::{BuildHasher, RandomState},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -21,6 +21,7 @@
 use crate::{
     body::{Body, Framing},
     connection::{Cause, Connection, Payload, Protocol},
+    connector::{Connector, Direct},
     count::Counter,
     error::Error,
 };
@@ -69,13 +70,14 @@
 }
 
 /// Pool of connections to upstreams; clones share its connections.
-pub struct Pool<B> {
+pub struct Pool<B, C = Direct> {
     inner: Arc<Inner<B>>,
+    connector: C,
 }
 
-impl<B> Clone for Pool<B> {
-    fn clone(&self) -> Pool<B> {
-        Pool { inner: Arc::clone(&self.inner) }
+impl<B, C: Clone> Clone for Pool<B, C> {
+    fn clone(&self) -> Pool<B, C> {
+        Pool { inner: Arc::clone(&self.inner), connector: self.connector.clone() }
     }
 }
 
@@ -108,8 +110,16 @@
 
 /// Life cycle
 impl<B: Payload> Pool<B> {
-    /// Creates an empty pool.
+    /// Creates an empty pool that connects over TCP.
     pub fn new(options: Options) -> Pool<B> {
+        Pool::with_connector(options, Direct)
+    }
+}
+
+/// Life cycle
+impl<B: Payload, C: Connector> Pool<B, C> {
+    /// Creates an empty pool.
+    pub fn with_connector(options: Options, connector: C) -> Pool<B, C> {
         let shards = (0..SHARDS).map(|_| Mutex::default()).collect();
         let inner = Inner {
             options,
@@ -119,12 +129,31 @@
             timeouts: AtomicU64::new(0),
             counter: Arc::default(),
         };
-        Pool { inner: Arc::new(inner) }
+        Pool { inner: Arc::new(inner), connector }
     }
 }
 
 /// Access
-impl<B: Payload> Pool<B> {
+impl<B: Payload, C: Connector> Pool<B, C> {
+    /// Returns the connector.
+    pub fn connector(&self) -> &C {
+        &self.connector
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn discard_idle(&self, address: &str) {
+        if let Some(connections) = self.inner.shard(address).get_mut(address) {
+            abort_idle(connections);
+        }
+    }
+
+    /// Closes the idle connections to all addresses.
+    pub fn discard_all_idle(&self) {
+        for shard in &self.inner.shards {
+            lock(shard).values_mut().for_each(abort_idle);
+        }
+    }
+
     /// Returns the settings of the pool.
     pub fn options(&self) -> &Options {
         &self.inner.options
@@ -209,10 +238,15 @@
             pooled.abort();
         }
         let number = self.inner.opened.fetch_add(1, Ordering::Relaxed);
-        let connection =
-            Connection::open(address, &self.inner.options, number, &self.inner.counter)
-                .await
-                .map_err(|cause| cause.into_error(address))?;
+        let connection = Connection::open(
+            &self.connector,
+            address,
+            &self.inner.options,
+            number,
+            &self.inner.counter,
+        )
+        .await
+        .map_err(|cause| cause.into_error(address))?;
         if let Some(shared) = connection.share() {
             self.inner.put(address, shared);
         }
@@ -262,12 +296,26 @@
         }
     }
 
-    fn shard(&self, address: &str) -> std::sync::MutexGuard<'_, Shard<B>> {
+    fn shard(&self, address: &str) -> MutexGuard<'_, Shard<B>> {
         let index = self.hasher.hash_one(address) as usize % self.shards.len();
-        self.shards[index].lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.shards[index])
     }
 }
 
+/// Closes connections except those that several requests share.
+fn abort_idle<B>(connections: &mut Vec<Connection<B>>) {
+    connections.retain(|it| {
+        if !it.is_shared() {
+            it.abort();
+        }
+        it.is_shared()
+    });
+}
+
+fn lock<B>(shard: &Mutex<Shard<B>>) -> MutexGuard<'_, Shard<B>> {
+    shard.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl<B> Lease<B> {
     /// Returns the connection to the pool after a complete response.
     pub(crate) fn release(&mut self) {
@@ -275,6 +323,10 @@
         if connection.is_shared() {
             return;
         }
+        if !connection.is_reusable {
+            connection.abort();
+            return;
+        }
         connection.last_used = Instant::now();
         connection.reused = true;
         self.pool.put(&self.address, connection);
