feat: cuminward-event, cuminward-gateway: event and counter of callers' connections that end with a request or bytes on them

No line told that a caller's connection ended, what ended it, and what was left on it. All ends are counted by reason (cuminward_gateway_caller_connections_ended_total); plain ones have no event. No logic of closing changes. The headers of a request are still read once, now in ingress.

rustix, which the workspace has already, is a new dependency of the gateway: it tells the number of unread bytes.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -843,6 +843,19 @@
         /// What the requests have in common, as in `quarantine-began`.
         subject: String,
     }
+    /// A caller's connection ended with a request in flight, or with received bytes that were not handled.
+    2410 Info "caller-connection-cut" CallerConnectionCut {
+        /// `idle`, `stopping` or `response` if the node closed it, `caller` if the caller did, or `error`.
+        reason: String,
+        /// Error message; empty if there is none.
+        cause: String,
+        /// Requests in flight.
+        in_flight: u64,
+        /// Bytes that were received and not handled.
+        bytes: u64,
+        /// Milliseconds since the last request ended, or since the connection was accepted.
+        unused_ms: u64,
+    }
 }
 
 /// Access
--- a/cuminward-gateway/src/forward/mod.rs
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -13,7 +13,7 @@
 
 use std::sync::Arc;
 
-use cuminward_adapter::header;
+use cuminward_serving::request;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time;
@@ -24,9 +24,12 @@
 
 /// Handles a request of a caller. Returns 504 or 503 at the deadline, depending on whether the request
 /// may have been executed.
-pub(crate) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn handle(
+    state: Arc<State>,
+    request: Request<Incoming>,
+    meta: request::Meta,
+) -> Response<Body> {
     state.record_traffic();
-    let meta = header::read_request(request.headers());
     let id = meta.id.clone();
     let context = match admit::admit(&state, request, meta).await {
         Ok(it) => Arc::new(it),
--- a/cuminward-gateway/src/ingress/connection.rs
+++ b/cuminward-gateway/src/ingress/connection.rs
@@ -2,18 +2,22 @@
 
 use std::{
     convert::Infallible,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
-    },
+    pin::Pin,
+    sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
+use cuminward_serving::id;
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time};
 
+use super::{
+    activity::Activity,
+    ending::{self, Ending, Reason},
+    socket::Socket,
+};
 use crate::{
     forward,
     forward::reply::{Body, DropGuard},
@@ -30,45 +34,58 @@
 /// connections.
 const KEEP_ALIVE_GRACE: Duration = Duration::from_millis(2500);
 
-/// Activity of a connection.
-#[derive(Debug, Default)]
-struct Activity {
-    /// Requests in flight.
-    active: AtomicUsize,
-    /// When the last request ended, in milliseconds since the node's start.
-    used_ms: AtomicU64,
-}
-
 /// Serves a connection until it is closed by the caller, by an idle timeout or by a shutdown.
 pub(crate) async fn serve(state: Arc<State>, stream: TcpStream) {
-    let activity = Arc::new(Activity::default());
-    activity.used_ms.store(state.now().as_millis() as u64, Ordering::Relaxed);
+    let activity = Arc::new(Activity::new(state.now()));
     let handler = service::service_fn(|request| respond(&state, &activity, request));
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
-    let mut connection = std::pin::pin!(connection);
-    loop {
-        let ended = time::timeout(CHECK_INTERVAL, connection.as_mut()).await;
-        if let Ok(ended) = ended {
-            if let Err(error) = ended {
-                log::debug!("serving a caller's connection failed: {error}");
-            }
-            return;
+    let socket = Socket::new(stream, Arc::clone(&activity));
+    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(socket), handler);
+    let mut closed = None;
+    let ended = loop {
+        if let Ok(ended) = time::timeout(CHECK_INTERVAL, &mut connection).await {
+            break ended;
         }
-        let must_close = state.stopping_for().is_some_and(|it| it > KEEP_ALIVE_GRACE);
-        if must_close || is_idle(&state, &activity, state.now()) {
-            connection.as_mut().graceful_shutdown();
+        closed = reason_to_close(&state, &activity);
+        if closed.is_some() {
+            Pin::new(&mut connection).graceful_shutdown();
         }
+    };
+    let in_flight = activity.active() as u64;
+    let parts = connection.into_parts();
+    let ending = Ending {
+        reason: closed.unwrap_or_else(|| reason_of_end(&activity, &ended)),
+        cause: ended.err().map(|it| it.to_string()).unwrap_or_default(),
+        in_flight,
+        bytes: parts.read_buf.len() as u64 + parts.io.inner().unread(),
+    };
+    ending::record(&state, &activity, ending);
+}
+
+/// Returns why the connection must be closed between requests, if it must.
+fn reason_to_close(state: &State, activity: &Activity) -> Option<Reason> {
+    if state.stopping_for().is_some_and(|it| it > KEEP_ALIVE_GRACE) {
+        Some(Reason::Stopping)
+    } else {
+        is_idle(state, activity).then_some(Reason::Idle)
+    }
+}
+
+/// Returns what ended a connection that the node didn't close between requests.
+fn reason_of_end(activity: &Activity, ended: &hyper::Result<()>) -> Reason {
+    match ended {
+        _ if activity.is_ended() => Reason::Caller,
+        Ok(()) => Reason::Response,
+        Err(_) => Reason::Error,
     }
 }
 
 /// Returns whether the connection has been idle for longer than the catalog allows.
-fn is_idle(state: &State, activity: &Activity, now: Duration) -> bool {
+fn is_idle(state: &State, activity: &Activity) -> bool {
     let snapshot = state.routing.load();
     let timeout = snapshot.catalog.as_ref().map(|it| it.limits.idle_timeout).unwrap_or_default();
-    let used = Duration::from_millis(activity.used_ms.load(Ordering::Relaxed));
-    activity.active.load(Ordering::Relaxed) == 0
+    activity.active() == 0
         && timeout > Duration::ZERO
-        && now.saturating_sub(used) > timeout + IDLE_MARGIN
+        && activity.unused_for(state.now()) > timeout + IDLE_MARGIN
 }
 
 /// Handles one request, and asks the caller to close the connection during a shutdown.
@@ -77,8 +94,9 @@
     activity: &Arc<Activity>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let guard = track_request(state, activity);
-    let mut response = forward::handle(Arc::clone(state), request).await;
+    let meta = cuminward_adapter::header::read_request(request.headers());
+    let guard = track_request(state, activity, meta.id.clone());
+    let mut response = forward::handle(Arc::clone(state), request, meta).await;
     if state.is_stopping() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -87,13 +105,16 @@
 }
 
 /// Counts a request as in flight until the returned guard is dropped.
-fn track_request(state: &Arc<State>, activity: &Arc<Activity>) -> DropGuard {
+fn track_request(
+    state: &Arc<State>,
+    activity: &Arc<Activity>,
+    id: Option<id::Request>,
+) -> DropGuard {
     let (state, activity) = (Arc::clone(state), Arc::clone(activity));
-    activity.active.fetch_add(1, Ordering::Relaxed);
+    activity.begin_request(id);
     state.requests_in_flight.fetch_add(1, Ordering::Relaxed);
     DropGuard::new(move || {
-        activity.used_ms.store(state.now().as_millis() as u64, Ordering::Relaxed);
-        activity.active.fetch_sub(1, Ordering::Relaxed);
+        activity.end_request(state.now());
         state.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
     })
 }
