--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod groups;
+mod ingress;
 mod lifecycle;
 mod quarantine;
 mod restored;
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -12,7 +12,7 @@
 use cuminward_adapter_fake::{
     address,
     caller::{self, Call, Headers, Response},
-    catalog::{self, Catalog, Retry, Route},
+    catalog::{self, Catalog, Limits, Retry, Route},
     entry::{self, Entry},
     host::Host,
     store::Store,
@@ -234,6 +234,7 @@
         engine,
         team: String::from("team"),
         key: KEY.to_owned(),
+        limits: None,
     }
 }
 
@@ -260,7 +261,12 @@
 impl Site {
     /// Declares a catalog with the usual routes and optionally one more.
     pub(crate) fn configure(&self, version: u64, more: Option<Route>) {
-        self.declare(version, more, 1);
+        self.declare(version, more, 1, None);
+    }
+
+    /// Declares a catalog with the usual routes, optionally one more, and limits on callers.
+    pub(crate) fn limit(&self, version: u64, more: Option<Route>, limits: Limits) {
+        self.declare(version, more, 1, Some(limits));
     }
 
     /// Declares a catalog with the usual routes in which replicas span `size` hosts, and makes the hosts
@@ -271,11 +277,11 @@
             host.report(&entry);
             self.store.put_entry(&host.id, &entry);
         }
-        self.declare(version, more, size);
+        self.declare(version, more, size, None);
     }
 
-    fn declare(&self, version: u64, more: Option<Route>, size: usize) {
-        self.store.declare(&usual_catalog(version, more, size));
+    fn declare(&self, version: u64, more: Option<Route>, size: usize, limits: Option<Limits>) {
+        self.store.declare(&Catalog { limits, ..usual_catalog(version, more, size) });
     }
 
     /// Returns the number of requests that the hosts of the plain service received.
