fix: cuminward-gateway: a request is in flight until its response is sent

What callers saw: a response that they read slowly was cut when the node stopped. Cause: a request counted as done when hyper had taken the last part of its body into its buffer, so that the node ended with bytes unsent.

Change: a request is in flight until the buffer is flushed to the socket after the end of its body. The socket's flush tells. This holds for the end of a stop and for the idle time of a connection.

Conclusion: a node that stops waits for responses that are being sent, up to the grace period as before.

--- a/cuminward-gateway/src/ingress/activity.rs
+++ b/cuminward-gateway/src/ingress/activity.rs
@@ -11,11 +11,15 @@
 use arc_swap::ArcSwapOption;
 use cuminward_serving::id;
 
+use crate::state::State;
+
 /// Activity of a connection.
-#[derive(Debug, Default)]
 pub(super) struct Activity {
-    /// Requests in flight.
+    state: Arc<State>,
+    /// Requests in flight: those whose response isn't sent yet.
     active: AtomicUsize,
+    /// Requests of these whose response is in the buffer for sending, or abandoned.
+    answered: AtomicUsize,
     /// When the last request ended, or the connection was accepted, in milliseconds since the node's start.
     used_ms: AtomicU64,
     /// Whether the caller has closed its side of the connection.
@@ -26,11 +30,22 @@
 
 /// Life cycle
 impl Activity {
-    /// Creates the activity of a connection that was accepted at `now`.
-    pub(super) fn new(now: Duration) -> Activity {
-        let activity = Activity::default();
-        activity.used_ms.store(now.as_millis() as u64, Ordering::Relaxed);
-        activity
+    /// Creates the activity of a connection that is accepted now.
+    pub(super) fn new(state: Arc<State>) -> Activity {
+        Activity {
+            used_ms: AtomicU64::new(state.now().as_millis() as u64),
+            state,
+            active: AtomicUsize::new(0),
+            answered: AtomicUsize::new(0),
+            is_ended: AtomicBool::new(false),
+            request: ArcSwapOption::empty(),
+        }
+    }
+}
+
+impl Drop for Activity {
+    fn drop(&mut self) {
+        self.end_requests(self.active());
     }
 }
 
@@ -42,8 +57,8 @@
     }
 
     /// Returns the time since the last request ended, or since the connection was accepted.
-    pub(super) fn unused_for(&self, now: Duration) -> Duration {
-        now.saturating_sub(Duration::from_millis(self.used_ms.load(Ordering::Relaxed)))
+    pub(super) fn unused_for(&self) -> Duration {
+        self.state.now().saturating_sub(Duration::from_millis(self.used_ms.load(Ordering::Relaxed)))
     }
 
     /// Returns whether the caller has closed its side of the connection.
@@ -62,13 +77,27 @@
     /// Records that a request begins, with its id.
     pub(super) fn begin_request(&self, id: Option<id::Request>) {
         self.active.fetch_add(1, Ordering::Relaxed);
+        self.state.requests_in_flight.fetch_add(1, Ordering::Relaxed);
         self.request.store(id.map(Arc::new));
     }
 
-    /// Records that a request ended at `now`.
-    pub(super) fn end_request(&self, now: Duration) {
-        self.used_ms.store(now.as_millis() as u64, Ordering::Relaxed);
-        self.active.fetch_sub(1, Ordering::Relaxed);
+    /// Records that the response of a request is in the buffer for sending, or abandoned.
+    pub(super) fn record_answer(&self) {
+        self.answered.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that the buffer for sending is empty: the requests that were answered are no longer in flight.
+    pub(super) fn record_flush(&self) {
+        let answered = self.answered.swap(0, Ordering::Relaxed);
+        if answered > 0 {
+            self.end_requests(answered);
+        }
+    }
+
+    fn end_requests(&self, count: usize) {
+        self.used_ms.store(self.state.now().as_millis() as u64, Ordering::Relaxed);
+        self.active.fetch_sub(count, Ordering::Relaxed);
+        self.state.requests_in_flight.fetch_sub(count, Ordering::Relaxed);
     }
 
     /// Records that the caller has closed its side of the connection.
--- a/cuminward-gateway/src/ingress/connection.rs
+++ b/cuminward-gateway/src/ingress/connection.rs
@@ -1,11 +1,6 @@
 //! Serves the HTTP connections of callers.
 
-use std::{
-    convert::Infallible,
-    pin::Pin,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{convert::Infallible, pin::Pin, sync::Arc, time::Duration};
 
 use cuminward_serving::id;
 use http::{HeaderValue, Request, Response, header};
@@ -36,7 +31,7 @@
 
 /// Serves a connection until it is closed by the caller, by an idle timeout or by a shutdown.
 pub(crate) async fn serve(state: Arc<State>, stream: TcpStream) {
-    let activity = Arc::new(Activity::new(state.now()));
+    let activity = Arc::new(Activity::new(Arc::clone(&state)));
     let handler = service::service_fn(|request| respond(&state, &activity, request));
     let socket = Socket::new(stream, Arc::clone(&activity));
     let mut connection = http1::Builder::new().serve_connection(TokioIo::new(socket), handler);
@@ -85,7 +80,7 @@
     let timeout = snapshot.catalog.as_ref().map(|it| it.limits.idle_timeout).unwrap_or_default();
     activity.active() == 0
         && timeout > Duration::ZERO
-        && activity.unused_for(state.now()) > timeout + IDLE_MARGIN
+        && activity.unused_for() > timeout + IDLE_MARGIN
 }
 
 /// Handles one request, and asks the caller to close the connection during a shutdown.
@@ -95,7 +90,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let meta = cuminward_adapter::header::read_request(request.headers());
-    let guard = track_request(state, activity, meta.id.clone());
+    let guard = track_request(activity, meta.id.clone());
     let mut response = forward::handle(Arc::clone(state), request, meta).await;
     if state.is_stopping() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -104,17 +99,9 @@
     Ok(response)
 }
 
-/// Counts a request as in flight until the returned guard is dropped.
-fn track_request(
-    state: &Arc<State>,
-    activity: &Arc<Activity>,
-    id: Option<id::Request>,
-) -> DropGuard {
-    let (state, activity) = (Arc::clone(state), Arc::clone(activity));
+/// Counts a request as in flight until the returned guard is dropped and the response is sent.
+fn track_request(activity: &Arc<Activity>, id: Option<id::Request>) -> DropGuard {
+    let activity = Arc::clone(activity);
     activity.begin_request(id);
-    state.requests_in_flight.fetch_add(1, Ordering::Relaxed);
-    DropGuard::new(move || {
-        activity.end_request(state.now());
-        state.requests_in_flight.fetch_sub(1, Ordering::Relaxed);
-    })
+    DropGuard::new(move || activity.record_answer())
 }
--- a/cuminward-gateway/src/ingress/ending.rs
+++ b/cuminward-gateway/src/ingress/ending.rs
@@ -61,7 +61,7 @@
         cause: ending.cause,
         in_flight: ending.in_flight,
         bytes: ending.bytes,
-        unused_ms: activity.unused_for(state.now()).as_millis() as u64,
+        unused_ms: activity.unused_for().as_millis() as u64,
     };
     match activity.request() {
         Some(id) => state.events.emit_for(&id, kind),
--- a/cuminward-gateway/src/ingress/socket.rs
+++ b/cuminward-gateway/src/ingress/socket.rs
@@ -1,4 +1,4 @@
-//! Socket of a caller's connection, which records when the caller closes its side.
+//! Socket of a caller's connection, which records when the caller closes its side and when all was sent.
 
 use std::{
     io,
@@ -15,7 +15,6 @@
 use super::activity::Activity;
 
 /// Socket of a caller's connection.
-#[derive(Debug)]
 pub(super) struct Socket {
     stream: TcpStream,
     activity: Arc<Activity>,
@@ -73,7 +72,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.activity.record_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
