fix: cuminward-gateway: no connection is closed while bytes of a request have arrived on it

What callers saw: a request on a kept connection got a closed connection, beside a catalog with a shorter idle timeout, an idle timeout or a stop. Cause: hyper's graceful shutdown closes at once between requests, also with a part of a head in its buffer, and the node didn't look whether bytes lay unread in the socket; on a busy node a whole request can lie there.

Change: between requests the node closes by itself. It takes the connection apart, and closes it only if neither hyper's buffer nor the socket holds bytes; otherwise it goes on with them. A connection with a request in flight is left alone: its response says `Connection: close` during a stop, and it is closed afterwards. A request counts from the call of the service, not from the first poll of its future.

A request that crosses the close is still unread, which tells its caller that it may send it again.

--- a/cuminward-gateway/src/ingress/connection.rs
+++ b/cuminward-gateway/src/ingress/connection.rs
@@ -1,6 +1,6 @@
 //! Serves the HTTP connections of callers.
 
-use std::{convert::Infallible, pin::Pin, sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use cuminward_serving::id;
 use http::{HeaderValue, Request, Response, header};
@@ -35,36 +35,54 @@
     let handler = service::service_fn(|request| respond(&state, &activity, request));
     let socket = Socket::new(stream, Arc::clone(&activity));
     let mut connection = http1::Builder::new().serve_connection(TokioIo::new(socket), handler);
-    let mut closed = None;
-    let ended = loop {
+    let ending = loop {
         if let Ok(ended) = time::timeout(CHECK_INTERVAL, &mut connection).await {
-            break ended;
+            break end(&activity, connection, &ended);
         }
-        closed = reason_to_close(&state, &activity);
-        if closed.is_some() {
-            Pin::new(&mut connection).graceful_shutdown();
+        let Some(reason) = reason_to_close(&state, &activity) else { continue };
+        // Nothing is in flight and all is sent, so that taking the connection apart loses nothing.
+        let http1::Parts { io, read_buf, service, .. } = connection.into_parts();
+        let mut socket = io.into_inner();
+        if read_buf.is_empty() && socket.unread() == 0 {
+            break Ending::between_requests(reason);
         }
-    };
-    let in_flight = activity.active() as u64;
-    let parts = connection.into_parts();
-    let ending = Ending {
-        reason: closed.unwrap_or_else(|| reason_of_end(&activity, &ended)),
-        cause: ended.err().map(|it| it.to_string()).unwrap_or_default(),
-        in_flight,
-        bytes: parts.read_buf.len() as u64 + parts.io.inner().unread(),
+        socket.unread_again(read_buf);
+        connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
     };
     ending::record(&state, &activity, ending);
 }
 
-/// Returns why the connection must be closed between requests, if it must.
+/// Returns why the connection must be closed, if it must and no request is in flight on it. Bytes of a request
+/// may have arrived all the same.
 fn reason_to_close(state: &State, activity: &Activity) -> Option<Reason> {
-    if state.stopping_for().is_some_and(|it| it > KEEP_ALIVE_GRACE) {
+    if activity.active() > 0 {
+        None
+    } else if state.stopping_for().is_some_and(|it| it > KEEP_ALIVE_GRACE) {
         Some(Reason::Stopping)
     } else {
         is_idle(state, activity).then_some(Reason::Idle)
     }
 }
 
+/// Returns how a connection ended that the node didn't close between requests.
+fn end<S>(
+    activity: &Activity,
+    connection: http1::Connection<TokioIo<Socket>, S>,
+    ended: &hyper::Result<()>,
+) -> Ending
+where
+    S: service::HttpService<Incoming, ResBody = Body, Error = Infallible>,
+{
+    let in_flight = activity.active() as u64;
+    let parts = connection.into_parts();
+    Ending {
+        reason: reason_of_end(activity, ended),
+        cause: ended.as_ref().err().map(ToString::to_string).unwrap_or_default(),
+        in_flight,
+        bytes: parts.read_buf.len() as u64 + parts.io.inner().unread(),
+    }
+}
+
 /// Returns what ended a connection that the node didn't close between requests.
 fn reason_of_end(activity: &Activity, ended: &hyper::Result<()>) -> Reason {
     match ended {
@@ -78,25 +96,28 @@
 fn is_idle(state: &State, activity: &Activity) -> bool {
     let snapshot = state.routing.load();
     let timeout = snapshot.catalog.as_ref().map(|it| it.limits.idle_timeout).unwrap_or_default();
-    activity.active() == 0
-        && timeout > Duration::ZERO
-        && activity.unused_for() > timeout + IDLE_MARGIN
+    timeout > Duration::ZERO && activity.unused_for() > timeout + IDLE_MARGIN
 }
 
-/// Handles one request, and asks the caller to close the connection during a shutdown.
-async fn respond(
+/// Handles one request, and asks the caller to close the connection during a shutdown. The request is in
+/// flight from the call on, not only from when the future is polled.
+fn respond(
     state: &Arc<State>,
     activity: &Arc<Activity>,
     request: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
+) -> impl Future<Output = Result<Response<Body>, Infallible>> + use<> {
+    let state = Arc::clone(state);
     let meta = cuminward_adapter::header::read_request(request.headers());
     let guard = track_request(activity, meta.id.clone());
-    let mut response = forward::handle(Arc::clone(state), request, meta).await;
-    if state.is_stopping() {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    async move {
+        let mut response = forward::handle(Arc::clone(&state), request, meta).await;
+        if state.is_stopping() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response.body_mut().attach_guard(guard);
+        Ok(response)
     }
-    response.body_mut().attach_guard(guard);
-    Ok(response)
 }
 
 /// Counts a request as in flight until the returned guard is dropped and the response is sent.
--- a/cuminward-gateway/src/ingress/ending.rs
+++ b/cuminward-gateway/src/ingress/ending.rs
@@ -35,6 +35,14 @@
     pub(super) bytes: u64,
 }
 
+/// Life cycle
+impl Ending {
+    /// Creates the ending of a connection that the node closed with nothing left on it.
+    pub(super) fn between_requests(reason: Reason) -> Ending {
+        Ending { reason, cause: String::new(), in_flight: 0, bytes: 0 }
+    }
+}
+
 /// Access
 impl Reason {
     /// Returns the name in events and metrics.
--- a/cuminward-gateway/src/ingress/socket.rs
+++ b/cuminward-gateway/src/ingress/socket.rs
@@ -7,6 +7,7 @@
     task::{Context, Poll, ready},
 };
 
+use bytes::Bytes;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -18,12 +19,14 @@
 pub(super) struct Socket {
     stream: TcpStream,
     activity: Arc<Activity>,
+    /// Bytes that are read again before those of the stream.
+    again: Bytes,
 }
 
 /// Life cycle
 impl Socket {
     pub(super) fn new(stream: TcpStream, activity: Arc<Activity>) -> Socket {
-        Socket { stream, activity }
+        Socket { stream, activity, again: Bytes::new() }
     }
 }
 
@@ -35,12 +38,25 @@
     }
 }
 
+/// Mutation
+impl Socket {
+    /// Puts bytes that were read back, so that they are read again.
+    pub(super) fn unread_again(&mut self, bytes: Bytes) {
+        self.again = bytes;
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.again.is_empty() {
+            let count = self.again.len().min(buffer.remaining());
+            buffer.put_slice(&self.again.split_to(count));
+            return Poll::Ready(Ok(()));
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         if buffer.filled().len() == before && buffer.remaining() > 0 {
