fix: cuminward-gateway: the rest of a refused request is read before its connection is closed

What callers saw: a closed or reset connection instead of 401, 404, 413, 431 or 503, when they had sent a body. Cause: a request is refused before its body is read; hyper then closes the connection, and closing a socket with unread bytes resets it. Callers that send before they read get an error while sending, and those that give up then lose the refusal. Changes of the configuration that remove routes and keys make such refusals frequent, and a stop makes all of them so.

Change: bodies of requests record their end. If a response was sent and the body wasn't read to its end, or hyper refused the head by itself, the node closes its side, reads and drops what comes until the caller closes, for at most 3 s and 16 MiB, and then closes. That counts as a request in flight, so that a node that stops waits for it within its grace period. The refusal itself is sent at once, as before.

A caller that sends for longer than the bounds can still be reset.

--- a/cuminward-gateway/src/forward/admit.rs
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -9,10 +9,10 @@
 };
 use http::{HeaderMap, Request, StatusCode, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::{
+    BoxError,
     context::{Context, Input},
     reply::Rejection,
 };
@@ -34,11 +34,14 @@
 ///
 /// Returns a [`Rejection`] if the node is shutting down or has no catalog, if no route or team matches,
 /// if the headers or the body are too large, or if the body can't be read.
-pub(crate) async fn admit(
+pub(crate) async fn admit<B>(
     state: &State,
-    request: Request<Incoming>,
+    request: Request<B>,
     meta: Meta,
-) -> Result<Context, Rejection> {
+) -> Result<Context, Rejection>
+where
+    B: http_body::Body<Data = Bytes, Error: Into<BoxError>>,
+{
     let started = Instant::now();
     if state.stopping_for().is_some_and(|it| it > ADMISSION_GRACE) {
         return Err(
@@ -105,7 +108,10 @@
 }
 
 /// Reads the whole request body, up to the size limit of the catalog.
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Rejection> {
+async fn read_body<B>(body: B, limits: &Limits) -> Result<Bytes, Rejection>
+where
+    B: http_body::Body<Data = Bytes, Error: Into<BoxError>>,
+{
     match Limited::new(body, limits.body_bytes).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => {
--- a/cuminward-gateway/src/forward/mod.rs
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -11,24 +11,30 @@
 mod stream;
 mod unary;
 
-use std::sync::Arc;
+use std::{error::Error, sync::Arc};
 
+use bytes::Bytes;
 use cuminward_serving::request;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use tokio::time;
 
 use crate::state::State;
 use context::Context;
 use reply::Body;
 
+/// Error of reading a request body.
+type BoxError = Box<dyn Error + Send + Sync>;
+
 /// Handles a request of a caller. Returns 504 or 503 at the deadline, depending on whether the request
 /// may have been executed.
-pub(crate) async fn handle(
+pub(crate) async fn handle<B>(
     state: Arc<State>,
-    request: Request<Incoming>,
+    request: Request<B>,
     meta: request::Meta,
-) -> Response<Body> {
+) -> Response<Body>
+where
+    B: http_body::Body<Data = Bytes, Error: Into<BoxError>>,
+{
     state.record_traffic();
     let id = meta.id.clone();
     let context = match admit::admit(&state, request, meta).await {
--- a/cuminward-gateway/src/ingress/activity.rs
+++ b/cuminward-gateway/src/ingress/activity.rs
@@ -24,6 +24,8 @@
     used_ms: AtomicU64,
     /// Whether the caller has closed its side of the connection.
     is_ended: AtomicBool,
+    /// Whether a part of the last request's body wasn't read.
+    is_body_open: AtomicBool,
     /// Id of the last request.
     request: ArcSwapOption<id::Request>,
 }
@@ -38,6 +40,7 @@
             active: AtomicUsize::new(0),
             answered: AtomicUsize::new(0),
             is_ended: AtomicBool::new(false),
+            is_body_open: AtomicBool::new(false),
             request: ArcSwapOption::empty(),
         }
     }
@@ -66,6 +69,11 @@
         self.is_ended.load(Ordering::Relaxed)
     }
 
+    /// Returns whether a part of the last request's body wasn't read.
+    pub(super) fn is_body_open(&self) -> bool {
+        self.is_body_open.load(Ordering::Relaxed)
+    }
+
     /// Returns the id of the last request, if it had one.
     pub(super) fn request(&self) -> Option<Arc<id::Request>> {
         self.request.load_full()
@@ -76,9 +84,24 @@
 impl Activity {
     /// Records that a request begins, with its id.
     pub(super) fn begin_request(&self, id: Option<id::Request>) {
+        self.begin_work();
+        self.request.store(id.map(Arc::new));
+    }
+
+    /// Records that the rest of a refused request is being read, which counts as a request in flight until the
+    /// connection ends.
+    pub(super) fn begin_drain(&self) {
+        self.begin_work();
+    }
+
+    fn begin_work(&self) {
         self.active.fetch_add(1, Ordering::Relaxed);
         self.state.requests_in_flight.fetch_add(1, Ordering::Relaxed);
-        self.request.store(id.map(Arc::new));
+    }
+
+    /// Sets whether a part of the last request's body wasn't read.
+    pub(super) fn set_body_open(&self, is_open: bool) {
+        self.is_body_open.store(is_open, Ordering::Relaxed);
     }
 
     /// Records that the response of a request is in the buffer for sending, or abandoned.
--- a/cuminward-gateway/src/ingress/connection.rs
+++ b/cuminward-gateway/src/ingress/connection.rs
@@ -10,6 +10,7 @@
 
 use super::{
     activity::Activity,
+    body,
     ending::{self, Ending, Reason},
     socket::Socket,
 };
@@ -37,7 +38,7 @@
     let mut connection = http1::Builder::new().serve_connection(TokioIo::new(socket), handler);
     let ending = loop {
         if let Ok(ended) = time::timeout(CHECK_INTERVAL, &mut connection).await {
-            break end(&activity, connection, &ended);
+            break end(&activity, connection, &ended).await;
         }
         let Some(reason) = reason_to_close(&state, &activity) else { continue };
         // Nothing is in flight and all is sent, so that taking the connection apart loses nothing.
@@ -64,8 +65,9 @@
     }
 }
 
-/// Returns how a connection ended that the node didn't close between requests.
-fn end<S>(
+/// Ends a connection that hyper is done with, and returns how it ended. After a refusal, the rest of the request
+/// is read first, so that the refusal isn't lost.
+async fn end<S>(
     activity: &Activity,
     connection: http1::Connection<TokioIo<Socket>, S>,
     ended: &hyper::Result<()>,
@@ -73,16 +75,33 @@
 where
     S: service::HttpService<Incoming, ResBody = Body, Error = Infallible>,
 {
-    let in_flight = activity.active() as u64;
-    let parts = connection.into_parts();
+    let (reason, in_flight) = (reason_of_end(activity, ended), activity.active() as u64);
+    let http1::Parts { io, read_buf, .. } = connection.into_parts();
+    let mut socket = io.into_inner();
+    let mut buffered = read_buf.len() as u64;
+    if needs_drain(activity, ended, &read_buf) {
+        activity.begin_drain();
+        socket.drain().await;
+        buffered = 0;
+    }
     Ending {
-        reason: reason_of_end(activity, ended),
+        reason,
         cause: ended.as_ref().err().map(ToString::to_string).unwrap_or_default(),
         in_flight,
-        bytes: parts.read_buf.len() as u64 + parts.io.inner().unread(),
+        bytes: buffered + socket.unread(),
     }
 }
 
+/// Returns whether the caller may still be sending a request whose refusal was sent: one whose body wasn't read,
+/// or whose head is malformed or too large for hyper, which then responds by itself.
+fn needs_drain(activity: &Activity, ended: &hyper::Result<()>, read_buf: &[u8]) -> bool {
+    !activity.is_ended()
+        && match ended {
+            Ok(()) => activity.is_body_open() || !read_buf.is_empty(),
+            Err(error) => error.is_parse(),
+        }
+}
+
 /// Returns what ended a connection that the node didn't close between requests.
 fn reason_of_end(activity: &Activity, ended: &hyper::Result<()>) -> Reason {
     match ended {
@@ -109,6 +128,7 @@
     let state = Arc::clone(state);
     let meta = cuminward_adapter::header::read_request(request.headers());
     let guard = track_request(activity, meta.id.clone());
+    let request = request.map(|it| body::Body::new(it, Arc::clone(activity)));
     async move {
         let mut response = forward::handle(Arc::clone(&state), request, meta).await;
         if state.is_stopping() {
--- a/cuminward-gateway/src/ingress/mod.rs
+++ b/cuminward-gateway/src/ingress/mod.rs
@@ -1,6 +1,7 @@
 //! Accepts connections: callers' requests, readiness checks and metrics.
 
 mod activity;
+mod body;
 pub(crate) mod connection;
 mod ending;
 pub(crate) mod listener;
--- a/cuminward-gateway/src/ingress/socket.rs
+++ b/cuminward-gateway/src/ingress/socket.rs
@@ -5,16 +5,25 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time,
 };
 
 use super::activity::Activity;
 
+/// Bounds on what is read and dropped of a refused request.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+const DRAIN_BYTES: usize = 16 << 20;
+
+/// Size of the buffer for what is dropped, in bytes.
+const DRAIN_BUFFER_BYTES: usize = 32 << 10;
+
 /// Socket of a caller's connection.
 pub(super) struct Socket {
     stream: TcpStream,
@@ -46,6 +55,28 @@
     }
 }
 
+/// Draining
+impl Socket {
+    /// Reads and drops what the caller still sends, until it closes its side or [`DRAIN_TIME`] or [`DRAIN_BYTES`]
+    /// is exceeded. Closing a socket with unread bytes resets the connection, so that the caller may lose a
+    /// response that was sent before.
+    pub(super) async fn drain(&mut self) {
+        let mut buffer = vec![0; DRAIN_BUFFER_BYTES];
+        let drain = async {
+            let mut left = DRAIN_BYTES;
+            while let Ok(count @ 1..) = self.read(&mut buffer).await {
+                left = left.saturating_sub(count);
+                if left == 0 {
+                    return;
+                }
+            }
+        };
+        if time::timeout(DRAIN_TIME, drain).await.is_err() {
+            log::debug!("a caller didn't close its connection after a refusal");
+        }
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
