fix: cuminward-gateway: a request whose body doesn't arrive before its deadline is refused with 408

What callers saw: nothing, for as long as a body trickled in. Cause: the deadline of a request began to be watched only when its body had been read.

Change: the body must arrive before the request's deadline, the earlier of its caller's timeout and that of the route. Otherwise it is refused with 408, which promises that it didn't run.

The third case of the test, a head that trickles in, still fails.

--- a/cuminward-gateway/src/forward/admit.rs
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -9,11 +9,11 @@
 };
 use http::{HeaderMap, Request, StatusCode, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 use super::{
     BoxError,
-    context::{Context, Input},
+    context::{self, Context, Input},
     reply::Rejection,
 };
 use crate::state::State;
@@ -33,7 +33,7 @@
 /// # Errors
 ///
 /// Returns a [`Rejection`] if the node is shutting down or has no catalog, if no route or team matches,
-/// if the headers or the body are too large, or if the body can't be read.
+/// if the headers or the body are too large, or if the body can't be read or doesn't arrive in time.
 pub(crate) async fn admit<B>(
     state: &State,
     request: Request<B>,
@@ -57,7 +57,9 @@
     let route = Arc::clone(find_route(catalog, &parts)?);
     let team = find_team(catalog, &route, meta.key.as_deref())?.cloned();
     let hides_key = !catalog.teams.is_empty();
-    let body = read_body(body, &catalog.limits).await?;
+    let deadline = context::deadline(started, &meta, &route);
+    let body = time::timeout_at(deadline, read_body(body, &catalog.limits));
+    let body = body.await.unwrap_or_else(|_| Err(incomplete_body()))?;
     let no_target =
         Rejection::unavailable(NOT_READY_RETRY_AFTER).with_cause("the route has no target");
     let target = route.target(rand::random()).ok_or(no_target)?;
@@ -107,6 +109,12 @@
         .with_cause("the API key is missing or belongs to no team"))
 }
 
+/// Returns the rejection of a request whose body didn't arrive before its deadline. It states that the request
+/// wasn't executed.
+fn incomplete_body() -> Rejection {
+    Rejection::new(StatusCode::REQUEST_TIMEOUT).with_cause("the request body didn't arrive in time")
+}
+
 /// Reads the whole request body, up to the size limit of the catalog.
 async fn read_body<B>(body: B, limits: &Limits) -> Result<Bytes, Rejection>
 where
--- a/cuminward-gateway/src/forward/context.rs
+++ b/cuminward-gateway/src/forward/context.rs
@@ -60,12 +60,18 @@
 /// Time before the caller's timeout at which the node ends the request with a response of its own.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
 
+/// Returns when a request that arrived at `started` must have a response: before its caller's timeout and that
+/// of the route.
+pub(super) fn deadline(started: Instant, meta: &request::Meta, route: &catalog::Route) -> Instant {
+    let timeout = meta.timeout.unwrap_or(route.timeout).min(route.timeout);
+    started + timeout.saturating_sub(DEADLINE_MARGIN)
+}
+
 /// Life cycle
 impl Context {
     /// Creates the context of a request. The priority of the team takes precedence over that of the
     /// route.
     pub(crate) fn new(it: Input) -> Context {
-        let timeout = it.meta.timeout.unwrap_or(it.route.timeout).min(it.route.timeout);
         let key = it.meta.key.as_deref().unwrap_or_default();
         let fingerprint = crash::fingerprint(it.parts.uri.path(), key, &it.body);
         let team_priority = it.team.as_ref().and_then(|it| it.priority);
@@ -76,7 +82,7 @@
             subjects: quarantine::subjects(fingerprint, &it.meta.prompt_parts),
             version: it.version,
             started: it.started,
-            deadline: it.started + timeout.saturating_sub(DEADLINE_MARGIN),
+            deadline: deadline(it.started, &it.meta, &it.route),
             parts: it.parts,
             body: it.body,
             meta: it.meta,
