fix: cuminward-gateway: a head that doesn't arrive within the catalog's header timeout is refused with 408

What callers saw: nothing, for as long as a head trickled in; and the connection stayed open for ever. Cause: the limit headerTimeoutMs of the catalog was read and used nowhere, and hyper's own limit needs a timer, which the node doesn't set.

Change: a connection records when bytes of its next request began to arrive. If the head isn't complete within the limit, and nothing more lies unread, the node takes the connection apart, responds with 408, which promises that the request didn't run, and closes it as after any refusal. hyper's own limit wasn't used, as it also counts the idle time before a head, is fixed for the life of a connection and closes without a response. Line ends between requests begin none.

Without a catalog there is none.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -845,7 +845,7 @@
     }
     /// A caller's connection ended with a request in flight, or with received bytes that were not handled.
     2410 Info "caller-connection-cut" CallerConnectionCut {
-        /// `idle`, `stopping` or `response` if the node closed it, `caller` if the caller did, or `error`.
+        /// `idle`, `stopping`, `slow-head` or `response` if the node closed it, `caller` or `error`.
         reason: String,
         /// Error message; empty if there is none.
         cause: String,
--- a/cuminward-gateway/src/ingress/activity.rs
+++ b/cuminward-gateway/src/ingress/activity.rs
@@ -22,6 +22,8 @@
     answered: AtomicUsize,
     /// When the last request ended, or the connection was accepted, in milliseconds since the node's start.
     used_ms: AtomicU64,
+    /// Since when bytes of the next request have arrived, in milliseconds since the node's start; 0 if none have.
+    receiving_ms: AtomicU64,
     /// Whether the caller has closed its side of the connection.
     is_ended: AtomicBool,
     /// Whether a part of the last request's body wasn't read.
@@ -39,6 +41,7 @@
             state,
             active: AtomicUsize::new(0),
             answered: AtomicUsize::new(0),
+            receiving_ms: AtomicU64::new(0),
             is_ended: AtomicBool::new(false),
             is_body_open: AtomicBool::new(false),
             request: ArcSwapOption::empty(),
@@ -64,6 +67,12 @@
         self.state.now().saturating_sub(Duration::from_millis(self.used_ms.load(Ordering::Relaxed)))
     }
 
+    /// Returns the time since bytes of the next request began to arrive; `None` if none have.
+    pub(super) fn receiving_for(&self) -> Option<Duration> {
+        let since = Duration::from_millis(self.receiving_ms.load(Ordering::Relaxed));
+        (since > Duration::ZERO).then(|| self.state.now().saturating_sub(since))
+    }
+
     /// Returns whether the caller has closed its side of the connection.
     pub(super) fn is_ended(&self) -> bool {
         self.is_ended.load(Ordering::Relaxed)
@@ -85,9 +94,23 @@
     /// Records that a request begins, with its id.
     pub(super) fn begin_request(&self, id: Option<id::Request>) {
         self.begin_work();
+        self.reset_receiving();
         self.request.store(id.map(Arc::new));
     }
 
+    /// Records that bytes have arrived. Between requests, they belong to the next one.
+    pub(super) fn record_bytes(&self) {
+        if self.active() == 0 && self.receiving_ms.load(Ordering::Relaxed) == 0 {
+            let now = self.state.now().as_millis().max(1) as u64;
+            self.receiving_ms.store(now, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that no bytes of the next request have arrived.
+    pub(super) fn reset_receiving(&self) {
+        self.receiving_ms.store(0, Ordering::Relaxed);
+    }
+
     /// Records that the rest of a refused request is being read, which counts as a request in flight until the
     /// connection ends.
     pub(super) fn begin_drain(&self) {
--- a/cuminward-gateway/src/ingress/connection.rs
+++ b/cuminward-gateway/src/ingress/connection.rs
@@ -44,10 +44,18 @@
         // Nothing is in flight and all is sent, so that taking the connection apart loses nothing.
         let http1::Parts { io, read_buf, service, .. } = connection.into_parts();
         let mut socket = io.into_inner();
-        if read_buf.is_empty() && socket.unread() == 0 {
-            break Ending::between_requests(reason);
+        let unread = socket.unread();
+        let bytes = next_request_bytes(&read_buf) as u64 + unread;
+        match (reason, bytes) {
+            (Reason::SlowHead, 0) => activity.reset_receiving(),
+            (Reason::SlowHead, _) if unread == 0 => {
+                activity.begin_drain();
+                socket.refuse_slow_head().await;
+                break Ending::between_requests(reason, bytes);
+            }
+            (_, 0) => break Ending::between_requests(reason, bytes),
+            _ => socket.unread_again(read_buf),
         }
-        socket.unread_again(read_buf);
         connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
     };
     ending::record(&state, &activity, ending);
@@ -58,6 +66,8 @@
 fn reason_to_close(state: &State, activity: &Activity) -> Option<Reason> {
     if activity.active() > 0 {
         None
+    } else if is_head_slow(state, activity) {
+        Some(Reason::SlowHead)
     } else if state.stopping_for().is_some_and(|it| it > KEEP_ALIVE_GRACE) {
         Some(Reason::Stopping)
     } else {
@@ -65,6 +75,19 @@
     }
 }
 
+/// Returns whether the head of a request arrives for longer than the catalog allows.
+fn is_head_slow(state: &State, activity: &Activity) -> bool {
+    let snapshot = state.routing.load();
+    let timeout = snapshot.catalog.as_ref().map(|it| it.limits.header_timeout).unwrap_or_default();
+    timeout > Duration::ZERO && activity.receiving_for().is_some_and(|it| it > timeout)
+}
+
+/// Returns the number of buffered bytes that belong to a next request. Line ends may precede its head, and don't
+/// begin it.
+fn next_request_bytes(buffered: &[u8]) -> usize {
+    buffered.trim_ascii_start().len()
+}
+
 /// Ends a connection that hyper is done with, and returns how it ended. After a refusal, the rest of the request
 /// is read first, so that the refusal isn't lost.
 async fn end<S>(
--- a/cuminward-gateway/src/ingress/ending.rs
+++ b/cuminward-gateway/src/ingress/ending.rs
@@ -15,6 +15,8 @@
     Idle,
     /// The node, as it is stopping.
     Stopping,
+    /// The node, as the head of a request didn't arrive in time. The node responds to it with 408.
+    SlowHead,
     /// The node, after a response that closes the connection.
     Response,
     /// The caller.
@@ -37,9 +39,9 @@
 
 /// Life cycle
 impl Ending {
-    /// Creates the ending of a connection that the node closed with nothing left on it.
-    pub(super) fn between_requests(reason: Reason) -> Ending {
-        Ending { reason, cause: String::new(), in_flight: 0, bytes: 0 }
+    /// Creates the ending of a connection that the node closed between requests, with `bytes` left on it.
+    pub(super) fn between_requests(reason: Reason, bytes: u64) -> Ending {
+        Ending { reason, cause: String::new(), in_flight: 0, bytes }
     }
 }
 
@@ -50,6 +52,7 @@
         match self {
             Reason::Idle => "idle",
             Reason::Stopping => "stopping",
+            Reason::SlowHead => "slow-head",
             Reason::Response => "response",
             Reason::Caller => "caller",
             Reason::Error => "error",
--- a/cuminward-gateway/src/ingress/socket.rs
+++ b/cuminward-gateway/src/ingress/socket.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
     net::TcpStream,
     time,
 };
@@ -24,6 +24,10 @@
 /// Size of the buffer for what is dropped, in bytes.
 const DRAIN_BUFFER_BYTES: usize = 32 << 10;
 
+/// Response to a request whose head didn't arrive in time.
+const SLOW_HEAD_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Socket of a caller's connection.
 pub(super) struct Socket {
     stream: TcpStream,
@@ -43,7 +47,8 @@
 impl Socket {
     /// Returns the number of bytes that have arrived and weren't read; 0 if it can't be told.
     pub(super) fn unread(&self) -> u64 {
-        rustix::io::ioctl_fionread(&self.stream).unwrap_or_default()
+        let unread = rustix::io::ioctl_fionread(&self.stream).unwrap_or_default();
+        unread + self.again.len() as u64
     }
 }
 
@@ -51,12 +56,24 @@
 impl Socket {
     /// Puts bytes that were read back, so that they are read again.
     pub(super) fn unread_again(&mut self, bytes: Bytes) {
-        self.again = bytes;
+        self.again = [bytes, self.again.split_off(0)].concat().into();
     }
 }
 
-/// Draining
+/// Refusals
 impl Socket {
+    /// Responds that the head of a request didn't arrive in time, and closes the node's side.
+    pub(super) async fn refuse_slow_head(&mut self) {
+        let refuse = async {
+            self.write_all(SLOW_HEAD_RESPONSE).await?;
+            self.shutdown().await
+        };
+        if let Ok(Err(error)) = time::timeout(DRAIN_TIME, refuse).await {
+            log::debug!("refusing a slow request failed: {error}");
+        }
+        self.drain().await;
+    }
+
     /// Reads and drops what the caller still sends, until it closes its side or [`DRAIN_TIME`] or [`DRAIN_BYTES`]
     /// is exceeded. Closing a socket with unread bytes resets the connection, so that the caller may lose a
     /// response that was sent before.
@@ -86,11 +103,14 @@
         if !self.again.is_empty() {
             let count = self.again.len().min(buffer.remaining());
             buffer.put_slice(&self.again.split_to(count));
+            self.activity.record_bytes();
             return Poll::Ready(Ok(()));
         }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
-        if buffer.filled().len() == before && buffer.remaining() > 0 {
+        if buffer.filled().len() > before {
+            self.activity.record_bytes();
+        } else if buffer.remaining() > 0 {
             self.activity.record_end();
         }
         Poll::Ready(Ok(()))
--- a/cuminward-gateway/tests/all/ingress.rs
+++ b/cuminward-gateway/tests/all/ingress.rs
@@ -502,6 +502,24 @@
     Ok(())
 }
 
+/// Guards against a refusal of a slow head on a connection on which only line ends have arrived.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn line_ends_between_requests_do_not_count_as_a_slow_head() -> Result<()> {
+    let site = Site::empty().await;
+    let header_timeout = Duration::from_millis(300);
+    site.limit(1, None, Limits { header_timeout, ..LIMITS });
+    let node = site.node("line-ends").await;
+    let mut caller = Caller::connect(node.callers).await.or_fail()?;
+    for _ in 0..2 {
+        expect_that!(caller.get("/desk/1").await.or_fail()?, eq(200));
+        caller.send("\r\n").await.or_fail()?;
+        time::sleep(header_timeout + CLOSING_TIME).await;
+    }
+    expect_that!(caller.get("/desk/2").await.or_fail()?, eq(200));
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn pipelined_requests_are_answered_in_order() -> Result<()> {
