fix: cuminward-upstream: a request whose target has a query and no path is forwarded

What callers saw: a closed connection, neither an answer nor a refusal, for `GET http://HOST?QUERY` on a route with the prefix `/`. Cause: its path and query is `?QUERY`, which isn't a URI by itself, and the `expect` on that panicked in the task of the caller's connection.

Change: the target that is sent to an upstream begins with `/` in this case, as RFC 9112 has it. HTTP/2 uses the same.

No other panic was found by reading on the path of a request (expects and indexing in forward, ingress, state, upstream, serving).

--- a/cuminward-gateway/tests/all/ingress.rs
+++ b/cuminward-gateway/tests/all/ingress.rs
@@ -520,6 +520,50 @@
     Ok(())
 }
 
+/// Guards against requests without a response because their target has no path.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_of_all_forms_are_answered() -> Result<()> {
+    struct Case {
+        request_line: &'static str,
+        status: u16,
+        /// What the host receives.
+        forwarded: Option<&'static str>,
+    }
+    let cases = [
+        Case { request_line: "GET /desk/1?x=1", status: 200, forwarded: Some("GET /desk/1?x=1") },
+        Case {
+            request_line: "GET http://a.example/desk/1?x=1",
+            status: 200,
+            forwarded: Some("GET /desk/1?x=1"),
+        },
+        Case { request_line: "GET http://a.example/", status: 200, forwarded: Some("GET /") },
+        Case { request_line: "GET http://a.example", status: 200, forwarded: Some("GET /") },
+        Case {
+            request_line: "GET http://a.example?x=1",
+            status: 200,
+            forwarded: Some("GET /?x=1"),
+        },
+        Case { request_line: "OPTIONS *", status: 404, forwarded: None },
+        Case { request_line: "CONNECT a.example:80", status: 404, forwarded: None },
+    ];
+    let site = Site::empty().await;
+    site.limit(1, Some(site::route("/", Retry::Never, site::PLAIN)), LIMITS);
+    let node = site.node("targets").await;
+    for case in cases {
+        let (method, target) = case.request_line.split_once(' ').or_fail()?;
+        let mut caller = Caller::connect(node.callers).await.or_fail()?;
+        caller.send(head(method, target, "")).await.or_fail()?;
+        let status = caller.answer().await.map(|it| it.status).map_err(|it| it.kind());
+        expect_that!(status, ok(eq(case.status)), "{}", case.request_line);
+        let received: Vec<_> = site.plain.iter().flat_map(|it| it.received()).collect();
+        let lines: Vec<&str> = received.iter().map(|it| it.request_line.as_str()).collect();
+        expect_that!(lines, eq(&Vec::from_iter(case.forwarded)), "{}", case.request_line);
+        site.plain.iter().for_each(|it| it.clear_received());
+    }
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn pipelined_requests_are_answered_in_order() -> Result<()> {
--- a/cuminward-upstream/src/connection.rs
+++ b/cuminward-upstream/src/connection.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use http::{Request, Response, Uri, header};
+use http::{Request, Response, Uri, header, uri::PathAndQuery};
 use http_body::Body;
 use hyper::{
     body::Incoming,
@@ -223,11 +223,20 @@
     }
 }
 
+/// Returns the path and query of a URI. An empty path becomes `/`, also before a query.
+fn path_and_query(uri: &Uri) -> PathAndQuery {
+    let Some(target) = uri.path_and_query() else { return PathAndQuery::from_static("/") };
+    if !target.as_str().starts_with('?') {
+        return target.clone();
+    }
+    let rooted = format!("/{}", target.as_str());
+    rooted.parse().expect("a query that follows an authority is valid and shorter after a slash")
+}
+
 /// Reduces the request's URI to its path and query, and sets the `host` header to the address
 /// unless the caller set one.
 fn set_http1_target<B>(request: &mut Request<B>, address: &str) {
-    let path = request.uri().path_and_query().map_or("/", |it| it.as_str()).to_owned();
-    *request.uri_mut() = path.parse().expect("the path comes from a valid URI");
+    *request.uri_mut() = Uri::from(path_and_query(request.uri()));
     if let Ok(host) = header::HeaderValue::from_str(address) {
         request.headers_mut().entry(header::HOST).or_insert(host);
     }
@@ -236,7 +245,7 @@
 
 /// Sets the authority of the request's URI to the address and removes the `host` header.
 fn set_http2_target<B>(request: &mut Request<B>, address: &str) {
-    let path = request.uri().path_and_query().map_or("/", |it| it.as_str()).to_owned();
+    let path = path_and_query(request.uri());
     let uri = Uri::builder().scheme("http").authority(address).path_and_query(path).build();
     if let Ok(uri) = uri {
         *request.uri_mut() = uri;
