--- a/cuminward-gateway/tests/all/ingress.rs
+++ b/cuminward-gateway/tests/all/ingress.rs
@@ -440,6 +440,50 @@
     Ok(())
 }
 
+/// Guards against refused requests that hold their connection for longer than the rest of a body is read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_caller_does_not_hold_its_connection() -> Result<()> {
+    struct Case {
+        name: &'static str,
+        /// What is sent again and again after the head.
+        part: Vec<u8>,
+        pause: Duration,
+        within: Duration,
+    }
+    let bound = Duration::from_millis(3500);
+    let pause = Duration::from_millis(50);
+    let cases = [
+        Case { name: "silent", part: Vec::new(), pause, within: bound },
+        Case { name: "trickling", part: b"x".to_vec(), pause, within: bound },
+        Case { name: "flooding", part: vec![b'x'; 1 << 20], pause: Duration::ZERO, within: bound },
+    ];
+    let site = Site::start().await;
+    let node = site.node("held").await;
+    let run = async |case: &Case| -> io::Result<Duration> {
+        let mut caller = Caller::connect(node.callers).await?;
+        let started = Instant::now();
+        let head = head("POST", "/gone/1", "content-length: 1000000000\r\n");
+        caller.send(head).await?;
+        // The node has closed its side with the response. Its whole connection is closed when a byte is reset.
+        while started.elapsed() < RESPONSE_TIME {
+            let part: &[u8] = if started.elapsed() > case.within { b"x" } else { &case.part };
+            if caller.send(part).await.is_err() {
+                return Ok(started.elapsed());
+            }
+            time::sleep(case.pause).await;
+        }
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let results = future::join_all(cases.iter().map(run)).await;
+    for (case, result) in cases.iter().zip(results) {
+        let margin = Duration::from_millis(500);
+        let within = le(case.within + margin);
+        expect_that!(result.map_err(|it| it.kind()), ok(within), "{}", case.name);
+    }
+    Ok(())
+}
+
 /// Guards against connections that were held for ever by heads and bodies that never ended.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
