fix: cuminward-gateway, cuminward-serving: losses found over lost paths don't count

Until it knew that it was stranded it had found 33 of 60 hosts lost; nodes that were stranded themselves couldn't connect it to them, no other one was asked for a second, and the hosts counted as gone: it dissolved the groups through the detours that worked by then.

Change: losses are cleared when a node finds itself stranded; no host counts as gone while most are lost; a stranded node asks for detours whether or not they failed before; nodes that failed as relays within a second aren't asked while there are others, and up to four are.

--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -89,7 +89,7 @@
 
     /// Returns the lost hosts that won't go on, as far as that is known.
     pub(crate) fn gone_hosts(&self, now: Duration) -> BTreeSet<id::Host> {
-        self.losses.gone_hosts(now)
+        self.losses.gone_hosts(now, self.hosts.len())
     }
 
     /// Returns whether the host list may contain entries of before, as the store has just come back from an
@@ -294,6 +294,11 @@
         self.losses.has_recent_report(now, id)
     }
 
+    /// Removes all losses that this node found. Returns whether there were any.
+    pub(crate) fn clear_losses(&mut self) -> bool {
+        self.losses.clear()
+    }
+
     /// Records that a host has answered. Returns whether it counted as lost before.
     pub(crate) fn mark_reachable(&mut self, id: &str) -> bool {
         self.losses.clear_loss(id)
--- a/cuminward-gateway/src/tunnel/dialer.rs
+++ b/cuminward-gateway/src/tunnel/dialer.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
@@ -36,7 +37,7 @@
 const RELAY_STAGGER: Duration = Duration::from_millis(30);
 
 /// Number of nodes that are asked to connect to a host.
-const MAX_RELAYS: usize = 3;
+const MAX_RELAYS: usize = 4;
 
 /// Time allowed for opening a tunnel.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
@@ -176,19 +177,18 @@
         let mut is_refused = true;
         loop {
             if let Some(relay) = relays.next() {
-                opening.push(time::timeout(TUNNEL_TIMEOUT, wire::open(relay.address, &host)));
+                opening.push(self.open_tunnel(relay.address, &host));
             }
             let is_last = relays.len() == 0;
             let patience = if is_last { TUNNEL_TIMEOUT } else { RELAY_STAGGER };
             match time::timeout(patience, opening.next()).await {
-                Ok(Some(Ok(Ok(stream)))) => {
+                Ok(Some(Ok(stream))) => {
                     guard.is_armed = false;
                     return Ok(Stream::Tunnel(Box::new(stream)));
                 }
-                Ok(Some(Ok(Err(error)))) => {
+                Ok(Some(Err(error))) => {
                     is_refused &= error.kind() == io::ErrorKind::ConnectionRefused;
                 }
-                Ok(Some(Err(_))) => is_refused = false,
                 Ok(None) if is_last && is_refused => {
                     return Err(io::ErrorKind::ConnectionRefused.into());
                 }
@@ -199,6 +199,17 @@
     }
 }
 
+/// Tunnels
+impl Dialer {
+    /// Opens a tunnel through another node, and records whether that worked.
+    async fn open_tunnel(&self, relay: SocketAddr, host: &str) -> io::Result<wire::Stream> {
+        let opened = time::timeout(TUNNEL_TIMEOUT, wire::open(relay, host)).await;
+        let opened = opened.unwrap_or_else(|error| Err(error.into()));
+        self.paths.record_relay(relay, opened.is_ok());
+        opened
+    }
+}
+
 /// Returns the nodes to ask, in random order. The first is of the own failure domain if there is one; the next are of
 /// other ones, as a whole domain may have lost its paths.
 fn choose_relays(mut relays: Vec<Relay>) -> Vec<Relay> {
--- a/cuminward-gateway/src/tunnel/paths.rs
+++ b/cuminward-gateway/src/tunnel/paths.rs
@@ -17,6 +17,9 @@
     path::{Address, Order, Tracker},
 };
 
+/// Time for which other nodes are asked first after a node didn't connect this one to a host.
+const RELAY_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Another node that connects this one to hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Relay {
@@ -37,6 +40,8 @@
     /// Hosts by address.
     hosts: ArcSwap<HashMap<Address, id::Host>>,
     relays: ArcSwap<Vec<Relay>>,
+    /// Nodes that didn't connect this one to a host lately, with the time until which others are asked first.
+    failed_relays: Mutex<HashMap<SocketAddr, Duration>>,
 }
 
 /// Life cycle
@@ -50,6 +55,7 @@
             detoured: Mutex::default(),
             hosts: ArcSwap::default(),
             relays: ArcSwap::default(),
+            failed_relays: Mutex::default(),
         }
     }
 }
@@ -88,9 +94,13 @@
         hosts.keys().nth(index).cloned()
     }
 
-    /// Returns the nodes that connect this one to hosts.
+    /// Returns the nodes that connect this one to hosts: those that failed lately are left out unless all have.
     pub(super) fn relays(&self) -> Vec<Relay> {
-        self.relays.load().to_vec()
+        let (now, failed) = (self.now(), self.failed_relays());
+        let has_failed = |it: &Relay| failed.get(&it.address).is_some_and(|until| *until > now);
+        let relays = self.relays.load();
+        let sound: Vec<Relay> = relays.iter().filter(|it| !has_failed(it)).copied().collect();
+        if sound.is_empty() { relays.to_vec() } else { sound }
     }
 
     fn now(&self) -> Duration {
@@ -101,6 +111,10 @@
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn failed_relays(&self) -> MutexGuard<'_, HashMap<SocketAddr, Duration>> {
+        self.failed_relays.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn detoured(&self) -> MutexGuard<'_, Vec<Address>> {
         self.detoured.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -159,6 +173,15 @@
         }
     }
 
+    /// Records whether another node connected this one to a host.
+    pub(super) fn record_relay(&self, relay: SocketAddr, is_connected: bool) {
+        if is_connected {
+            self.failed_relays().remove(&relay);
+        } else {
+            self.failed_relays().insert(relay, self.now() + RELAY_BACKOFF);
+        }
+    }
+
     /// Records that neither this node nor another one that it asked reached a host.
     pub(super) fn record_unreachable(&self, address: &str) {
         self.tracker().record_unreachable(self.now(), address);
--- a/cuminward-gateway/src/tunnel/watch.rs
+++ b/cuminward-gateway/src/tunnel/watch.rs
@@ -29,7 +29,9 @@
         let is_stranded = state.paths.is_stranded();
         if is_stranded && !was_stranded {
             state.upstreams.discard_all_idle();
-            state.snapshot_changed.notify_one();
+            // What was found over the lost paths proves nothing.
+            state.cluster().clear_losses();
+            state.publish();
         }
         was_stranded = is_stranded;
         if is_stranded && checks.is_multiple_of(TRIAL_CHECKS) {
--- a/cuminward-serving/src/loss.rs
+++ b/cuminward-serving/src/loss.rs
@@ -70,9 +70,13 @@
     }
 
     /// Returns the lost hosts that refuse connections or have been silent for longer than a sound host may be.
-    pub fn gone_hosts(&self, now: Duration) -> BTreeSet<id::Host> {
-        let gone = self.entries.iter().filter(|(_, it)| it.is_lost(now) && it.is_gone);
-        gone.map(|(host, _)| host.clone()).collect()
+    /// There are none if most of the `known` hosts are lost: then it is rather this node that is cut off.
+    pub fn gone_hosts(&self, now: Duration, known: usize) -> BTreeSet<id::Host> {
+        let lost = self.entries.iter().filter(|(_, it)| it.is_lost(now));
+        if lost.clone().count() * 2 > known {
+            return BTreeSet::new();
+        }
+        lost.filter(|(_, it)| it.is_gone).map(|(host, _)| host.clone()).collect()
     }
 
     /// Returns the hosts that didn't answer a recent probe of this node. Only these are reported to
@@ -145,6 +149,13 @@
         !entry.is_lost(now)
     }
 
+    /// Removes all losses, as they were found over paths that are lost. Returns whether there were any.
+    pub fn clear(&mut self) -> bool {
+        let is_changed = !self.entries.is_empty();
+        self.entries.clear();
+        is_changed
+    }
+
     /// Records that a host answers. Returns whether it counted as lost.
     pub fn clear_loss(&mut self, host: &str) -> bool {
         self.entries.remove(host).is_some()
--- a/cuminward-serving/src/path.rs
+++ b/cuminward-serving/src/path.rs
@@ -72,10 +72,10 @@
 
     /// Returns the order in which paths to a host are tried.
     pub fn order(&self, now: Duration, address: &str) -> Order {
-        if self.unreachable.get(address).is_some_and(|until| *until > now) {
-            Order::Direct
-        } else if self.detour_since(now, address).is_some() {
+        if self.detour_since(now, address).is_some() {
             Order::DetourFirst
+        } else if self.unreachable.get(address).is_some_and(|until| *until > now) {
+            Order::Direct
         } else {
             Order::DirectFirst
         }
--- a/cuminward-serving/tests/all/loss.rs
+++ b/cuminward-serving/tests/all/loss.rs
@@ -7,6 +7,9 @@
 
 const INTERVAL: Duration = Duration::from_millis(400);
 
+/// Number of hosts.
+const KNOWN: usize = 6;
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -157,7 +160,7 @@
                 tracker.record_loss(now, "h", INTERVAL);
             }
         }
-        let gone = tracker.gone_hosts(start + case.lasts);
+        let gone = tracker.gone_hosts(start + case.lasts, KNOWN);
         expect_that!(!gone.is_empty(), eq(case.is_gone), "{}", case.name);
     }
 }
@@ -168,9 +171,24 @@
     let mut tracker = Tracker::default();
     tracker.record_loss(ms(1000), "h", INTERVAL);
     tracker.record_loss(ms(1000) + MAX_SILENCE - ms(160), "h", INTERVAL);
-    expect_that!(tracker.gone_hosts(ms(1000) + MAX_SILENCE), is_empty());
+    expect_that!(tracker.gone_hosts(ms(1000) + MAX_SILENCE, KNOWN), is_empty());
     let due = tracker.take_due_probes(ms(1000) + MAX_SILENCE, INTERVAL, |_| true);
     expect_that!(due, elements_are![eq("h")]);
     tracker.record_loss(ms(1200) + MAX_SILENCE, "h", INTERVAL);
-    expect_that!(tracker.gone_hosts(ms(1200) + MAX_SILENCE).len(), eq(1));
+    expect_that!(tracker.gone_hosts(ms(1200) + MAX_SILENCE, KNOWN).len(), eq(1));
+}
+
+/// Guards against stewards that dissolved all groups when they had lost their own paths.
+#[gtest]
+fn no_host_is_gone_while_most_are_lost() {
+    let mut tracker = Tracker::default();
+    for host in ["a", "b", "c"] {
+        tracker.record_refusal(ms(1000), host, INTERVAL);
+    }
+    expect_that!(tracker.gone_hosts(ms(1000), KNOWN).len(), eq(3));
+    tracker.record_refusal(ms(1000), "d", INTERVAL);
+    expect_that!(tracker.gone_hosts(ms(1000), KNOWN), is_empty());
+    expect_that!(tracker.clear(), eq(true));
+    expect_that!(tracker.lost_hosts(ms(1000)), is_empty());
+    expect_that!(tracker.clear(), eq(false));
 }
