fix: cuminward-upstream: a connection that receives 4 MiB that are no part of a response is closed

Seen (hostile_upstreams.rs, new, raw TCP upstreams): of 21 ways not to end a response, three were read as fast as the upstream sent. Endless informational responses (100, 103): 127 and 129 MB within the 600 ms to the head; as a report and an order together 262 MB. Endless digits of a chunk's size: 10.6 MB, and the connection still open 700 ms after the call had failed, since its task didn't yield. The other ways were ended by the parser or by the limits of time. Memory was bounded in all of them.

Cause: hyper skips informational responses and reads a chunk's size without a limit on their bytes; the timeouts bound only the time.

Change: a connection counts the bytes since it last had a head or a part of a body, and reading fails beyond 4 MiB. hyper's read buffer and the parts that wait hold at most about 1.2 MiB. HTTP/2 connections, which requests share, aren't limited.

Before: a_response_without_end_is_given_up_and_its_connection_closed and a_report_or_an_order_without_end_ends_with_its_timeout failed with the figures above. New tests that passed before, too: surplus bytes after a response (7 cases, and 100 times at once). New: long sound responses (24 MiB, small chunks, 5,000 informational responses first) are not cut.

--- a/cuminward-upstream/src/body.rs
+++ b/cuminward-upstream/src/body.rs
@@ -84,6 +84,7 @@
         read_timeout: Duration,
     ) -> Body<B> {
         let ended = http_body::Body::is_end_stream(&incoming);
+        lease.record_part();
         if ended {
             lease.release();
         }
@@ -170,6 +171,7 @@
                 None
             }
             Some(Ok(frame)) => {
+                self.lease.record_part();
                 self.deadline.as_mut().reset(Instant::now() + self.read_timeout);
                 if http_body::Body::is_end_stream(&self.incoming) {
                     self.finish();
--- a/cuminward-upstream/src/connection.rs
+++ b/cuminward-upstream/src/connection.rs
@@ -87,6 +87,8 @@
     sender: Sender<B>,
     /// Handle of the task that performs the connection's I/O.
     task: task::AbortHandle,
+    /// Bytes received since the last part of a response; unused if requests share the connection.
+    unused: Arc<count::Unused>,
     /// Number of the connection within its pool.
     pub(crate) number: u64,
     /// When the connection was opened or last returned to the pool.
@@ -112,12 +114,13 @@
         number: u64,
         counter: &Arc<count::Counter>,
     ) -> Result<Connection<B>, Cause> {
-        let handshake = Connection::handshake(connector, address, options, counter);
+        let unused = Arc::default();
+        let handshake = Connection::handshake(connector, address, options, counter, &unused);
         let limit = options.connect_timeout;
         let opened = time::timeout(limit, handshake).await;
         let (sender, task, is_reusable) = opened.map_err(|_| Cause::timed_out(limit))??;
         let last_used = Instant::now();
-        Ok(Connection { sender, task, number, last_used, is_reusable, reused: false })
+        Ok(Connection { sender, task, unused, number, last_used, is_reusable, reused: false })
     }
 
     async fn handshake<C: Connector>(
@@ -125,10 +128,12 @@
         address: &str,
         options: &pool::Options,
         counter: &Arc<count::Counter>,
+        unused: &Arc<count::Unused>,
     ) -> Result<(Sender<B>, task::AbortHandle, bool), Cause> {
         let Connected { stream, is_reusable } = connector.connect(address).await?;
         let counter = Arc::clone(counter);
-        let io = TokioIo::new(count::Stream { inner: stream, counter });
+        let unused = (options.protocol == Protocol::Http1).then(|| Arc::clone(unused));
+        let io = TokioIo::new(count::Stream { inner: stream, counter, unused });
         match options.protocol {
             Protocol::Http1 => {
                 let (sender, connection) = http1::handshake(io).await?;
@@ -156,6 +161,7 @@
             Sender::Http2(sender) => Some(Connection {
                 sender: Sender::Http2(sender.clone()),
                 task: self.task.clone(),
+                unused: Arc::clone(&self.unused),
                 number: self.number,
                 last_used: Instant::now(),
                 is_reusable: self.is_reusable,
@@ -180,6 +186,11 @@
         }
     }
 
+    /// Records that a head or a part of a body arrived, after which more bytes may follow.
+    pub(crate) fn record_part(&self) {
+        self.unused.reset();
+    }
+
     /// Closes the connection at once.
     pub(crate) fn abort(&self) {
         self.task.abort();
@@ -210,6 +221,7 @@
         address: &str,
         mut request: Request<B>,
     ) -> Result<Response<Incoming>, TrySendError<Request<B>>> {
+        self.unused.reset();
         match &mut self.sender {
             Sender::Http1(it) => {
                 set_http1_target(&mut request, address);
--- a/cuminward-upstream/src/count.rs
+++ b/cuminward-upstream/src/count.rs
@@ -1,4 +1,4 @@
-//! Counts the bytes sent and received on connections.
+//! Counts the bytes sent and received on connections, and limits those that belong to no part of a response.
 
 use std::{
     io,
@@ -32,10 +32,47 @@
     }
 }
 
+/// Maximum number of bytes that a connection may receive without a head or a part of a body, in bytes. The buffers
+/// between the connection and its user hold about 1.2 MiB.
+const MAX_UNUSED_BYTES: u64 = 4 << 20;
+
+/// Number of bytes that a connection received since the last head or part of a body.
+#[derive(Debug, Default)]
+pub(crate) struct Unused {
+    bytes: AtomicU64,
+}
+
+/// Mutation
+impl Unused {
+    /// Records that a request is sent, or that a head or a part of a body arrived.
+    pub(crate) fn reset(&self) {
+        self.bytes.store(0, Ordering::Relaxed);
+    }
+}
+
 /// An I/O stream that counts the bytes read and written.
 pub(crate) struct Stream<S> {
     pub(crate) inner: S,
     pub(crate) counter: Arc<Counter>,
+    /// Limits the unused bytes; `None` if several responses share the connection.
+    pub(crate) unused: Option<Arc<Unused>>,
+}
+
+/// Access
+impl<S> Stream<S> {
+    /// Checks that the connection may receive more bytes.
+    ///
+    /// # Errors
+    ///
+    /// The connection received [`MAX_UNUSED_BYTES`] without a head or a part of a body.
+    fn check_unused(&self) -> io::Result<()> {
+        match &self.unused {
+            Some(it) if it.bytes.load(Ordering::Relaxed) > MAX_UNUSED_BYTES => {
+                Err(io::Error::other("the upstream sends bytes without end that are no response"))
+            }
+            _ => Ok(()),
+        }
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Stream<S> {
@@ -44,10 +81,14 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.check_unused()?;
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
-        let read = buf.filled().len() - before;
-        self.counter.received.fetch_add(read as u64, Ordering::Relaxed);
+        let read = (buf.filled().len() - before) as u64;
+        self.counter.received.fetch_add(read, Ordering::Relaxed);
+        if let Some(unused) = &self.unused {
+            unused.bytes.fetch_add(read, Ordering::Relaxed);
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -332,6 +332,13 @@
         self.pool.put(&self.address, connection);
     }
 
+    /// Records that a part of the response arrived.
+    pub(crate) fn record_part(&self) {
+        if let Some(connection) = &self.connection {
+            connection.record_part();
+        }
+    }
+
     /// Discards the connection because the upstream sent nothing in time. Other requests on a
     /// shared connection continue, but new requests open another one.
     pub(crate) fn discard_timed_out(&mut self) {
--- a/cuminward-upstream/tests/all/main.rs
+++ b/cuminward-upstream/tests/all/main.rs
@@ -2,4 +2,6 @@
 
 mod engine;
 mod fake;
+mod hostile_upstreams;
 mod plain;
+mod raw;
