fix: cuminward-serving: a long event that comes in small parts is searched for its end only once

Seen (cuminward-gateway, hostile_upstreams.rs, new, raw TCP hosts): a stream whose upstream sent one endless event in chunks of 10 bytes wasn't tried elsewhere: 504 to the caller, 2,396 ms after the request on a route of 2,000 ms. The processor was busy all the while. A splitter that got 200,000 parts of one byte without an end took 297 s (debug build).

Cause: with each part, Splitter searched all buffered bytes for the end of the event again, up to 1 MiB each time, and a part that takes long delays the timeout around it.

Change: the splitter remembers how far it has searched and where the last line began.

New tests of the gateway that passed before, too: responses without end on plain routes (11 ways; tried elsewhere within the timeout if the route allows it, else 502 or 504; connection closed; bytes bounded), stalled streams that send a byte now and then or events that were sent before (end with the route's timeout), surplus bytes on a kept connection (12 ways, on retryable and other routes; no foreign body, a retryable request is answered, another one gets 502 only if the bytes came with it). New in cuminward-upstream, passed before: parts that always come at once don't delay timeouts.

--- /dev/null
+++ b/cuminward-gateway/tests/all/hostile_upstreams.rs
@@ -0,0 +1,320 @@
+//! Hosts that send bytes without end, or bytes that belong to no request.
+
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use cuminward_adapter_fake::{entry::Entry, header};
+use googletest::prelude::*;
+use tokio::time;
+
+use crate::{
+    raw::{
+        self, Host,
+        Step::{self, Flood, Send, Trickle, Wait},
+    },
+    site::{self, EVENTS, Node, Site},
+};
+
+const MODEL: (&str, &str) = (header::MODEL, site::MODEL);
+
+/// Timeout of the routes.
+const TIMEOUT: Duration = Duration::from_millis(2000);
+
+/// Time beyond a limit that a busy machine may take.
+const SLACK: Duration = Duration::from_millis(700);
+
+/// Bytes that a host may hand to its sockets before its connection is closed: the largest response, and what the
+/// buffers of the sockets hold.
+const MAX_SENT_BYTES: u64 = 64 << 20;
+
+/// Pause between the parts of a response that doesn't end.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Number of hosts of a replica.
+const SIZE: usize = 2;
+
+/// A site whose hosts are raw ones, and a node.
+struct RawSite {
+    /// The store and the fake hosts, which get no requests.
+    _site: Site,
+    node: Node,
+    plain: Vec<Host>,
+    replicas: Vec<Host>,
+}
+
+/// Life cycle
+impl RawSite {
+    /// Starts a site with two hosts of the plain service and `replicas` replicas, whose first hosts are raw.
+    async fn start(name: &str, replicas: usize) -> RawSite {
+        let site = Site::with_engine_hosts(replicas * SIZE).await;
+        site.join_replicas(1, SIZE, None);
+        let plain = start_hosts(site.plain.len()).await;
+        let raw_replicas = start_hosts(replicas).await;
+        for (host, raw) in site.plain.iter().zip(&plain) {
+            let entry = Entry { address: raw.address, ..site::plain_entry(host) };
+            site.store.put_entry(&host.id, &entry);
+        }
+        for (index, raw) in raw_replicas.iter().enumerate() {
+            let host = &site.replicas[index * SIZE];
+            let mut entry = Entry { address: raw.address, ..site::replica_entry(host) };
+            let group = entry.engine.as_mut().and_then(|it| it.group.as_mut());
+            group.expect("the entry of a replica has a group").name = format!("g-{index}");
+            site.store.put_entry(&host.id, &entry);
+        }
+        let node = site.node(name).await;
+        RawSite { _site: site, node, plain, replicas: raw_replicas }
+    }
+}
+
+/// Access
+impl RawSite {
+    /// Returns whether all connections with scripted responses were closed.
+    async fn has_ended(&self) -> bool {
+        for host in self.plain.iter().chain(&self.replicas) {
+            if !host.has_ended(SLACK).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns the number of bytes of scripted responses that the hosts could send.
+    fn sent(&self) -> u64 {
+        let hosts = self.plain.iter().chain(&self.replicas);
+        hosts.map(|it| it.record.sent.load(Ordering::SeqCst)).sum()
+    }
+
+    /// Returns the number of requests for a path that the hosts received.
+    fn requests(&self, path: &str) -> usize {
+        let hosts = self.plain.iter().chain(&self.replicas);
+        hosts.flat_map(Host::requests).filter(|it| it.contains(path)).count()
+    }
+}
+
+async fn start_hosts(count: usize) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for _ in 0..count {
+        hosts.push(Host::start().await);
+    }
+    hosts
+}
+
+fn text(it: &str) -> Step {
+    Send(it.to_owned())
+}
+
+struct Endless {
+    name: &'static str,
+    steps: Vec<Step>,
+}
+
+/// Ways not to end a response that isn't a stream.
+fn endless_responses() -> Vec<Endless> {
+    let case = |name, steps| Endless { name, steps };
+    let head = || Send(raw::head("{id}"));
+    vec![
+        case("header lines", vec![head(), Flood("x-more: 1\r\n")]),
+        case("one header line", vec![head(), text("x-long: "), Flood("a")]),
+        case("no HTTP", vec![Flood("these bytes are no answer ")]),
+        case("one byte again and again", vec![head(), Trickle("a", PAUSE)]),
+        case("informational responses", vec![Flood("HTTP/1.1 100 Continue\r\n\r\n")]),
+        case(
+            "informational responses again and again",
+            vec![Trickle("HTTP/1.1 102 Processing\r\n\r\n", PAUSE)],
+        ),
+        case(
+            "a body with length",
+            vec![head(), text("content-length: 1000000000000\r\n\r\n"), Flood("a")],
+        ),
+        case("a body with neither length nor chunks", vec![head(), text("\r\n"), Flood("a")]),
+        case(
+            "one chunk",
+            vec![head(), text("transfer-encoding: chunked\r\n\r\nfffffffffff\r\n"), Flood("a")],
+        ),
+        case(
+            "the size of a chunk",
+            vec![head(), text("transfer-encoding: chunked\r\n\r\n"), Flood("0")],
+        ),
+        case("a body again and again", vec![head(), text("\r\n"), Trickle("a", PAUSE)]),
+    ]
+}
+
+/// Guards against upstreams that send bytes without end until the caller closes.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_end_is_given_up_and_tried_elsewhere_if_allowed() -> Result<()> {
+    for Endless { name, steps } in endless_responses() {
+        let site = RawSite::start("endless", 0).await;
+        raw::play(&site.plain, vec![steps.clone()]);
+        let started = Instant::now();
+        let answer = site.node.send("POST", "/desk/1", &[], "body").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(200), "{name}, retryable");
+        expect_that!(answer.body, eq("sound"), "{name}, retryable");
+        expect_that!(started.elapsed(), lt(TIMEOUT), "{name}, retryable");
+        expect_that!(site.has_ended().await, eq(true), "{name}, retryable");
+
+        raw::play(&site.plain, vec![steps]);
+        let started = Instant::now();
+        let answer = site.node.send("POST", "/book/1", &[], "body").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), any![eq(502), eq(504)], "{name}");
+        expect_that!(answer.is_complete, eq(true), "{name}");
+        expect_that!(started.elapsed(), lt(TIMEOUT + SLACK), "{name}");
+        expect_that!(site.requests("/book/"), eq(1), "{name}");
+        expect_that!(site.has_ended().await, eq(true), "{name}");
+        expect_that!(site.sent(), lt(2 * MAX_SENT_BYTES), "{name}");
+    }
+    Ok(())
+}
+
+/// Guards against streams whose upstream sends bytes without end and no event.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_gets_bytes_without_end_and_no_event_is_tried_elsewhere() -> Result<()> {
+    let stream = || Send(raw::stream_head());
+    let case = |name, steps| Endless { name, steps };
+    let cases = [
+        case("header lines", vec![Send(raw::head("{id}")), Flood("x-more: 1\r\n")]),
+        case("no HTTP", vec![Flood("these bytes are no answer ")]),
+        case("informational responses", vec![Flood("HTTP/1.1 100 Continue\r\n\r\n")]),
+        case("one event", vec![stream(), Flood("a\r\ndata: aaaa\r\n")]),
+        case("one line", vec![stream(), text("fffffffffff\r\ndata: "), Flood("a")]),
+        case("lines of one event", vec![stream(), text("fffffffffff\r\n"), Flood("data: a\n")]),
+        case("one comment", vec![stream(), text("fffffffffff\r\n:"), Flood("a")]),
+        case("the size of a chunk", vec![stream(), Flood("0")]),
+    ];
+    for Endless { name, steps } in cases {
+        let site = RawSite::start("endless-stream", 2).await;
+        raw::play(&site.replicas, vec![steps]);
+        let started = Instant::now();
+        let answer = site.node.send("POST", "/chat/1", &[MODEL], "prompt").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(200), "{name}");
+        expect_that!(answer.is_complete, eq(true), "{name}");
+        expect_that!(answer.body, eq(&site::events(1..=EVENTS)), "{name}");
+        expect_that!(started.elapsed(), lt(TIMEOUT), "{name}");
+        expect_that!(site.has_ended().await, eq(true), "{name}");
+        expect_that!(site.sent(), lt(MAX_SENT_BYTES), "{name}");
+    }
+    Ok(())
+}
+
+/// Guards against streams that ended by no limit while their upstream sent a byte now and then.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_stream_ends_with_the_timeout_of_its_route() -> Result<()> {
+    let after = |event: &str, steps: Vec<Step>| {
+        let begin = [Send(raw::stream_head()), Send(raw::chunk(event))];
+        begin.into_iter().chain(steps).collect::<Vec<_>>()
+    };
+    let first = site::events([1]);
+    let cases = [
+        ("bytes of an event", after(&first, vec![Trickle("1\r\na\r\n", PAUSE)])),
+        ("comments", after(&first, vec![Trickle("3\r\n:\n\n\r\n", PAUSE)])),
+        ("lines of a comment", after(&first, vec![Trickle("2\r\n:\n\r\n", PAUSE)])),
+        ("empty lines", after(&first, vec![Trickle("1\r\n\n\r\n", PAUSE)])),
+        ("the size of a chunk", after(&first, vec![Trickle("0", PAUSE)])),
+        ("comments without end", after(&first, vec![Flood("3\r\n:\n\n\r\n")])),
+        ("events that were sent", after(&first, vec![Flood("a\r\nid: 1\nd:\n\n\r\n")])),
+    ];
+    for (name, steps) in cases {
+        let site = RawSite::start("stalled-stream", 1).await;
+        raw::play(&site.replicas, vec![steps]);
+        let started = Instant::now();
+        let answer = site.node.send("POST", "/chat/1", &[MODEL], "prompt").await.or_fail()?;
+        expect_that!(answer.is_complete, eq(false), "{name}");
+        expect_that!(answer.body, starts_with(first.as_str()), "{name}");
+        expect_that!(started.elapsed(), lt(TIMEOUT + SLACK), "{name}");
+        expect_that!(site.has_ended().await, eq(true), "{name}");
+        expect_that!(site.sent(), lt(MAX_SENT_BYTES), "{name}");
+    }
+    Ok(())
+}
+
+/// Returns the sound response to the request with this id, with `late` as its body.
+fn late(id: &str) -> Step {
+    Send(raw::response(id, "late"))
+}
+
+/// Returns a response that names no request.
+fn anonymous() -> Step {
+    let response = raw::response("{id}", "late");
+    let is_id = |it: &&str| it.starts_with(header::REQUEST_ID);
+    let lines: Vec<&str> = response.split("\r\n").filter(|it| !is_id(it)).collect();
+    Send(lines.join("\r\n"))
+}
+
+struct Surplus {
+    name: &'static str,
+    /// Steps after the response to the first request.
+    after: Vec<Step>,
+    /// Steps before the response to the next request on the connection.
+    before: Vec<Step>,
+    /// Pause between the requests.
+    pause: Duration,
+}
+
+/// Ways to send more than was asked for. The id of the first request is `first`.
+fn surpluses() -> Vec<Surplus> {
+    let case = |name, after, before, pause| Surplus { name, after, before, pause };
+    let none = Duration::ZERO;
+    vec![
+        case("at once", vec![late("first")], vec![], none),
+        case("at once, no id", vec![anonymous()], vec![], none),
+        case("at once, no HTTP", vec![text("???")], vec![], none),
+        case("soon", vec![Wait(Duration::from_millis(2)), late("first")], vec![], none),
+        case("while idle", vec![Wait(PAUSE / 2), late("first")], vec![], PAUSE),
+        case("while idle, without end", vec![Wait(PAUSE / 2), Flood("?")], vec![], PAUSE),
+        case("with the next request", vec![], vec![late("first")], PAUSE),
+        case("with the next request, no id", vec![], vec![anonymous()], PAUSE),
+        case("with the next request, no HTTP", vec![], vec![text("???")], PAUSE),
+        case("with the next request, not run", vec![], vec![refusal("first")], PAUSE),
+        case("with the next request, 421", vec![], vec![misdirection("first")], PAUSE),
+        case("with the next request, without end", vec![], vec![Flood("?")], PAUSE),
+    ]
+}
+
+/// Returns the statement that the request with this id wasn't run.
+fn refusal(id: &str) -> Step {
+    Send(format!(
+        "HTTP/1.1 503 X\r\n{}: {id}\r\n{}: 1\r\ncontent-length: 0\r\n\r\n",
+        header::REQUEST_ID,
+        header::NOT_RUN
+    ))
+}
+
+fn misdirection(id: &str) -> Step {
+    Send(format!("HTTP/1.1 421 X\r\n{}: {id}\r\ncontent-length: 0\r\n\r\n", header::REQUEST_ID))
+}
+
+/// Guards against a late second copy of a response that reached the next caller.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn surplus_bytes_on_a_kept_connection_do_not_reach_the_next_request() -> Result<()> {
+    let first = [(header::REQUEST_ID, "first")];
+    let second = [(header::REQUEST_ID, "second")];
+    for Surplus { name, after, before, pause } in surpluses() {
+        for (path, is_retried) in [("/desk/1", true), ("/book/1", false)] {
+            let site = RawSite::start("surplus", 0).await;
+            let sound = |body: &str| Send(raw::response("{id}", body));
+            let responses = [vec![sound("first")], after.clone()].concat();
+            // Whichever host the second request reaches first sends the surplus bytes before its response.
+            let next = [before.clone(), vec![sound("second")]].concat();
+            raw::play(&site.plain, vec![responses, next]);
+            let answer = site.node.send("POST", path, &first, "body").await.or_fail()?;
+            expect_that!(answer.body, eq("first"), "{name}, {path}");
+            time::sleep(pause).await;
+            let answer = site.node.send("POST", path, &second, "body").await.or_fail()?;
+            let status = answer.status.as_u16();
+            if before.is_empty() || is_retried {
+                expect_that!(status, eq(200), "{name}, {path}");
+                expect_that!(answer.body, any![eq("second"), eq("sound")], "{name}, {path}");
+            } else {
+                expect_that!(status, eq(502), "{name}, {path}: the request may have run");
+                expect_that!(site.requests(path), eq(2), "{name}, {path}");
+            }
+            expect_that!(site.sent(), lt(MAX_SENT_BYTES), "{name}, {path}");
+        }
+    }
+    Ok(())
+}
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -2,9 +2,11 @@
 
 mod configuration;
 mod groups;
+mod hostile_upstreams;
 mod ingress;
 mod lifecycle;
 mod quarantine;
+mod raw;
 mod restored;
 mod silence;
 mod site;
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -280,6 +280,11 @@
         self.declare(version, more, size, None);
     }
 
+    /// Declares a catalog with the usual routes in which replicas span `size` hosts.
+    pub(crate) fn configure_size(&self, version: u64, size: usize) {
+        self.declare(version, None, size, None);
+    }
+
     fn declare(&self, version: u64, more: Option<Route>, size: usize, limits: Option<Limits>) {
         self.store.declare(&Catalog { limits, ..usual_catalog(version, more, size) });
     }
--- a/cuminward-serving/src/event.rs
+++ b/cuminward-serving/src/event.rs
@@ -49,6 +49,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Splitter {
     buffer: BytesMut,
+    /// Number of bytes at the start of the buffer that were searched for the end of an event.
+    searched: usize,
+    /// Position after the last line break among these.
+    line_start: usize,
 }
 
 /// Mutation
@@ -65,8 +69,9 @@
 
     /// Removes and returns the next complete event, if there is one in the buffer.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = find_event_end(&self.buffer)?;
+        let end = self.find_event_end()?;
         let bytes = self.buffer.split_to(end).freeze();
+        (self.searched, self.line_start) = (0, 0);
         let id = parse_id(&bytes);
         Some(Event { bytes, id })
     }
@@ -75,8 +80,27 @@
     /// and the stream has ended, what follows its last complete event.
     pub fn take_remainder(&mut self) -> Remainder {
         let bytes = self.buffer.split().freeze();
+        (self.searched, self.line_start) = (0, 0);
         if is_padding(&bytes) { Remainder::Padding(bytes) } else { Remainder::PartialEvent(bytes) }
     }
+
+    /// Returns the position after the first blank line that follows another line. Bytes that were searched before
+    /// aren't searched again.
+    fn find_event_end(&mut self) -> Option<usize> {
+        let unsearched = self.searched..self.buffer.len();
+        self.searched = unsearched.end;
+        for at in unsearched {
+            if self.buffer[at] != b'\n' {
+                continue;
+            }
+            let line = &self.buffer[self.line_start..at];
+            if self.line_start > 0 && (line.is_empty() || line == b"\r") {
+                return Some(at + 1);
+            }
+            self.line_start = at + 1;
+        }
+        None
+    }
 }
 
 /// Returns whether bytes consist of empty lines and of comments that end with a line break.
@@ -87,22 +111,6 @@
     })
 }
 
-/// Returns the position after the first blank line.
-fn find_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..at];
-        if line_start > 0 && (line.is_empty() || line == b"\r") {
-            return Some(at + 1);
-        }
-        line_start = at + 1;
-    }
-    None
-}
-
 /// Returns the value of the first `id` field, if it is a number.
 fn parse_id(event: &[u8]) -> Option<Id> {
     let line = event.split(|it| *it == b'\n').find_map(|it| it.strip_prefix(b"id:"))?;
--- a/cuminward-serving/tests/all/event.rs
+++ b/cuminward-serving/tests/all/event.rs
@@ -1,5 +1,7 @@
 //! Splitting of streams into server-sent events.
 
+use std::time::{Duration, Instant};
+
 use bytes::Bytes;
 use cuminward_serving::event::{Remainder, Splitter};
 use googletest::prelude::*;
@@ -69,3 +71,24 @@
         prop_assert_eq!(ids, (1..20).collect::<Vec<u64>>());
     }
 }
+
+/// Guards against events without end that took the time of a processor, as each part had all bytes searched again.
+#[gtest]
+fn many_small_parts_without_an_end_are_searched_once() {
+    const PARTS: usize = 50_000;
+    const LIMIT: Duration = Duration::from_secs(2);
+    let started = Instant::now();
+    let mut splitter = Splitter::default();
+    for _ in 0..PARTS {
+        splitter.push(b"a").expect("an event may have 1 MiB");
+        expect_that!(splitter.next_event(), none());
+    }
+    splitter.push(b"\nid: 1\n\nid: 2\n").expect("an event may have 1 MiB");
+    let event = splitter.next_event().expect("the event is complete");
+    expect_that!(event.bytes.len(), eq(PARTS + "\nid: 1\n\n".len()));
+    expect_that!(event.id, some(eq(1)));
+    expect_that!(splitter.next_event(), none());
+    splitter.push(b"\n").expect("an event may have 1 MiB");
+    expect_that!(splitter.next_event().and_then(|it| it.id), some(eq(2)));
+    expect_that!(started.elapsed(), lt(LIMIT));
+}
--- a/cuminward-upstream/tests/all/hostile_upstreams.rs
+++ b/cuminward-upstream/tests/all/hostile_upstreams.rs
@@ -40,6 +40,9 @@
 /// Idle time after which no connection is reused in these tests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time for which a slow reader is busy with a part of a body.
+const READER_TIME: Duration = Duration::from_millis(1);
+
 /// Pause between the parts of a response that doesn't end.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -251,3 +254,31 @@
         expect_that!(upstream.record.connections.load(Ordering::SeqCst), eq(1), "{name}");
     }
 }
+
+/// Guards against bodies whose parts come so fast that timeouts around them don't end.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_always_has_a_part_lets_timeouts_pass() {
+    let cases = [("chunks", Flood("1\r\na\r\n")), ("larger chunks", Flood("8\r\nid: 1\n\n\n\r\n"))];
+    for (name, flood) in cases {
+        let upstream = Upstream::start(vec![vec![text(CHUNKED), flood]]).await;
+        let pool = Pool::new(options());
+        let sent = pool.send(&upstream.address, request(), IDLE_TIMEOUT, HEADER_TIMEOUT).await;
+        let mut body = sent.map_err(|it| it.error).expect("the upstream answers").into_body();
+        let started = Instant::now();
+        let reading = async {
+            while let Some(frame) = body.frame().await {
+                // A reader that is slower than the upstream.
+                std::thread::sleep(READER_TIME);
+                frame.expect("the body has no end");
+                if started.elapsed() > READ_TIMEOUT + 2 * SLACK {
+                    return;
+                }
+            }
+        };
+        expect_that!(time::timeout(READ_TIMEOUT, reading).await, err(anything()), "{name}");
+        expect_that!(started.elapsed(), lt(READ_TIMEOUT + SLACK), "{name}");
+        drop(body);
+        expect_that!(upstream.has_ended(1, SLACK).await, eq(true), "{name}");
+    }
+}
