fix: cuminward-gateway: a wrong answer on a kept connection doesn't make a host lost

Seen (hostile_upstreams.rs): a host sent a late copy of a caller's response where the report was due, on a kept connection. The host was marked as lost at once, and the stream in flight there was taken to another replica although its upstream was sound and paused for 600 ms. In 4 of 4 cases (copy with an id, without one, "not run", 421).

Cause: fetch_report tried again on a new connection only after silence. A wrong answer was final, although reports share their connections with callers' requests, and bytes that were left over there belong to no request.

Change: after a wrong answer, too, the report is asked for again on a new connection. A host that really is another one costs one more call.

Before: a_late_response_instead_of_a_report_does_not_make_a_host_lost failed in all 4 cases (6 requests reached the hosts instead of 5). After: passes.

--- a/cuminward-gateway/src/control/host_client.rs
+++ b/cuminward-gateway/src/control/host_client.rs
@@ -34,7 +34,8 @@
 }
 
 /// Fetches the report of a host. The first try, on a kept connection if there is one, takes up to half
-/// of `timeout`; if it gets no answer, a second one on a new connection takes up to `timeout`.
+/// of `timeout`; if it gets no answer or a wrong one, which may have been left over on the connection, a
+/// second one on a new connection takes up to `timeout`.
 ///
 /// # Errors
 ///
@@ -46,10 +47,8 @@
     timeout: Duration,
 ) -> Result<host::Status, Error> {
     match fetch_report_once(state, host, address, timeout / 2, IDLE_TIMEOUT).await {
-        Err(Error::Silent) => {
-            fetch_report_once(state, host, address, timeout, Duration::ZERO).await
-        }
-        other => other,
+        Ok(it) => Ok(it),
+        Err(_) => fetch_report_once(state, host, address, timeout, Duration::ZERO).await,
     }
 }
 
--- a/cuminward-gateway/tests/all/hostile_upstreams.rs
+++ b/cuminward-gateway/tests/all/hostile_upstreams.rs
@@ -93,6 +93,14 @@
     }
 }
 
+/// Reports
+impl RawSite {
+    /// Returns the number of times that the hosts were asked for their reports.
+    fn reports(&self) -> usize {
+        self.replicas.iter().map(|it| it.record.reports_asked.load(Ordering::SeqCst)).sum()
+    }
+}
+
 async fn start_hosts(count: usize) -> Vec<Host> {
     let mut hosts = Vec::new();
     for _ in 0..count {
@@ -318,3 +326,42 @@
     }
     Ok(())
 }
+
+/// Guards against a late second copy of a response that was taken for the report of its host, which was then
+/// counted as lost.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_response_instead_of_a_report_does_not_make_a_host_lost() -> Result<()> {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate";
+    let cases = [
+        ("the id of a request", late("first")),
+        ("no id", text(head)),
+        ("not run", refusal("first")),
+        ("421", misdirection("first")),
+    ];
+    for (name, copy) in cases {
+        let site = RawSite::start("late-report", 2).await;
+        let sound = || [vec![Send(raw::stream_head())], raw::stream_events(1..=EVENTS)].concat();
+        let paused = [
+            vec![Send(raw::stream_head())],
+            vec![Send(raw::chunk(&site::events([1]))), Wait(Duration::from_millis(600))],
+            raw::stream_events(2..=EVENTS),
+        ];
+        // Four streams at once leave kept connections to both replicas.
+        raw::play(&site.replicas, vec![sound(), sound(), sound(), sound(), paused.concat()]);
+        let send = || site.node.send("POST", "/chat/1", &[MODEL], "prompt");
+        let (a, b, c, d) = tokio::join!(send(), send(), send(), send());
+        for answer in [a, b, c, d] {
+            expect_that!(answer.or_fail()?.is_complete, eq(true), "{name}");
+        }
+        for host in &site.replicas {
+            host.play_reports(vec![vec![copy.clone()]]);
+        }
+        let answer = send().await.or_fail()?;
+        expect_that!(answer.is_complete, eq(true), "{name}");
+        expect_that!(answer.body, eq(&site::events(1..=EVENTS)), "{name}");
+        expect_that!(site.requests("/chat/"), eq(5), "{name}: the replica wasn't lost");
+        expect_that!(site.reports(), ge(2), "{name}: the report was asked for again");
+    }
+    Ok(())
+}
