fix: cuminward-gateway: the late response to a request isn't taken for the outcome of an order

Seen (hostile_upstreams.rs): a host sent a late copy of a caller's response, with its id and status 412, where the response to an order was due. The steward took it for the statement that another one had given orders with a higher token ("Fenced"), ended its stewardship and formed another group in the next generation. A copy with status 200 would count as acceptance.

Cause: host_client read status and body of any response; orders share their connections with callers' requests.

Change: a response with a request's id is none to a report or an order, which have no id. The order counts as unanswered and is repeated.

Open: a copy without an id can't be told from an order's response.

--- a/cuminward-gateway/src/control/host_client.rs
+++ b/cuminward-gateway/src/control/host_client.rs
@@ -96,7 +96,8 @@
     request
 }
 
-/// Sends a request and reads the response.
+/// Sends a request and reads the response. A response to a request of a caller, which was left over on the
+/// connection, counts as none.
 ///
 /// # Errors
 ///
@@ -115,6 +116,10 @@
             if it.error.is_connection_refused() { Error::Refused } else { Error::Silent }
         })?;
         let status = response.status();
+        if header::read_response(status, response.headers()).id.is_some() {
+            log::debug!("host {address} sent the response to a request of a caller");
+            return Err(Error::Silent);
+        }
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|error| {
             log::debug!("can't read the response of host {address}: {error}");
--- a/cuminward-gateway/tests/all/hostile_upstreams.rs
+++ b/cuminward-gateway/tests/all/hostile_upstreams.rs
@@ -365,3 +365,43 @@
     }
     Ok(())
 }
+
+/// Guards against a late second copy of a response that was taken for the outcome of an order, here for the statement
+/// that another steward had given orders.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_response_instead_of_an_outcome_does_not_end_the_stewardship() -> Result<()> {
+    let site = Site::with_engine_hosts(SIZE).await;
+    let raw = start_hosts(SIZE).await;
+    let refused = |id: &str| {
+        Send(format!("HTTP/1.1 412 X\r\n{}: {id}\r\ncontent-length: 0\r\n\r\n", header::REQUEST_ID))
+    };
+    for (host, raw) in site.replicas.iter().zip(&raw) {
+        raw.play_orders(vec![vec![refused("first")]]);
+        let mut entry = Entry { address: raw.address, ..site::replica_entry(host) };
+        let engine = entry.engine.as_mut().expect("the entry is one of an engine");
+        engine.group = None;
+        engine.fabric = String::from("f");
+        site.store.put_entry(&host.id, &entry);
+    }
+    site.configure_size(1, SIZE);
+    let _node = site.node("late-outcome").await;
+    for _ in 0..200 {
+        if raw.iter().all(|it| it.orders().len() >= 2) {
+            break;
+        }
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    for host in &raw {
+        // A steward that has ended forms another group, in another generation.
+        let groups: Vec<_> = host.orders().iter().take(2).map(|it| group(it)).collect();
+        expect_that!(groups, elements_are![some(anything()), eq(&groups[0])]);
+    }
+    Ok(())
+}
+
+/// Returns the group of an order.
+fn group(order: &str) -> Option<String> {
+    let order: serde_json::Value = serde_json::from_str(order).ok()?;
+    Some(order.get("group")?.as_str()?.to_owned())
+}
