fix: cuminward-serving: comments and empty lines before the first event of a stream aren't an event

Seen (hostile_upstreams.rs): an upstream sent the head of a stream without length or chunks, a comment with an empty line, and closed. The caller got a complete success with the comment as its body, in 4 of 4 cases (comments, empty lines). From other operators: an answer that broke off halfway reached the caller as a complete success.

Cause: Splitter returned a comment, or empty lines, as an event without id. So the stream counted as begun: the head went to the caller, the request no longer moved to another replica, and the end of the connection counted as the end of the stream.

Change: empty lines and comments before the first event of an attempt are held back and go to the caller with it. All bytes still arrive, in order. Comments after an event are forwarded at once, as before.

--- a/cuminward-gateway/tests/all/raw.rs
+++ b/cuminward-gateway/tests/all/raw.rs
@@ -34,6 +34,8 @@
     Send(String),
     /// Sends nothing for a time.
     Wait(Duration),
+    /// Closes the connection.
+    Close,
     /// Sends these bytes again and again until the connection ends.
     Flood(&'static str),
     /// Same as `Flood`, with a pause after each time.
@@ -256,6 +258,7 @@
                 write(writer, text.replace("{id}", id).as_bytes(), counted).await?;
             }
             Step::Wait(pause) => time::sleep(*pause).await,
+            Step::Close => return None,
             Step::Flood(text) => {
                 let flood = text.repeat(FLOOD_BYTES / text.len());
                 loop {
--- a/cuminward-serving/src/event.rs
+++ b/cuminward-serving/src/event.rs
@@ -45,7 +45,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TooLarge;
 
-/// Splits a stream of bytes at the blank lines between events.
+/// Splits a stream of bytes at the blank lines between events. Empty lines and comments before the first event are
+/// held back and belong to it.
 #[derive(Debug, Clone, Default)]
 pub struct Splitter {
     buffer: BytesMut,
@@ -53,6 +54,10 @@
     searched: usize,
     /// Position after the last line break among these.
     line_start: usize,
+    /// Position after the empty lines and comments before the first event.
+    event_start: usize,
+    /// Whether an event was returned.
+    has_event: bool,
 }
 
 /// Mutation
@@ -71,7 +76,8 @@
     pub fn next_event(&mut self) -> Option<Event> {
         let end = self.find_event_end()?;
         let bytes = self.buffer.split_to(end).freeze();
-        (self.searched, self.line_start) = (0, 0);
+        self.reset();
+        self.has_event = true;
         let id = parse_id(&bytes);
         Some(Event { bytes, id })
     }
@@ -80,10 +86,15 @@
     /// and the stream has ended, what follows its last complete event.
     pub fn take_remainder(&mut self) -> Remainder {
         let bytes = self.buffer.split().freeze();
-        (self.searched, self.line_start) = (0, 0);
+        self.reset();
         if is_padding(&bytes) { Remainder::Padding(bytes) } else { Remainder::PartialEvent(bytes) }
     }
 
+    /// Starts the search at the start of the buffer.
+    fn reset(&mut self) {
+        (self.searched, self.line_start, self.event_start) = (0, 0, 0);
+    }
+
     /// Returns the position after the first blank line that follows another line. Bytes that were searched before
     /// aren't searched again.
     fn find_event_end(&mut self) -> Option<usize> {
@@ -93,11 +104,16 @@
             if self.buffer[at] != b'\n' {
                 continue;
             }
-            let line = &self.buffer[self.line_start..at];
-            if self.line_start > 0 && (line.is_empty() || line == b"\r") {
-                return Some(at + 1);
+            let (start, end) = (self.line_start, at + 1);
+            self.line_start = end;
+            let line = &self.buffer[start..at];
+            if start == 0 || !(line.is_empty() || line == b"\r") {
+                continue;
+            }
+            if self.has_event || !is_padding(&self.buffer[self.event_start..end]) {
+                return Some(end);
             }
-            self.line_start = at + 1;
+            self.event_start = end;
         }
         None
     }
