fix: cuminward-gateway: failing test of attempts that count as progressing although they get no event

A replica sends the head of a stream and then a byte now and then: a part of an event, comments, or empty lines.

Cause: Stream::read_attempt records progress with each part of the body.

--- a/cuminward-gateway/tests/all/hostile_upstreams.rs
+++ b/cuminward-gateway/tests/all/hostile_upstreams.rs
@@ -450,3 +450,26 @@
     }
     Ok(())
 }
+
+/// Guards against stalled attempts that counted as progressing although they had got no event.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_that_gets_no_event_does_not_count_as_progressing() -> Result<()> {
+    let cases = [
+        ("bytes of an event", Trickle("1\r\na\r\n", PAUSE)),
+        ("comments", Trickle("3\r\n:\n\n\r\n", PAUSE)),
+        ("lines of a comment", Trickle("2\r\n:\n\r\n", PAUSE)),
+        ("empty lines", Trickle("1\r\n\n\r\n", PAUSE)),
+        ("the size of a chunk", Trickle("0", PAUSE)),
+    ];
+    for (name, trickle) in cases {
+        let site = RawSite::start("trickle", 2).await;
+        raw::play(&site.replicas, vec![vec![Send(raw::stream_head()), trickle]]);
+        let answer = site.node.send("POST", "/chat/1", &[MODEL], "prompt").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(200), "{name}");
+        expect_that!(answer.is_complete, eq(true), "{name}");
+        expect_that!(answer.body, eq(&site::events(1..=EVENTS)), "{name}");
+        expect_that!(site.requests("/chat/"), eq(2), "{name}");
+    }
+    Ok(())
+}
