fix: cuminward-upstream, cuminward-gateway: a response in small parts takes no more memory than its bytes

Cause: Limited bounds the bytes of a body, but collect() keeps each part in a list of its own entries, with the buffers that they are slices of.

Change: body::Body::read copies the parts into one buffer of limited size; a body in one part isn't copied. Reports, orders and responses that aren't streams are read with it.

--- a/cuminward-gateway/src/control/host_client.rs
+++ b/cuminward-gateway/src/control/host_client.rs
@@ -9,7 +9,7 @@
     placement::order::{Action, Outcome},
 };
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 
 use crate::state::State;
 
@@ -120,12 +120,12 @@
             log::debug!("host {address} sent the response to a request of a caller");
             return Err(Error::Silent);
         }
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
+        let body = response.into_body().read(MAX_BODY_BYTES).await;
         let body = body.map_err(|error| {
             log::debug!("can't read the response of host {address}: {error}");
             Error::Silent
         })?;
-        Ok((status, body.to_bytes()))
+        Ok((status, body))
     };
     tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(Error::Silent))
 }
--- a/cuminward-gateway/src/forward/stream.rs
+++ b/cuminward-gateway/src/forward/stream.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use tokio::{sync::mpsc, time};
 
 use super::{
@@ -114,7 +113,7 @@
     slot: Slot,
     attempts: u32,
 ) -> Response<Body> {
-    let body = Limited::new(response.body, MAX_RESPONSE_BYTES).collect().await;
+    let body = response.body.read(MAX_RESPONSE_BYTES).await;
     drop(slot);
     match body {
         Ok(body) => {
@@ -122,7 +121,7 @@
             let completion =
                 Completion { status: head.status, attempts, first_ms: context.age_ms() };
             report::record_completion(state, context, &completion);
-            Response::from_parts(head, Body::full(body.to_bytes()))
+            Response::from_parts(head, Body::full(body))
         }
         Err(error) => {
             reject(state, context, &resumable::Error::Failed(error.to_string()), attempts)
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -10,7 +10,6 @@
     queue::Progress,
 };
 use http::{Response, StatusCode, response::Parts};
-use http_body_util::{BodyExt, Limited};
 use tokio::time;
 
 use super::{
@@ -163,12 +162,12 @@
 ) -> Result<BufferedResponse, Fault> {
     let progress = exchange::Progress { started: state.now(), events: 0 };
     let response = exchange::send(state, context, slot, None, timeout).await?;
-    let body = Limited::new(response.body, MAX_RESPONSE_BYTES).collect().await;
+    let body = response.body.read(MAX_RESPONSE_BYTES).await;
     let body = body.map_err(|error| {
         exchange::detect_crash(state, context, &slot.upstream, progress);
         Fault { failure: Failure::Unknown, cause: error.to_string() }
     })?;
-    Ok(BufferedResponse { head: exchange::response_head(response.head), body: body.to_bytes() })
+    Ok(BufferedResponse { head: exchange::response_head(response.head), body })
 }
 
 fn into_response(response: BufferedResponse) -> Response<Body> {
--- a/cuminward-upstream/src/body.rs
+++ b/cuminward-upstream/src/body.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cuminward_derive::value;
 use http::{Response, Version, header};
 use http_body::{Frame, SizeHint};
@@ -103,6 +103,28 @@
 
 /// Mutation
 impl<B: Payload> Body<B> {
+    /// Reads the whole body, of at most `max_bytes`, into one buffer. A body in many small parts takes no more memory
+    /// than one in few large ones.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Truncated`], [`Error::Timeout`], and [`Error::Malformed`] if the body is longer.
+    pub async fn read(mut self, max_bytes: usize) -> Result<Bytes, Error> {
+        let mut buffer = BytesMut::new();
+        while let Some(frame) = self.frame().await {
+            let Ok(part) = frame?.into_data() else { continue };
+            if part.len() > max_bytes - buffer.len() {
+                let message = String::from("length limit exceeded");
+                return Err(Error::Malformed { tokens: 0, message });
+            }
+            if self.ended && buffer.is_empty() {
+                return Ok(part);
+            }
+            buffer.extend_from_slice(&part);
+        }
+        Ok(buffer.freeze())
+    }
+
     /// Reads the rest of the body in the background for at most [`DRAIN_TIMEOUT`], so that the
     /// connection can return to its pool.
     pub(crate) fn drain(mut self) {
--- a/cuminward-upstream/src/engine.rs
+++ b/cuminward-upstream/src/engine.rs
@@ -6,7 +6,7 @@
 use cuminward_core::{cache, host, id, outcome};
 use derive_builder::Builder;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{runtime, time};
 
@@ -339,11 +339,5 @@
 
 /// Reads a body of at most [`MAX_BODY_BYTES`].
 pub(crate) async fn read_body(body: Body<Full<Bytes>>) -> Result<Bytes, Error> {
-    match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(it) => Ok(it.to_bytes()),
-        Err(error) => match error.downcast::<Error>() {
-            Ok(error) => Err(*error),
-            Err(error) => Err(Error::Malformed { tokens: 0, message: error.to_string() }),
-        },
-    }
+    body.read(MAX_BODY_BYTES).await
 }
