fix: cuminward-upstream: a body that always has a part ready doesn't keep its reader from its timeouts

Cause: reading a body takes nothing of tokio's budget, so that a reader that is slower than the upstream never waits. The timeout around it is looked at only when it waits, and so is the end of the caller's connection.

Change: each part takes from the budget of the task, which yields when that is used up.

--- a/cuminward-upstream/src/body.rs
+++ b/cuminward-upstream/src/body.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use tokio::{
     runtime,
+    task::coop,
     time::{self, Instant, Sleep},
 };
 
@@ -163,8 +164,11 @@
         if this.ended {
             return Poll::Ready(None);
         }
+        // An upstream that always has a part ready would keep the task from its timeouts.
+        let budget = ready!(coop::poll_proceed(cx));
         let incoming = Pin::new(&mut this.incoming);
         if let Poll::Ready(frame) = http_body::Body::poll_frame(incoming, cx) {
+            budget.made_progress();
             return Poll::Ready(this.handle_frame(frame));
         }
         ready!(this.deadline.as_mut().poll(cx));
