feat: cuminward-gateway: tests of reports and outcomes of orders without end

Five ways (header lines, informational responses, no HTTP, a body, a body that trickles), for two reports and an order of each host: the connections are closed, the bytes bounded, the order is repeated.

--- a/cuminward-gateway/tests/all/hostile_upstreams.rs
+++ b/cuminward-gateway/tests/all/hostile_upstreams.rs
@@ -389,18 +389,11 @@
     Ok(())
 }
 
-/// Guards against a late second copy of a response that was taken for the outcome of an order, here for the statement
-/// that another steward had given orders.
-#[gtest]
-#[tokio::test(flavor = "multi_thread")]
-async fn a_late_response_instead_of_an_outcome_does_not_end_the_stewardship() -> Result<()> {
+/// Starts a site whose engine hosts are raw and in no group, with a catalog whose replicas span all of them.
+async fn start_free_hosts() -> (Site, Vec<Host>) {
     let site = Site::with_engine_hosts(SIZE).await;
     let raw = start_hosts(SIZE).await;
-    let refused = |id: &str| {
-        Send(format!("HTTP/1.1 412 X\r\n{}: {id}\r\ncontent-length: 0\r\n\r\n", header::REQUEST_ID))
-    };
     for (host, raw) in site.replicas.iter().zip(&raw) {
-        raw.play_orders(vec![vec![refused("first")]]);
         let mut entry = Entry { address: raw.address, ..site::replica_entry(host) };
         let engine = entry.engine.as_mut().expect("the entry is one of an engine");
         engine.group = None;
@@ -408,13 +401,62 @@
         site.store.put_entry(&host.id, &entry);
     }
     site.configure_size(1, SIZE);
-    let _node = site.node("late-outcome").await;
+    (site, raw)
+}
+
+/// Waits up to 10 s until each host has received this many orders.
+async fn wait_for_orders(hosts: &[Host], count: usize) {
     for _ in 0..200 {
-        if raw.iter().all(|it| it.orders().len() >= 2) {
-            break;
+        if hosts.iter().all(|it| it.orders().len() >= count) {
+            return;
         }
         time::sleep(Duration::from_millis(50)).await;
     }
+}
+
+/// Guards against reports and outcomes of orders without end.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_report_or_an_outcome_without_end_is_given_up_and_asked_for_again() -> Result<()> {
+    let unframed = || text("HTTP/1.1 200 OK\r\n\r\n");
+    let cases = [
+        ("header lines", vec![text("HTTP/1.1 200 OK\r\n"), Flood("x-more: 1\r\n")]),
+        ("informational responses", vec![Flood("HTTP/1.1 100 Continue\r\n\r\n")]),
+        ("no HTTP", vec![Flood("these bytes are no answer ")]),
+        ("body", vec![unframed(), Flood(" ")]),
+        ("body again and again", vec![unframed(), Trickle(" ", PAUSE)]),
+    ];
+    for (name, steps) in cases {
+        let (site, raw) = start_free_hosts().await;
+        for host in &raw {
+            host.play_reports(vec![steps.clone(), steps.clone()]);
+            host.play_orders(vec![steps.clone()]);
+        }
+        let _node = site.node("endless-report").await;
+        wait_for_orders(&raw, 2).await;
+        for host in &raw {
+            expect_that!(host.orders().len(), ge(2), "{name}");
+            expect_that!(host.has_ended(SLACK).await, eq(true), "{name}");
+            expect_that!(host.record.sent.load(Ordering::SeqCst), lt(MAX_SENT_BYTES), "{name}");
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a late second copy of a response that was taken for the outcome of an order, here for the statement
+/// that another steward had given orders.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_response_instead_of_an_outcome_does_not_end_the_stewardship() -> Result<()> {
+    let refused = |id: &str| {
+        Send(format!("HTTP/1.1 412 X\r\n{}: {id}\r\ncontent-length: 0\r\n\r\n", header::REQUEST_ID))
+    };
+    let (site, raw) = start_free_hosts().await;
+    for host in &raw {
+        host.play_orders(vec![vec![refused("first")]]);
+    }
+    let _node = site.node("late-outcome").await;
+    wait_for_orders(&raw, 2).await;
     for host in &raw {
         // A steward that has ended forms another group, in another generation.
         let groups: Vec<_> = host.orders().iter().take(2).map(|it| group(it)).collect();
