fix: cuminward-gateway: a replica whose response, no stream, isn't complete counts as failed

Seen (hostile_upstreams.rs): a replica answered a request for a stream with a response that is none and has no end (or is cut off). The caller got 502; of the next four requests, sent at once, two went to the same replica although the other one was free.

Cause: stream::forward_buffered recorded no failure and looked for no crash, as all other attempts that fail do.

Change: it does both. The crash event's time counts from the response's head.

Before: a_replica_whose_response_has_no_end_gets_no_request_for_a_while failed in 3 of 3 runs (3 requests instead of 1, both cases). After: 3 of 3 runs passed. Open: the request itself isn't sent once more, though its route allows it.

--- a/cuminward-gateway/src/forward/stream.rs
+++ b/cuminward-gateway/src/forward/stream.rs
@@ -105,15 +105,21 @@
     }
 }
 
-/// Forwards a response that isn't a stream, after reading it completely.
+/// Forwards a response that isn't a stream, after reading it completely. An incomplete response may indicate a crash
+/// of the host.
 async fn forward_buffered(
-    state: &State,
-    context: &Context,
+    state: &Arc<State>,
+    context: &Arc<Context>,
     response: exchange::Response,
     slot: Slot,
     attempts: u32,
 ) -> Response<Body> {
+    let progress = exchange::Progress { started: state.now(), events: 0 };
     let body = response.body.read(MAX_RESPONSE_BYTES).await;
+    if body.is_err() {
+        slot.upstream.stats.record_failure(state.now());
+        exchange::detect_crash(state, context, &slot.upstream, progress);
+    }
     drop(slot);
     match body {
         Ok(body) => {
--- a/cuminward-gateway/tests/all/hostile_upstreams.rs
+++ b/cuminward-gateway/tests/all/hostile_upstreams.rs
@@ -515,3 +515,30 @@
     }
     Ok(())
 }
+
+/// Guards against replicas that kept their requests although their last response, no stream, had no end.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_whose_response_has_no_end_gets_no_request_for_a_while() -> Result<()> {
+    const REQUESTS: usize = 4;
+    let cases = [
+        ("without end", vec![Send(raw::head("{id}")), text("\r\n"), Flood("a")]),
+        ("cut off", vec![Send(raw::head("{id}")), text("content-length: 9\r\n\r\npart"), Close]),
+    ];
+    for (name, steps) in cases {
+        let site = RawSite::start("endless-body", 2).await;
+        raw::play(&site.replicas, vec![steps]);
+        let send = || site.node.send("POST", "/chat/1", &[MODEL], "prompt");
+        let answer = send().await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(502), "{name}");
+        expect_that!(site.has_ended().await, eq(true), "{name}");
+        expect_that!(site.sent(), lt(MAX_SENT_BYTES), "{name}");
+        let failed = site.replicas.iter().position(|it| !it.requests().is_empty());
+        let failed = &site.replicas[failed.or_fail()?];
+        // Streams take 160 ms and a replica runs six of them.
+        let answers = futures::future::join_all((0..REQUESTS).map(|_| send())).await;
+        expect_that!(answers.iter().all(|it| it.is_ok()), eq(true), "{name}");
+        expect_that!(failed.requests().len(), eq(1), "{name}");
+    }
+    Ok(())
+}
