feat: cuminward-gateway: test of requests without end to the readiness listener

Seven ways: the connection is closed, or the sender is blocked (requests whose responses nobody reads); the bytes are bounded and the listener goes on answering. A head that trickles, and the metrics listener, aren't tested.

--- a/cuminward-gateway/tests/all/hostile_upstreams.rs
+++ b/cuminward-gateway/tests/all/hostile_upstreams.rs
@@ -7,7 +7,7 @@
 
 use cuminward_adapter_fake::{entry::Entry, header};
 use googletest::prelude::*;
-use tokio::time;
+use tokio::{io::AsyncWriteExt, net::TcpStream, time};
 
 use crate::{
     raw::{
@@ -542,3 +542,35 @@
     }
     Ok(())
 }
+
+/// Guards against checks of readiness whose request has no end.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_end_to_the_readiness_listener_is_not_read_for_long() -> Result<()> {
+    let cases = [
+        ("header lines", "GET /readyz HTTP/1.1\r\n", "x-more: 1\r\n"),
+        ("one header line", "GET /readyz HTTP/1.1\r\nx-long: ", "a"),
+        ("no HTTP", "", "these bytes are no request "),
+        ("empty lines", "", "\r\n"),
+        ("a body", "POST /readyz HTTP/1.1\r\ncontent-length: 1000000000000\r\n\r\n", "a"),
+        ("chunks", "POST /readyz HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+        ("requests", "", "GET /readyz HTTP/1.1\r\n\r\n"),
+    ];
+    let site = RawSite::start("endless-check", 0).await;
+    for (name, head, more) in cases {
+        let mut stream = TcpStream::connect(site.node.ready).await.or_fail()?;
+        stream.write_all(head.as_bytes()).await.or_fail()?;
+        let flood = more.repeat((16 << 10) / more.len());
+        let mut sent = 0;
+        let flooding = async {
+            while stream.write_all(flood.as_bytes()).await.is_ok() {
+                sent += flood.len() as u64;
+            }
+        };
+        // Requests whose responses nobody reads block their sender instead.
+        let is_blocked = time::timeout(2 * TIMEOUT, flooding).await.is_err();
+        expect_that!(sent, lt(MAX_SENT_BYTES), "{name}, blocked: {is_blocked}");
+        expect_that!(site::is_ready(site.node.ready).await, eq(true), "{name}");
+    }
+    Ok(())
+}
