fix: cuminward-gateway: only events count as progress of a stream

A replica that sent bytes without an event (a part of one, comments, empty lines) kept its request until 504 at the route's timeout while another replica was free, and kept the replica from being checked. Progress was recorded for each part of a body; it is recorded for each event now.

A replica that sends comments while it reads a long prompt counts as silent now; a request leaves it only for another one that has room.

--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -54,7 +54,7 @@
     splitter: Splitter,
     /// When the request was sent, since the node's start.
     started: Duration,
-    /// When bytes last arrived, or the head of the response, since the node's start.
+    /// When the last event arrived, or the head of the response, since the node's start.
     progressed: Duration,
     /// Number of events that the attempt has yielded.
     events: u64,
@@ -281,6 +281,7 @@
         loop {
             if let Some(event) = current.splitter.next_event() {
                 current.events += 1;
+                current.progressed = self.state.now();
                 self.record_event(current);
                 return UpstreamItem::Event(event);
             }
@@ -298,8 +299,6 @@
                 Ok(it) => it,
                 Err(error) => return self.break_off(current, error.to_string()),
             };
-            current.progressed = self.state.now();
-            current.slot.upstream.stats.record_progress(current.progressed);
             let Ok(data) = frame.into_data() else { continue };
             if current.splitter.push(&data).is_err() {
                 return unknown_failure(String::from("an event exceeds the size limit"));
@@ -334,6 +333,7 @@
 
     /// Records what an event of an attempt tells about replicas and about the request.
     fn record_event(&self, current: &Attempt) {
+        current.slot.upstream.stats.record_progress(current.progressed);
         if current.events == 1 {
             self.state.record_first_event(self.state.now() - current.started);
         }
--- a/cuminward-gateway/src/state/stats.rs
+++ b/cuminward-gateway/src/state/stats.rs
@@ -32,8 +32,8 @@
     in_flight: AtomicU32,
     /// Number of requests in flight from other nodes.
     remote_in_flight: AtomicU32,
-    /// When the last bytes arrived from the upstream, or when it got a request while idle, in
-    /// milliseconds since the node's start.
+    /// When the last event arrived from the upstream, or when it got a request while idle, in milliseconds
+    /// since the node's start.
     progress_ms: AtomicU64,
     /// Longest recent pause between two parts of responses, in milliseconds.
     longest_pause_ms: AtomicU64,
@@ -87,7 +87,7 @@
         self.in_flight() + self.remote_in_flight.load(Ordering::Relaxed)
     }
 
-    /// Returns the time since the last bytes arrived, or since the upstream got a request while idle;
+    /// Returns the time since the last event arrived, or since the upstream got a request while idle;
     /// `None` if no request is in flight.
     pub(crate) fn time_since_progress(&self, now: Duration) -> Option<Duration> {
         let progress = Duration::from_millis(self.progress_ms.load(Ordering::Relaxed));
@@ -150,7 +150,7 @@
         self.cold_bucket.lock().unwrap_or_else(PoisonError::into_inner).try_take(now, rate)
     }
 
-    /// Records that bytes arrived from the upstream.
+    /// Records that an event arrived from the upstream.
     pub(crate) fn record_progress(&self, now: Duration) {
         let last = self.progress_ms.swap(now.as_millis() as u64, Ordering::Relaxed);
         let pause = now.saturating_sub(Duration::from_millis(last));
