--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod quarantine;
 mod raw;
 mod restored;
+mod review;
 mod silence;
 mod site;
 mod stranded;
