fix: cuminward-serving: a group that is being formed waits for a member that is only silent

Capacity came late after a silence: a group of which a member was silent for a second was disbanded just before it would have opened, and its loads were wasted.

--- a/cuminward-serving/src/placement/evaluate.rs
+++ b/cuminward-serving/src/placement/evaluate.rs
@@ -50,15 +50,25 @@
     now.is_some() && forming.previous.get(rank) != Some(&now)
 }
 
+/// Returns whether a member can stay in its group.
+fn may_stay(snapshot: &Snapshot<'_>, host: &Host) -> bool {
+    host.state == State::Ready
+        && host.slowdown < slowdown::THRESHOLD
+        && !snapshot.gone.contains(&host.id)
+        && !snapshot.evacuated.contains(&host.domain)
+}
+
 /// Access
 impl Steward {
     /// Returns whether a host can be a member of a group.
     pub(super) fn is_eligible(&self, now: Duration, snapshot: &Snapshot<'_>, host: &Host) -> bool {
-        host.state == State::Ready
-            && host.slowdown < slowdown::THRESHOLD
-            && !snapshot.lost.contains(&host.id)
-            && !snapshot.evacuated.contains(&host.domain)
-            && self.unreachable_until.get(&host.id).is_none_or(|until| *until <= now)
+        may_stay(snapshot, host) && !self.is_silent(now, snapshot, host)
+    }
+
+    /// Returns whether a host doesn't answer now. It may go on.
+    fn is_silent(&self, now: Duration, snapshot: &Snapshot<'_>, host: &Host) -> bool {
+        snapshot.lost.contains(&host.id)
+            || self.unreachable_until.get(&host.id).is_some_and(|until| *until > now)
     }
 
     /// Returns the next step of a formation.
@@ -73,12 +83,13 @@
             return Step::Abandon;
         }
         let mut missing = Vec::new();
-        let mut is_ready = true;
+        let (mut is_ready, mut is_silent) = (true, false);
         for (rank, id) in forming.members.iter().enumerate() {
             let Some(host) = snapshot.hosts.get(id) else { return Step::Abandon };
-            if !self.is_eligible(now, snapshot, host) {
+            if !may_stay(snapshot, host) {
                 return Step::Abandon;
             }
+            is_silent |= self.is_silent(now, snapshot, host);
             let membership = host.membership.as_ref();
             let current = membership.filter(|it| it.group == group && it.epoch == forming.epoch);
             match current.map(|it| it.phase) {
@@ -92,7 +103,7 @@
         if !missing.is_empty() {
             return Step::Join(missing);
         }
-        if is_ready { Step::Open } else { Step::Wait }
+        if is_ready && !is_silent { Step::Open } else { Step::Wait }
     }
 
     /// Decides what is done with a group that isn't being formed.
