--- a/cuminward-gateway/src/control/health_check.rs
+++ b/cuminward-gateway/src/control/health_check.rs
@@ -141,13 +141,13 @@
         verdict: verdict.to_owned(),
     });
     if is_lost {
+        time::sleep(state.probe_interval()).await;
         return;
     }
     if stalled_for > give_up_after {
         upstream.stats.record_failure(now);
         upstream.stats.give_up(now);
-    } else {
-        // The next check of the same stall is due when the stall has doubled.
-        time::sleep(stalled_for.max(progress::MIN_CHECK_AFTER)).await;
     }
+    // The next check of the same stall is due when the stall has doubled.
+    time::sleep(stalled_for.max(progress::MIN_CHECK_AFTER)).await;
 }
