fix: cuminward-gateway, cuminward-serving, cuminward-upstream: one slow connection, or some lost paths, move no sound stream

Cause: the first sign of a lost path was taken for the loss. Change: a detour that was faster only changes the order; a path counts as lost after three further tries of 100 ms, and only streams over the own path to that host move then. A node with three lost paths within 3 s is stranded only if it reaches none of three other hosts. No host counts as unreachable before other nodes can have answered, and an unconfirmed refusal is none.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -730,8 +730,8 @@
     }
     /// The node lost its own paths to hosts that other nodes reach; it connects through these now.
     2308 Warn "paths-lost" PathsLost {
-        /// Address of the last of these hosts.
-        address: String,
+        /// Number of hosts that this node didn't reach and others did.
+        hosts: u64,
         /// Number of nodes that connect this one to hosts.
         relays: u64,
     }
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -54,6 +54,8 @@
     splitter: Splitter,
     /// When the request was sent, since the node's start.
     started: Duration,
+    /// Whether the connection goes over the node's own path.
+    is_direct: bool,
     /// When the last event arrived, or the head of the response, since the node's start.
     progressed: Duration,
     /// Number of events that the attempt has yielded.
@@ -151,6 +153,8 @@
                     let head = Box::new(exchange::response_head(response.head));
                     self.current = Some(Attempt {
                         slot,
+                        // Tunnels aren't reused.
+                        is_direct: response.body.is_connection_reusable(),
                         body: response.body,
                         splitter: Splitter::default(),
                         started,
@@ -184,7 +188,7 @@
     async fn send(&self, slot: &Slot, started: Duration) -> Sent {
         let left = self.context.remaining();
         let sending = exchange::send(&self.state, &self.context, slot, self.resume_after(), left);
-        let watch = self.watch(slot, started, started, false);
+        let watch = self.watch(slot, started, started, false, false);
         tokio::select! {
             biased;
             sent = sending => match sent {
@@ -202,6 +206,7 @@
         started: Duration,
         progressed: Duration,
         has_events: bool,
+        is_direct: bool,
     ) -> stall::Watch<'a> {
         let candidate = stall::Candidate {
             state: &self.state,
@@ -210,7 +215,7 @@
             failed: self.attempts,
             progress: self.progress(),
         };
-        stall::Watch { candidate, slot, started, progressed, has_events }
+        stall::Watch { candidate, slot, started, progressed, has_events, is_direct }
     }
 
     /// Yields the next item, from another upstream if the current one fails.
@@ -285,8 +290,8 @@
                 self.record_event(current);
                 return UpstreamItem::Event(event);
             }
-            let Attempt { slot, body, started, progressed, events, .. } = &mut *current;
-            let watch = self.watch(slot, *started, *progressed, *events > 0);
+            let Attempt { slot, body, started, progressed, events, is_direct, .. } = &mut *current;
+            let watch = self.watch(slot, *started, *progressed, *events > 0, *is_direct);
             let frame = tokio::select! {
                 biased;
                 frame = body.frame() => frame,
--- a/cuminward-gateway/src/forward/stall.rs
+++ b/cuminward-gateway/src/forward/stall.rs
@@ -138,6 +138,8 @@
     pub(super) progressed: Duration,
     /// Whether the attempt has received an event.
     pub(super) has_events: bool,
+    /// Whether the response arrives over the node's own path.
+    pub(super) is_direct: bool,
 }
 
 /// Access
@@ -154,8 +156,8 @@
 
     /// Returns whether the own path to the upstream was lost after the request was sent over it.
     fn is_path_lost(&self) -> bool {
-        let lost_at = self.candidate.state.paths.detour_since(&self.slot.upstream.address);
-        lost_at.is_some_and(|it| it > self.started)
+        let lost_at = self.candidate.state.paths.path_lost_at(&self.slot.upstream.address);
+        self.is_direct && lost_at.is_some_and(|it| it > self.started)
     }
 
     /// Waits until the path or the replica is lost, the replica is given up or, if the attempt has received no event, until the replica
--- a/cuminward-gateway/src/tunnel/dialer.rs
+++ b/cuminward-gateway/src/tunnel/dialer.rs
@@ -6,7 +6,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use cuminward_serving::path::Order;
@@ -30,8 +30,10 @@
 /// Time for which detours are tried alone where they are taken first.
 const DETOUR_HEAD_START: Duration = Duration::from_millis(60);
 
-/// Time after which the own path counts as lost if another node reached the host.
-const DIRECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Number of tries after which the own path to a host that another node reached counts as lost, and the time
+/// allowed for each. The first packet of a try may be lost.
+const DIRECT_RETRIES: u32 = 3;
+const DIRECT_RETRY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Time after which a further node is asked.
 const RELAY_STAGGER: Duration = Duration::from_millis(30);
@@ -42,6 +44,9 @@
 /// Time allowed for opening a tunnel.
 const TUNNEL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time in which another node usually connects to a host.
+const ANSWER_TIME: Duration = Duration::from_millis(50);
+
 /// Opens connections to hosts.
 #[derive(Clone)]
 pub(crate) struct Dialer {
@@ -68,7 +73,11 @@
 
     async fn connect(&self, address: &str) -> io::Result<Connected<Stream>> {
         let stream = match self.paths.order(address) {
-            Order::Direct => self.direct(address).await,
+            // A host that no node reached lately is only taken to refuse if all paths agree.
+            Order::Direct => {
+                let unreachable = io::ErrorKind::HostUnreachable.into();
+                self.direct(address).await.map_err(|it| judge_failure(it, &unreachable))
+            }
             Order::DirectFirst => self.direct_first(address).await,
             Order::DetourFirst => self.detour_first(address).await,
         }?;
@@ -94,16 +103,22 @@
     /// Tries the own path, and after a while or a failure other nodes too.
     async fn direct_first(&self, address: &str) -> io::Result<Stream> {
         let mut direct = self.direct(address);
-        let mut detour = std::pin::pin!(self.detour(address));
         match time::timeout(HEAD_START, &mut direct).await {
             Ok(Ok(stream)) => return Ok(stream),
-            Ok(Err(failure)) => return self.after_failure(address, failure, detour).await,
+            Ok(Err(failure)) => {
+                return self.after_failure(address, failure, self.detour(address)).await;
+            }
             Err(_) => {}
         }
+        let mut detour = Box::pin(self.detour(address));
         tokio::select! {
             biased;
             stream = &mut direct => match stream {
-                Ok(stream) => return Ok(stream),
+                Ok(stream) => {
+                    drop(detour);
+                    self.paths.record_direct(address);
+                    return Ok(stream);
+                }
                 Err(failure) => return self.after_failure(address, failure, detour).await,
             },
             stream = &mut detour => if let Ok(stream) = stream {
@@ -128,12 +143,25 @@
         Ok(stream)
     }
 
-    /// Waits for the own path in a task of its own, to learn whether it is slow or lost.
+    /// Tries the own path again in a task of its own, to learn whether it is slow, was silent for a moment or is lost.
     fn judge_path(&self, address: &str, direct: Dialing) {
-        let (paths, address) = (Arc::clone(&self.paths), address.to_owned());
+        let (dialer, address) = (self.clone(), address.to_owned());
         tokio::spawn(async move {
-            if !matches!(time::timeout(DIRECT_TIMEOUT, direct).await, Ok(Ok(_))) {
-                paths.record_lost_path(&address);
+            let retries = async {
+                for _ in 0..DIRECT_RETRIES {
+                    let direct = time::timeout(DIRECT_RETRY_TIMEOUT, dialer.direct(&address)).await;
+                    if matches!(direct, Ok(Ok(_))) {
+                        return true;
+                    }
+                }
+                false
+            };
+            let works = tokio::select! {
+                is_connected = retries => is_connected,
+                Ok(_) = direct => true,
+            };
+            if !works {
+                dialer.paths.record_lost_path(&address);
             }
         });
     }
@@ -172,7 +200,7 @@
         if relays.len() == 0 {
             return Err(io::ErrorKind::NotFound.into());
         }
-        let mut guard = UnreachableGuard { paths: &self.paths, address, is_armed: true };
+        let mut guard = UnreachableGuard::new(&self.paths, address);
         let mut opening = FuturesUnordered::new();
         let mut is_refused = true;
         loop {
@@ -231,16 +259,24 @@
     }
 }
 
-/// Records a host as unreachable unless it is disarmed before it is dropped.
+/// Records a host as unreachable unless it is disarmed, or dropped before the nodes that were asked can have answered.
 struct UnreachableGuard<'a> {
     paths: &'a Paths,
     address: &'a str,
+    started: Instant,
     is_armed: bool,
 }
 
+/// Life cycle
+impl<'a> UnreachableGuard<'a> {
+    fn new(paths: &'a Paths, address: &'a str) -> UnreachableGuard<'a> {
+        UnreachableGuard { paths, address, started: Instant::now(), is_armed: true }
+    }
+}
+
 impl Drop for UnreachableGuard<'_> {
     fn drop(&mut self) {
-        if self.is_armed {
+        if self.is_armed && self.started.elapsed() >= ANSWER_TIME {
             self.paths.record_unreachable(self.address);
         }
     }
--- a/cuminward-gateway/src/tunnel/paths.rs
+++ b/cuminward-gateway/src/tunnel/paths.rs
@@ -1,7 +1,7 @@
 //! Paths of this node to hosts, and the nodes through which it can take detours.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -16,6 +16,7 @@
     id,
     path::{Address, Order, Tracker},
 };
+use rand::seq::IteratorRandom;
 
 /// Time for which other nodes are asked first after a node didn't connect this one to a host.
 const RELAY_BACKOFF: Duration = Duration::from_secs(1);
@@ -35,8 +36,8 @@
     tracker: Mutex<Tracker>,
     /// Whether the node is stranded, as in `tracker`.
     is_stranded: AtomicBool,
-    /// Addresses with new detours, whose idle connections are of no use.
-    detoured: Mutex<Vec<Address>>,
+    /// Hosts to which the own path was lost since they were last taken from here.
+    newly_lost: Mutex<Vec<Address>>,
     /// Hosts by address.
     hosts: ArcSwap<HashMap<Address, id::Host>>,
     relays: ArcSwap<Vec<Relay>>,
@@ -52,7 +53,7 @@
             events,
             tracker: Mutex::default(),
             is_stranded: AtomicBool::new(false),
-            detoured: Mutex::default(),
+            newly_lost: Mutex::default(),
             hosts: ArcSwap::default(),
             relays: ArcSwap::default(),
             failed_relays: Mutex::default(),
@@ -67,14 +68,19 @@
         self.is_stranded.load(Ordering::Relaxed)
     }
 
-    /// Returns whether detours are taken to any host.
-    pub(crate) fn has_detours(&self) -> bool {
-        self.tracker().has_detours(self.now())
+    /// Returns whether the own path to any host was lost lately.
+    pub(crate) fn has_lost_paths(&self) -> bool {
+        self.tracker().lost_paths(self.now()).next().is_some()
     }
 
-    /// Returns since when detours to a host are taken, since the node's start; `None` if they aren't.
-    pub(crate) fn detour_since(&self, address: &str) -> Option<Duration> {
-        self.tracker().detour_since(self.now(), address)
+    /// Returns when the own path to a host was lost, since the node's start; `None` if it may work.
+    pub(crate) fn path_lost_at(&self, address: &str) -> Option<Duration> {
+        self.tracker().path_lost_at(address)
+    }
+
+    /// Returns whether this node has lost its paths to several hosts, and the others have to be tried.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.tracker().is_suspect(self.now())
     }
 
     /// Returns the order in which paths to a host are tried.
@@ -87,11 +93,17 @@
         self.hosts.load().get(address).cloned()
     }
 
-    /// Returns the address of any host.
-    pub(super) fn random_address(&self) -> Option<Address> {
+    /// Returns the addresses of up to `count` hosts to which the own path wasn't lost lately, in random order.
+    pub(super) fn other_addresses(&self, count: usize) -> Vec<Address> {
+        let lost: BTreeSet<Address> = self.tracker().lost_paths(self.now()).cloned().collect();
         let hosts = self.hosts.load();
-        let index = rand::random_range(0..hosts.len().max(1));
-        hosts.keys().nth(index).cloned()
+        let others = hosts.keys().filter(|it| !lost.contains(*it)).cloned();
+        others.sample(&mut rand::rng(), count)
+    }
+
+    /// Returns the address of any host.
+    pub(super) fn any_address(&self) -> Option<Address> {
+        self.hosts.load().keys().choose(&mut rand::rng()).cloned()
     }
 
     /// Returns the nodes that connect this one to hosts: those that failed lately are left out unless all have.
@@ -115,8 +127,8 @@
         self.failed_relays.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn detoured(&self) -> MutexGuard<'_, Vec<Address>> {
-        self.detoured.lock().unwrap_or_else(PoisonError::into_inner)
+    fn newly_lost(&self) -> MutexGuard<'_, Vec<Address>> {
+        self.newly_lost.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -134,9 +146,9 @@
         }
     }
 
-    /// Returns the addresses to which detours were taken first since the last call.
-    pub(crate) fn take_detoured(&self) -> Vec<Address> {
-        std::mem::take(&mut *self.detoured())
+    /// Returns the hosts to which the own path was lost since the last call.
+    pub(super) fn take_newly_lost(&self) -> Vec<Address> {
+        std::mem::take(&mut *self.newly_lost())
     }
 
     /// Records that the own path to a host works.
@@ -150,27 +162,26 @@
         }
     }
 
-    /// Records that another node reached a host which this node hasn't reached so far.
+    /// Records that another node reached a host sooner than this node.
     pub(super) fn record_detour(&self, address: &str) {
-        let mut tracker = self.tracker();
-        let is_new = tracker.detour_since(self.now(), address).is_none();
-        tracker.record_detour(self.now(), address);
-        drop(tracker);
-        if is_new {
-            self.detoured().push(address.to_owned());
-        }
+        self.tracker().record_detour(self.now(), address);
     }
 
     /// Records that the own path to a host that another node reached didn't work.
     pub(super) fn record_lost_path(&self, address: &str) {
+        self.tracker().record_lost_path(self.now(), address);
+        self.newly_lost().push(address.to_owned());
+    }
+
+    /// Records that this node reaches none of the hosts that it tried, while other nodes reach some.
+    pub(super) fn record_stranded(&self) {
         let mut tracker = self.tracker();
-        let is_new = tracker.record_lost_path(self.now(), address);
-        self.is_stranded.store(tracker.is_stranded(), Ordering::Relaxed);
+        let lost = tracker.lost_paths(self.now()).count() as u64;
+        tracker.record_stranded();
+        self.is_stranded.store(true, Ordering::Relaxed);
         drop(tracker);
-        if is_new {
-            let relays = self.relays.load().len() as u64;
-            self.events.emit(Kind::PathsLost { address: address.to_owned(), relays });
-        }
+        let relays = self.relays.load().len() as u64;
+        self.events.emit(Kind::PathsLost { hosts: lost, relays });
     }
 
     /// Records whether another node connected this one to a host.
--- a/cuminward-gateway/src/tunnel/watch.rs
+++ b/cuminward-gateway/src/tunnel/watch.rs
@@ -3,27 +3,32 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::{net::TcpStream, time};
+use futures::future;
+use tokio::{net::TcpStream, task::JoinHandle, time};
 
 use crate::state::State;
 
 /// Interval of the checks.
 const INTERVAL: Duration = Duration::from_millis(50);
 
-/// Number of checks of which one tries the own path of a stranded node.
+/// Number of checks of which one tries the own paths of a stranded node.
 const TRIAL_CHECKS: u32 = 8;
 
-/// Time allowed for a trial of the own path.
-const TRIAL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time allowed for a trial of an own path.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Number of hosts that a node tries which may be stranded.
+const TRIALS: usize = 3;
 
 /// Watches until the task is dropped.
 pub(crate) async fn run(state: Arc<State>) {
     let mut was_stranded = false;
     let mut checks: u32 = 0;
+    let mut trial: Option<JoinHandle<()>> = None;
     loop {
         time::sleep(INTERVAL).await;
         checks = checks.wrapping_add(1);
-        for address in state.paths.take_detoured() {
+        for address in state.paths.take_newly_lost() {
             state.upstreams.discard_idle(&address);
         }
         let is_stranded = state.paths.is_stranded();
@@ -34,22 +39,38 @@
             state.publish();
         }
         was_stranded = is_stranded;
-        if is_stranded && checks.is_multiple_of(TRIAL_CHECKS) {
-            tokio::spawn(try_own_path(Arc::clone(&state)));
+        let is_trial_due = is_stranded && checks.is_multiple_of(TRIAL_CHECKS);
+        let is_trying = trial.as_ref().is_some_and(|it| !it.is_finished());
+        if !is_trying && (is_trial_due || state.paths.is_suspect()) {
+            trial = Some(tokio::spawn(try_own_paths(Arc::clone(&state))));
         }
-        if state.paths.has_detours() {
+        if state.paths.has_lost_paths() {
             wake_requests(&state);
         }
     }
 }
 
-/// Tries the own path to any host. The paths are regained if it works.
-async fn try_own_path(state: Arc<State>) {
-    let Some(address) = state.paths.random_address() else { return };
-    let connected = time::timeout(TRIAL_TIMEOUT, TcpStream::connect(&address)).await;
-    if matches!(connected, Ok(Ok(_))) {
-        state.paths.record_direct(&address);
+/// Tries the own paths to some hosts. If none works, the node is stranded.
+async fn try_own_paths(state: Arc<State>) {
+    let mut addresses = state.paths.other_addresses(TRIALS);
+    if addresses.is_empty() || state.paths.is_stranded() {
+        addresses.extend(state.paths.any_address());
+    }
+    let trials = addresses.iter().map(|it| try_own_path(&state, it));
+    let is_reached = future::join_all(trials).await.into_iter().any(|it| it);
+    if !is_reached && state.paths.is_suspect() {
+        state.paths.record_stranded();
+    }
+}
+
+/// Tries the own path to a host. Returns whether it works.
+async fn try_own_path(state: &State, address: &str) -> bool {
+    let connected = time::timeout(TRIAL_TIMEOUT, TcpStream::connect(address)).await;
+    let is_connected = matches!(connected, Ok(Ok(_)));
+    if is_connected {
+        state.paths.record_direct(address);
     }
+    is_connected
 }
 
 /// Makes requests in flight check whether their connection was left by a lost path.
--- a/cuminward-serving/src/path.rs
+++ b/cuminward-serving/src/path.rs
@@ -1,20 +1,20 @@
 //! Paths from a node to upstreams: its own, and detours through other nodes.
 //!
 //! A host that this node can't reach may be down, or the node may have lost its path to it. Only another node that
-//! reaches the host tells the two apart. A node that has lost its paths to several hosts, and reached none since, is
-//! stranded: it takes detours to all hosts, without trying its own path first.
+//! reaches the host tells the two apart. A node that has lost its paths to several hosts, and reaches none of the
+//! others, is stranded: it takes detours to all hosts, without trying its own path first.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
-/// Number of hosts that other nodes reach, and this one doesn't, from which the node counts as stranded.
+/// Number of hosts that other nodes reach, and this one doesn't, from which the node may be stranded.
 pub const STRANDED_HOSTS: usize = 3;
 
 /// Time for which the detour to a host is taken before the own path is tried again.
 const DETOUR_TTL: Duration = Duration::from_secs(2);
 
+/// Time for which a lost path is taken as a sign that the node may be stranded.
+const LOST_TTL: Duration = Duration::from_secs(3);
+
 /// Time for which no detour is tried to a host that no node reached.
 const UNREACHABLE_TTL: Duration = Duration::from_secs(1);
 
@@ -35,46 +35,45 @@
 /// What a node knows about its paths.
 #[derive(Debug, Clone, Default)]
 pub struct Tracker {
-    /// Hosts that were reached by a detour only.
-    detours: BTreeMap<Address, Detour>,
+    /// Hosts that were reached by a detour sooner, with the time until which it is taken first.
+    detours: BTreeMap<Address, Duration>,
     /// Hosts that no node reached, with the time until which no detour is tried.
     unreachable: BTreeMap<Address, Duration>,
-    /// Hosts to which the own path was lost since the own path to any host last worked.
-    lost: BTreeSet<Address>,
-    /// When the node became stranded, if it is.
-    stranded_since: Option<Duration>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Detour {
-    since: Duration,
-    /// Time until which the detour is taken before the own path is tried again.
-    until: Duration,
+    /// Hosts that other nodes reach, with the time when the own path to them was lost.
+    lost: BTreeMap<Address, Duration>,
+    is_stranded: bool,
 }
 
 /// Access
 impl Tracker {
     /// Returns whether the node has lost its paths to upstreams.
     pub fn is_stranded(&self) -> bool {
-        self.stranded_since.is_some()
+        self.is_stranded
+    }
+
+    /// Returns whether the node has lost its paths to several hosts. It is stranded if it reaches none of the
+    /// others.
+    pub fn is_suspect(&self, now: Duration) -> bool {
+        !self.is_stranded && self.lost_paths(now).count() >= STRANDED_HOSTS
     }
 
-    /// Returns whether detours are taken to any host.
-    pub fn has_detours(&self, now: Duration) -> bool {
-        self.is_stranded() || self.detours.values().any(|it| it.until > now)
+    /// Returns the hosts to which the own path was lost lately.
+    pub fn lost_paths(&self, now: Duration) -> impl Iterator<Item = &Address> {
+        let recent = move |at: &Duration| now.saturating_sub(*at) < LOST_TTL;
+        self.lost.iter().filter(move |(_, at)| recent(at)).map(|(address, _)| address)
     }
 
-    /// Returns since when detours to a host are taken; `None` if its own path is tried first.
-    pub fn detour_since(&self, now: Duration, address: &str) -> Option<Duration> {
-        let detour = self.detours.get(address).filter(|it| it.until > now);
-        detour.map(|it| it.since).into_iter().chain(self.stranded_since).min()
+    /// Returns when the own path to a host was lost; `None` if it may work.
+    pub fn path_lost_at(&self, address: &str) -> Option<Duration> {
+        self.lost.get(address).copied()
     }
 
     /// Returns the order in which paths to a host are tried.
     pub fn order(&self, now: Duration, address: &str) -> Order {
-        if self.detour_since(now, address).is_some() {
+        let is_valid = |it: Option<&Duration>| it.is_some_and(|until| *until > now);
+        if self.is_stranded || is_valid(self.detours.get(address)) {
             Order::DetourFirst
-        } else if self.unreachable.get(address).is_some_and(|until| *until > now) {
+        } else if is_valid(self.unreachable.get(address)) {
             Order::Direct
         } else {
             Order::DirectFirst
@@ -89,26 +88,24 @@
         self.detours.remove(address);
         self.unreachable.remove(address);
         self.lost.clear();
-        self.stranded_since.take().is_some()
+        std::mem::take(&mut self.is_stranded)
     }
 
-    /// Records that another node reached a host which this node hasn't reached so far.
+    /// Records that another node reached a host sooner than this node.
     pub fn record_detour(&mut self, now: Duration, address: &str) {
-        self.detours.retain(|_, it| it.until > now);
+        self.detours.retain(|_, until| *until > now);
         self.unreachable.remove(address);
-        let detour = self.detours.entry(address.to_owned());
-        detour.or_insert(Detour { since: now, until: now }).until = now + DETOUR_TTL;
+        self.detours.insert(address.to_owned(), now + DETOUR_TTL);
     }
 
-    /// Records that the own path to a host that another node reached didn't work. Returns whether the node counts as
-    /// stranded only now.
-    pub fn record_lost_path(&mut self, now: Duration, address: &str) -> bool {
-        self.lost.insert(address.to_owned());
-        if self.is_stranded() || self.lost.len() < STRANDED_HOSTS {
-            return false;
-        }
-        self.stranded_since = Some(now);
-        true
+    /// Records that the own path to a host that another node reached didn't work.
+    pub fn record_lost_path(&mut self, now: Duration, address: &str) {
+        self.lost.insert(address.to_owned(), now);
+    }
+
+    /// Records that the node has lost its paths to several hosts and reaches none of the others.
+    pub fn record_stranded(&mut self) {
+        self.is_stranded = true;
     }
 
     /// Records that neither this node nor another one that it asked reached a host.
--- a/cuminward-upstream/src/body.rs
+++ b/cuminward-upstream/src/body.rs
@@ -102,6 +102,14 @@
     }
 }
 
+/// Access
+impl<B> Body<B> {
+    /// Returns whether further requests may follow on the connection.
+    pub fn is_connection_reusable(&self) -> bool {
+        self.lease.is_reusable()
+    }
+}
+
 /// Mutation
 impl<B: Payload> Body<B> {
     /// Reads the whole body, of at most `max_bytes`, into one buffer. A body in many small parts takes no more memory
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -332,6 +332,11 @@
         self.pool.put(&self.address, connection);
     }
 
+    /// Returns whether the connection may carry further requests.
+    pub(crate) fn is_reusable(&self) -> bool {
+        self.connection.as_ref().is_some_and(|it| it.is_reusable)
+    }
+
     /// Records that a part of the response arrived.
     pub(crate) fn record_part(&self) {
         if let Some(connection) = &self.connection {
