feat: cuminward-standin: disruptions of single clients of a link

A link disrupted all of its clients alike. Nodes reach a host through one address, so that a loss of the paths between one node and all hosts couldn't be played.

A link asks a small trait which client opened a connection, and disrupts that client's connections: they hang, are closed, or live on while new ones are closed. Links without that trait tell no clients apart, as before.

--- a/cuminward-standin/src/link.rs
+++ b/cuminward-standin/src/link.rs
@@ -1,7 +1,9 @@
 //! TCP forwarder between two loopback addresses that simulates partitions, silent connections and
-//! delays.
+//! delays, for all clients or for some of them.
 
 use std::{
+    collections::BTreeMap,
+    future::Future,
     io,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
@@ -34,7 +36,35 @@
     stop: CancellationToken,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+/// How the connections of one client are disrupted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Disruption {
+    /// Open and new connections carry no data.
+    Hang,
+    /// Open and new connections are closed.
+    Reset,
+    /// New connections are closed; the open ones go on.
+    Refuse,
+}
+
+/// Tells the clients of a link apart.
+pub trait Identify: Send + Sync + 'static {
+    /// Returns the number of the client that opened the connection from `source` to `link`, if it has one.
+    fn client(
+        &self,
+        source: SocketAddr,
+        link: SocketAddr,
+    ) -> impl Future<Output = Option<usize>> + Send;
+}
+
+/// No client has a number.
+impl Identify for () {
+    async fn client(&self, _source: SocketAddr, _link: SocketAddr) -> Option<usize> {
+        None
+    }
+}
+
+#[derive(Debug, Clone, Default)]
 struct State {
     forward_cut: bool,
     backward_cut: bool,
@@ -44,6 +74,15 @@
     opened: u64,
     /// Connections with a lower number are silenced.
     silent_below: u64,
+    /// Disruptions by the client's number.
+    disruptions: BTreeMap<usize, Disruption>,
+}
+
+/// An accepted connection.
+#[derive(Debug, Clone, Copy)]
+struct Connection {
+    number: u64,
+    client: Option<usize>,
 }
 
 /// A direction of a connection.
@@ -61,6 +100,18 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(target: SocketAddr) -> io::Result<Link> {
+        Link::start_identifying(target, Arc::new(())).await
+    }
+
+    /// Starts a forwarder as [`Link::start`] does, whose clients can be disrupted one by one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start_identifying(
+        target: SocketAddr,
+        identify: Arc<impl Identify>,
+    ) -> io::Result<Link> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(watch::Sender::new(State::default()));
@@ -69,7 +120,7 @@
         tokio::spawn(async move {
             tokio::select! {
                 () = stopped.cancelled() => {}
-                () = accept(listener, target, shared) => {}
+                () = accept(listener, target, shared, identify) => {}
             }
         });
         Ok(Link { address, state, stop })
@@ -123,6 +174,18 @@
         self.update(|it| it.silent_below = it.opened);
     }
 
+    /// Disrupts the connections of a client, or ends that. Bytes that were held back are delivered at the end.
+    pub fn disrupt(&self, client: usize, disruption: Option<Disruption>) {
+        self.update(|it| match disruption {
+            Some(disruption) => {
+                it.disruptions.insert(client, disruption);
+            }
+            None => {
+                it.disruptions.remove(&client);
+            }
+        });
+    }
+
     /// Delays the bytes in each direction by a fixed time.
     pub fn delay(&self, delay: Duration) {
         self.update(|it| it.delay = delay);
@@ -135,23 +198,43 @@
 
 impl State {
     /// Whether bytes pass in a direction of a connection.
-    fn is_open(&self, connection: u64, direction: Direction) -> bool {
+    fn is_open(&self, connection: Connection, direction: Direction) -> bool {
         let cut = match direction {
             Direction::Forward => self.forward_cut,
             Direction::Backward => self.backward_cut,
         };
-        !cut && connection >= self.silent_below
+        let hangs = self.disruption(connection) == Some(Disruption::Hang);
+        !cut && !hangs && connection.number >= self.silent_below
+    }
+
+    /// Whether an open connection is closed.
+    fn is_closing(&self, connection: Connection) -> bool {
+        self.refusing || self.disruption(connection) == Some(Disruption::Reset)
+    }
+
+    fn disruption(&self, connection: Connection) -> Option<Disruption> {
+        self.disruptions.get(&connection.client?).copied()
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, state: Arc<watch::Sender<State>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    state: Arc<watch::Sender<State>>,
+    identify: Arc<impl Identify>,
+) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
-            Ok((socket, _)) = listener.accept() => {
+            Ok((socket, source)) = listener.accept() => {
                 let number = state.borrow().opened;
                 state.send_modify(|it| it.opened += 1);
-                connections.spawn(forward(socket, target, number, state.subscribe()));
+                let (identify, state) = (Arc::clone(&identify), state.subscribe());
+                connections.spawn(async move {
+                    let link = socket.local_addr().unwrap_or(target);
+                    let client = identify.client(source, link).await;
+                    forward(socket, target, Connection { number, client }, state).await;
+                });
             }
             Some(_) = connections.join_next() => {}
         }
@@ -161,32 +244,39 @@
 async fn forward(
     socket: TcpStream,
     target: SocketAddr,
-    number: u64,
+    connection: Connection,
     mut state: watch::Receiver<State>,
 ) {
+    if state.borrow().disruption(connection) == Some(Disruption::Refuse) {
+        return;
+    }
     let watched = state.clone();
     let relay = async {
         // A cut forward direction also keeps the connection to the target from being opened.
-        wait_until_open(&mut watched.clone(), number, Direction::Forward).await;
+        wait_until_open(&mut watched.clone(), connection, Direction::Forward).await;
         let Ok(remote) = TcpStream::connect(target).await else { return };
         // Fails only if one side has already closed its connection. Copying then ends as well.
         let _ = (socket.set_nodelay(true), remote.set_nodelay(true));
         let (client_read, client_write) = socket.into_split();
         let (target_read, target_write) = remote.into_split();
         tokio::join!(
-            copy(client_read, target_write, watched.clone(), number, Direction::Forward),
-            copy(target_read, client_write, watched.clone(), number, Direction::Backward),
+            copy(client_read, target_write, watched.clone(), connection, Direction::Forward),
+            copy(target_read, client_write, watched.clone(), connection, Direction::Backward),
         );
     };
     tokio::select! {
         () = relay => {}
-        _ = state.wait_for(|it| it.refusing) => {}
+        _ = state.wait_for(|it| it.is_closing(connection)) => {}
     }
 }
 
 /// Waits until bytes pass in a direction of a connection. Never returns once the link is dropped.
-async fn wait_until_open(state: &mut watch::Receiver<State>, number: u64, direction: Direction) {
-    let ended = state.wait_for(|it| it.is_open(number, direction)).await.is_err();
+async fn wait_until_open(
+    state: &mut watch::Receiver<State>,
+    connection: Connection,
+    direction: Direction,
+) {
+    let ended = state.wait_for(|it| it.is_open(connection, direction)).await.is_err();
     if ended {
         std::future::pending::<()>().await;
     }
@@ -198,7 +288,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut state: watch::Receiver<State>,
-    number: u64,
+    connection: Connection,
     direction: Direction,
 ) {
     let (sender, mut delayed) = mpsc::channel::<(Instant, Bytes)>(MAX_DELAYED_CHUNKS);
@@ -216,12 +306,12 @@
     let writing = async move {
         while let Some((due, bytes)) = delayed.recv().await {
             tokio::time::sleep_until(due).await;
-            wait_until_open(&mut state, number, direction).await;
+            wait_until_open(&mut state, connection, direction).await;
             if to.write_all(&bytes).await.is_err() {
                 return;
             }
         }
-        wait_until_open(&mut state, number, direction).await;
+        wait_until_open(&mut state, connection, direction).await;
         // Fails only if the receiver has already closed the connection.
         let _ = to.shutdown().await;
     };
