--- a/cuminward-soak/tests/all/checker.rs
+++ b/cuminward-soak/tests/all/checker.rs
@@ -22,6 +22,7 @@
     Run {
         request: sent.id.clone(),
         host: String::from("h"),
+        members: Vec::new(),
         request_line: sent.line.clone(),
         body: Bytes::from(sent.body.clone()),
         team: Some(TEAM.to_owned()),
