feat: cuminward-soak: pauses of sound hosts and stranded nodes, with checks for both

Pauses last 0.5 to 1.5 s and concern one host, two thirds of the hosts or all. Strandings last 4 to 12 s and concern one node, two thirds or a failure domain; connections hang, are reset, or live on while new ones are closed. A record of faults and requests gives two checks: LOST, a request that reached hosts that were sound is cut by a node that ran; RECOVER, requests at stranded nodes are served at least two thirds as often as at the others.

--- a/cuminward-soak/examples/soak.rs
+++ b/cuminward-soak/examples/soak.rs
@@ -8,7 +8,7 @@
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use clap::Parser;
-use cuminward_soak::soak;
+use cuminward_soak::{fault, soak};
 use miette::{IntoDiagnostic, miette};
 use tokio::signal::unix::{self, SignalKind};
 
@@ -27,6 +27,12 @@
     /// Number of callers.
     #[arg(long, default_value_t = 12)]
     callers: usize,
+    /// Weight of pauses of hosts, against 26 for all other faults; 0 for none.
+    #[arg(long, default_value_t = fault::Weights::default().pauses)]
+    pauses: u32,
+    /// Weight of strandings of nodes, likewise.
+    #[arg(long, default_value_t = fault::Weights::default().strandings)]
+    strandings: u32,
     /// Path of the daemon's executable; by default the one built in the same target directory.
     #[arg(long)]
     daemon: Option<PathBuf>,
@@ -46,6 +52,7 @@
         duration: Duration::from_secs_f64(arguments.seconds),
         nodes: arguments.nodes,
         callers: arguments.callers,
+        weights: fault::Weights { pauses: arguments.pauses, strandings: arguments.strandings },
         daemon: find_daemon(arguments.daemon)?,
         directory,
     };
@@ -65,6 +72,9 @@
         counts.failed,
         outcome.violations.len(),
     );
+    for stranding in &outcome.strandings {
+        println!("  {stranding}");
+    }
     for violation in &outcome.violations {
         println!("  {violation}");
     }
--- a/cuminward-soak/src/checker.rs
+++ b/cuminward-soak/src/checker.rs
@@ -8,6 +8,8 @@
 
 use cuminward_adapter_fake::cluster::Run;
 
+use crate::caller::Try;
+
 /// Kind of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -17,6 +19,16 @@
     Once,
     /// Is answered with a stream of events that can be resumed.
     Stream,
+    /// Is answered with such a stream, and is sent to one host only.
+    SingleStream,
+}
+
+/// Access
+impl Kind {
+    /// Returns whether the answer is a stream of events.
+    pub fn is_stream(&self) -> bool {
+        matches!(self, Kind::Stream | Kind::SingleStream)
+    }
 }
 
 /// A request that a caller sent.
@@ -67,6 +79,7 @@
     refused: HashMap<String, u16>,
     answered: u64,
     failed: u64,
+    tries: Vec<Try>,
     violations: Vec<String>,
 }
 
@@ -92,6 +105,11 @@
         Counts { sent, answered: state.answered, refused, failed: state.failed }
     }
 
+    /// Returns the requests that were sent to nodes, as their callers saw them.
+    pub fn tries(&self) -> Vec<Try> {
+        self.lock().tries.clone()
+    }
+
     /// Returns all violations: the recorded ones and those that follow from `runs`, the runs of all hosts.
     pub fn violations(&self, runs: &[Run]) -> Vec<String> {
         let state = self.lock();
@@ -154,6 +172,11 @@
         }
     }
 
+    /// Records a request as its caller saw it.
+    pub fn record_try(&self, it: Try) {
+        self.lock().tries.push(it);
+    }
+
     /// Records a violation that was detected elsewhere.
     pub fn record_violation(&self, violation: String) {
         self.lock().violations.push(violation);
@@ -175,7 +198,7 @@
     if !reply.is_stamped {
         return Some(format!("MIXED: nobody vouches for the answer to {}", sent.id));
     }
-    if sent.kind == Kind::Stream {
+    if sent.kind.is_stream() {
         let last = last_event(&sent.id, &reply.body);
         return match last {
             None => Some(format!("ORDER: {} got {:?}", sent.id, reply.body)),
--- a/cuminward-soak/src/fault.rs
+++ b/cuminward-soak/src/fault.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use cuminward_standin::link::{Disruption, Link};
 use http::StatusCode;
 use rand::RngExt;
 use rand_pcg::Pcg64;
@@ -10,12 +11,20 @@
 
 use crate::{
     node::{Node, SHUTDOWN_GRACE},
-    testbed::Testbed,
+    testbed::{DOMAINS, HOSTS, Testbed},
 };
 
-/// Range of a fault's duration, in milliseconds.
+/// Range of a fault's duration, in milliseconds: of pauses, of strandings, and of all other faults.
+const PAUSE_MS: std::ops::Range<u64> = 500..1500;
+const STRANDING_MS: std::ops::Range<u64> = 4000..12000;
 const DURATION_MS: std::ops::Range<u64> = 200..3500;
 
+/// Numbers of hosts that may pause together.
+const PAUSED_HOSTS: [usize; 3] = [1, HOSTS * 2 / 3, HOSTS];
+
+/// Weight of all faults other than pauses and strandings.
+const BASE_WEIGHT: u32 = 26;
+
 /// Time between the crash of a host and its removal from the platform's host list.
 const HOST_REMOVAL_DELAY: Duration = Duration::from_millis(1500);
 
@@ -29,6 +38,33 @@
 /// Added latency of a delayed link.
 const LINK_DELAY: Duration = Duration::from_millis(120);
 
+/// Weights of faults, beside [`BASE_WEIGHT`] for all others. With 0 for both, a seed draws the same faults as
+/// before there were pauses and strandings.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Weights {
+    /// Weight of pauses of hosts.
+    pub pauses: u32,
+    /// Weight of strandings of nodes.
+    pub strandings: u32,
+}
+
+impl Default for Weights {
+    fn default() -> Weights {
+        Weights { pauses: 3, strandings: 1 }
+    }
+}
+
+/// Nodes that lose their paths to all hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// One node.
+    Node(usize),
+    /// Two thirds of the nodes, from this one on.
+    Most(usize),
+    /// All nodes of this node's failure domain.
+    Domain(usize),
+}
+
 /// A fault; the numbers are indices of nodes or hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -68,13 +104,52 @@
     LateOrders,
     /// A new version of the configuration is declared.
     Configure,
+    /// Sound hosts, this many from the first one on, send and read nothing on any connection, and then go on.
+    Pause(usize, usize),
+    /// The paths between some nodes and all hosts are disrupted.
+    Strand(Scope, Disruption),
+}
+
+/// Access
+impl Fault {
+    /// Returns whether all nodes keep running and reaching the store and, but for the disrupted hosts, the hosts.
+    pub fn spares_nodes(&self) -> bool {
+        matches!(
+            self,
+            Fault::Hangup(_)
+                | Fault::Crash(_)
+                | Fault::CutHost(_)
+                | Fault::CutAnswers(_)
+                | Fault::SilenceHost(_)
+                | Fault::ResetHost(_)
+                | Fault::Delay(_)
+                | Fault::LateOrders
+                | Fault::Configure
+                | Fault::Pause(..)
+        )
+    }
+}
+
+/// Access
+impl Scope {
+    /// Returns the numbers of the nodes, out of `count`.
+    pub fn nodes(&self, count: usize) -> Vec<usize> {
+        match *self {
+            Scope::Node(node) => vec![node],
+            Scope::Most(first) => (first..first + count * 2 / 3).map(|it| it % count).collect(),
+            Scope::Domain(node) => {
+                let domain = node % DOMAINS.len();
+                (0..count).filter(|it| it % DOMAINS.len() == domain).collect()
+            }
+        }
+    }
 }
 
 /// Draws a fault; `nodes` and `hosts` are the numbers of nodes and hosts.
-pub fn draw(random: &mut Pcg64, nodes: usize, hosts: usize) -> Fault {
+pub fn draw(random: &mut Pcg64, weights: Weights, nodes: usize, hosts: usize) -> Fault {
     let node = random.random_range(0..nodes);
     let host = random.random_range(0..hosts);
-    match random.random_range(0..26) {
+    match random.random_range(0..BASE_WEIGHT + weights.pauses + weights.strandings) {
         0 | 1 => Fault::Kill(node),
         2 => Fault::KillAll,
         3 | 4 => Fault::Terminate(node),
@@ -92,13 +167,36 @@
         21 => Fault::ResetHost(host),
         22 => Fault::Delay(host),
         23 => Fault::LateOrders,
-        _ => Fault::Configure,
+        24 | 25 => Fault::Configure,
+        it if it < BASE_WEIGHT + weights.pauses => {
+            Fault::Pause(host, PAUSED_HOSTS[random.random_range(0..PAUSED_HOSTS.len())])
+        }
+        _ => draw_stranding(random, node),
     }
 }
 
+fn draw_stranding(random: &mut Pcg64, node: usize) -> Fault {
+    let scope = match random.random_range(0..3) {
+        0 => Scope::Node(node),
+        1 => Scope::Most(node),
+        _ => Scope::Domain(node),
+    };
+    let disruption = match random.random_range(0..3) {
+        0 => Disruption::Hang,
+        1 => Disruption::Reset,
+        _ => Disruption::Refuse,
+    };
+    Fault::Strand(scope, disruption)
+}
+
 /// Draws the duration of a fault.
-pub fn draw_duration(random: &mut Pcg64) -> Duration {
-    Duration::from_millis(random.random_range(DURATION_MS))
+pub fn draw_duration(random: &mut Pcg64, fault: Fault) -> Duration {
+    let range = match fault {
+        Fault::Pause(..) => PAUSE_MS,
+        Fault::Strand(..) => STRANDING_MS,
+        _ => DURATION_MS,
+    };
+    Duration::from_millis(random.random_range(range))
 }
 
 /// Injects a fault and ends it after `duration`. Returns once the fault has ended; a silenced connection
@@ -139,6 +237,11 @@
         Fault::CutHost(host) => {
             apply_for(duration, || link(host).cut(), || link(host).heal()).await;
         }
+        Fault::Pause(first, count) => {
+            let paused = || paused_hosts(first, count).map(link);
+            apply_for(duration, || paused().for_each(Link::cut), || paused().for_each(Link::heal))
+                .await;
+        }
         Fault::CutAnswers(host) => {
             apply_for(duration, || link(host).cut_backward(), || link(host).heal()).await;
         }
@@ -155,9 +258,19 @@
             apply_for(duration, || set(true), || set(false)).await;
         }
         Fault::Configure => testbed.configure(),
+        Fault::Strand(scope, disruption) => {
+            let stranded = scope.nodes(nodes.len());
+            let strand = |disruption| testbed.strand(&stranded, disruption);
+            apply_for(duration, || strand(Some(disruption)), || strand(None)).await;
+        }
     }
 }
 
+/// Returns the numbers of the hosts in a pause of `count` hosts.
+pub fn paused_hosts(first: usize, count: usize) -> impl Iterator<Item = usize> {
+    (first..first + count).map(|it| it % HOSTS)
+}
+
 /// Calls `begin`, waits for `duration`, and calls `end`.
 async fn apply_for(duration: Duration, begin: impl FnOnce(), end: impl FnOnce()) {
     begin();
--- a/cuminward-soak/src/lib.rs
+++ b/cuminward-soak/src/lib.rs
@@ -2,8 +2,9 @@
 //! them, and checks the guarantees to callers and upstreams.
 //!
 //! [`testbed`] starts the store, the hosts and the proxies in front of them, [`node`] the daemon's
-//! processes; [`caller`] generates load, [`fault`] injects faults, [`checker`] checks the guarantees, and
-//! [`soak`] combines them into one run.
+//! processes, which [`process`] tells apart; [`caller`] generates load, [`fault`] injects faults, [`history`]
+//! records when; [`checker`], [`lost`] and [`recover`] check the guarantees, and [`soak`] combines them into
+//! one run.
 
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
@@ -11,6 +12,10 @@
 pub mod caller;
 pub mod checker;
 pub mod fault;
+pub mod history;
+pub mod lost;
 pub mod node;
+pub mod process;
+pub mod recover;
 pub mod soak;
 pub mod testbed;
--- a/cuminward-soak/src/node.rs
+++ b/cuminward-soak/src/node.rs
@@ -15,11 +15,16 @@
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::process::{Child, Command};
 
+use crate::process;
+
 /// Time that a process may take to exit after SIGTERM.
 pub const SHUTDOWN_GRACE: Duration = Duration::from_secs(6);
 
 /// A node, whose process may be stopped and started again.
 pub struct Node {
+    /// Number of the node, from 0.
+    number: usize,
+    processes: process::Registry,
     name: String,
     domain: String,
     daemon: PathBuf,
@@ -44,13 +49,15 @@
 
 /// Life cycle
 impl Node {
-    /// Starts a node in a failure domain; its settings and logs are written to `directory`.
+    /// Starts a node in a failure domain, named by its number; its settings and logs are written to
+    /// `directory`, and its process to `processes`.
     ///
     /// # Errors
     ///
     /// Fails if no port is free, a file can't be written, or the process can't be started.
     pub async fn start(
-        name: &str,
+        number: usize,
+        processes: &process::Registry,
         domain: &str,
         daemon: &Path,
         directory: &Path,
@@ -62,7 +69,9 @@
             peers: address::allocate()?,
         };
         let node = Node {
-            name: name.to_owned(),
+            number,
+            processes: processes.clone(),
+            name: format!("n{number}"),
             domain: domain.to_owned(),
             daemon: daemon.to_owned(),
             directory: directory.to_owned(),
@@ -131,6 +140,7 @@
             .stderr(log("err")?)
             .kill_on_drop(true)
             .spawn()?;
+        self.processes.set(self.number, child.id());
         *self.process.lock().unwrap_or_else(PoisonError::into_inner) = Some(child);
         Ok(())
     }
--- a/cuminward-soak/src/soak.rs
+++ b/cuminward-soak/src/soak.rs
@@ -19,7 +19,10 @@
     caller::{self, Caller, SUCCESS},
     checker::{Checker, Counts, Kind, Request},
     fault::{self, Fault},
+    history::History,
+    lost,
     node::{Node, SHUTDOWN_GRACE},
+    process, recover,
     testbed::{self, DOMAINS, Testbed},
 };
 
@@ -34,6 +37,8 @@
     pub nodes: usize,
     /// Number of callers.
     pub callers: usize,
+    /// Weights of faults that can be left out.
+    pub weights: fault::Weights,
     /// Path of the daemon's executable.
     pub daemon: PathBuf,
     /// Directory for the logs and settings of the nodes.
@@ -47,6 +52,8 @@
     pub counts: Counts,
     /// Injected faults, each with the time since the start of fault injection.
     pub faults: Vec<(Duration, Fault)>,
+    /// What callers saw while nodes were stranded.
+    pub strandings: Vec<recover::Report>,
     /// Descriptions of the violated guarantees.
     pub violations: Vec<String>,
 }
@@ -72,60 +79,98 @@
 ///
 /// Fails if no port is free, a file can't be written, or a process can't be started.
 pub async fn run(options: &Options) -> io::Result<Outcome> {
-    let testbed = Arc::new(Testbed::start().await?);
-    let nodes: Arc<[Node]> = start_nodes(options, &testbed).await?.into();
+    let processes = process::Registry::default();
+    let testbed = Arc::new(Testbed::start(&processes).await?);
+    let nodes: Arc<[Node]> = start_nodes(options, &testbed, &processes).await?.into();
+    let history = Arc::new(History::default());
     let checker = Arc::new(Checker::default());
     check_recovery("start", &testbed, &nodes, &checker).await;
     let mut callers = JoinSet::new();
     for index in 0..options.callers {
         let name = format!("c{index}");
         let seed = options.seed ^ (index as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        let caller = Caller::new(Arc::clone(&nodes), Arc::clone(&checker), name, seed);
+        let (nodes, checker) = (Arc::clone(&nodes), Arc::clone(&checker));
+        let has_single_streams = options.weights.pauses > 0;
+        let caller = Caller::new(nodes, checker, name, seed, has_single_streams);
         callers.spawn(caller.run());
     }
-    let faults = inject_faults(options, &testbed, &nodes).await;
+    let faults = inject_faults(options, &testbed, &nodes, &history).await;
     check_recovery("faults", &testbed, &nodes, &checker).await;
     check_graceful_stop(options, &nodes, &checker).await;
     callers.shutdown().await;
     time::sleep(LATE_RUN_WAIT).await;
-    let mut violations = checker.violations(&testbed.cluster.runs());
+    let (tries, events) = (checker.tries(), history.events());
+    let runs = testbed.cluster.runs();
+    let mut violations = checker.violations(&runs);
     violations.extend(testbed.cluster.violations());
-    Ok(Outcome { counts: checker.counts(), faults, violations })
+    violations.extend(lost::find(&lost::Records {
+        tries: &tries,
+        runs: &runs,
+        broken_off: &testbed.cluster.broken_off(),
+        events: &events,
+        hosts: &testbed.hosts(),
+        nodes: nodes.len(),
+    }));
+    let strandings = recover::report(&tries, &events, nodes.len());
+    let is_violation = |it: &&recover::Report| it.is_violation();
+    violations.extend(strandings.iter().filter(is_violation).map(|it| format!("RECOVER: {it}")));
+    Ok(Outcome { counts: checker.counts(), faults, strandings, violations })
 }
 
-async fn start_nodes(options: &Options, testbed: &Testbed) -> io::Result<Vec<Node>> {
+async fn start_nodes(
+    options: &Options,
+    testbed: &Testbed,
+    processes: &process::Registry,
+) -> io::Result<Vec<Node>> {
     let mut nodes = Vec::new();
     for index in 0..options.nodes {
         let domain = DOMAINS[index % DOMAINS.len()];
-        let name = format!("n{index}");
         let (daemon, directory): (&Path, &Path) = (&options.daemon, &options.directory);
-        nodes.push(Node::start(&name, domain, daemon, directory, testbed.store.address).await?);
+        let store = testbed.store.address;
+        nodes.push(Node::start(index, processes, domain, daemon, directory, store).await?);
     }
     Ok(nodes)
 }
 
 /// Injects random faults for the duration in the options, waits until all of them have ended, and returns
-/// them.
+/// them. While nodes are stranded, only faults are drawn that spare the nodes, so that they stay in touch.
 async fn inject_faults(
     options: &Options,
     testbed: &Arc<Testbed>,
     nodes: &Arc<[Node]>,
+    history: &Arc<History>,
 ) -> Vec<(Duration, Fault)> {
     let mut random = Pcg64::seed_from_u64(options.seed);
     let started = Instant::now();
     let mut injected = JoinSet::new();
     let mut faults = Vec::new();
+    let mut stranded_for = Duration::ZERO;
     while started.elapsed() < options.duration {
-        let fault = fault::draw(&mut random, nodes.len(), testbed.links.len());
-        let duration = fault::draw_duration(&mut random);
+        let mut draw =
+            || fault::draw(&mut random, options.weights, nodes.len(), testbed.links.len());
+        let mut fault = draw();
+        while !stranded_for.is_zero() && !fault.spares_nodes() {
+            fault = draw();
+        }
+        let duration = fault::draw_duration(&mut random, fault);
+        if let Fault::Strand(..) = fault {
+            stranded_for = duration;
+        }
         faults.push((started.elapsed(), fault));
         log::info!(
             "{:.1} s: injecting {fault:?} for {duration:?}",
             started.elapsed().as_secs_f64()
         );
         let inject = fault::inject(fault, duration, Arc::clone(testbed), Arc::clone(nodes));
-        injected.spawn(inject);
-        time::sleep(Duration::from_millis(random.random_range(PAUSE_MS))).await;
+        let history = Arc::clone(history);
+        injected.spawn(async move {
+            let number = history.begin(fault);
+            inject.await;
+            history.end(number);
+        });
+        let pause = Duration::from_millis(random.random_range(PAUSE_MS));
+        stranded_for = stranded_for.saturating_sub(pause);
+        time::sleep(pause).await;
     }
     while injected.join_next().await.is_some() {}
     testbed.heal();
--- a/cuminward-soak/src/testbed.rs
+++ b/cuminward-soak/src/testbed.rs
@@ -14,10 +14,10 @@
     cluster::{Cluster, Delays, Spec},
     store::Store,
 };
-use cuminward_standin::link::Link;
+use cuminward_standin::link::{Disruption, Link};
 use tokio::net::TcpListener;
 
-use crate::checker::TEAM;
+use crate::{checker::TEAM, process};
 
 /// Host name in the requests of callers.
 pub const HOST_NAME: &str = "soak.example";
@@ -56,6 +56,12 @@
 const ENGINE_HOSTS: usize = 5;
 const PLAIN_HOSTS: usize = 1;
 
+/// Number of hosts in each failure domain.
+pub const HOSTS_PER_DOMAIN: usize = ENGINE_HOSTS + PLAIN_HOSTS;
+
+/// Number of all hosts.
+pub const HOSTS: usize = DOMAINS.len() * HOSTS_PER_DOMAIN;
+
 /// Delays of the hosts.
 const DELAYS: Delays = Delays {
     load: Duration::from_millis(400),
@@ -80,22 +86,24 @@
 
 /// Life cycle
 impl Testbed {
-    /// Starts the store and the hosts, and declares the first configuration.
+    /// Starts the store and the hosts, and declares the first configuration. The proxies tell the nodes apart by
+    /// their processes.
     ///
     /// # Errors
     ///
     /// Fails if no port is free.
-    pub async fn start() -> io::Result<Testbed> {
+    pub async fn start(processes: &process::Registry) -> io::Result<Testbed> {
         let store = Arc::new(Store::start().await?);
         let cluster = Cluster::new(Arc::clone(&store), DELAYS, REPLICA_SIZE, STREAM_EVENTS);
         let mut links = Vec::new();
         for domain in DOMAINS {
-            for index in 0..ENGINE_HOSTS + PLAIN_HOSTS {
+            for index in 0..HOSTS_PER_DOMAIN {
                 let is_plain = index >= ENGINE_HOSTS;
                 let service = if is_plain { PLAIN_SERVICE } else { MODEL_SERVICE };
                 let id = format!("{service}-{domain}-{index}");
                 let listener = TcpListener::bind("127.0.0.1:0").await?;
-                let link = Link::start(listener.local_addr()?).await?;
+                let identify = Arc::new(processes.clone());
+                let link = Link::start_identifying(listener.local_addr()?, identify).await?;
                 let spec = Spec {
                     id: id.clone(),
                     service: service.to_owned(),
@@ -115,6 +123,11 @@
 
 /// Access
 impl Testbed {
+    /// Returns the ids of the hosts, in the order of their proxies.
+    pub fn hosts(&self) -> Vec<String> {
+        self.links.iter().map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns the version of the latest configuration.
     pub fn version(&self) -> u64 {
         self.version.load(Ordering::Relaxed)
@@ -129,6 +142,13 @@
         self.store.declare(&build_catalog(version));
     }
 
+    /// Disrupts the connections between some nodes and all hosts, or ends that.
+    pub fn strand(&self, nodes: &[usize], disruption: Option<Disruption>) {
+        for (_, link) in &self.links {
+            nodes.iter().for_each(|node| link.disrupt(*node, disruption));
+        }
+    }
+
     /// Ends all faults of the store and the hosts.
     pub fn heal(&self) {
         self.store.set_refusal(None);
@@ -165,6 +185,7 @@
             route("/read/", Retry::Idempotent, PLAIN_SERVICE),
             route("/book/", Retry::Never, PLAIN_SERVICE),
             route("/chat/", Retry::Resumable, MODEL_SERVICE),
+            Route { max_attempts: 1, ..route("/tell/", Retry::Resumable, MODEL_SERVICE) },
             route(&version_prefix(version), Retry::Idempotent, PLAIN_SERVICE),
         ],
         max_connections: MAX_CONNECTIONS,
--- a/cuminward-soak/tests/all/main.rs
+++ b/cuminward-soak/tests/all/main.rs
@@ -1,3 +1,8 @@
-//! Tests of the soak test's own checks.
+//! Tests of the soak test's own checks and faults.
 
 mod checker;
+mod fault;
+mod history;
+mod lost;
+mod process;
+mod recover;
--- a/cuminward/tests/soak.rs
+++ b/cuminward/tests/soak.rs
@@ -2,48 +2,104 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use cuminward_soak::soak;
+use cuminward_soak::{fault, soak};
 use googletest::prelude::*;
 
+/// Weights of a run without pauses and strandings.
+const NEITHER: fault::Weights = fault::Weights { pauses: 0, strandings: 0 };
+
 struct Case {
     name: &'static str,
     seed: u64,
     seconds: u64,
     nodes: usize,
+    callers: usize,
+    weights: fault::Weights,
 }
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn guarantees_hold_under_random_faults() -> Result<()> {
+    let case = |name, seed, seconds, nodes| Case {
+        name,
+        seed,
+        seconds,
+        nodes,
+        callers: 12,
+        weights: NEITHER,
+    };
     let cases = [
-        Case { name: "few nodes", seed: 1, seconds: 8, nodes: 3 },
-        Case {
-            name: "a new steward sent orders based on a host list older than its predecessor's orders",
-            seed: 6,
-            seconds: 20,
-            nodes: 5,
-        },
-        Case {
-            name: "a group formation continued after another steward had taken over its members",
-            seed: 101,
-            seconds: 15,
-            nodes: 5,
-        },
+        case("few nodes", 1, 8, 3),
+        case(
+            "a new steward sent orders based on a host list older than its predecessor's orders",
+            6,
+            20,
+            5,
+        ),
     ];
     for case in cases {
-        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(case.seed.to_string());
-        std::fs::create_dir_all(&directory).or_fail()?;
-        let options = soak::Options {
-            seed: case.seed,
-            duration: Duration::from_secs(case.seconds),
-            nodes: case.nodes,
-            callers: 12,
-            daemon: PathBuf::from(env!("CARGO_BIN_EXE_cuminward")),
-            directory,
-        };
-        let outcome = soak::run(&options).await.or_fail()?;
-        expect_that!(outcome.violations, is_empty(), "{}: {:?}", case.name, outcome.faults);
-        expect_that!(outcome.counts.answered, gt(0), "{}", case.name);
+        check(case).await?;
     }
     Ok(())
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn formations_end_when_another_steward_takes_over() -> Result<()> {
+    check(Case {
+        name: "a group formation continued after another steward had taken over its members",
+        seed: 101,
+        seconds: 15,
+        nodes: 5,
+        callers: 12,
+        weights: NEITHER,
+    })
+    .await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_not_cut_while_their_sound_hosts_pause() -> Result<()> {
+    check(Case {
+        name: "streams to one host were cut half a second into a pause of it",
+        seed: 26_120_543,
+        seconds: 20,
+        nodes: 5,
+        callers: 12,
+        weights: fault::Weights { pauses: 6, strandings: 0 },
+    })
+    .await
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_without_paths_to_hosts_serve_by_way_of_others() -> Result<()> {
+    check(Case {
+        name: "nodes without a path to any host failed nearly all requests",
+        seed: 26_120_521,
+        seconds: 30,
+        nodes: 5,
+        callers: 24,
+        weights: fault::Weights { pauses: 0, strandings: 4 },
+    })
+    .await
+}
+
+/// Runs a case and expects no violation.
+async fn check(case: Case) -> Result<()> {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(case.seed.to_string());
+    std::fs::create_dir_all(&directory).or_fail()?;
+    let options = soak::Options {
+        seed: case.seed,
+        duration: Duration::from_secs(case.seconds),
+        nodes: case.nodes,
+        callers: case.callers,
+        weights: case.weights,
+        daemon: PathBuf::from(env!("CARGO_BIN_EXE_cuminward")),
+        directory,
+    };
+    let outcome = soak::run(&options).await.or_fail()?;
+    expect_that!(outcome.violations, is_empty(), "{}: {:?}", case.name, outcome.faults);
+    expect_that!(outcome.counts.answered, gt(0), "{}", case.name);
+    Ok(())
+}
