--- a/cuminward-soak/src/testbed.rs
+++ b/cuminward-soak/src/testbed.rs
@@ -180,6 +180,7 @@
         is_anonymous: false,
     };
     Catalog {
+        limits: None,
         version,
         routes: vec![
             route("/read/", Retry::Idempotent, PLAIN_SERVICE),
