--- a/cuminward-soak/src/fault.rs
+++ b/cuminward-soak/src/fault.rs
@@ -38,7 +38,7 @@
 /// Added latency of a delayed link.
 const LINK_DELAY: Duration = Duration::from_millis(120);
 
-/// Weights of faults, beside [`BASE_WEIGHT`] for all others. With 0 for both, a seed draws the same faults as
+/// Weights of faults, relative to that of all others together. With 0 for both, a seed draws the same faults as
 /// before there were pauses and strandings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Weights {
