--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -392,14 +392,7 @@
     fn handle_failure(&mut self, fault: Fault) -> Result<(), Error> {
         self.attempts.record_failure(fault.failure);
         let next = attempt::decide(self.attempts, fault.failure, &self.context.bounds());
-        report::record_failed_attempt(
-            &self.state,
-            &self.context,
-            &self.upstream,
-            &fault,
-            self.last_event,
-            next,
-        );
+        self.report_failure(&fault, next);
         if next == Next::Retry && self.state.try_retry(&self.context.service) {
             return Ok(());
         }
@@ -410,17 +403,17 @@
     fn replace(&mut self, replacement: Replacement) {
         let fault = replacement.stall.fault();
         self.attempts.record_failure(fault.failure);
-        report::record_failed_attempt(
-            &self.state,
-            &self.context,
-            &self.upstream,
-            &fault,
-            self.last_event,
-            Next::Retry,
-        );
+        self.report_failure(&fault, Next::Retry);
         self.reserved = Some(replacement.slot);
     }
 
+    /// Reports a failed attempt and what follows it.
+    fn report_failure(&self, fault: &Fault, next: Next) {
+        let last_event = self.last_event;
+        let (state, context, upstream) = (&self.state, &self.context, &self.upstream);
+        report::record_failed_attempt(state, context, upstream, fault, last_event, next);
+    }
+
     /// Returns the error that ends the stream: [`Error::Failed`] if any attempt may have been executed,
     /// otherwise [`Error::Refused`].
     fn error(&self, cause: String, retry_after: Duration) -> Error {
--- a/cuminward-gateway/tests/all/local_views.rs
+++ b/cuminward-gateway/tests/all/local_views.rs
@@ -18,7 +18,7 @@
     time,
 };
 
-use crate::site::{self, EVENTS, KEY, Site};
+use crate::site::{self, EVENTS, KEY, Node, Site};
 
 const MODEL: (&str, &str) = (header::MODEL, site::MODEL);
 
@@ -43,6 +43,54 @@
     host.orders().iter().any(|it| it["operation"] == "leave")
 }
 
+/// Waits up to 4 s until a node serves streams.
+async fn wait_until_serving(node: &Node) {
+    for _ in 0..100 {
+        let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await;
+        if answer.is_ok_and(|it| it.body == site::events(1..=EVENTS)) {
+            return;
+        }
+        time::sleep(Duration::from_millis(40)).await;
+    }
+}
+
+/// A site with a node whose paths to the replicas go through gates, and another one without. Each host of the engine
+/// is a replica.
+struct Gated {
+    site: Site,
+    gates: Vec<Gate>,
+    node: Node,
+    /// The store as the node behind the gates sees it.
+    _view: Arc<Store>,
+    _other: Node,
+}
+
+/// Life cycle
+impl Gated {
+    /// Starts a site with `replicas` replicas, and waits until the node behind the gates serves and knows the other.
+    async fn start(name: &str, replicas: usize) -> Result<Gated> {
+        let site = Site::with_engine_hosts(replicas).await;
+        site.configure(1, None);
+        let view = Arc::new(Store::start().await.or_fail()?);
+        for host in &site.plain {
+            view.put_entry(&host.id, &site::plain_entry(host));
+        }
+        let mut gates = Vec::new();
+        for host in &site.replicas {
+            gates.push(list(&view, host, site::replica_entry(host)).await);
+        }
+        view.declare(&site::usual_catalog(1, Some(patient_route()), 1));
+        let other = site.node(&format!("{name}-other")).await;
+        let node = site.start_node(name, view.address).await;
+        site.store.put(topic::NODES, name, &node.peers.to_string());
+        view.put(topic::NODES, &format!("{name}-other"), &other.peers.to_string());
+        wait_until_serving(&node).await;
+        time::sleep(Duration::from_millis(1500)).await;
+        site.replicas.iter().for_each(Host::clear_received);
+        Ok(Gated { site, gates, node, _view: view, _other: other })
+    }
+}
+
 /// Guards against callers who send their next request on a connection whose end the node has decided already, and
 /// that the node then reads and drops.
 #[gtest]
@@ -68,30 +116,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_path_that_is_silent_for_a_moment_moves_no_stream() -> Result<()> {
-    let site = Site::with_engine_hosts(2).await;
-    site.configure(1, None);
-    let view = Arc::new(Store::start().await.or_fail()?);
-    for host in &site.plain {
-        view.put_entry(&host.id, &site::plain_entry(host));
-    }
-    let mut gates = Vec::new();
-    for host in &site.replicas {
-        gates.push(list(&view, host, site::replica_entry(host)).await);
-    }
-    view.declare(&site::usual_catalog(1, Some(patient_route()), 1));
-    let other = site.node("moment-other").await;
-    let node = site.start_node("moment", view.address).await;
-    site.store.put(topic::NODES, "moment", &node.peers.to_string());
-    view.put(topic::NODES, "moment-other", &other.peers.to_string());
-    for _ in 0..100 {
-        let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await;
-        if answer.is_ok_and(|it| it.body == site::events(1..=EVENTS)) {
-            break;
-        }
-        time::sleep(Duration::from_millis(40)).await;
-    }
-    time::sleep(Duration::from_millis(1500)).await;
-    site.replicas.iter().for_each(Host::clear_received);
+    let Gated { site, gates, node, _view, _other } = Gated::start("moment", 2).await?;
     host::share_script(&site.replicas, [Behaviour::StreamPausing(3, Duration::from_millis(1000))]);
     let callers = node.callers;
     let stream = tokio::spawn(async move {
@@ -136,13 +161,7 @@
     let node = site.start_node("contradict", view.address).await;
     site.store.put(topic::NODES, "contradict", &node.peers.to_string());
     view.put(topic::NODES, "contradict-other", &other.peers.to_string());
-    for _ in 0..100 {
-        let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await;
-        if answer.is_ok_and(|it| it.body == site::events(1..=EVENTS)) {
-            break;
-        }
-        time::sleep(Duration::from_millis(40)).await;
-    }
+    wait_until_serving(&node).await;
     time::sleep(Duration::from_millis(2500)).await;
     expect_that!(has_left(head), eq(false));
     head.enqueue(Behaviour::StreamPausing(3, SILENCE));
@@ -198,30 +217,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_opened_its_tunnel_itself_stays_in_it() -> Result<()> {
-    let site = Site::with_engine_hosts(2).await;
-    site.configure(1, None);
-    let view = Arc::new(Store::start().await.or_fail()?);
-    for host in &site.plain {
-        view.put_entry(&host.id, &site::plain_entry(host));
-    }
-    let mut gates = Vec::new();
-    for host in &site.replicas {
-        gates.push(list(&view, host, site::replica_entry(host)).await);
-    }
-    view.declare(&site::usual_catalog(1, Some(patient_route()), 1));
-    let other = site.node("own-tunnel-other").await;
-    let node = site.start_node("own-tunnel", view.address).await;
-    site.store.put(topic::NODES, "own-tunnel", &node.peers.to_string());
-    view.put(topic::NODES, "own-tunnel-other", &other.peers.to_string());
-    for _ in 0..100 {
-        let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await;
-        if answer.is_ok_and(|it| it.body == site::events(1..=EVENTS)) {
-            break;
-        }
-        time::sleep(Duration::from_millis(40)).await;
-    }
-    time::sleep(Duration::from_millis(1500)).await;
-    site.replicas.iter().for_each(Host::clear_received);
+    let Gated { site, gates, node, _view, _other } = Gated::start("own-tunnel", 2).await?;
     gates.iter().for_each(|it| it.set(Mode::Reset));
     time::sleep(Duration::from_millis(300)).await;
     // The first event comes after a usual time for a prompt of some length, and before requests without an event
@@ -248,13 +244,7 @@
         gates.push(list(&site.store, host, site::replica_entry(host)).await);
     }
     let node = site.node("moment-cut").await;
-    for _ in 0..100 {
-        let answer = node.send("POST", "/chat/1", &[MODEL], "warm").await;
-        if answer.is_ok_and(|it| it.body == site::events(1..=EVENTS)) {
-            break;
-        }
-        time::sleep(Duration::from_millis(40)).await;
-    }
+    wait_until_serving(&node).await;
     host::share_script(&site.replicas, [Behaviour::StreamPausing(1, Duration::from_millis(300))]);
     let callers = node.callers;
     let stream = tokio::spawn(async move {
@@ -275,30 +265,7 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn paths_to_some_hosts_that_are_lost_move_no_stream_at_the_others() -> Result<()> {
-    let site = Site::with_engine_hosts(5).await;
-    site.configure(1, None);
-    let view = Arc::new(Store::start().await.or_fail()?);
-    for host in &site.plain {
-        view.put_entry(&host.id, &site::plain_entry(host));
-    }
-    let mut gates = Vec::new();
-    for host in &site.replicas {
-        gates.push(list(&view, host, site::replica_entry(host)).await);
-    }
-    view.declare(&site::usual_catalog(1, Some(patient_route()), 1));
-    let other = site.node("some-other").await;
-    let node = site.start_node("some", view.address).await;
-    site.store.put(topic::NODES, "some", &node.peers.to_string());
-    view.put(topic::NODES, "some-other", &other.peers.to_string());
-    for _ in 0..100 {
-        let answer = node.send("POST", "/chat/1", &[MODEL], "prompt").await;
-        if answer.is_ok_and(|it| it.body == site::events(1..=EVENTS)) {
-            break;
-        }
-        time::sleep(Duration::from_millis(40)).await;
-    }
-    time::sleep(Duration::from_millis(1500)).await;
-    site.replicas.iter().for_each(Host::clear_received);
+    let Gated { site, gates, node, _view, _other } = Gated::start("some", 5).await?;
     host::share_script(&site.replicas, [Behaviour::StreamPausing(3, Duration::from_millis(1000))]);
     let callers = node.callers;
     let stream = tokio::spawn(async move {
