--- a/review/standin/departures.rs
+++ b/review/standin/departures.rs
@@ -79,7 +79,7 @@
     refused: 2,
     refused_at: Duration::from_millis(11_200),
     refused_for: Duration::from_millis(4500),
-    first_leaves_at: Duration::from_millis(16_000),
+    first_leaves_at: Duration::from_millis(16_200),
     gap: Duration::from_millis(500),
     leaving: 3,
     are_replaced: false,
