fix: cuminward-gateway: a node that reads the store for others says how old what it knows is

Cause: each answer of a reader counted as fresh, whenever it had itself read the store last. What a follower needs to know is the moment up to which its copy is complete, not when somebody answered. Ruled out: the choice of the reader (all four were turned away), lost digests (positions don't tell ages: the configuration changes rarely), slow calls between nodes (they were answered in milliseconds).

Change: `freshness::Watermark` is that moment for each of the two topics. A reader answers with the age of its copy, measured from when its own read was sent (or from the end of the wait, if a waiting read came back empty); the follower counts it from when it sent the call, so that delays and pauses on either side make the copy older, never younger. Readers that others follow read somewhat more often.

Exchange with earlier builds: `records_since` is answered as before, the new call `changes_since` comes after it. A node that doesn't answer the new call is asked by the former one for 5 s; what it sends is applied, but proves no freshness, so that followers read the store beside it.

--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -4,7 +4,12 @@
 
 use cuminward_adapter::{store, topic};
 use cuminward_event::{kind::Kind, sink::Sink};
-use cuminward_serving::{position::Position, restore, scaling, table::Record};
+use cuminward_serving::{
+    freshness,
+    position::Position,
+    restore, scaling,
+    table::{Batch, Record},
+};
 use tokio::time;
 
 use crate::state::State;
@@ -15,6 +20,9 @@
 /// others.
 const DECLARATION_WAIT_MS: RangeInclusive<u64> = 800..=1400;
 
+/// The same for a node that reads them for others as well, which take them from it some time later.
+const SHARED_DECLARATION_WAIT_MS: RangeInclusive<u64> = 500..=900;
+
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -22,6 +30,9 @@
 const HOST_LIST_INTERVAL: Duration = Duration::from_millis(600);
 const MAX_HOST_LIST_INTERVAL: Duration = Duration::from_millis(1200);
 
+/// Longest interval of a node that reads it for others as well, which take it from this node some time later.
+const MAX_SHARED_HOST_LIST_INTERVAL: Duration = Duration::from_millis(1000);
+
 /// Interval at which a steward reads the host list, without and with orders or formations in progress.
 const STEWARD_INTERVAL: Duration = Duration::from_millis(300);
 const BUSY_STEWARD_INTERVAL: Duration = Duration::from_millis(120);
@@ -30,7 +41,7 @@
 /// may not learn from them that a host was removed.
 const FALLBACK_HOST_LIST_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Interval at which such a node checks that other nodes still read the store for it.
+/// Longest time after which such a node checks how fresh what it has from others is.
 const READERS_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Duration of a store outage after which records that expired during the outage may reappear.
@@ -41,8 +52,9 @@
     let mut needs_all = true;
     let mut health = Health::new("declarations");
     loop {
-        if state.election.has_store_readers(state.now()) {
-            time::sleep(READERS_CHECK_INTERVAL).await;
+        let fresh_for = state.cluster().freshness.declarations.fresh_for(state.now());
+        if state.election.is_observer() && !fresh_for.is_zero() {
+            time::sleep(fresh_for.min(READERS_CHECK_INTERVAL)).await;
             continue;
         }
         let read = if needs_all {
@@ -67,20 +79,33 @@
 }
 
 async fn read_all_declarations(state: &State) -> Result<(), store::Error> {
+    let sent_at = state.now();
     let page = state.store.read_newest(topic::DECLARATIONS).await?;
-    state.cluster().replace_declarations(state.now(), page.records, page.next);
+    let mut cluster = state.cluster();
+    cluster.replace_declarations(state.now(), page.records, page.next);
+    cluster.confirm_declarations(sent_at);
+    drop(cluster);
     state.publish();
     Ok(())
 }
 
 async fn read_next_declarations(state: &State) -> Result<(), store::Error> {
     let from = state.cluster().declarations.end();
-    let wait = Duration::from_millis(rand::random_range(DECLARATION_WAIT_MS));
+    let range = if state.election.has_observers() {
+        SHARED_DECLARATION_WAIT_MS
+    } else {
+        DECLARATION_WAIT_MS
+    };
+    let wait = Duration::from_millis(rand::random_range(range));
+    let sent_at = state.now();
     let page = state.store.read(topic::DECLARATIONS, from, wait).await?;
-    let mut is_changed = false;
-    for record in page.records {
-        is_changed |= state.cluster().apply_declaration(state.now(), &record);
-    }
+    let now = state.now();
+    let complete_at = freshness::read_moment(sent_at, now, wait, page.records.is_empty());
+    let batch = Batch { records: page.records, whole_before: None };
+    let mut cluster = state.cluster();
+    let is_changed = cluster.apply_declarations(now, batch);
+    cluster.confirm_declarations(complete_at);
+    drop(cluster);
     if is_changed {
         state.publish();
     }
@@ -92,15 +117,18 @@
     let mut reader = HostListReader::new();
     loop {
         let read_at = state.now();
-        if state.election.has_store_readers(read_at)
+        let fresh_for = state.cluster().freshness.listing.fresh_for(read_at);
+        if state.election.is_observer()
+            && !fresh_for.is_zero()
             && read_at < state.host_list_read_at() + FALLBACK_HOST_LIST_INTERVAL
         {
-            time::sleep(READERS_CHECK_INTERVAL).await;
+            time::sleep(fresh_for.min(READERS_CHECK_INTERVAL)).await;
             continue;
         }
         let read = reader.read(&state).await;
         if read.is_ok() {
             state.record_host_list_read(read_at);
+            state.cluster().confirm_listing(read_at);
         }
         reader.record(&state, read.as_ref().err());
         // Whether the interval passed or this node became a steward, the list is read again.
@@ -173,7 +201,9 @@
     }
 
     async fn read_next(&mut self, state: &State) -> Result<bool, store::Error> {
-        let page = state.store.read(topic::HOSTS, self.next, Duration::ZERO).await?;
+        // What other nodes have read meanwhile needn't be read again.
+        let from = self.next.max(state.cluster().freshness.listing.end());
+        let page = state.store.read(topic::HOSTS, from, Duration::ZERO).await?;
         let now = state.now();
         let mut cluster = state.cluster();
         let mut is_changed = false;
@@ -219,11 +249,14 @@
         match (state.election.is_steward(), state.election.has_pending_changes()) {
             (true, true) => BUSY_STEWARD_INTERVAL,
             (true, false) => STEWARD_INTERVAL,
-            (false, _) => scaling::stretch_interval(
-                HOST_LIST_INTERVAL,
-                MAX_HOST_LIST_INTERVAL,
-                state.node_count(),
-            ),
+            (false, _) => {
+                let max = if state.election.has_observers() {
+                    MAX_SHARED_HOST_LIST_INTERVAL
+                } else {
+                    MAX_HOST_LIST_INTERVAL
+                };
+                scaling::stretch_interval(HOST_LIST_INTERVAL, max, state.node_count())
+            }
         }
     }
 }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -248,8 +248,10 @@
 /// role of steward, the nodes that connect this one to hosts, and the load of the upstreams.
 fn update_from_digests(state: &State, peers: &Peers) {
     let fresh = peers.recently_seen(state.now());
-    let others = peers_in_domain(&fresh, state).map(|(node, _)| node);
-    state.election.set_observer(!scaling::is_candidate(&state.settings.node.name, others));
+    let others: Vec<&id::Node> = peers_in_domain(&fresh, state).map(|(node, _)| node).collect();
+    let has_observers = others.len() >= scaling::CANDIDATES_PER_DOMAIN;
+    let is_candidate = scaling::is_candidate(&state.settings.node.name, others);
+    state.election.set_observers(!is_candidate, is_candidate && has_observers);
     state.paths.set_relays(relays(state, &fresh));
     update_remote_load(state, fresh);
 }
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -1,12 +1,20 @@
 //! Anti-entropy: fetches declarations and records of the host list from other nodes that have newer
 //! ones.
+//!
+//! Nodes of earlier builds answer [`AntiEntropy::records_since`] only, which doesn't tell how old what they have
+//! is. What they send is applied, but a node that leaves reading the store to others reads it itself beside them.
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use cuminward_derive::{record, value};
 use cuminward_event::kind::Kind;
-use cuminward_serving::{id, position::Position, table::Record};
+use cuminward_serving::{
+    id,
+    position::Position,
+    table::{Batch, Record},
+};
 use futures::StreamExt;
+use serde_with::{DurationMilliSeconds, serde_as};
 use tarpc::{
     client, context,
     serde_transport::Transport,
@@ -33,8 +41,11 @@
 /// Number of calls in flight that one connection may have.
 const MAX_CALLS: usize = 4;
 
+/// Time for which a node that didn't answer [`AntiEntropy::changes_since`] counts as one of an earlier build.
+const FORMER_BUILD_TIME: Duration = Duration::from_secs(5);
+
 /// Number of records by which this node's host list may lag behind before they are fetched from another
-/// node.
+/// node, if this node reads the store.
 const MAX_HOST_LIST_LAG: id::Offset = 100;
 
 /// What a node has, so that others send it only what is newer.
@@ -65,12 +76,54 @@
     pub listing: Vec<Record>,
 }
 
+/// What a node has that another one lacks, and how old its copies are.
+#[record]
+pub(crate) struct Changes {
+    /// Declarations.
+    pub declarations: Excerpt,
+    /// Host list.
+    pub listing: Excerpt,
+}
+
+/// What a node has of a topic that another one lacks.
+#[serde_as]
+#[record]
+#[derive(Default)]
+pub(crate) struct Excerpt {
+    /// The records.
+    pub batch: Batch,
+    /// Time since the moment up to which the node's copy is complete; `None` if it isn't complete at the moment.
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub age: Option<Duration>,
+}
+
+/// Life cycle
+impl Excerpt {
+    /// Creates the excerpt that consists of a batch, or of nothing. Its age is rounded up.
+    fn new(batch: Option<Batch>, age: Option<Duration>) -> Excerpt {
+        let round_up = |it: Duration| it + Duration::from_millis(1);
+        let age = age.map(round_up).filter(|_| batch.is_some());
+        Excerpt { batch: batch.unwrap_or_default(), age }
+    }
+}
+
+/// Conversion of what a node of an earlier build sends
+impl From<Delta> for Changes {
+    fn from(delta: Delta) -> Changes {
+        let copy = |records| Excerpt { batch: Batch { records, whole_before: None }, age: None };
+        Changes { declarations: copy(delta.declarations), listing: copy(delta.listing) }
+    }
+}
+
 mod service {
-    use super::{Delta, Known};
+    use super::{Changes, Delta, Known};
 
     #[tarpc::service]
     pub trait AntiEntropy {
+        /// Returns the records since those that the other node has. Answered for nodes of earlier builds.
         async fn records_since(known: Known) -> Delta;
+        /// Returns what the other node lacks, and how old it is.
+        async fn changes_since(known: Known) -> Changes;
     }
 }
 
@@ -89,6 +142,17 @@
             listing: cluster.host_list.records_since(known.listing),
         }
     }
+
+    async fn changes_since(self, _: context::Context, known: Known) -> Changes {
+        let cluster = self.state.cluster();
+        let now = self.state.now();
+        let declarations = cluster.declarations.batch_since(known.declarations, known.version);
+        let listing = cluster.host_list.batch_since(known.listing);
+        Changes {
+            declarations: Excerpt::new(declarations, cluster.freshness.declarations.age(now)),
+            listing: Excerpt::new(listing, cluster.freshness.listing.age(now)),
+        }
+    }
 }
 
 /// Serves the connections of other nodes until the task is dropped.
@@ -129,7 +193,8 @@
 /// Fetches newer records from other nodes until the task is dropped. A node that leaves reading the
 /// store to candidates of its failure domain fetches from them at each interval.
 pub(crate) async fn run(state: Arc<State>, peers: Arc<Peers>) {
-    let mut fetcher = Fetcher { state, peers, clients: HashMap::new() };
+    let mut fetcher =
+        Fetcher { state, peers, clients: HashMap::new(), former_builds: HashMap::new() };
     let mut is_lagging = false;
     loop {
         if fetcher.state.election.is_observer() {
@@ -144,9 +209,10 @@
         let is_due = is_lagging && source.is_some();
         is_lagging = source.is_some();
         let Some(address) = source.filter(|_| is_due) else { continue };
-        if let Some(delta) = fetcher.fetch(address).await {
-            emit_fetched(&fetcher.state, address, &delta);
-            apply(&fetcher.state, delta);
+        let sent_at = fetcher.state.now();
+        if let Some(changes) = fetcher.fetch(address).await {
+            emit_fetched(&fetcher.state, address, &changes);
+            apply(&fetcher.state, sent_at, changes);
         }
     }
 }
@@ -157,6 +223,8 @@
     peers: Arc<Peers>,
     /// Open connections by address.
     clients: HashMap<SocketAddr, AntiEntropyClient>,
+    /// Nodes that count as ones of an earlier build, with the time until which they do.
+    former_builds: HashMap<SocketAddr, Duration>,
 }
 
 /// Mutation
@@ -168,25 +236,28 @@
             return;
         }
         let reader = readers[rand::random_range(0..readers.len())];
-        if let Some(delta) = self.fetch(reader).await {
-            self.state.election.record_fetch(self.state.now());
-            apply(&self.state, delta);
+        let sent_at = self.state.now();
+        if let Some(changes) = self.fetch(reader).await {
+            apply(&self.state, sent_at, changes);
         }
     }
 
-    async fn fetch(&mut self, address: SocketAddr) -> Option<Delta> {
+    async fn fetch(&mut self, address: SocketAddr) -> Option<Changes> {
+        let now = self.state.now();
+        self.former_builds.retain(|_, until| *until > now);
         let fetched = time::timeout(CALL_TIMEOUT, self.call(address)).await;
         let cause = match fetched {
-            Ok(Ok(delta)) => return Some(delta),
+            Ok(Ok(changes)) => return Some(changes),
             Ok(Err(error)) => error.to_string(),
             Err(_) => String::from("timeout"),
         };
         log::debug!("can't fetch records from node {address}: {cause}");
         self.clients.remove(&address);
+        self.former_builds.entry(address).or_insert(now + FORMER_BUILD_TIME);
         None
     }
 
-    async fn call(&mut self, address: SocketAddr) -> io::Result<Delta> {
+    async fn call(&mut self, address: SocketAddr) -> io::Result<Changes> {
         let client = match self.clients.get(&address) {
             Some(it) => it.clone(),
             None => {
@@ -198,29 +269,39 @@
             }
         };
         let known = own_knowledge(&self.state);
-        let delta = client.records_since(context::current(), known).await;
-        delta.map_err(io::Error::other)
+        if self.former_builds.contains_key(&address) {
+            let delta = client.records_since(context::current(), known).await;
+            return delta.map(Changes::from).map_err(io::Error::other);
+        }
+        let changes = client.changes_since(context::current(), known).await;
+        changes.map_err(io::Error::other)
     }
 }
 
 /// Returns the address of the node with the newest records, if its declarations are newer than those of
-/// this node or its host list is ahead by more than [`MAX_HOST_LIST_LAG`].
+/// this node or its host list is ahead: by more than [`MAX_HOST_LIST_LAG`], or at all if this node can't read it.
 fn find_newer_peer(state: &State, peers: &Peers) -> Option<SocketAddr> {
     let own = own_knowledge(state);
+    let max_lag = if is_cut_off(state) { 0 } else { MAX_HOST_LIST_LAG };
     let fresh = peers.recently_seen(state.now()).into_iter();
     let others = fresh.filter_map(|it| Some((it.digest?.known, it.address)));
     let newer = others.filter(|(other, _)| {
         other.version > own.version
             || other.declarations > own.declarations
-            || is_far_behind(own.listing, other.listing)
+            || is_behind(own.listing, other.listing, max_lag)
     });
     newer.max_by_key(|(other, _)| *other).map(|(_, address)| address)
 }
 
-/// Returns whether a host list that ends at `own` lags so far behind one that ends at `other` that the missing
-/// records are fetched.
-fn is_far_behind(own: Position, other: Position) -> bool {
-    other.era > own.era || other.era == own.era && other.offset > own.offset + MAX_HOST_LIST_LAG
+/// Returns whether this node hasn't read the host list for long.
+fn is_cut_off(state: &State) -> bool {
+    state.cluster().freshness.listing.is_stale(state.now())
+}
+
+/// Returns whether a host list that ends at `own` lags behind one that ends at `other` by more than `max_lag`
+/// records.
+fn is_behind(own: Position, other: Position, max_lag: id::Offset) -> bool {
+    other.era > own.era || other.era == own.era && other.offset > own.offset + max_lag
 }
 
 /// Returns what this node has.
@@ -233,23 +314,26 @@
     }
 }
 
-fn emit_fetched(state: &State, address: SocketAddr, delta: &Delta) {
+fn emit_fetched(state: &State, address: SocketAddr, changes: &Changes) {
     state.events.emit(Kind::StateFetched {
         address: address.to_string(),
-        declarations: delta.declarations.len() as u64,
-        hosts: delta.listing.len() as u64,
+        declarations: changes.declarations.batch.records.len() as u64,
+        hosts: changes.listing.batch.records.len() as u64,
     });
 }
 
-fn apply(state: &State, delta: Delta) {
+/// Applies what another node answered to a call that was sent at `sent_at`.
+fn apply(state: &State, sent_at: Duration, changes: Changes) {
     let now = state.now();
+    let Changes { declarations, listing } = changes;
     let mut cluster = state.cluster();
-    let mut is_changed = false;
-    for record in delta.declarations {
-        is_changed |= cluster.apply_declaration(now, &record);
+    let mut is_changed = cluster.apply_declarations(now, declarations.batch);
+    is_changed |= cluster.apply_listing(now, listing.batch);
+    if let Some(complete_at) = declarations.age.and_then(|it| sent_at.checked_sub(it)) {
+        cluster.confirm_declarations(complete_at);
     }
-    for record in delta.listing {
-        is_changed |= cluster.apply_host_record(now, &record);
+    if let Some(complete_at) = listing.age.and_then(|it| sent_at.checked_sub(it)) {
+        cluster.confirm_listing(complete_at);
     }
     drop(cluster);
     if is_changed {
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -9,11 +9,13 @@
 use cuminward_adapter::host as host_record;
 use cuminward_event::{kind::Kind, sink::Sink};
 use cuminward_serving::{
-    catalog, departure, engine, host, id, loss, nodes,
+    catalog, departure, engine,
+    freshness::Watermark,
+    host, id, loss, nodes,
     position::Position,
     replica::{self, Group},
     restore, slowdown,
-    table::{Record, Table},
+    table::{Batch, Record, Table},
 };
 
 use crate::settings;
@@ -38,6 +40,8 @@
     pub(crate) declarations: Declarations,
     /// Newest records of the host list, as the hosts wrote them.
     pub(crate) host_list: Table,
+    /// How fresh the declarations and the host list are.
+    pub(crate) freshness: Freshness,
     pub(crate) hosts: BTreeMap<id::Host, host::Host>,
     /// Whether hosts came, left or changed their address since the last call of
     /// [`Cluster::take_changed_addresses`].
@@ -56,6 +60,13 @@
     stats: HashMap<String, Arc<Stats>>,
 }
 
+/// How fresh a node's copies of the topics are.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Freshness {
+    pub(crate) declarations: Watermark,
+    pub(crate) listing: Watermark,
+}
+
 /// Life cycle
 impl Cluster {
     /// Creates a state without any records.
@@ -68,6 +79,7 @@
             cold,
             restore: restore::Watch::default(),
             host_list: Table::default(),
+            freshness: Freshness::default(),
             hosts: BTreeMap::new(),
             are_addresses_changed: false,
             departures: departure::Tracker::default(),
@@ -141,6 +153,36 @@
         self.declarations.replace(records, end);
     }
 
+    /// Applies what another node has of the declarations. Returns whether anything changed.
+    pub(crate) fn apply_declarations(&mut self, now: Duration, batch: Batch) -> bool {
+        if let Some(end) = batch.whole_before {
+            self.replace_declarations(now, batch.records, end);
+            return true;
+        }
+        let records = batch.records.iter();
+        records.fold(false, |changed, it| self.apply_declaration(now, it) | changed)
+    }
+
+    /// Applies what another node has of the host list. Returns whether anything changed.
+    pub(crate) fn apply_listing(&mut self, now: Duration, batch: Batch) -> bool {
+        if let Some(end) = batch.whole_before {
+            self.replace_host_list(now, batch.records, end);
+            return true;
+        }
+        let records = batch.records.iter();
+        records.fold(false, |changed, it| self.apply_host_record(now, it) | changed)
+    }
+
+    /// Records that the declarations are complete up to the moment `at`.
+    pub(crate) fn confirm_declarations(&mut self, at: Duration) {
+        self.freshness.declarations.advance(at, self.declarations.end());
+    }
+
+    /// Records that the host list is complete up to the moment `at`.
+    pub(crate) fn confirm_listing(&mut self, at: Duration) {
+        self.freshness.listing.advance(at, self.host_list.end());
+    }
+
     /// Removes what nobody wrote again in time after the store came back from an older copy. Returns whether
     /// anything changed.
     pub(crate) fn drop_former_eras(&mut self, now: Duration) -> bool {
--- a/cuminward-gateway/src/state/declarations.rs
+++ b/cuminward-gateway/src/state/declarations.rs
@@ -10,7 +10,7 @@
 use cuminward_serving::{
     catalog, id,
     position::Position,
-    table::{Record, Table},
+    table::{Batch, Record, Table},
 };
 
 /// Newest known declarations.
@@ -52,6 +52,16 @@
         }
         records
     }
+
+    /// Returns what a copy lacks that ends at the position `from` and has the catalog `version`; `None` if that
+    /// isn't known at the moment.
+    pub(crate) fn batch_since(&self, from: Position, version: id::Version) -> Option<Batch> {
+        let batch = self.table.batch_since(from)?;
+        if batch.whole_before.is_some() {
+            return Some(batch);
+        }
+        Some(Batch { records: self.records_since(from, version), whole_before: None })
+    }
 }
 
 /// Mutation
--- a/cuminward-gateway/src/state/election.rs
+++ b/cuminward-gateway/src/state/election.rs
@@ -7,7 +7,7 @@
 use std::{
     sync::{
         Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
@@ -16,10 +16,6 @@
 use cuminward_serving::id;
 use tokio::sync::Notify;
 
-/// Time after a fetch from a node that reads the store for which this node needn't read the store
-/// itself.
-const FETCH_VALIDITY: Duration = Duration::from_millis(1000);
-
 /// This node's role in the election of stewards.
 #[derive(Debug, Default)]
 pub(crate) struct Election {
@@ -33,8 +29,8 @@
     /// Whether the node is no candidate and leaves reading the store to the candidates of its failure
     /// domain.
     is_observer: AtomicBool,
-    /// When this node last fetched from one of them, in milliseconds since its start; 0 if never.
-    fetched_ms: AtomicU64,
+    /// Whether the node is a candidate, and other nodes of its failure domain leave reading the store to it.
+    has_observers: AtomicBool,
 }
 
 /// Partitions that the store assigned to this node.
@@ -65,12 +61,9 @@
         self.is_observer.load(Ordering::Relaxed)
     }
 
-    /// Returns whether other nodes currently read the store for this node.
-    pub(crate) fn has_store_readers(&self, now: Duration) -> bool {
-        let fetched = Duration::from_millis(self.fetched_ms.load(Ordering::Relaxed));
-        self.is_observer()
-            && fetched > Duration::ZERO
-            && now.saturating_sub(fetched) < FETCH_VALIDITY
+    /// Returns whether other nodes of the failure domain leave reading the store to this one.
+    pub(crate) fn has_observers(&self) -> bool {
+        self.has_observers.load(Ordering::Relaxed)
     }
 
     /// Returns the fencing token for the service with an index; `None` if this node isn't its steward.
@@ -101,14 +94,10 @@
     }
 
     /// Sets whether the node leaves the role of steward and reading the store to the candidates of its
-    /// failure domain.
-    pub(crate) fn set_observer(&self, is_observer: bool) {
+    /// failure domain, and whether others leave it to this one.
+    pub(crate) fn set_observers(&self, is_observer: bool, has_observers: bool) {
         self.is_observer.store(is_observer, Ordering::Relaxed);
-    }
-
-    /// Records a fetch from a node that reads the store.
-    pub(crate) fn record_fetch(&self, now: Duration) {
-        self.fetched_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+        self.has_observers.store(has_observers, Ordering::Relaxed);
     }
 
     /// Gives up all partitions until the store assigns them again, unless their token is newer than
--- a/cuminward-gateway/tests/all/configuration.rs
+++ b/cuminward-gateway/tests/all/configuration.rs
@@ -13,10 +13,10 @@
 use crate::site::{Node, PLAIN, Site, is_ready, plain_entry, route};
 
 /// Time within which a change must take effect.
-const IN_FORCE: Duration = Duration::from_millis(2000);
+pub(crate) const IN_FORCE: Duration = Duration::from_millis(2000);
 
 /// Returns a route that the usual catalog doesn't have.
-fn new_route() -> Option<Route> {
+pub(crate) fn new_route() -> Option<Route> {
     Some(Route { max_attempts: 1, is_anonymous: true, ..route("/new/", Retry::Idempotent, PLAIN) })
 }
 
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a gateway node against a fake platform on loopback sockets.
 
 mod configuration;
+mod followers;
 mod groups;
 mod hostile_upstreams;
 mod ingress;
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine;
 pub mod event;
 pub mod fencing;
+pub mod freshness;
 pub mod host;
 pub mod id;
 pub mod loss;
--- a/cuminward-serving/src/table.rs
+++ b/cuminward-serving/src/table.rs
@@ -26,6 +26,17 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// Records that a copy lacks.
+#[record]
+#[derive(Default)]
+pub struct Batch {
+    /// Newest record of each key, including deletions.
+    pub records: Vec<Record>,
+    /// If the records are those of all keys, the position up to which they are complete: other keys were
+    /// deleted before. `None` if the records are only those since the end of the copy.
+    pub whole_before: Option<Position>,
+}
+
 /// Newest records of the keys of a topic.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
@@ -62,6 +73,11 @@
         self.rows.iter().filter_map(|(key, row)| Some((key.as_str(), row.value.as_ref()?)))
     }
 
+    /// Returns what a copy lacks that ends at the position `from`; `None` if the table can't tell at the moment.
+    pub fn batch_since(&self, from: Position) -> Option<Batch> {
+        Some(Batch { records: self.records_since(from), whole_before: None })
+    }
+
     /// Returns the records at the position `from` or a later one, including deletions.
     pub fn records_since(&self, from: Position) -> Vec<Record> {
         let newer = self.rows.iter().filter(|(_, row)| row.position >= from);
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod event;
 mod fixture;
+mod freshness;
 mod host;
 mod loss;
 mod message;
