fix: cuminward-serving, cuminward-gateway: nothing is handed out beyond a record that isn't applied yet

Cause: a reader whose reads had failed defers deletions for 2.5 s, as hosts may write their entries again, but moved its end past them and handed out later records. A follower that took these moved past the deletion as well, and no other reader sent it again. Ruled out: lost calls (a fetch every 400 ms), the follower's own read every 5 s (it ended each of the cases).

Change: the table knows the first record that it withholds; its end, what it hands out to nodes of any build and what digests say stop there, and it claims no freshness meanwhile, so that followers read the store themselves. A node that defers deletions doesn't fetch them from others instead.

--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -189,12 +189,17 @@
         // If the list is of a newer era, what it lacks isn't removed at once anyway.
         let is_same_era = page.next.era == cluster.host_list.end().era;
         if now < self.deferred_until && is_same_era {
+            // Which keys were deleted since isn't known.
+            let end = cluster.host_list.end();
+            cluster.host_list.withhold(end);
             for record in page.records {
                 cluster.apply_host_record(now, &record);
             }
             return Ok(true);
         }
         cluster.replace_host_list(now, page.records, page.next);
+        cluster.host_list.release();
+        self.deferred.clear();
         self.next = page.next;
         self.needs_all = false;
         Ok(true)
@@ -209,7 +214,7 @@
         let mut is_changed = false;
         for record in page.records {
             if record.value.is_none() && now < self.deferred_until {
-                cluster.host_list.advance(record.position.next());
+                cluster.host_list.withhold(record.position);
                 self.deferred.push(record);
             } else {
                 is_changed |= cluster.apply_host_record(now, &record);
@@ -228,7 +233,10 @@
         }
         let mut cluster = state.cluster();
         let deferred = std::mem::take(&mut self.deferred);
-        deferred.iter().fold(false, |changed, it| cluster.apply_host_record(now, it) | changed)
+        let is_changed =
+            deferred.iter().fold(false, |changed, it| cluster.apply_host_record(now, it) | changed);
+        cluster.host_list.release();
+        is_changed
     }
 
     fn record(&mut self, state: &State, error: Option<&store::Error>) {
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -293,9 +293,11 @@
     newer.max_by_key(|(other, _)| *other).map(|(_, address)| address)
 }
 
-/// Returns whether this node hasn't read the host list for long.
+/// Returns whether this node hasn't read the host list for long. One that has read it and defers deletions, since
+/// the store was away, doesn't take them from others instead.
 fn is_cut_off(state: &State) -> bool {
-    state.cluster().freshness.listing.is_stale(state.now())
+    let cluster = state.cluster();
+    cluster.freshness.listing.is_stale(state.now()) && !cluster.host_list.is_withholding()
 }
 
 /// Returns whether a host list that ends at `own` lags behind one that ends at `other` by more than `max_lag`
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -178,9 +178,11 @@
         self.freshness.declarations.advance(at, self.declarations.end());
     }
 
-    /// Records that the host list is complete up to the moment `at`.
+    /// Records that the host list is complete up to the moment `at`, unless records of it are withheld.
     pub(crate) fn confirm_listing(&mut self, at: Duration) {
-        self.freshness.listing.advance(at, self.host_list.end());
+        if !self.host_list.is_withholding() {
+            self.freshness.listing.advance(at, self.host_list.end());
+        }
     }
 
     /// Removes what nobody wrote again in time after the store came back from an older copy. Returns whether
--- a/cuminward-gateway/tests/all/followers.rs
+++ b/cuminward-gateway/tests/all/followers.rs
@@ -1,6 +1,6 @@
 //! Nodes that leave reading the store to others of their failure domain.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cuminward_adapter_fake::{
     entry::Entry,
@@ -25,6 +25,12 @@
 /// changes come at different moments of it.
 const ROUNDS: usize = 3;
 
+/// Time by which a round is longer than the changes need, so that the rounds differ in that moment.
+const ROUND_PAUSE: Duration = Duration::from_millis(400);
+
+/// Interval at which a host that stays writes its entry again.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A failure domain with readers and followers.
 struct Domain {
     site: Site,
@@ -70,6 +76,12 @@
         }
         host.received().len()
     }
+
+    /// Returns the index of the host that the followers prefer.
+    async fn preferred_host(&self) -> usize {
+        let requests = [self.requests_at(0).await, self.requests_at(1).await];
+        usize::from(requests[1] > requests[0])
+    }
 }
 
 /// Guards against followers that stay on the former configuration while the readers, which go on answering them,
@@ -95,10 +107,12 @@
 async fn followers_avoid_draining_hosts_while_the_store_turns_their_readers_away() {
     for (index, trouble) in [Trouble::Refusal, Trouble::Silence].into_iter().enumerate() {
         let domain = Domain::start(&format!("draining-{index}")).await;
+        let first = domain.preferred_host().await;
         domain.door.set_trouble(Some(trouble));
         let store = &domain.site.store;
         for round in 0..ROUNDS {
-            let (leaving, other) = (round % 2, 1 - round % 2);
+            let leaving = (first + round) % 2;
+            let other = 1 - leaving;
             let entry = |host: usize| plain_entry(&domain.site.plain[host]);
             let name = |host: usize| domain.site.plain[host].id.as_str();
             store.put_entry(name(other), &Entry { seq: round as u64, ..entry(other) });
@@ -109,3 +123,35 @@
         }
     }
 }
+
+/// Guards against followers that never hear of a host's removal: readers that had been turned away deferred the
+/// removal and went on to hand out later records.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn followers_learn_of_a_removal_that_their_readers_defer() {
+    let domain = Domain::start("removed").await;
+    for round in 0..ROUNDS {
+        let index = domain.preferred_host().await;
+        let (leaving, staying) = (&domain.site.plain[index], &domain.site.plain[1 - index]);
+        domain.door.set_trouble(Some(Trouble::Refusal));
+        time::sleep(Duration::from_millis(1500)).await;
+        domain.door.set_trouble(None);
+        // The readers notice that the store is back.
+        time::sleep(Duration::from_millis(600)).await;
+        domain.site.store.put_raw_entry(&leaving.id, "");
+        let removed_at = Instant::now();
+        for beat in 0.. {
+            if removed_at.elapsed() >= IN_FORCE {
+                break;
+            }
+            let entry = Entry { seq: beat, ..plain_entry(staying) };
+            domain.site.store.put_entry(&staying.id, &entry);
+            time::sleep(HEARTBEAT_INTERVAL).await;
+        }
+        expect_that!(domain.requests_at(index).await, eq(0), "round {round}");
+        let restarted = Entry { incarnation: round as u64 + 2, ..plain_entry(leaving) };
+        domain.site.store.put_entry(&leaving.id, &restarted);
+        time::sleep(IN_FORCE + ROUND_PAUSE).await;
+    }
+    expect_that!(domain.readers.len(), eq(READERS));
+}
--- a/cuminward-serving/src/table.rs
+++ b/cuminward-serving/src/table.rs
@@ -2,6 +2,9 @@
 //!
 //! The table keeps the position of each record, so that copies can be updated from the store or from
 //! other nodes in any order.
+//!
+//! A node that has fetched the records up to a position asks for later ones only. So a table hands out nothing
+//! beyond a record that it lacks.
 
 use std::collections::{BTreeMap, HashSet};
 
@@ -43,6 +46,8 @@
     rows: BTreeMap<String, Row>,
     /// Position after the newest record that was seen.
     end: Position,
+    /// Position of the first record that was read but isn't applied yet.
+    withheld_from: Option<Position>,
 }
 
 #[derive(Debug, Clone)]
@@ -53,9 +58,14 @@
 
 /// Access
 impl Table {
-    /// Returns the position after the newest record that was seen.
+    /// Returns the position up to which the table lacks no record.
     pub fn end(&self) -> Position {
-        self.end
+        self.withheld_from.map_or(self.end, |it| it.min(self.end))
+    }
+
+    /// Returns whether records that were read are still withheld.
+    pub fn is_withholding(&self) -> bool {
+        self.withheld_from.is_some()
     }
 
     /// Returns the newest known record of a key, including a deletion.
@@ -78,9 +88,12 @@
         Some(Batch { records: self.records_since(from), whole_before: None })
     }
 
-    /// Returns the records at the position `from` or a later one, including deletions.
+    /// Returns the records at the position `from` or a later one, including deletions, up to the first one that
+    /// the table lacks.
     pub fn records_since(&self, from: Position) -> Vec<Record> {
-        let newer = self.rows.iter().filter(|(_, row)| row.position >= from);
+        let end = self.end();
+        let is_sent = |row: &Row| row.position >= from && row.position < end;
+        let newer = self.rows.iter().filter(|(_, row)| is_sent(row));
         newer
             .map(|(key, row)| Record {
                 position: row.position,
@@ -157,6 +170,17 @@
         self.end = self.end.max(end);
     }
 
+    /// Records that the record at a position was read but isn't applied yet.
+    pub fn withhold(&mut self, position: Position) {
+        let first = self.withheld_from.map_or(position, |it| it.min(position));
+        self.withheld_from = Some(first);
+    }
+
+    /// Records that all records that were withheld are applied.
+    pub fn release(&mut self) {
+        self.withheld_from = None;
+    }
+
     /// Removes the tombstone with the lowest position if there are more than [`MAX_TOMBSTONES`].
     fn evict_oldest_tombstone(&mut self) {
         let deleted = self.rows.values().filter(|it| it.value.is_none()).count();
--- a/cuminward-serving/tests/all/table.rs
+++ b/cuminward-serving/tests/all/table.rs
@@ -126,3 +126,24 @@
     expect_that!(ahead.records_since(behind.end()).len(), eq(1));
     expect_that!(behind.records_since(ahead.end()), is_empty());
 }
+
+/// Guards against a copy that moves past a deletion which the node that it is taken from hasn't applied.
+#[gtest]
+fn records_after_a_withheld_one_are_handed_out_only_with_it() {
+    let mut table = Table::default();
+    table.apply(record(1, "leaving", Some("1")));
+    table.apply(record(2, "staying", Some("2")));
+    let mut copy = table.clone();
+    table.withhold(at(3));
+    table.apply(record(4, "staying", Some("4")));
+    table.advance(at(6));
+    expect_that!(table.end(), eq(at(3)));
+    expect_that!(table.records_since(copy.end()), is_empty());
+    table.apply(record(3, "leaving", None));
+    table.release();
+    expect_that!(table.end(), eq(at(6)));
+    for it in table.records_since(copy.end()) {
+        copy.apply(it);
+    }
+    expect_that!(rows(&copy), elements_are![eq(&(String::from("staying"), String::from("4")))]);
+}
