fix: cuminward-serving: a copy is told all keys if the other node doesn't know what was deleted since

A node that has just started reads the newest record of each key and knows nothing of earlier deletions; a table also forgets the oldest of more than 512. A follower that asked such a node for the records since an earlier position got later ones, moved past the deletion and kept the key: a removed host for up to 5 s, the end of an evacuation until the next change of it.

Cause: a copy took "no deletion is known" for "nothing was deleted". Change: the table knows from which position on it has all deletions, and answers a copy that ends before with all keys; what these lack is deleted there.

Evidence: both new tests failed without the change (the copy kept "leaving"; no batch was whole) and pass.

--- a/cuminward-serving/src/table.rs
+++ b/cuminward-serving/src/table.rs
@@ -4,7 +4,8 @@
 //! other nodes in any order.
 //!
 //! A node that has fetched the records up to a position asks for later ones only. So a table hands out nothing
-//! beyond a record that it lacks.
+//! beyond a record that it lacks, and all that it has to a node that may have missed a deletion which the table
+//! doesn't know of.
 
 use std::collections::{BTreeMap, HashSet};
 
@@ -48,6 +49,8 @@
     end: Position,
     /// Position of the first record that was read but isn't applied yet.
     withheld_from: Option<Position>,
+    /// Position from which on all deletions are known; a key that was deleted before may have no tombstone.
+    deletions_from: Position,
 }
 
 #[derive(Debug, Clone)]
@@ -68,6 +71,14 @@
         self.withheld_from.is_some()
     }
 
+    /// Returns whether the table knows all deletions since the position `from`. A copy without any record needs
+    /// none of them, and keys of a former era are dropped in any case.
+    fn knows_deletions_since(&self, from: Position) -> bool {
+        from >= self.deletions_from
+            || from.era != self.deletions_from.era
+            || from == Position::default()
+    }
+
     /// Returns the newest known record of a key, including a deletion.
     pub fn record(&self, key: &str) -> Option<Record> {
         let row = self.rows.get(key)?;
@@ -85,7 +96,14 @@
 
     /// Returns what a copy lacks that ends at the position `from`; `None` if the table can't tell at the moment.
     pub fn batch_since(&self, from: Position) -> Option<Batch> {
-        Some(Batch { records: self.records_since(from), whole_before: None })
+        if self.knows_deletions_since(from) {
+            return Some(Batch { records: self.records_since(from), whole_before: None });
+        }
+        if self.is_withholding() {
+            return None;
+        }
+        let records = self.records_since(Position::default());
+        Some(Batch { records, whole_before: Some(self.end) })
     }
 
     /// Returns the records at the position `from` or a later one, including deletions, up to the first one that
@@ -149,6 +167,7 @@
             }
         }
         self.advance(end);
+        self.deletions_from = self.deletions_from.max(end);
         missing
     }
 
@@ -188,9 +207,10 @@
             return;
         }
         let oldest = self.rows.iter().filter(|(_, it)| it.value.is_none());
-        let oldest = oldest.min_by_key(|(_, it)| it.position).map(|(key, _)| key.clone());
-        if let Some(key) = oldest {
+        let oldest = oldest.min_by_key(|(_, it)| it.position);
+        if let Some((key, position)) = oldest.map(|(key, it)| (key.clone(), it.position)) {
             self.rows.remove(&key);
+            self.deletions_from = self.deletions_from.max(position.next());
         }
     }
 }
--- a/cuminward-serving/tests/all/table.rs
+++ b/cuminward-serving/tests/all/table.rs
@@ -147,3 +147,60 @@
     }
     expect_that!(rows(&copy), elements_are![eq(&(String::from("staying"), String::from("4")))]);
 }
+
+/// Guards against a copy that keeps what was deleted while the node that it is taken from was down.
+#[gtest]
+fn a_copy_loses_keys_that_were_deleted_before_the_other_node_started() {
+    struct Case {
+        name: &'static str,
+        /// Position at which the copy ends.
+        copied_to: u64,
+        /// Whether the batch names all keys, as the table doesn't know what was deleted since.
+        is_whole: bool,
+    }
+    let cases = [
+        Case { name: "before the deletion", copied_to: 3, is_whole: true },
+        Case { name: "right before the start", copied_to: 4, is_whole: true },
+        Case { name: "at the start", copied_to: 5, is_whole: false },
+    ];
+    let log = [
+        record(0, "leaving", Some("0")),
+        record(1, "staying", Some("1")),
+        record(2, "other", Some("2")),
+        record(3, "leaving", None),
+        record(4, "other", Some("4")),
+    ];
+    let mut started = Table::default();
+    started.apply_snapshot(vec![log[1].clone(), log[4].clone()], at(5));
+    started.apply(record(5, "staying", Some("5")));
+    for Case { name, copied_to, is_whole } in cases {
+        let mut copy = Table::default();
+        for it in log.iter().take(copied_to as usize) {
+            copy.apply(it.clone());
+        }
+        let batch = started.batch_since(copy.end()).expect("nothing is withheld");
+        expect_that!(batch.whole_before.is_some(), eq(is_whole), "{name}");
+        match batch.whole_before {
+            Some(end) => {
+                copy.apply_snapshot(batch.records, end);
+            }
+            None => batch.records.into_iter().for_each(|it| {
+                copy.apply(it);
+            }),
+        }
+        expect_that!(rows(&copy), eq(&rows(&started)), "{name}");
+    }
+}
+
+/// Guards against a copy that takes the oldest deletions that a table has forgotten for known ones.
+#[gtest]
+fn a_table_that_forgot_deletions_hands_out_all_keys() {
+    let mut table = Table::default();
+    for offset in 0..600 {
+        table.apply(record(offset, &offset.to_string(), None));
+    }
+    let batch = table.batch_since(at(10)).expect("nothing is withheld");
+    expect_that!(batch.whole_before, some(eq(at(600))));
+    let batch = table.batch_since(at(500)).expect("nothing is withheld");
+    expect_that!(batch.whole_before, none());
+}
