fix: cuminward-serving: a node that has just started tells the crashes of before apart

A node that was restarted, alone or in a rolling restart, sent a crashing request to hosts again although all others refused it.

Cause: others tell it the ages of the crashes, and it has no times before its start; all crashes that are older got time 0, and crashes less than 20 ms apart count as one. A response of before the crashes got time 0 as well and so counted as one after them. Ruled out: sightings that weren't sent (those of quarantined subjects are told by all nodes). Change: the tracker adds an hour to all times since the start. What nodes exchange stays as it is.

Evidence: the new test failed before (nothing quarantined after three crashes; none blamed after an old response) and passes.

--- a/cuminward-gateway/src/state/quarantine.rs
+++ b/cuminward-gateway/src/state/quarantine.rs
@@ -125,7 +125,7 @@
             tracker.record_sighting(now, sighting);
         }
         for proof in &report.proofs {
-            tracker.record_proof(now.saturating_sub(proof.age), proof.subject);
+            tracker.record_reported_proof(now, proof);
         }
     }
 
--- a/cuminward-serving/src/quarantine.rs
+++ b/cuminward-serving/src/quarantine.rs
@@ -100,6 +100,10 @@
 const SUSPICION: Duration = Duration::from_secs(60);
 const QUARANTINE: Duration = Duration::from_secs(600);
 
+/// What the tracker adds to times since the node's start, so that crashes of before have different times, too. Longer
+/// than any crash counts.
+const TIME_BEFORE_START: Duration = Duration::from_secs(3600);
+
 /// Largest number of subjects and of crashes of one subject that are kept.
 const MAX_SUBJECTS: usize = 256;
 const MAX_CRASHES: usize = 8;
@@ -118,12 +122,13 @@
     crashes: BTreeMap<id::Crash, Crash>,
     /// Other parts that all suspect requests with the subject have had; `None` before the first request.
     companions: Option<BTreeSet<Subject>>,
-    /// When a request with the subject last got a response, if one did.
+    /// When a request with the subject last got a response, if one did, with [`TIME_BEFORE_START`] added.
     proven_at: Option<Duration>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Crash {
+    /// Time of the crash, with [`TIME_BEFORE_START`] added.
     at: Duration,
     /// Whether this node saw the crash itself.
     is_own: bool,
@@ -246,6 +251,7 @@
 
     /// Returns the quarantined subjects.
     pub fn quarantined(&self, now: Duration) -> Quarantined {
+        let now = now + TIME_BEFORE_START;
         let is_current = |it: &Suspect| it.is_confirmed() && it.expires_at() > now;
         let mut current: Vec<(Subject, &Suspect)> = self
             .suspects
@@ -260,7 +266,8 @@
         let quarantine = |subject: Subject, suspect: &Suspect| {
             let explaining = current.iter().filter(|it| explains(it, subject, suspect));
             let companions = explaining.map(|(part, _)| *part).collect();
-            Quarantine { ends_at: suspect.expires_at(), companions }
+            let ends_at = suspect.expires_at().saturating_sub(TIME_BEFORE_START);
+            Quarantine { ends_at, companions }
         };
         let subjects =
             current.iter().map(|(subject, it)| (*subject, quarantine(*subject, it))).collect();
@@ -277,7 +284,7 @@
             sightings.extend(sent.map(|(crash, it)| Sighting {
                 subject: *subject,
                 crash: *crash,
-                age: now.saturating_sub(it.at),
+                age: (now + TIME_BEFORE_START).saturating_sub(it.at),
                 companions: suspect.companions.clone().unwrap_or_default(),
             }));
         }
@@ -301,20 +308,30 @@
         for subject in request {
             let others = request.iter().filter(|it| it.is_part() && *it != subject);
             let companions = others.copied().collect();
-            is_new |= self.insert(*subject, crash, Crash { at, is_own: true }, &companions);
+            let seen = Crash { at: at + TIME_BEFORE_START, is_own: true };
+            is_new |= self.insert(*subject, crash, seen, &companions);
         }
         is_new
     }
 
     /// Records a crash that another node saw.
     pub fn record_sighting(&mut self, now: Duration, sighting: &Sighting) {
-        let at = now.saturating_sub(sighting.age);
+        let at = (now + TIME_BEFORE_START).saturating_sub(sighting.age);
         let crash = Crash { at, is_own: false };
         self.insert(sighting.subject, sighting.crash, crash, &sighting.companions);
     }
 
     /// Records that a request with a subject got a response. Ignored unless the subject is suspect.
     pub fn record_proof(&mut self, at: Duration, subject: Subject) {
+        self.prove(at + TIME_BEFORE_START, subject);
+    }
+
+    /// Records a response that another node gave. Ignored unless the subject is suspect.
+    pub fn record_reported_proof(&mut self, now: Duration, proof: &Proof) {
+        self.prove((now + TIME_BEFORE_START).saturating_sub(proof.age), proof.subject);
+    }
+
+    fn prove(&mut self, at: Duration, subject: Subject) {
         if let Some(suspect) = self.suspects.get_mut(&subject) {
             suspect.proven_at = suspect.proven_at.max(Some(at));
         }
@@ -322,6 +339,7 @@
 
     /// Removes the subjects that are no longer suspect.
     pub fn expire(&mut self, now: Duration) {
+        let now = now + TIME_BEFORE_START;
         self.suspects.retain(|_, it| it.expires_at() > now);
     }
 
--- a/cuminward-serving/tests/all/quarantine.rs
+++ b/cuminward-serving/tests/all/quarantine.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use cuminward_serving::quarantine::{Quarantined, Sighting, Subject, THRESHOLD, Tracker, subjects};
+use cuminward_serving::quarantine::{
+    Proof, Quarantined, Sighting, Subject, THRESHOLD, Tracker, subjects,
+};
 use googletest::prelude::*;
 use proptest::prelude::*;
 
@@ -351,3 +353,24 @@
         prop_assert_eq!(first.quarantined(now), second.quarantined(now));
     }
 }
+
+/// Guards against a node that takes the crashes of before its start for one, and a response of before the crashes
+/// for a later one, as it has no times for them.
+#[gtest]
+fn a_node_that_has_just_started_tells_the_crashes_of_before_apart() {
+    let now = Duration::from_secs(1);
+    let mut tracker = Tracker::default();
+    let seconds_ago = |crash: u64, age: u64| Sighting {
+        subject: A,
+        crash,
+        age: Duration::from_secs(age),
+        companions: BTreeSet::new(),
+    };
+    tracker.record_sighting(now, &seconds_ago(1, 30));
+    tracker.record_sighting(now, &seconds_ago(2, 20));
+    expect_that!(blocked(&tracker.quarantined(now), now), is_empty());
+    tracker.record_sighting(now, &seconds_ago(3, 10));
+    expect_that!(blocked(&tracker.quarantined(now), now), eq(&vec![&[A][..], &[A, B][..]]));
+    tracker.record_reported_proof(now, &Proof { subject: A, age: Duration::from_secs(120) });
+    expect_that!(tracker.crash_count(A), eq(THRESHOLD));
+}
