--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -856,6 +856,18 @@
         /// Milliseconds since the last request ended, or since the connection was accepted.
         unused_ms: u64,
     }
+    /// Crashes for which requests are blamed were written to the store.
+    2411 Info "crashes-stored" CrashesStored {
+        /// Number of crashes, one for each subject.
+        crashes: u64,
+    }
+    /// Crashes that were stored before the node's start were read.
+    2412 Info "crashes-restored" CrashesRestored {
+        /// Number of crashes that still count, one for each subject.
+        crashes: u64,
+        /// Number of crashes that no longer count.
+        outdated: u64,
+    }
 }
 
 /// Access
--- a/cuminward-gateway/src/control/mod.rs
+++ b/cuminward-gateway/src/control/mod.rs
@@ -1,5 +1,6 @@
-//! Control tasks: follow the store, elect stewards, plan replicas and check the health of hosts.
+//! Control tasks: follow the store, store crashes, elect stewards, plan replicas and check the health of hosts.
 
+pub(crate) mod crashes;
 pub(crate) mod election;
 pub(crate) mod era;
 pub(crate) mod health_check;
--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -49,6 +49,8 @@
 
 /// Follows the declarations until the task is dropped.
 pub(crate) async fn follow_declarations(state: Arc<State>) {
+    // Requests are forwarded once the catalog is known, and then none may be that crashed hosts before.
+    state.quarantine.wait_until_restored().await;
     let mut needs_all = true;
     let mut health = Health::new("declarations");
     loop {
--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use tokio::{net::UdpSocket, task::JoinSet, time};
 
 use crate::{
-    control::{election, era, health_check, steward, topics},
+    control::{crashes, election, era, health_check, steward, topics},
     forward,
     ingress::{connection, listener, metrics, ready},
     peer::{discovery, gossip, pull},
@@ -133,6 +133,7 @@
         let state = Arc::clone(&self.state);
         self.tasks.spawn(async move { election::run(&state).await });
         self.tasks.spawn(era::run(Arc::clone(&self.state)));
+        self.tasks.spawn(crashes::run(Arc::clone(&self.state)));
         self.tasks.spawn(topics::follow_declarations(Arc::clone(&self.state)));
         self.tasks.spawn(topics::follow_host_list(Arc::clone(&self.state)));
         self.tasks.spawn(steward::run(Arc::clone(&self.state)));
--- a/cuminward-gateway/src/state/quarantine.rs
+++ b/cuminward-gateway/src/state/quarantine.rs
@@ -14,6 +14,7 @@
     id,
     quarantine::{PROOF_VALIDITY, Proof, Quarantined, Sighting, Subject, Tracker},
 };
+use tokio::sync::{Notify, watch};
 
 /// Number of parts of the table of responses, each with its own lock.
 const SHARDS: usize = 16;
@@ -56,6 +57,10 @@
     quarantined: ArcSwap<Quarantined>,
     hasher: RandomState,
     responses: [Mutex<Responses>; SHARDS],
+    /// Wakes the task that stores crashes.
+    pub(crate) unstored: Notify,
+    /// Whether the crashes that were stored before the node's start are known.
+    is_restored: watch::Sender<bool>,
 }
 
 /// Life cycle
@@ -67,6 +72,8 @@
             quarantined: ArcSwap::default(),
             hasher: RandomState::new(),
             responses: array::from_fn(|_| Mutex::default()),
+            unstored: Notify::new(),
+            is_restored: watch::Sender::new(false),
         }
     }
 }
@@ -86,6 +93,22 @@
         self.quarantined.load().contains(now, request)
     }
 
+    /// Returns the crashes that are to be stored but aren't yet.
+    pub(crate) fn unstored(&self, now: Duration) -> Vec<Sighting> {
+        self.tracker().unstored(now)
+    }
+
+    /// Returns whether a subject is suspect, or quarantined, for a crash.
+    pub(crate) fn is_blamed(&self, subject: Subject, crash: id::Crash) -> bool {
+        self.tracker().is_blamed(subject, crash)
+    }
+
+    /// Waits until the crashes that were stored before the node's start are known.
+    pub(crate) async fn wait_until_restored(&self) {
+        // The sender lives as long as this quarantine.
+        let _ = self.is_restored.subscribe().wait_for(|it| *it).await;
+    }
+
     fn tracker(&self) -> MutexGuard<'_, Tracker> {
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -129,6 +152,29 @@
         }
     }
 
+    /// Records the crashes that were stored before the node's start.
+    pub(crate) fn restore(&self, now: Duration, stored: &[Sighting]) {
+        let mut tracker = self.tracker();
+        for sighting in stored {
+            tracker.record_sighting(now, sighting);
+            tracker.record_stored(sighting.subject, sighting.crash);
+        }
+        self.is_restored.send_replace(true);
+    }
+
+    /// Records that crashes are stored.
+    pub(crate) fn record_stored(&self, stored: &[Sighting]) {
+        let mut tracker = self.tracker();
+        for sighting in stored {
+            tracker.record_stored(sighting.subject, sighting.crash);
+        }
+    }
+
+    /// Records that the store may have lost what was stored.
+    pub(crate) fn clear_stored(&self) {
+        self.tracker().clear_stored();
+    }
+
     /// Returns what to tell other nodes.
     pub(crate) fn report(&self, now: Duration) -> Report {
         let mut tracker = self.tracker();
@@ -142,6 +188,9 @@
         let mut tracker = self.tracker();
         self.consider_responses(&mut tracker, now);
         tracker.expire(now);
+        if !tracker.unstored(now).is_empty() {
+            self.unstored.notify_one();
+        }
         let after = tracker.quarantined(now);
         let before = self.quarantined.load();
         if **before == after {
--- a/cuminward-gateway/tests/all/quarantine.rs
+++ b/cuminward-gateway/tests/all/quarantine.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the hosts that run them.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cuminward_adapter_fake::{header, host::Host};
 use googletest::prelude::*;
@@ -111,3 +111,56 @@
     }
     Ok(())
 }
+
+/// Guards against a crashing request that is sent to hosts again after all nodes were killed.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_stays_refused_after_all_nodes_were_killed() {
+    let (site, mut nodes) = start("killed").await;
+    let (crashing, sound) = parts(0);
+    for round in 0..ROUNDS {
+        let status = send(&nodes[round % nodes.len()], &crashing, "crashing").await;
+        recover(&site).await;
+        if status == Some(503) {
+            break;
+        }
+    }
+    let crashes_before: u64 = site.replicas.iter().map(crashes).sum();
+    for kill in 0..2 {
+        drop(nodes);
+        nodes = [site.node("killed-a").await, site.node("killed-b").await];
+        for node in &nodes {
+            expect_that!(send(node, &crashing, "crashing").await, some(eq(503)), "kill {kill}");
+            recover(&site).await;
+            expect_that!(send(node, &sound, "sound").await, some(eq(200)), "kill {kill}");
+        }
+    }
+    let crashes: u64 = site.replicas.iter().map(crashes).sum();
+    expect_that!(crashes, eq(crashes_before));
+}
+
+/// Guards against stored crashes that a later build, with more fields, can't pass on to this one, and against an
+/// unreadable record that hides the others.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stored_crashes_are_read_whatever_else_is_stored() {
+    const TOPIC: &str = "keyed.crashes";
+    let site = Site::start().await;
+    for host in &site.replicas {
+        host.crash_on_part(CRASHING_PART);
+    }
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
+    for crash in 1_u64..=3 {
+        let at = now.as_millis() as u64 - 1000 * crash;
+        let entry = format!(
+            r#"{{"subject":{{"Part":57005}},"crash":{crash},"at_unix_ms":{at},"companions":[],"later":[1]}}"#
+        );
+        site.store.put(TOPIC, &format!("part:dead/{crash}"), &entry);
+    }
+    site.store.put(TOPIC, "part:dead/4", r#"{"subject":{"Later":1}}"#);
+    site.store.put(TOPIC, "part:dead/5", "garbage");
+    let node = site.node("stored").await;
+    let (crashing, sound) = parts(0);
+    expect_that!(send(&node, &crashing, "crashing").await, some(eq(503)));
+    expect_that!(send(&node, &sound, "sound").await, some(eq(200)));
+}
--- a/cuminward-serving/src/quarantine.rs
+++ b/cuminward-serving/src/quarantine.rs
@@ -13,7 +13,8 @@
 //! them are quarantined then: one with a single part of them either gets a response, which shows that this
 //! part is harmless, or crashes a host without the other parts.
 //!
-//! Nodes exchange what they saw. A crash has the same id on all nodes, so that it counts once.
+//! Nodes exchange what they saw. A crash has the same id on all nodes, so that it counts once. From the second crash
+//! for which a subject is blamed on, its crashes are also stored, so that they outlast all nodes.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -85,6 +86,9 @@
 /// Number of crashes from which a subject is quarantined.
 pub const THRESHOLD: usize = 3;
 
+/// Number of crashes from which those of a subject are stored: most subjects are in flight at one crash only.
+pub const STORED_FROM: usize = 2;
+
 /// Time between two crashes below which they count as one: hosts that lose power together were not
 /// crashed by requests.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
@@ -96,9 +100,11 @@
 /// Time for which a response shows that later crashes have another cause.
 pub const PROOF_VALIDITY: Duration = Duration::from_secs(60);
 
-/// Time after its last crash for which a subject counts as suspect, and as quarantined.
+/// Time after its last crash for which a subject counts as suspect.
 const SUSPICION: Duration = Duration::from_secs(60);
-const QUARANTINE: Duration = Duration::from_secs(600);
+
+/// Time after its last crash for which a subject is quarantined.
+pub const QUARANTINE: Duration = Duration::from_secs(600);
 
 /// What the tracker adds to times since the node's start, so that crashes of before have different times, too. Longer
 /// than any crash counts.
@@ -132,6 +138,8 @@
     at: Duration,
     /// Whether this node saw the crash itself.
     is_own: bool,
+    /// Whether the crash is stored.
+    is_stored: bool,
 }
 
 /// Quarantine of a subject.
@@ -234,6 +242,16 @@
         self.companions.as_ref().is_some_and(|it| it.contains(&part))
     }
 
+    /// Returns a crash of this suspect, which has a subject, as it is told to other nodes.
+    fn sighting(&self, now: Duration, subject: Subject, id: id::Crash, crash: &Crash) -> Sighting {
+        Sighting {
+            subject,
+            crash: id,
+            age: (now + TIME_BEFORE_START).saturating_sub(crash.at),
+            companions: self.companions.clone().unwrap_or_default(),
+        }
+    }
+
     /// Returns when the crashes no longer count; zero if there are none since the last response.
     fn expires_at(&self) -> Duration {
         let times = self.crash_times_after(self.proven_at, None);
@@ -281,18 +299,33 @@
         for (subject, suspect) in &self.suspects {
             let is_confirmed = suspect.is_confirmed();
             let sent = suspect.crashes.iter().filter(|(_, it)| it.is_own || is_confirmed);
-            sightings.extend(sent.map(|(crash, it)| Sighting {
-                subject: *subject,
-                crash: *crash,
-                age: (now + TIME_BEFORE_START).saturating_sub(it.at),
-                companions: suspect.companions.clone().unwrap_or_default(),
-            }));
+            sightings.extend(sent.map(|(id, it)| suspect.sighting(now, *subject, *id, it)));
         }
         sightings.sort_by_key(|it| it.age);
         sightings.truncate(MAX_SENT);
         sightings
     }
 
+    /// Returns the crashes that this node saw and that are to be stored but aren't yet.
+    pub fn unstored(&self, now: Duration) -> Vec<Sighting> {
+        let mut sightings = Vec::new();
+        for (subject, suspect) in &self.suspects {
+            if suspect.crash_times(None).len() < STORED_FROM {
+                continue;
+            }
+            let unstored = suspect.crashes.iter().filter(|(_, it)| it.is_own && !it.is_stored);
+            sightings.extend(unstored.map(|(id, it)| suspect.sighting(now, *subject, *id, it)));
+        }
+        sightings
+    }
+
+    /// Returns whether a subject is suspect, or quarantined, for a crash.
+    pub fn is_blamed(&self, subject: Subject, crash: id::Crash) -> bool {
+        let suspect = self.suspects.get(&subject);
+        suspect
+            .is_some_and(|it| it.crashes.contains_key(&crash) && !it.crash_times(None).is_empty())
+    }
+
     /// Returns the number of crashes for which a subject is blamed.
     pub fn crash_count(&self, subject: Subject) -> usize {
         self.suspects.get(&subject).map_or(0, |it| it.crash_times(None).len())
@@ -308,7 +341,8 @@
         for subject in request {
             let others = request.iter().filter(|it| it.is_part() && *it != subject);
             let companions = others.copied().collect();
-            let seen = Crash { at: at + TIME_BEFORE_START, is_own: true };
+            let at = at + TIME_BEFORE_START;
+            let seen = Crash { at, is_own: true, is_stored: false };
             is_new |= self.insert(*subject, crash, seen, &companions);
         }
         is_new
@@ -317,10 +351,24 @@
     /// Records a crash that another node saw.
     pub fn record_sighting(&mut self, now: Duration, sighting: &Sighting) {
         let at = (now + TIME_BEFORE_START).saturating_sub(sighting.age);
-        let crash = Crash { at, is_own: false };
+        let crash = Crash { at, is_own: false, is_stored: false };
         self.insert(sighting.subject, sighting.crash, crash, &sighting.companions);
     }
 
+    /// Records that a crash of a subject is stored.
+    pub fn record_stored(&mut self, subject: Subject, crash: id::Crash) {
+        let suspect = self.suspects.get_mut(&subject);
+        if let Some(crash) = suspect.and_then(|it| it.crashes.get_mut(&crash)) {
+            crash.is_stored = true;
+        }
+    }
+
+    /// Records that the store may have lost what was stored.
+    pub fn clear_stored(&mut self) {
+        let crashes = self.suspects.values_mut().flat_map(|it| it.crashes.values_mut());
+        crashes.for_each(|it| it.is_stored = false);
+    }
+
     /// Records that a request with a subject got a response. Ignored unless the subject is suspect.
     pub fn record_proof(&mut self, at: Duration, subject: Subject) {
         self.prove(at + TIME_BEFORE_START, subject);
--- a/cuminward-serving/tests/all/quarantine.rs
+++ b/cuminward-serving/tests/all/quarantine.rs
@@ -374,3 +374,44 @@
     tracker.record_reported_proof(now, &Proof { subject: A, age: Duration::from_secs(120) });
     expect_that!(tracker.crash_count(A), eq(THRESHOLD));
 }
+
+/// Guards against crashes that are forgotten with the nodes, and against a call to the store for each crash.
+#[gtest]
+fn crashes_are_stored_once_from_the_second_one_of_a_subject_on() {
+    struct Step {
+        name: &'static str,
+        /// Id of a crash that this node sees.
+        own: Option<u64>,
+        /// Id of a crash that another node saw.
+        reported: Option<u64>,
+        /// Ids of the crashes that are to be stored then.
+        unstored: &'static [u64],
+    }
+    let steps = [
+        Step { name: "first", own: Some(1), reported: None, unstored: &[] },
+        Step { name: "of another node", own: None, reported: Some(2), unstored: &[1] },
+        Step { name: "again", own: None, reported: None, unstored: &[] },
+        Step { name: "third", own: Some(3), reported: None, unstored: &[3] },
+    ];
+    let mut tracker = Tracker::default();
+    for (index, Step { name, own, reported, unstored }) in steps.into_iter().enumerate() {
+        let now = at(1000 * index as u64);
+        if let Some(crash) = own {
+            tracker.record_crash(now, &[A], crash);
+        }
+        if let Some(crash) = reported {
+            let (age, companions) = (Duration::ZERO, BTreeSet::new());
+            tracker.record_sighting(now, &Sighting { subject: A, crash, age, companions });
+        }
+        let found: Vec<u64> = tracker.unstored(now).iter().map(|it| it.crash).collect();
+        expect_that!(found, eq(&unstored), "{name}");
+        for crash in found {
+            tracker.record_stored(A, crash);
+        }
+    }
+    tracker.clear_stored();
+    expect_that!(tracker.unstored(at(4000)).len(), eq(2));
+    tracker.record_proof(at(5000), A);
+    expect_that!(tracker.unstored(at(5000)), is_empty());
+    expect_that!(tracker.is_blamed(A, 1), eq(false));
+}
