fix: cuminward-serving: retries count until they are as old as the window

Reproduced without a bench: two bursts of retries less than a window apart used the whole reserve each.

Cause: the window moves by tenths, and a part of it was forgotten as soon as its beginning was as old as the window. Retries at its end were 9 s old then, so that twice the reserve fits into 10 s. The former test of this drives all nodes without a pause from the begin of a part on and can't see it.

Change: retries count in one more part, requests as before.

Evidence: the new test failed in 3 of 5 cases (10 retries where none is allowed) and passes.

--- a/cuminward-serving/src/retry.rs
+++ b/cuminward-serving/src/retry.rs
@@ -10,6 +10,10 @@
 /// Number of parts of a window that are counted separately.
 const PARTS: u32 = 10;
 
+/// Number of parts in which retries count: one more than a window has, as the oldest part may have begun before the
+/// window and ended in it. Requests count only in the parts that lie in the window.
+const RETRY_PARTS: u32 = PARTS + 1;
+
 /// Part of a node's share of the reserve that a process uses within the first window after its
 /// start. An earlier process of the node may have used the rest a moment ago.
 const STARTING_PART: f64 = 0.5;
@@ -45,12 +49,9 @@
     /// Returns whether a retry is allowed now.
     pub fn has_retry(&self, now: Duration, limit: &Limit) -> bool {
         let current = part_number(now, limit.window);
-        let is_recent = |it: &&Part| it.number + PARTS > current;
-        let (mut requests, mut retries) = (0, 0);
-        for part in self.parts.iter().filter(is_recent) {
-            requests += part.requests;
-            retries += part.retries;
-        }
+        let within = |parts: u32| self.parts.iter().filter(move |it| it.number + parts > current);
+        let requests: u32 = within(PARTS).map(|it| it.requests).sum();
+        let retries: u32 = within(RETRY_PARTS).map(|it| it.retries).sum();
         let reserve =
             if now < limit.window { limit.reserve * STARTING_PART } else { limit.reserve };
         f64::from(retries + 1) <= f64::from(requests) * limit.ratio + reserve
@@ -73,10 +74,10 @@
         is_allowed
     }
 
-    /// Returns the current part of the window, and removes those that have passed.
+    /// Returns the current part of the window, and removes those that no longer count.
     fn part(&mut self, now: Duration, limit: &Limit) -> &mut Part {
         let number = part_number(now, limit.window);
-        self.parts.retain(|it| it.number + PARTS > number);
+        self.parts.retain(|it| it.number + RETRY_PARTS > number);
         if self.parts.back().is_none_or(|it| it.number < number) {
             self.parts.push_back(Part { number, requests: 0, retries: 0 });
         }
--- a/cuminward-serving/tests/all/retry.rs
+++ b/cuminward-serving/tests/all/retry.rs
@@ -95,3 +95,29 @@
     (0..5).for_each(|_| budget.record_request(ms(2), &limit));
     expect_that!(budget.try_retry(ms(3), &limit), eq(true), "requests earn retries");
 }
+
+/// Guards against repeats that pile up: a window that moves by whole parts forgot retries before they were as old as
+/// the window.
+#[gtest]
+fn two_bursts_within_a_window_share_the_reserve_wherever_a_part_begins() {
+    struct Case {
+        first: Duration,
+        second: Duration,
+        /// Retries of the second burst.
+        allowed: usize,
+    }
+    let cases = [
+        Case { first: ms(20_000), second: ms(29_900), allowed: 0 },
+        Case { first: ms(20_500), second: ms(30_400), allowed: 0 },
+        Case { first: ms(20_990), second: ms(30_010), allowed: 0 },
+        Case { first: ms(20_990), second: ms(30_980), allowed: 0 },
+        Case { first: ms(20_000), second: ms(31_100), allowed: 10 },
+    ];
+    let limit = Limit { ratio: 0.2, reserve: 10.0, window: WINDOW };
+    for Case { first, second, allowed } in cases {
+        let mut budget = Budget::default();
+        let mut burst = |at| (0..100).filter(|_| budget.try_retry(at, &limit)).count();
+        expect_that!(burst(first), eq(10), "{first:?}");
+        expect_that!(burst(second), eq(allowed), "{second:?} after {first:?}");
+    }
+}
