--- a/cuminward-serving/tests/all/retry.rs
+++ b/cuminward-serving/tests/all/retry.rs
@@ -77,13 +77,40 @@
     expect_that!(budget.has_retry(ms(21_000), &limit), eq(true), "the window has passed");
 }
 
+/// Guards against repeats that pile up when processes are killed and started again: each used a part of the reserve
+/// anew.
 #[gtest]
-fn a_process_that_just_started_uses_half_of_the_reserve() {
+fn processes_that_follow_each_other_within_a_window_share_the_reserve() {
+    struct Case {
+        name: &'static str,
+        /// When a process of the node starts; each retries whenever it may until the next one starts.
+        starts: &'static [u64],
+    }
+    let cases = [
+        Case { name: "one", starts: &[0] },
+        Case { name: "killed once", starts: &[0, 15_000] },
+        Case { name: "killed early", starts: &[0, 4000, 9000, 15_000] },
+        Case {
+            name: "killed again and again",
+            starts: &[0, 11_000, 12_000, 13_000, 25_000, 25_500],
+        },
+    ];
     let limit = Limit { ratio: 0.2, reserve: 10.0, window: WINDOW };
-    for (name, now, expected) in [("at the start", ms(500), 5), ("later", ms(10_500), 10)] {
-        let mut budget = Budget::default();
-        let retries = (0..100).filter(|_| budget.try_retry(now, &limit)).count();
-        expect_that!(retries, eq(expected), "{name}");
+    for Case { name, starts } in cases {
+        let mut retries = Vec::new();
+        for (index, start) in starts.iter().enumerate() {
+            let end = starts.get(index + 1).copied().unwrap_or(50_000);
+            let mut budget = Budget::default();
+            for at in (*start..end).step_by(100) {
+                while budget.try_retry(ms(at - start), &limit) {
+                    retries.push(at);
+                }
+            }
+        }
+        let in_window =
+            |first: u64| retries.iter().filter(|at| (first..first + 10_000).contains(*at)).count();
+        let most = retries.iter().map(|it| in_window(*it)).max();
+        expect_that!(most, some(le(10)), "{name}");
     }
 }
 
