fix: cuminward-serving, cuminward-gateway: a retry that waits for an upstream counts from when it is sent

A retry counted when it was allowed.

Change: the retry is counted anew when its slot is reserved; until then it counts as before, so that none is allowed twice. A retry that never gets a slot stays counted.

Evidence: the new test fails in 3 of 6 cases without the call that records the sending, and passes with it.

--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -39,6 +39,8 @@
     current: Option<Attempt>,
     /// Upstream that is reserved for the next attempt.
     reserved: Option<Slot>,
+    /// When the next attempt was allowed, since the node's start, if it is a retry that may have to wait.
+    retry_allowed_at: Option<Duration>,
     /// Last event that was yielded; before the first one, the last event that the caller named.
     last_event: Option<event::Id>,
     /// Whether the head of a stream was returned, after which only a stream can follow.
@@ -118,6 +120,7 @@
             upstream: String::new(),
             current: None,
             reserved: None,
+            retry_allowed_at: None,
             has_head: false,
             has_yielded: false,
         }
@@ -379,6 +382,9 @@
                 acquired.map_err(|it| self.error(it.to_string(), it.retry_after()))?
             }
         };
+        if let Some(allowed_at) = self.retry_allowed_at.take() {
+            self.state.record_retry_sent(&self.context.service, allowed_at);
+        }
         self.tried.push(slot.upstream.host.clone());
         self.upstream.clone_from(&slot.upstream.name);
         Ok(slot)
@@ -394,6 +400,7 @@
         let next = attempt::decide(self.attempts, fault.failure, &self.context.bounds());
         self.report_failure(&fault, next);
         if next == Next::Retry && self.state.try_retry(&self.context.service) {
+            self.retry_allowed_at = Some(self.state.now());
             return Ok(());
         }
         Err(self.error(fault.cause, RETRY_AFTER))
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -52,6 +52,8 @@
     let mut tried: Vec<id::Host> = Vec::new();
     let mut last_failure: Option<BufferedResponse> = None;
     let mut reserved: Option<Slot> = None;
+    // When the next attempt was allowed, if it is a retry that may have to wait.
+    let mut retry_allowed_at: Option<Duration> = None;
     state.record_request(&context.service);
     loop {
         let acquired = match reserved.take() {
@@ -65,6 +67,9 @@
                 return give_up(state, context, last_failure, attempts, retry_after, &cause);
             }
         };
+        if let Some(allowed_at) = retry_allowed_at.take() {
+            state.record_retry_sent(&context.service, allowed_at);
+        }
         tried.push(slot.upstream.host.clone());
         let upstream = slot.upstream.name.clone();
         let is_last = attempts.maybe_ran + 1 >= context.route.max_attempts;
@@ -98,6 +103,7 @@
         if next != Next::Retry || !state.try_retry(&context.service) {
             return give_up(state, context, last_failure, attempts, RETRY_AFTER, &fault.cause);
         }
+        retry_allowed_at = Some(state.now());
     }
 }
 
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -303,6 +303,14 @@
         self.retry_budgets().get_mut(service).is_some_and(|it| it.try_retry(now, &limit))
     }
 
+    /// Records that a retry that was allowed at `allowed_at` is sent now.
+    pub(crate) fn record_retry_sent(&self, service: &str, allowed_at: Duration) {
+        let (now, limit) = (self.now(), self.retry_limit());
+        if let Some(budget) = self.retry_budgets().get_mut(service) {
+            budget.record_sending(allowed_at, now, &limit);
+        }
+    }
+
     /// Marks a host as lost because it doesn't answer, or refuses connections. Its replica gets no more requests, and requests
     /// in flight at that replica are interrupted.
     pub(crate) fn mark_host_lost(&self, host: &str, is_refusal: bool, cause: &str) {
--- a/cuminward-serving/src/retry.rs
+++ b/cuminward-serving/src/retry.rs
@@ -72,6 +72,18 @@
         is_allowed
     }
 
+    /// Records that a retry that was allowed at `allowed_at` is sent only now: it counts from now on.
+    pub fn record_sending(&mut self, allowed_at: Duration, now: Duration, limit: &Limit) {
+        let number = part_number(allowed_at, limit.window);
+        if number == part_number(now, limit.window) {
+            return;
+        }
+        if let Some(part) = self.parts.iter_mut().find(|it| it.number == number) {
+            part.retries = part.retries.saturating_sub(1);
+        }
+        self.part(now, limit).retries += 1;
+    }
+
     /// Returns the current part of the window, and removes those that no longer count.
     fn part(&mut self, now: Duration, limit: &Limit) -> &mut Part {
         let number = part_number(now, limit.window);
--- a/cuminward-serving/tests/all/retry.rs
+++ b/cuminward-serving/tests/all/retry.rs
@@ -148,3 +148,34 @@
         expect_that!(burst(second), eq(allowed), "{second:?} after {first:?}");
     }
 }
+
+/// Guards against repeats that pile up after a wait: they counted when they were allowed, and reached hosts together
+/// with those of the next window.
+#[gtest]
+fn a_retry_that_waited_counts_from_when_it_is_sent() {
+    struct Case {
+        allowed: Duration,
+        sent: Duration,
+        /// A later moment, and whether another retry is allowed then.
+        next: (Duration, bool),
+    }
+    let cases = [
+        Case { allowed: ms(20_000), sent: ms(20_000), next: (ms(29_000), false) },
+        Case { allowed: ms(20_000), sent: ms(20_000), next: (ms(31_100), true) },
+        Case { allowed: ms(20_000), sent: ms(27_000), next: (ms(31_100), false) },
+        Case { allowed: ms(20_000), sent: ms(27_000), next: (ms(36_900), false) },
+        Case { allowed: ms(20_000), sent: ms(27_000), next: (ms(38_100), true) },
+        Case { allowed: ms(20_000), sent: ms(33_000), next: (ms(40_000), false) },
+    ];
+    let limit = Limit { ratio: 0.2, reserve: 1.0, window: WINDOW };
+    for Case { allowed, sent, next: (at, expected) } in cases {
+        let mut budget = Budget::default();
+        expect_that!(budget.try_retry(allowed, &limit), eq(true));
+        budget.record_sending(allowed, sent, &limit);
+        expect_that!(
+            budget.has_retry(at, &limit),
+            eq(expected),
+            "sent at {sent:?}, next at {at:?}"
+        );
+    }
+}
