fix: cuminward-upstream, cuminward-gateway, cuminward-adapter: hosts are told the time that is left when the request is sent

The time that is left was written when the request was built; opening a connection comes after that, over the own path and detours and with retries, and takes long on a busy machine, so that hosts were handed more time than was left. A request whose time had passed meanwhile was sent all the same.

Change: the pool completes a request once its connection is open, each time that it sends it. If its time is up it isn't sent, which counts as not run, and not against the host.

--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -6,7 +6,7 @@
 use cuminward_adapter::header;
 use cuminward_event::kind::Kind;
 use cuminward_serving::{attempt::Failure, catalog::Retry, event, quarantine, request};
-use cuminward_upstream::{body, connector::Connector, plain};
+use cuminward_upstream::{body, connector::Connector, error::Error, plain, pool};
 use http::{HeaderValue, Request, StatusCode, header as names, response::Parts};
 use http_body_util::Full;
 use tokio::time;
@@ -62,12 +62,17 @@
     let started = state.now();
     let may_have_run_before = context.may_have_run();
     context.set_may_have_run(true);
-    let sent = state.upstreams.send(address, request, idle, timeout).await;
+    let prepare = |request: &mut Request<_>| set_time_left(context, request);
+    let sent = state.upstreams.send_with(address, request, idle, timeout, prepare).await;
     let response = match sent {
         Ok(it) => it,
         Err(failed) => {
             let is_unsent = failed.request.is_some();
             context.set_may_have_run(may_have_run_before || !is_unsent);
+            if is_unsent && matches!(failed.error, Error::Timeout { .. }) {
+                let cause = String::from("its time was up when the connection was open");
+                return Err(Fault { failure: Failure::NotRun, cause });
+            }
             slot.upstream.stats.record_failure(state.now());
             if !is_unsent {
                 detect_crash(state, context, &slot.upstream, Progress { started, events: 0 });
@@ -95,6 +100,13 @@
     }
 }
 
+/// Sets the time that is left now that a connection is open.
+fn set_time_left(context: &Context, request: &mut Request<Full<Bytes>>) -> pool::Ready {
+    let time_left = context.remaining();
+    header::set_time_left(request.headers_mut(), time_left);
+    if time_left.is_zero() { pool::Ready::Expired } else { pool::Ready::Send }
+}
+
 /// Checks that a response belongs to this request, that the upstream executed the request, and that a
 /// successful response carries the server stamp and no content encoding.
 fn check_response(
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -92,6 +92,15 @@
 
 type Shard<B> = HashMap<String, Vec<Connection<B>>>;
 
+/// Whether a request is sent now that a connection is open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ready {
+    /// It is sent.
+    Send,
+    /// Its time has passed; it isn't sent.
+    Expired,
+}
+
 /// A failed call, with its request if no byte of it was written.
 #[derive(Debug)]
 pub struct Failure<B> {
@@ -197,6 +206,23 @@
         request: Request<B>,
         idle_timeout: Duration,
         header_timeout: Duration,
+    ) -> Result<Response<Body<B>>, Failure<B>> {
+        self.send_with(address, request, idle_timeout, header_timeout, |_| Ready::Send).await
+    }
+
+    /// Sends a request as [`Pool::send`] does, after `prepare` has completed it. Opening a connection may take
+    /// long; what depends on the time, such as the time that is left, is to be set in `prepare`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Pool::send`]; [`Error::Timeout`] with the request if `prepare` finds it expired.
+    pub async fn send_with(
+        &self,
+        address: &str,
+        request: Request<B>,
+        idle_timeout: Duration,
+        header_timeout: Duration,
+        prepare: impl Fn(&mut Request<B>) -> Ready + Send,
     ) -> Result<Response<Body<B>>, Failure<B>> {
         let mut request = request;
         loop {
@@ -204,6 +230,11 @@
                 Ok(it) => it,
                 Err(error) => return Err(Failure { error, request: Some(request) }),
             };
+            if prepare(&mut request) == Ready::Expired {
+                lease.release();
+                let error = Error::Timeout { tokens: 0, limit: header_timeout };
+                return Err(Failure { error, request: Some(request) });
+            }
             let reused = lease.connection().reused;
             let sending = lease.connection().send(address, request);
             let Ok(sent) = time::timeout(header_timeout, sending).await else {
--- a/cuminward-upstream/tests/all/main.rs
+++ b/cuminward-upstream/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod fake;
 mod hostile_upstreams;
 mod plain;
+mod pool;
 mod raw;
