--- /dev/null
+++ b/cuminward-gateway/tests/all/former_build.rs
@@ -0,0 +1,185 @@
+//! Nodes of this build beside nodes of the build at commit ef07e0b, which a fake speaks for.
+
+use std::{net::SocketAddr, time::Duration};
+
+use cuminward_derive::record;
+use futures::StreamExt;
+use googletest::prelude::*;
+use tarpc::{
+    client, context,
+    serde_transport::{Transport, tcp},
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::JoinSet,
+    time,
+};
+
+use crate::{
+    configuration::{new_route, wait_for_status},
+    site::{Node, Site},
+};
+
+/// Number of nodes that read the store for the others.
+const READERS: usize = 4;
+
+/// Interval of the digests of a fake node.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time in which the nodes hear of each other and agree on who reads the store.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
+/// A position of the store's log.
+#[record]
+#[derive(Default)]
+struct Position {
+    era: u64,
+    offset: u64,
+}
+
+/// What a node has.
+#[record]
+#[derive(Default)]
+struct Known {
+    version: u64,
+    declarations: Position,
+    listing: Position,
+}
+
+/// A record of a topic.
+#[record]
+struct Record {
+    position: Position,
+    key: String,
+    value: Option<Vec<u8>>,
+}
+
+/// Records that a node lacks.
+#[record]
+#[derive(Default)]
+struct Delta {
+    declarations: Vec<Record>,
+    listing: Vec<Record>,
+}
+
+/// A digest, with lists that are empty here.
+#[record]
+struct Digest {
+    node: String,
+    domain: String,
+    start: u64,
+    number: u64,
+    address: SocketAddr,
+    has_traffic: bool,
+    known: Known,
+    flights: Vec<(u64, u32)>,
+    lost: Vec<String>,
+    is_relay: bool,
+    sightings: Vec<u8>,
+    proofs: Vec<u8>,
+}
+
+mod service {
+    use super::{Delta, Known};
+
+    #[tarpc::service]
+    pub trait AntiEntropy {
+        async fn records_since(known: Known) -> Delta;
+    }
+}
+
+use service::{AntiEntropy, AntiEntropyClient};
+
+/// Answers as a node that has nothing.
+#[derive(Clone)]
+struct Server;
+
+impl AntiEntropy for Server {
+    async fn records_since(self, _: context::Context, _: Known) -> Delta {
+        Delta::default()
+    }
+}
+
+/// Runs a fake node that sends digests to `to` and answers calls, until the task is dropped.
+async fn run_node(name: String, to: SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a loopback port is free");
+    let send_digests = async {
+        for number in 1.. {
+            let digest = Digest {
+                node: name.clone(),
+                domain: String::from("mercado"),
+                start: 1,
+                number,
+                address,
+                has_traffic: false,
+                known: Known::default(),
+                flights: Vec::new(),
+                lost: Vec::new(),
+                is_relay: false,
+                sightings: Vec::new(),
+                proofs: Vec::new(),
+            };
+            let bytes = bincode::serialize(&digest).expect("a digest has an encoding");
+            socket.send_to(&bytes, to).await.expect("the socket is open");
+            time::sleep(DIGEST_INTERVAL).await;
+        }
+    };
+    let answer_calls = async {
+        while let Ok((stream, _)) = listener.accept().await {
+            let channel = BaseChannel::with_defaults(Transport::from((stream, Bincode::default())));
+            tokio::spawn(channel.execute(Server.serve()).for_each(|answer| async move {
+                tokio::spawn(answer);
+            }));
+        }
+    };
+    tokio::join!(send_digests, answer_calls);
+}
+
+/// Starts a node that leaves reading the store to fake nodes of the former build.
+async fn start_follower(site: &Site, name: &str) -> (Node, JoinSet<()>) {
+    let node = site.node(&format!("{name}-z")).await;
+    let mut readers = JoinSet::new();
+    for index in 0..READERS {
+        readers.spawn(run_node(format!("{name}-{index}"), node.peers));
+    }
+    time::sleep(SETTLE_TIME).await;
+    (node, readers)
+}
+
+/// Guards against a node that takes what nodes of a former build have for fresh, as these can't say how old it is.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_beside_readers_of_the_former_build_that_miss_it() {
+    let site = Site::start().await;
+    let (node, _readers) = start_follower(&site, "former").await;
+    for version in 2..5 {
+        let route = if version % 2 == 0 { new_route() } else { None };
+        let expected = if version % 2 == 0 { 200 } else { 404 };
+        site.configure(version, route);
+        let is_in_force = wait_for_status(&node, "/new/1", expected).await;
+        expect_that!(is_in_force, eq(true), "version {version}");
+    }
+}
+
+/// Guards against a call between nodes that the former build no longer understands.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_of_the_former_build_is_answered_in_its_own_form() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("answering").await;
+    let transport = tcp::connect(node.peers, Bincode::default).await.or_fail()?;
+    let client = AntiEntropyClient::new(client::Config::default(), transport).spawn();
+    let delta = client.records_since(context::current(), Known::default()).await.or_fail()?;
+    let keys =
+        |records: &[Record]| -> Vec<String> { records.iter().map(|it| it.key.clone()).collect() };
+    expect_that!(keys(&delta.declarations), elements_are![eq("config")]);
+    expect_that!(
+        keys(&delta.listing),
+        unordered_elements_are![eq("e-0"), eq("e-1"), eq("p-0"), eq("p-1")]
+    );
+    Ok(())
+}
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod followers;
+mod former_build;
 mod groups;
 mod hostile_upstreams;
 mod ingress;
