fix: cuminward-gateway: deferred removals of hosts are applied in time

Cause: a node whose reads failed defers removals for 2.5 s from its first good read, which may come 0.8 s after the cut; and it noticed the end of that time only with its next read of the list, up to 0.6 s later (1.2 s with many nodes). Change: 2 s, as entries that lapsed are back within about that time, and the list is read when it ends.

--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -7,7 +7,7 @@
 use cuminward_serving::{
     freshness,
     position::Position,
-    restore, scaling,
+    scaling,
     table::{Batch, Record},
 };
 use tokio::time;
@@ -47,6 +47,11 @@
 /// Duration of a store outage after which records that expired during the outage may reappear.
 const MIN_OUTAGE: Duration = Duration::from_millis(800);
 
+/// Time after such an outage for which deletions are deferred: hosts that are alive write their records again
+/// within about this time. Together with the timeout by which a node may notice that it reaches the store again, it
+/// is less than the time after which the node counts as in touch.
+const DEFERRAL: Duration = Duration::from_millis(2000);
+
 /// Follows the declarations until the task is dropped.
 pub(crate) async fn follow_declarations(state: Arc<State>) {
     // Requests are forwarded once the catalog is known, and then none may be that crashed hosts before.
@@ -133,8 +138,8 @@
             state.cluster().confirm_listing(read_at);
         }
         reader.record(&state, read.as_ref().err());
-        // Whether the interval passed or this node became a steward, the list is read again.
-        let _ = time::timeout(reader.interval(&state), state.election.won.notified()).await;
+        // Whether the interval passed, deletions are due or this node became a steward, the list is read again.
+        let _ = time::timeout(reader.pause(&state), state.election.won.notified()).await;
     }
 }
 
@@ -248,8 +253,18 @@
         }
         let outage = self.health.record(&state.events, now, error);
         if outage > MIN_OUTAGE {
-            self.deferred_until = now + restore::HOST_GRACE;
+            self.deferred_until = now + DEFERRAL;
+        }
+    }
+
+    /// Returns the time until the next read.
+    fn pause(&self, state: &State) -> Duration {
+        let interval = self.interval(state);
+        let now = state.now();
+        if self.deferred.is_empty() || now >= self.deferred_until {
+            return interval;
         }
+        interval.min(self.deferred_until - now)
     }
 
     fn interval(&self, state: &State) -> Duration {
--- a/cuminward-gateway/tests/all/followers.rs
+++ b/cuminward-gateway/tests/all/followers.rs
@@ -21,8 +21,7 @@
 /// Time in which the nodes hear of each other and agree on who reads the store.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// Changes of a kind that a test makes. Followers also read the host list themselves at a longer interval; the
-/// changes come at different moments of it.
+/// Changes of a kind that a test makes, at different moments of the nodes' intervals.
 const ROUNDS: usize = 3;
 
 /// Time by which a round is longer than the changes need, so that the rounds differ in that moment.
@@ -155,3 +154,25 @@
     }
     expect_that!(domain.readers.len(), eq(READERS));
 }
+
+/// Guards against a node that sends requests to a removed host although it has reached the store again for 3 s: the
+/// end of the deferral of removals was only noticed with a next read of the list.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn removals_are_deferred_no_longer_than_a_node_counts_as_cut_off() {
+    let domain = Domain::start("deferred").await;
+    domain.door.set_trouble(Some(Trouble::Silence));
+    time::sleep(Duration::from_millis(2000)).await;
+    domain.door.set_trouble(None);
+    let returned_at = Instant::now();
+    // By then, the nodes have noticed that the store is back.
+    time::sleep(Duration::from_millis(900)).await;
+    for host in &domain.site.plain {
+        domain.site.store.put_raw_entry(&host.id, "");
+    }
+    time::sleep(Duration::from_millis(3000).saturating_sub(returned_at.elapsed())).await;
+    for node in &domain.readers {
+        let status = node.get("/desk/1", &[]).await.map(|it| it.status.as_u16()).ok();
+        expect_that!(status, some(eq(503)), "no host is left");
+    }
+}
