fix: cuminward-gateway: a store that refuses crashes alone doesn't hold the configuration back

Found on reading the diff: a node waited for the stored crashes without a bound before it read the configuration, and tried a refused write five times a second. It waits 2 s at most, and tries a write once a second.

--- a/cuminward-gateway/src/control/crashes.rs
+++ b/cuminward-gateway/src/control/crashes.rs
@@ -21,8 +21,11 @@
 
 use crate::state::State;
 
-/// Pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a failed read, for which the configuration waits.
+const READ_RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Pause after a failed write.
+const WRITE_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Interval at which records are deleted that no longer count.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(15);
@@ -95,7 +98,7 @@
         };
         if let Err(error) = result {
             log::warn!("can't store crashes of hosts: {error}");
-            time::sleep(RETRY_PAUSE).await;
+            time::sleep(WRITE_RETRY_PAUSE).await;
             state.quarantine.unstored.notify_one();
         }
     }
@@ -108,7 +111,7 @@
             Ok(stored) => return stored,
             Err(error) => log::debug!("can't read the crashes of hosts: {error}"),
         }
-        time::sleep(RETRY_PAUSE).await;
+        time::sleep(READ_RETRY_PAUSE).await;
     }
 }
 
@@ -152,9 +155,10 @@
     let now_unix = unix_time();
     let encoded: Vec<(String, Vec<u8>)> = new
         .iter()
-        .filter_map(|it| {
-            let value = serde_json::to_vec(&Entry::new(it, now_unix)).ok()?;
-            Some((key((it.subject, it.crash)), value))
+        .map(|it| {
+            let value = serde_json::to_vec(&Entry::new(it, now_unix));
+            let value = value.expect("numbers and lists are valid JSON");
+            (key((it.subject, it.crash)), value)
         })
         .collect();
     let entries: Vec<(&str, &[u8])> =
--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -23,6 +23,9 @@
 /// The same for a node that reads them for others as well, which take them from it some time later.
 const SHARED_DECLARATION_WAIT_MS: RangeInclusive<u64> = 500..=900;
 
+/// Longest time for which the configuration waits for the stored crashes, which may be unreadable by themselves.
+const RESTORE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -52,7 +55,7 @@
 /// Follows the declarations until the task is dropped.
 pub(crate) async fn follow_declarations(state: Arc<State>) {
     // Requests are forwarded once the catalog is known, and then none may be that crashed hosts before.
-    state.quarantine.wait_until_restored().await;
+    let _ = time::timeout(RESTORE_TIMEOUT, state.quarantine.wait_until_restored()).await;
     let mut needs_all = true;
     let mut health = Health::new("declarations");
     loop {
