fix: cuminward-gateway: records of earlier builds don't make a copy count as complete

Found on the last reading, before anybody saw it: a node of the former build that defers a removal hands out later records. Applied by a node of this build, they moved the end of its copy past the removal; an answer of another node, asked from there, then confirmed the copy, and no later read went back. So far the read every 5 s bounded that.

Change: such records are applied, and the copy counts as complete only up to where it was, until a read of the store or an answer of this build's nodes from there has filled the gap.

--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -90,6 +90,7 @@
     let page = state.store.read_newest(topic::DECLARATIONS).await?;
     let mut cluster = state.cluster();
     cluster.replace_declarations(state.now(), page.records, page.next);
+    cluster.declarations.release();
     cluster.confirm_declarations(sent_at);
     drop(cluster);
     state.publish();
@@ -110,6 +111,9 @@
     let complete_at = freshness::read_moment(sent_at, now, wait, page.records.is_empty());
     let batch = Batch { records: page.records, whole_before: None };
     let mut cluster = state.cluster();
+    if cluster.declarations.end() == from {
+        cluster.declarations.release();
+    }
     let is_changed = cluster.apply_declarations(now, batch);
     cluster.confirm_declarations(complete_at);
     drop(cluster);
@@ -225,6 +229,9 @@
             }
         }
         cluster.host_list.advance(page.next);
+        if self.deferred.is_empty() {
+            cluster.host_list.release();
+        }
         self.next = page.next;
         Ok(is_changed)
     }
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -209,14 +209,30 @@
         let is_due = is_lagging && source.is_some();
         is_lagging = source.is_some();
         let Some(address) = source.filter(|_| is_due) else { continue };
-        let sent_at = fetcher.state.now();
-        if let Some(changes) = fetcher.fetch(address).await {
+        let call = Call::new(&fetcher.state);
+        if let Some(changes) = fetcher.fetch(address, call).await {
             emit_fetched(&fetcher.state, address, &changes);
-            apply(&fetcher.state, sent_at, changes);
+            apply(&fetcher.state, call, changes);
         }
     }
 }
 
+/// A call to another node.
+#[derive(Debug, Clone, Copy)]
+struct Call {
+    /// When it is sent, since this node's start.
+    sent_at: Duration,
+    /// What this node has then.
+    known: Known,
+}
+
+/// Life cycle
+impl Call {
+    fn new(state: &State) -> Call {
+        Call { sent_at: state.now(), known: own_knowledge(state) }
+    }
+}
+
 /// Client of the other nodes.
 struct Fetcher {
     state: Arc<State>,
@@ -236,16 +252,16 @@
             return;
         }
         let reader = readers[rand::random_range(0..readers.len())];
-        let sent_at = self.state.now();
-        if let Some(changes) = self.fetch(reader).await {
-            apply(&self.state, sent_at, changes);
+        let call = Call::new(&self.state);
+        if let Some(changes) = self.fetch(reader, call).await {
+            apply(&self.state, call, changes);
         }
     }
 
-    async fn fetch(&mut self, address: SocketAddr) -> Option<Changes> {
-        let now = self.state.now();
+    async fn fetch(&mut self, address: SocketAddr, call: Call) -> Option<Changes> {
+        let now = call.sent_at;
         self.former_builds.retain(|_, until| *until > now);
-        let fetched = time::timeout(CALL_TIMEOUT, self.call(address)).await;
+        let fetched = time::timeout(CALL_TIMEOUT, self.call(address, call.known)).await;
         let cause = match fetched {
             Ok(Ok(changes)) => return Some(changes),
             Ok(Err(error)) => error.to_string(),
@@ -257,7 +273,7 @@
         None
     }
 
-    async fn call(&mut self, address: SocketAddr) -> io::Result<Changes> {
+    async fn call(&mut self, address: SocketAddr, known: Known) -> io::Result<Changes> {
         let client = match self.clients.get(&address) {
             Some(it) => it.clone(),
             None => {
@@ -268,7 +284,6 @@
                 client
             }
         };
-        let known = own_knowledge(&self.state);
         if self.former_builds.contains_key(&address) {
             let delta = client.records_since(context::current(), known).await;
             return delta.map(Changes::from).map_err(io::Error::other);
@@ -324,18 +339,29 @@
     });
 }
 
-/// Applies what another node answered to a call that was sent at `sent_at`.
-fn apply(state: &State, sent_at: Duration, changes: Changes) {
+/// Applies what another node answered to a call.
+fn apply(state: &State, call: Call, changes: Changes) {
     let now = state.now();
     let Changes { declarations, listing } = changes;
     let mut cluster = state.cluster();
-    let mut is_changed = cluster.apply_declarations(now, declarations.batch);
-    is_changed |= cluster.apply_listing(now, listing.batch);
-    if let Some(complete_at) = declarations.age.and_then(|it| sent_at.checked_sub(it)) {
-        cluster.confirm_declarations(complete_at);
+    if cluster.declarations.end() == call.known.declarations && declarations.age.is_some() {
+        cluster.declarations.release();
+    }
+    if cluster.host_list.end() == call.known.listing && listing.age.is_some() {
+        cluster.host_list.release();
+    }
+    let is_changed = if declarations.age.is_none() && listing.age.is_none() {
+        cluster.apply_incomplete(now, declarations.batch, listing.batch)
+    } else {
+        let is_changed = cluster.apply_declarations(now, declarations.batch);
+        cluster.apply_listing(now, listing.batch) | is_changed
+    };
+    let complete_at = |age: Option<Duration>| age.and_then(|it| call.sent_at.checked_sub(it));
+    if let Some(at) = complete_at(declarations.age) {
+        cluster.confirm_declarations(at);
     }
-    if let Some(complete_at) = listing.age.and_then(|it| sent_at.checked_sub(it)) {
-        cluster.confirm_listing(complete_at);
+    if let Some(at) = complete_at(listing.age) {
+        cluster.confirm_listing(at);
     }
     drop(cluster);
     if is_changed {
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -173,9 +173,30 @@
         records.fold(false, |changed, it| self.apply_host_record(now, it) | changed)
     }
 
-    /// Records that the declarations are complete up to the moment `at`.
+    /// Applies records that don't tell what else was deleted, as nodes of earlier builds send them. The copies
+    /// count as complete only up to where they were. Returns whether anything changed.
+    pub(crate) fn apply_incomplete(
+        &mut self,
+        now: Duration,
+        declarations: Batch,
+        listing: Batch,
+    ) -> bool {
+        if !declarations.records.is_empty() {
+            self.declarations.withhold();
+        }
+        if !listing.records.is_empty() {
+            let end = self.host_list.end();
+            self.host_list.withhold(end);
+        }
+        let is_changed = self.apply_declarations(now, declarations);
+        self.apply_listing(now, listing) | is_changed
+    }
+
+    /// Records that the declarations are complete up to the moment `at`, unless some may be lacking.
     pub(crate) fn confirm_declarations(&mut self, at: Duration) {
-        self.freshness.declarations.advance(at, self.declarations.end());
+        if !self.declarations.is_withholding() {
+            self.freshness.declarations.advance(at, self.declarations.end());
+        }
     }
 
     /// Records that the host list is complete up to the moment `at`, unless records of it are withheld.
--- a/cuminward-gateway/src/state/declarations.rs
+++ b/cuminward-gateway/src/state/declarations.rs
@@ -37,6 +37,11 @@
         self.table.end()
     }
 
+    /// Returns whether declarations may be lacking.
+    pub(crate) fn is_withholding(&self) -> bool {
+        self.table.is_withholding()
+    }
+
     /// Returns the version of the catalog in force; 0 if there is none.
     pub(crate) fn version(&self) -> id::Version {
         self.catalog.as_ref().map_or(0, |it| it.version)
@@ -66,6 +71,17 @@
 
 /// Mutation
 impl Declarations {
+    /// Records that what is applied from now on may lack declarations after the current end.
+    pub(crate) fn withhold(&mut self) {
+        let end = self.table.end();
+        self.table.withhold(end);
+    }
+
+    /// Records that no declaration is lacking any more.
+    pub(crate) fn release(&mut self) {
+        self.table.release();
+    }
+
     /// Applies a record. Returns whether it is newer than the known one: an evacuation by its position, a
     /// catalog by its version, since a store that came back from an older copy has an older catalog again.
     pub(crate) fn apply(&mut self, record: &Record) -> bool {
--- a/cuminward-gateway/tests/all/former_build.rs
+++ b/cuminward-gateway/tests/all/former_build.rs
@@ -1,6 +1,10 @@
 //! Nodes of this build beside nodes of the build at commit ef07e0b, which a fake speaks for.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use cuminward_derive::record;
 use futures::StreamExt;
@@ -18,8 +22,8 @@
 };
 
 use crate::{
-    configuration::{new_route, wait_for_status},
-    site::{Node, Site},
+    configuration::{IN_FORCE, new_route, wait_for_status},
+    site::{Node, Site, replica_entry},
 };
 
 /// Number of nodes that read the store for the others.
@@ -92,18 +96,20 @@
 
 use service::{AntiEntropy, AntiEntropyClient};
 
-/// Answers as a node that has nothing.
-#[derive(Clone)]
-struct Server;
+/// Answers with what a fake node has, whatever the caller has.
+#[derive(Clone, Default)]
+struct Server {
+    delta: Arc<Mutex<Delta>>,
+}
 
 impl AntiEntropy for Server {
     async fn records_since(self, _: context::Context, _: Known) -> Delta {
-        Delta::default()
+        self.delta.lock().expect("no holder panics").clone()
     }
 }
 
 /// Runs a fake node that sends digests to `to` and answers calls, until the task is dropped.
-async fn run_node(name: String, to: SocketAddr) {
+async fn run_node(name: String, to: SocketAddr, server: Server) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
     let address = listener.local_addr().expect("the listener is bound");
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a loopback port is free");
@@ -131,7 +137,7 @@
     let answer_calls = async {
         while let Ok((stream, _)) = listener.accept().await {
             let channel = BaseChannel::with_defaults(Transport::from((stream, Bincode::default())));
-            tokio::spawn(channel.execute(Server.serve()).for_each(|answer| async move {
+            tokio::spawn(channel.execute(server.clone().serve()).for_each(|answer| async move {
                 tokio::spawn(answer);
             }));
         }
@@ -144,7 +150,7 @@
     let node = site.node(&format!("{name}-z")).await;
     let mut readers = JoinSet::new();
     for index in 0..READERS {
-        readers.spawn(run_node(format!("{name}-{index}"), node.peers));
+        readers.spawn(run_node(format!("{name}-{index}"), node.peers, Server::default()));
     }
     time::sleep(SETTLE_TIME).await;
     (node, readers)
@@ -183,3 +189,41 @@
     );
     Ok(())
 }
+
+/// Guards against a copy that counts as complete although a node of the former build, which defers a removal, handed
+/// out later records only.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removal_that_a_node_of_the_former_build_leaves_out_is_learned_from_others() {
+    // Offset of a record after the entries of all hosts and both removals.
+    const LATER: u64 = 6;
+    for round in 0..6 {
+        let site = Site::start().await;
+        let node = site.node(&format!("mixed{round}-z")).await;
+        let server = Server::default();
+        let mut readers = JoinSet::new();
+        for index in 0..READERS / 2 {
+            let name = format!("mixed{round}-{index}");
+            readers.spawn(run_node(name, node.peers, server.clone()));
+        }
+        let mut nodes = Vec::new();
+        for index in READERS / 2..READERS {
+            nodes.push(site.node(&format!("mixed{round}-{index}")).await);
+        }
+        time::sleep(SETTLE_TIME).await;
+        for host in &site.plain {
+            site.store.put_raw_entry(&host.id, "");
+        }
+        let later = &site.replicas[0];
+        site.store.put_entry(&later.id, &replica_entry(later));
+        server.delta.lock().expect("no holder panics").listing = vec![Record {
+            position: Position { era: 1, offset: LATER },
+            key: later.id.clone(),
+            value: site.store.entry(&later.id),
+        }];
+        time::sleep(IN_FORCE).await;
+        expect_that!(nodes.len(), eq(READERS / 2));
+        let status = node.get("/desk/1", &[]).await.map(|it| it.status.as_u16()).ok();
+        expect_that!(status, some(eq(503)), "no host is left, round {round}");
+    }
+}
