--- a/cuminward-serving/src/retry.rs
+++ b/cuminward-serving/src/retry.rs
@@ -2,10 +2,8 @@
 //!
 //! Each node keeps to the limit on its own: within every window of time, its retries are at most the
 //! given part of the requests that it got in that window, plus its share of the reserve. The sum
-//! over all nodes then keeps to the limit too. A process that has just started has no share of the
-//! reserve: it doesn't know what was used before, nor do the others know yet that there is one more
-//! node. What a node has not used for a while may be used at once, as when a failure domain is lost
-//! and many streams have to continue elsewhere.
+//! over all nodes then keeps to the limit too. What a node has not used for a while may be used at
+//! once, as when a failure domain is lost and many streams have to continue elsewhere.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -16,6 +14,10 @@
 /// window and ended in it. Requests count only in the parts that lie in the window.
 const RETRY_PARTS: u32 = PARTS + 1;
 
+/// Part of a node's share of the reserve that a process uses within the first window after its
+/// start. An earlier process of the node may have used the rest a moment ago.
+const STARTING_PART: f64 = 0.5;
+
 /// Limit on the retries for one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
@@ -50,8 +52,8 @@
         let within = |parts: u32| self.parts.iter().filter(move |it| it.number + parts > current);
         let requests: u32 = within(PARTS).map(|it| it.requests).sum();
         let retries: u32 = within(RETRY_PARTS).map(|it| it.retries).sum();
-        // An earlier process of the node may have used the reserve a moment ago.
-        let reserve = if now < limit.window { 0.0 } else { limit.reserve };
+        let reserve =
+            if now < limit.window { limit.reserve * STARTING_PART } else { limit.reserve };
         f64::from(retries + 1) <= f64::from(requests) * limit.ratio + reserve
     }
 }
