fix: cuminward-gateway: processes that follow each other use no reserve of retries twice

Cause: a process that starts doesn't know which retries its predecessor made, and used half of the node's share of the reserve anew. Any number of processes may follow each other in a window, so that no part that is set aside for starts is small enough. Change: within its first window a process uses nothing of the reserve, but for the first start of the system. Ruled out: announcing the use in digests, as what was used after the last digest stays unknown. The fixture of the gateway's tests now says that its nodes are first starts, which they are. Not covered: all processes killed within the last window (nobody lends; requests alone earn retries).

--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -21,7 +21,7 @@
     slot::{self, Slot},
     stall::{self, Replacement},
 };
-use crate::state::State;
+use crate::{peer::loan::Grant, state::State};
 
 /// `Retry-After` of a request that upstreams refused.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -39,8 +39,8 @@
     current: Option<Attempt>,
     /// Upstream that is reserved for the next attempt.
     reserved: Option<Slot>,
-    /// When the next attempt was allowed, since the node's start, if it is a retry that may have to wait.
-    retry_allowed_at: Option<Duration>,
+    /// What allowed the next attempt, if it is a retry that may have to wait.
+    grant: Option<Grant>,
     /// Last event that was yielded; before the first one, the last event that the caller named.
     last_event: Option<event::Id>,
     /// Whether the head of a stream was returned, after which only a stream can follow.
@@ -120,7 +120,7 @@
             upstream: String::new(),
             current: None,
             reserved: None,
-            retry_allowed_at: None,
+            grant: None,
             has_head: false,
             has_yielded: false,
         }
@@ -175,11 +175,11 @@
                     let cause =
                         format!("the upstream responded with status {status}, not a stream");
                     drop(slot);
-                    self.handle_failure(Fault { failure: Failure::Unknown, cause })?;
+                    self.handle_failure(Fault { failure: Failure::Unknown, cause }).await?;
                 }
                 Sent::Fault(fault) => {
                     drop(slot);
-                    self.handle_failure(fault)?;
+                    self.handle_failure(fault).await?;
                 }
                 Sent::Stall(replacement) => self.replace(replacement),
             }
@@ -246,7 +246,7 @@
                 }
                 UpstreamItem::Fault(fault) => {
                     self.current = None;
-                    self.handle_failure(fault)?;
+                    self.handle_failure(fault).await?;
                 }
                 UpstreamItem::Stall(replacement) => {
                     self.current = None;
@@ -382,8 +382,11 @@
                 acquired.map_err(|it| self.error(it.to_string(), it.retry_after()))?
             }
         };
-        if let Some(allowed_at) = self.retry_allowed_at.take() {
-            self.state.record_retry_sent(&self.context.service, allowed_at);
+        if let Some(grant) = self.grant.take()
+            && !self.state.record_retry_sent(&self.context.service, grant).await
+        {
+            let cause = String::from("the loan of a retry ran out before a host was free");
+            return Err(self.error(cause, RETRY_AFTER));
         }
         self.tried.push(slot.upstream.host.clone());
         self.upstream.clone_from(&slot.upstream.name);
@@ -395,15 +398,17 @@
     /// # Errors
     ///
     /// Fails if no further attempt is allowed or the retry budget is used up.
-    fn handle_failure(&mut self, fault: Fault) -> Result<(), Error> {
+    async fn handle_failure(&mut self, fault: Fault) -> Result<(), Error> {
         self.attempts.record_failure(fault.failure);
         let next = attempt::decide(self.attempts, fault.failure, &self.context.bounds());
         self.report_failure(&fault, next);
-        if next == Next::Retry && self.state.try_retry(&self.context.service) {
-            self.retry_allowed_at = Some(self.state.now());
-            return Ok(());
+        if next == Next::Retry {
+            self.grant = self.state.try_retry(&self.context.service).await;
+        }
+        match self.grant {
+            Some(_) => Ok(()),
+            None => Err(self.error(fault.cause, RETRY_AFTER)),
         }
-        Err(self.error(fault.cause, RETRY_AFTER))
     }
 
     /// Counts and reports a stalled attempt, and keeps the upstream that is reserved for the next one.
--- a/cuminward-gateway/src/forward/stall.rs
+++ b/cuminward-gateway/src/forward/stall.rs
@@ -117,7 +117,7 @@
             if self.may_retry() {
                 let slot = slot::acquire(self.state, self.context, self.tried, self.progress).await;
                 if let Ok(slot) = slot
-                    && self.state.try_retry(&self.context.service)
+                    && self.state.try_retry(&self.context.service).await.is_some()
                 {
                     return slot;
                 }
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -20,7 +20,7 @@
     slot::{self, Slot},
     stall::{Candidate, Reason, Replacement, Stall},
 };
-use crate::state::State;
+use crate::{peer::loan::Grant, state::State};
 
 /// Largest response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -52,8 +52,8 @@
     let mut tried: Vec<id::Host> = Vec::new();
     let mut last_failure: Option<BufferedResponse> = None;
     let mut reserved: Option<Slot> = None;
-    // When the next attempt was allowed, if it is a retry that may have to wait.
-    let mut retry_allowed_at: Option<Duration> = None;
+    // What allowed the next attempt, if it is a retry that may have to wait.
+    let mut grant: Option<Grant> = None;
     state.record_request(&context.service);
     loop {
         let acquired = match reserved.take() {
@@ -67,8 +67,11 @@
                 return give_up(state, context, last_failure, attempts, retry_after, &cause);
             }
         };
-        if let Some(allowed_at) = retry_allowed_at.take() {
-            state.record_retry_sent(&context.service, allowed_at);
+        if let Some(grant) = grant.take()
+            && !state.record_retry_sent(&context.service, grant).await
+        {
+            let cause = "the loan of a retry ran out before a host was free";
+            return give_up(state, context, last_failure, attempts, RETRY_AFTER, cause);
         }
         tried.push(slot.upstream.host.clone());
         let upstream = slot.upstream.name.clone();
@@ -100,10 +103,12 @@
         attempts.record_failure(fault.failure);
         let next = attempt::decide(attempts, fault.failure, &context.bounds());
         report::record_failed_attempt(state, context, &upstream, &fault, None, next);
-        if next != Next::Retry || !state.try_retry(&context.service) {
+        if next == Next::Retry {
+            grant = state.try_retry(&context.service).await;
+        }
+        if grant.is_none() {
             return give_up(state, context, last_failure, attempts, RETRY_AFTER, &fault.cause);
         }
-        retry_allowed_at = Some(state.now());
     }
 }
 
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -253,6 +253,8 @@
     let is_candidate = scaling::is_candidate(&state.settings.node.name, others);
     state.election.set_observers(!is_candidate, is_candidate && has_observers);
     state.paths.set_relays(relays(state, &fresh));
+    let heard = fresh.iter().filter(|it| it.digest.is_some());
+    state.lenders.set_nodes(heard.map(|it| it.address).collect());
     update_remote_load(state, fresh);
 }
 
--- a/cuminward-gateway/src/peer/mod.rs
+++ b/cuminward-gateway/src/peer/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod digest;
 pub(crate) mod discovery;
 pub(crate) mod gossip;
+pub(crate) mod loan;
 pub(crate) mod pull;
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -115,7 +115,9 @@
     }
 }
 
-mod service {
+pub(super) mod service {
+    use cuminward_serving::id;
+
     use super::{Changes, Delta, Known};
 
     #[tarpc::service]
@@ -124,6 +126,9 @@
         async fn records_since(known: Known) -> Delta;
         /// Returns what the other node lacks, and how old it is.
         async fn changes_since(known: Known) -> Changes;
+        /// Counts a retry of a request for a service, if one is allowed, which the other node makes in place of this
+        /// one. Returns whether it is.
+        async fn lend_retry(service: id::Service) -> bool;
     }
 }
 
@@ -153,6 +158,10 @@
             listing: Excerpt::new(listing, cluster.freshness.listing.age(now)),
         }
     }
+
+    async fn lend_retry(self, _: context::Context, service: id::Service) -> bool {
+        self.state.lend_retry(&service)
+    }
 }
 
 /// Serves the connections of other nodes until the task is dropped.
@@ -277,9 +286,7 @@
         let client = match self.clients.get(&address) {
             Some(it) => it.clone(),
             None => {
-                let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default);
-                let config = client::Config::default();
-                let client = AntiEntropyClient::new(config, transport.await?).spawn();
+                let client = connect(address).await?;
                 self.clients.insert(address, client.clone());
                 client
             }
@@ -293,6 +300,16 @@
     }
 }
 
+/// Opens a connection to another node.
+///
+/// # Errors
+///
+/// Fails if the node can't be reached.
+pub(super) async fn connect(address: SocketAddr) -> io::Result<AntiEntropyClient> {
+    let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default).await?;
+    Ok(AntiEntropyClient::new(client::Config::default(), transport).spawn())
+}
+
 /// Returns the address of the node with the newest records, if its declarations are newer than those of
 /// this node or its host list is ahead: by more than [`MAX_HOST_LIST_LAG`], or at all if this node can't read it.
 fn find_newer_peer(state: &State, peers: &Peers) -> Option<SocketAddr> {
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -29,6 +29,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    peer::loan::{self, Grant},
     settings::Settings,
     tunnel::{dialer::Dialer, paths::Paths},
 };
@@ -75,6 +76,8 @@
     pub(crate) election: election::Election,
     /// What crashing requests have in common.
     pub(crate) quarantine: quarantine::Quarantine,
+    /// Nodes that lend retries to this one.
+    pub(crate) lenders: loan::Lenders,
     /// Requests and retries of this node, by service.
     retry_budgets: Mutex<HashMap<id::Service, retry::Budget>>,
     /// Number of nodes in the list of all nodes, this one included.
@@ -144,6 +147,7 @@
             store,
             election: election::Election::default(),
             quarantine: quarantine::Quarantine::new(),
+            lenders: loan::Lenders::default(),
             retry_budgets: Mutex::default(),
             node_count: AtomicUsize::new(1),
             sharing_nodes: AtomicUsize::new(0),
@@ -220,10 +224,16 @@
         self.cluster.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether a retry of a request for a service is allowed now.
+    /// Returns whether a retry of a request for a service is allowed now, or another node may lend one.
     pub(crate) fn has_retry(&self, service: &str) -> bool {
         let (now, limit) = (self.now(), self.retry_limit());
         self.retry_budgets().get(service).is_some_and(|it| it.has_retry(now, &limit))
+            || self.may_borrow(now, &limit) && self.lenders.may_lend(now, service)
+    }
+
+    /// Returns whether this node borrows retries: it doesn't know yet which ones its earlier process made.
+    fn may_borrow(&self, now: Duration, limit: &retry::Limit) -> bool {
+        !self.settings.node.is_first_start && now < limit.window
     }
 
     /// Returns this node's limit on retries.
@@ -289,26 +299,49 @@
     /// Counts a request for a service, which allows a part of a retry.
     pub(crate) fn record_request(&self, service: &str) {
         let (now, limit) = (self.now(), self.retry_limit());
-        let mut budgets = self.retry_budgets();
-        if let Some(budget) = budgets.get_mut(service) {
-            budget.record_request(now, &limit);
-        } else {
-            budgets.entry(service.to_owned()).or_default().record_request(now, &limit);
+        self.with_budget(service, |it| it.record_request(now, &limit));
+    }
+
+    /// Counts a retry of a request for a service if one is allowed now, or borrows one. Returns `None` if neither is
+    /// possible.
+    pub(crate) async fn try_retry(&self, service: &str) -> Option<Grant> {
+        let (now, limit) = (self.now(), self.retry_limit());
+        if self.with_budget(service, |it| it.try_retry(now, &limit)) {
+            return Some(Grant::Own(now));
         }
+        let is_lent = self.may_borrow(now, &limit) && self.lenders.borrow(now, service).await;
+        is_lent.then_some(Grant::Lent(now))
     }
 
-    /// Counts a retry of a request for a service if one is allowed now. Returns whether it is.
-    pub(crate) fn try_retry(&self, service: &str) -> bool {
+    /// Counts a retry that another node makes if one is allowed now. Returns whether it is.
+    pub(crate) fn lend_retry(&self, service: &str) -> bool {
         let (now, limit) = (self.now(), self.retry_limit());
-        self.retry_budgets().get_mut(service).is_some_and(|it| it.try_retry(now, &limit))
+        self.with_budget(service, |it| it.lend(now, &limit))
     }
 
-    /// Records that a retry that was allowed at `allowed_at` is sent now.
-    pub(crate) fn record_retry_sent(&self, service: &str, allowed_at: Duration) {
+    /// Records that a retry is sent now. Returns false if it may not: it was lent too long ago, and no node lends
+    /// another one.
+    pub(crate) async fn record_retry_sent(&self, service: &str, grant: Grant) -> bool {
         let (now, limit) = (self.now(), self.retry_limit());
-        if let Some(budget) = self.retry_budgets().get_mut(service) {
-            budget.record_sending(allowed_at, now, &limit);
+        match grant {
+            Grant::Own(at) => {
+                self.with_budget(service, |it| it.record_sending(at, now, &limit));
+                true
+            }
+            Grant::Lent(at) if now < at + limit.loan_time() => true,
+            Grant::Lent(_) => self.try_retry(service).await.is_some(),
+        }
+    }
+
+    /// Applies `change` to the retry budget of a service.
+    fn with_budget<T>(&self, service: &str, change: impl FnOnce(&mut retry::Budget) -> T) -> T {
+        let mut budgets = self.retry_budgets();
+        if let Some(budget) = budgets.get_mut(service) {
+            return change(budget);
         }
+        let is_first = self.settings.node.is_first_start;
+        let budget = if is_first { retry::Budget::first() } else { retry::Budget::default() };
+        change(budgets.entry(service.to_owned()).or_insert(budget))
     }
 
     /// Marks a host as lost because it doesn't answer, or refuses connections. Its replica gets no more requests, and requests
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod hostile_upstreams;
 mod ingress;
 mod lifecycle;
+mod loans;
 mod local_views;
 mod quarantine;
 mod raw;
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -94,6 +94,10 @@
     /// Panics if that takes longer than about 4 s.
     pub(crate) async fn node(&self, name: &str) -> Node {
         let node = self.starting_node(name).await;
+        self.wait_until_known(node).await
+    }
+
+    async fn wait_until_known(&self, node: Node) -> Node {
         for _ in 0..200 {
             if is_ready(node.ready).await && self.is_known(&node).await {
                 return node;
@@ -121,6 +125,40 @@
         let free = || address::allocate().expect("a loopback port is free");
         let [callers, ready, peers] = [free(), free(), free()];
         let text = settings_text(name, callers, ready, peers, store);
+        self.start_with(name, [callers, ready, peers], &text).await
+    }
+
+    /// Starts a node at the first start of the system, with a reserve of retries of all nodes together, and waits until
+    /// it is ready and forwards requests.
+    pub(crate) async fn node_with_reserve(&self, name: &str, reserve: u32) -> Node {
+        self.changed_node(name, &[("reserve: 100", &format!("reserve: {reserve}"))]).await
+    }
+
+    /// Like [`node_with_reserve`](Site::node_with_reserve), but an earlier process of the node has served callers.
+    pub(crate) async fn following_node(&self, name: &str, reserve: u32) -> Node {
+        let changes = [
+            ("reserve: 100", &*format!("reserve: {reserve}")),
+            ("is_first_start: true", "is_first_start: false"),
+        ];
+        self.changed_node(name, &changes).await
+    }
+
+    async fn changed_node(&self, name: &str, changes: &[(&str, &str)]) -> Node {
+        let free = || address::allocate().expect("a loopback port is free");
+        let [callers, ready, peers] = [free(), free(), free()];
+        let text = settings_text(name, callers, ready, peers, self.store.address);
+        let text = changes.iter().fold(text, |text, (old, new)| text.replace(old, new));
+        let node = self.start_with(name, [callers, ready, peers], &text).await;
+        self.wait_until_known(node).await
+    }
+
+    /// Starts a node with the text of its settings.
+    async fn start_with(
+        &self,
+        name: &str,
+        [callers, ready, peers]: [SocketAddr; 3],
+        text: &str,
+    ) -> Node {
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{callers}.yaml"));
         std::fs::write(&path, text).expect("the directory of temporary files can be written");
         let settings = settings::load(&path).expect("the settings are valid");
@@ -153,7 +191,7 @@
     store: SocketAddr,
 ) -> String {
     format!(
-        "node: {{name: {name}, domain: {DOMAIN}}}\n\
+        "node: {{name: {name}, domain: {DOMAIN}, is_first_start: true}}\n\
          listen: {{callers: \"{callers}\", ready: \"{ready}\", peers: \"{peers}\"}}\n\
          store: {{address: \"{store}\", min_lease_ms: 1000, partitions: 8}}\n\
          timing: {{shutdown_grace_s: 6}}\n\
--- a/cuminward-serving/src/retry.rs
+++ b/cuminward-serving/src/retry.rs
@@ -4,6 +4,9 @@
 //! given part of the requests that it got in that window, plus its share of the reserve. The sum
 //! over all nodes then keeps to the limit too. What a node has not used for a while may be used at
 //! once, as when a failure domain is lost and many streams have to continue elsewhere.
+//!
+//! A process doesn't know which retries its predecessor made. Until a window has passed since its start, it uses
+//! nothing of the node's share of the reserve, and borrows from nodes that know what they used.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -14,9 +17,8 @@
 /// window and ended in it. Requests count only in the parts that lie in the window.
 const RETRY_PARTS: u32 = PARTS + 1;
 
-/// Part of a node's share of the reserve that a process uses within the first window after its
-/// start. An earlier process of the node may have used the rest a moment ago.
-const STARTING_PART: f64 = 0.5;
+/// Number of parts of a window within which a loan has to be used.
+const LOAN_PARTS: u32 = 2;
 
 /// Limit on the retries for one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,10 +32,22 @@
     pub window: Duration,
 }
 
-/// Requests and retries of the last window.
+/// Access
+impl Limit {
+    /// Returns the time within which a retry that another node has lent has to be sent.
+    pub fn loan_time(&self) -> Duration {
+        self.window / PARTS * LOAN_PARTS
+    }
+}
+
+/// Requests and retries of the last window. The default is the budget of a process that follows another one.
 #[derive(Debug, Clone, Default)]
 pub struct Budget {
     parts: VecDeque<Part>,
+    /// Times until which retries count that were lent to other nodes.
+    loans: Vec<Duration>,
+    /// Whether no earlier process of the node has made retries.
+    is_first: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +58,14 @@
     retries: u32,
 }
 
+/// Life cycle
+impl Budget {
+    /// Creates the budget of the first process of a node.
+    pub fn first() -> Budget {
+        Budget { is_first: true, ..Budget::default() }
+    }
+}
+
 /// Access
 impl Budget {
     /// Returns whether a retry is allowed now.
@@ -52,9 +74,10 @@
         let within = |parts: u32| self.parts.iter().filter(move |it| it.number + parts > current);
         let requests: u32 = within(PARTS).map(|it| it.requests).sum();
         let retries: u32 = within(RETRY_PARTS).map(|it| it.retries).sum();
-        let reserve =
-            if now < limit.window { limit.reserve * STARTING_PART } else { limit.reserve };
-        f64::from(retries + 1) <= f64::from(requests) * limit.ratio + reserve
+        let lent = self.loans.iter().filter(|until| **until > now).count();
+        let knows_use = self.is_first || now >= limit.window;
+        let reserve = if knows_use { limit.reserve } else { 0.0 };
+        f64::from(retries + 1) + lent as f64 <= f64::from(requests) * limit.ratio + reserve
     }
 }
 
@@ -74,6 +97,16 @@
         is_allowed
     }
 
+    /// Counts a retry that another node makes within [`Limit::loan_time`] if one is allowed now. Returns whether it is.
+    pub fn lend(&mut self, now: Duration, limit: &Limit) -> bool {
+        self.loans.retain(|until| *until > now);
+        let is_allowed = self.has_retry(now, limit);
+        if is_allowed {
+            self.loans.push(now + limit.loan_time() + limit.window);
+        }
+        is_allowed
+    }
+
     /// Records that a retry that was allowed at `allowed_at` is sent only now: it counts from now on.
     pub fn record_sending(&mut self, allowed_at: Duration, now: Duration, limit: &Limit) {
         let number = part_number(allowed_at, limit.window);
--- a/cuminward-serving/tests/all/retry.rs
+++ b/cuminward-serving/tests/all/retry.rs
@@ -77,16 +77,48 @@
     expect_that!(budget.has_retry(ms(21_000), &limit), eq(true), "the window has passed");
 }
 
+/// Guards against repeats that pile up: a process that started used a part of the reserve that its predecessor may have
+/// used already.
 #[gtest]
-fn a_process_that_just_started_uses_half_of_the_reserve() {
+fn a_process_that_just_started_uses_the_reserve_only_without_a_predecessor() {
+    struct Case {
+        name: &'static str,
+        budget: Budget,
+        now: Duration,
+        expected: usize,
+    }
+    let cases = [
+        Case { name: "first", budget: Budget::first(), now: ms(500), expected: 10 },
+        Case { name: "later process", budget: Budget::default(), now: ms(500), expected: 0 },
+        Case { name: "window not over", budget: Budget::default(), now: ms(9999), expected: 0 },
+        Case { name: "a window later", budget: Budget::default(), now: ms(10_000), expected: 10 },
+    ];
     let limit = Limit { ratio: 0.2, reserve: 10.0, window: WINDOW };
-    for (name, now, expected) in [("at the start", ms(500), 5), ("later", ms(10_500), 10)] {
-        let mut budget = Budget::default();
+    for Case { name, mut budget, now, expected } in cases {
         let retries = (0..100).filter(|_| budget.try_retry(now, &limit)).count();
         expect_that!(retries, eq(expected), "{name}");
     }
 }
 
+/// Guards against repeats that pile up: what a node lends is used by another one a moment later, and counts for as long
+/// as that use lies within the window.
+#[gtest]
+fn loans_count_until_the_window_of_their_latest_use_is_over() {
+    let limit = Limit { ratio: 0.2, reserve: 10.0, window: WINDOW };
+    let lent_at = ms(20_000);
+    let mut lender = Budget::default();
+    let lent = (0..100).filter(|_| lender.lend(lent_at, &limit)).count();
+    expect_that!(lent, eq(10));
+    let last = lent_at + limit.loan_time() + WINDOW;
+    for (now, expected) in
+        [(lent_at, false), (ms(30_500), false), (last - ms(1), false), (last, true)]
+    {
+        expect_that!(lender.has_retry(now, &limit), eq(expected), "{now:?}");
+    }
+    let mut starting = Budget::default();
+    expect_that!(starting.lend(ms(9999), &limit), eq(false), "it doesn't know its own use");
+}
+
 /// Guards against repeats that pile up when processes are killed and started again: each used a part of the reserve
 /// anew.
 #[gtest]
