fix: cuminward-gateway: a test waits until hosts have read the requests that it counts

Not traced; read in the code: the node gives a request up as soon as surplus bytes arrive, and the count was taken at once, while the host may read the request a moment later. The count that is asked for is the same; the test now waits for it, for up to a second.

--- a/cuminward-gateway/tests/all/hostile_upstreams.rs
+++ b/cuminward-gateway/tests/all/hostile_upstreams.rs
@@ -97,6 +97,21 @@
     }
 }
 
+/// Waits
+impl RawSite {
+    /// Waits until the hosts have received `count` requests for a path; returns the number that they have received in
+    /// the end. A host may read a request after the node has given it up.
+    async fn await_requests(&self, path: &str, count: usize) -> usize {
+        for _ in 0..200 {
+            if self.requests(path) >= count {
+                break;
+            }
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        self.requests(path)
+    }
+}
+
 /// Reports
 impl RawSite {
     /// Returns the number of times that the hosts were asked for their reports.
@@ -336,7 +351,7 @@
             let may_fail = !is_retried && (!before.is_empty() || name == AS_IT_IS_SENT);
             if may_fail && status == 502 {
                 expect_that!(answer.body, eq(""), "{name}, {path}");
-                expect_that!(site.requests(path), eq(2), "{name}, {path}");
+                expect_that!(site.await_requests(path, 2).await, eq(2), "{name}, {path}");
             } else {
                 expect_that!(status, eq(200), "{name}, {path}");
                 expect_that!(answer.body, any![eq("second"), eq("sound")], "{name}, {path}");
