fix: cuminward-gateway: the last attempt isn't spent on a silence that a sound host may have

Cause: a move from a silent upstream costs an attempt; the second one left none for a real failure. Change: a request that has failed or moved before leaves a silent upstream for its last attempt only after 1.5 s without a byte. The first move is as early as before. Ruled out: waiting before the first move too; counting moves apart from attempts.

--- a/cuminward-gateway/src/forward/stall.rs
+++ b/cuminward-gateway/src/forward/stall.rs
@@ -1,7 +1,8 @@
 //! Attempts that make no progress: when they are replaced by an attempt at another upstream.
 //!
 //! An upstream that is silent may go on after a moment. So an attempt isn't ended before a slot of another
-//! upstream is reserved and the retry is counted; an attempt that can't be replaced goes on.
+//! upstream is reserved and the retry is counted; an attempt that can't be replaced goes on. A request that has
+//! failed or moved before doesn't spend its last attempt on a silence that a sound upstream may have.
 
 use std::{sync::Arc, time::Duration};
 
@@ -22,6 +23,9 @@
 /// Shortest silence after which an attempt over a lost path is replaced.
 const PATH_SILENCE: Duration = Duration::from_millis(250);
 
+/// Longest silence of a sound upstream.
+const SOUND_SILENCE: Duration = Duration::from_millis(1500);
+
 /// Time between two tries to replace an attempt.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -106,6 +110,12 @@
             && self.state.has_retry(&self.context.service)
     }
 
+    /// Returns whether earlier attempts have failed and the next one would be the last.
+    fn has_one_attempt_left(&self) -> bool {
+        let failed = self.failed.maybe_ran;
+        failed > 0 && failed + 2 >= self.context.route.max_attempts
+    }
+
     /// Returns whether another attempt may follow, and another upstream has capacity for it now.
     fn can_move(&self) -> bool {
         self.may_retry() && slot::has_capacity(self.state, self.context, self.tried)
@@ -146,7 +156,11 @@
 impl Watch<'_> {
     /// Waits until the attempt has stalled and a slot of another replica is reserved.
     pub(super) async fn replacement(&self) -> Replacement {
-        let stall = self.stall().await;
+        let mut stall = self.stall().await;
+        if self.candidate.has_one_attempt_left() {
+            time::sleep(SOUND_SILENCE.saturating_sub(stall.silence)).await;
+            stall.silence = self.candidate.state.now().saturating_sub(self.progressed);
+        }
         let slot = self.candidate.reserve().await;
         if stall.reason == Reason::Moved {
             self.candidate.state.record_first_event(stall.silence * 2);
--- a/cuminward-gateway/tests/all/silence.rs
+++ b/cuminward-gateway/tests/all/silence.rs
@@ -90,6 +90,37 @@
     Ok(())
 }
 
+/// Guards against streams that were moved from one silent sound host to the next until no attempt was left, and then cut
+/// by the failure of the last one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_attempt_is_not_spent_on_a_silence_of_a_sound_host() -> Result<()> {
+    let silent_after = |event| Behaviour::StreamFallingSilent(event, SILENCE);
+    let cases = [
+        Case {
+            name: "in the middle",
+            replicas: 4,
+            script: vec![silent_after(2), silent_after(4), Behaviour::StreamUntil(6)],
+        },
+        Case {
+            name: "after a failure",
+            replicas: 4,
+            script: vec![Behaviour::StreamUntil(2), silent_after(4), Behaviour::StreamUntil(6)],
+        },
+    ];
+    for case in cases {
+        let site = Site::with_engine_hosts(case.replicas * SIZE).await;
+        site.join_replicas(1, SIZE, Some(Route { max_attempts: 3, ..patient_route() }));
+        let node = site.node("last-attempt").await;
+        host::share_script(&site.replicas, case.script);
+        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
+        let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+        expect_that!(answer.is_complete, eq(true), "{}", case.name);
+        expect_that!(answer.body, eq(&site::events(1..=EVENTS)), "{}", case.name);
+    }
+    Ok(())
+}
+
 struct Dissolution {
     name: &'static str,
     silence: Duration,
