--- a/cuminward-soak/examples/soak.rs
+++ b/cuminward-soak/examples/soak.rs
@@ -36,6 +36,9 @@
     /// Path of the daemon's executable; by default the one built in the same target directory.
     #[arg(long)]
     daemon: Option<PathBuf>,
+    /// Path of another build's executable, which half of the nodes start with and which is rolled out and back.
+    #[arg(long, env = "CUMINWARD_OLD")]
+    old: Option<PathBuf>,
     /// Directory for the logs and settings of the nodes.
     #[arg(long, default_value = "out/soak")]
     out: PathBuf,
@@ -54,6 +57,7 @@
         callers: arguments.callers,
         weights: fault::Weights { pauses: arguments.pauses, strandings: arguments.strandings },
         daemon: find_daemon(arguments.daemon)?,
+        former: arguments.old,
         directory,
     };
     // Dropping the run after an interrupt kills the nodes.
--- a/cuminward-soak/src/fault.rs
+++ b/cuminward-soak/src/fault.rs
@@ -298,7 +298,7 @@
 
 /// Starts a node once its killed process has exited. Gives up if a process still runs after
 /// [`EXIT_TIMEOUT`]: then another fault has already started the node again.
-async fn restart(node: &Node) {
+pub(crate) async fn restart(node: &Node) {
     let mut waited = Duration::ZERO;
     while node.is_running() {
         if waited > EXIT_TIMEOUT {
--- a/cuminward-soak/src/lib.rs
+++ b/cuminward-soak/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! [`testbed`] starts the store, the hosts and the proxies in front of them, [`node`] the daemon's
 //! processes, which [`process`] tells apart; [`caller`] generates load, [`fault`] injects faults, [`history`]
-//! records when; [`checker`], [`lost`] and [`recover`] check the guarantees, and [`soak`] combines them into
+//! records when; [`upgrade`] replaces one build of the daemon by another; [`checker`], [`lost`] and [`recover`] check the guarantees, and [`soak`] combines them into
 //! one run.
 
 #![deny(missing_docs, rust_2018_idioms)]
@@ -19,3 +19,4 @@
 pub mod recover;
 pub mod soak;
 pub mod testbed;
+pub mod upgrade;
--- a/cuminward-soak/src/node.rs
+++ b/cuminward-soak/src/node.rs
@@ -27,7 +27,8 @@
     processes: process::Registry,
     name: String,
     domain: String,
-    daemon: PathBuf,
+    /// Executable of the next process.
+    daemon: Mutex<PathBuf>,
     directory: PathBuf,
     addresses: Addresses,
     /// Proxy between the node and the store.
@@ -73,7 +74,7 @@
             processes: processes.clone(),
             name: format!("n{number}"),
             domain: domain.to_owned(),
-            daemon: daemon.to_owned(),
+            daemon: Mutex::new(daemon.to_owned()),
             directory: directory.to_owned(),
             addresses,
             store: Link::start(store).await?,
@@ -116,6 +117,11 @@
 
 /// Mutation
 impl Node {
+    /// Sets the executable of the processes that start from now on.
+    pub fn set_daemon(&self, daemon: &Path) {
+        daemon.clone_into(&mut self.daemon.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
     /// Starts a new process; kills the previous one if it still runs.
     ///
     /// # Errors
@@ -132,7 +138,8 @@
         let log = |stream: &str| {
             File::create(self.directory.join(format!("{}-{number}.{stream}", self.name)))
         };
-        let child = Command::new(&self.daemon)
+        let daemon = self.daemon.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let child = Command::new(daemon)
             .args(["gateway", "--settings"])
             .arg(&settings)
             .stdin(Stdio::null())
--- a/cuminward-soak/src/soak.rs
+++ b/cuminward-soak/src/soak.rs
@@ -24,6 +24,7 @@
     node::{Node, SHUTDOWN_GRACE},
     process, recover,
     testbed::{self, DOMAINS, Testbed},
+    upgrade,
 };
 
 /// Options of a run.
@@ -41,6 +42,9 @@
     pub weights: fault::Weights,
     /// Path of the daemon's executable.
     pub daemon: PathBuf,
+    /// Path of another build's executable. Every other node starts with it; then the nodes are replaced one after the
+    /// other, all by `daemon`, all by this one, and so on.
+    pub former: Option<PathBuf>,
     /// Directory for the logs and settings of the nodes.
     pub directory: PathBuf,
 }
@@ -94,7 +98,10 @@
         let caller = Caller::new(nodes, checker, name, seed, has_single_streams);
         callers.spawn(caller.run());
     }
-    let faults = inject_faults(options, &testbed, &nodes, &history).await;
+    let (faults, ()) = tokio::join!(
+        inject_faults(options, &testbed, &nodes, &history),
+        upgrade::run(options, &nodes, &history)
+    );
     check_recovery("faults", &testbed, &nodes, &checker).await;
     check_graceful_stop(options, &nodes, &checker).await;
     callers.shutdown().await;
@@ -125,7 +132,9 @@
     let mut nodes = Vec::new();
     for index in 0..options.nodes {
         let domain = DOMAINS[index % DOMAINS.len()];
-        let (daemon, directory): (&Path, &Path) = (&options.daemon, &options.directory);
+        let former = options.former.as_ref().filter(|_| index % 2 == 1);
+        let daemon: &Path = former.unwrap_or(&options.daemon);
+        let directory: &Path = &options.directory;
         let store = testbed.store.address;
         nodes.push(Node::start(index, processes, domain, daemon, directory, store).await?);
     }
--- a/cuminward/tests/soak.rs
+++ b/cuminward/tests/soak.rs
@@ -15,6 +15,8 @@
     nodes: usize,
     callers: usize,
     weights: fault::Weights,
+    /// Executable of another build, which takes turns with the present one.
+    former: Option<PathBuf>,
 }
 
 #[gtest]
@@ -27,6 +29,7 @@
         nodes,
         callers: 12,
         weights: NEITHER,
+        former: None,
     };
     let cases = [
         case("few nodes", 1, 8, 3),
@@ -53,6 +56,7 @@
         nodes: 5,
         callers: 12,
         weights: NEITHER,
+        former: None,
     })
     .await
 }
@@ -67,6 +71,7 @@
         nodes: 5,
         callers: 12,
         weights: fault::Weights { pauses: 6, strandings: 0 },
+        former: None,
     })
     .await
 }
@@ -81,6 +86,27 @@
         nodes: 5,
         callers: 24,
         weights: fault::Weights { pauses: 0, strandings: 4 },
+        former: None,
+    })
+    .await
+}
+
+/// Guards against builds that don't understand each other while machines are replaced one after the other. `CUMINWARD_OLD`
+/// names the executable of the other build, see `cuminward-soak/build-old.sh`; without it the present build takes turns
+/// with itself, as CI doesn't build two.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn guarantees_hold_while_two_builds_take_turns() -> Result<()> {
+    let own = PathBuf::from(env!("CARGO_BIN_EXE_cuminward"));
+    let former = std::env::var_os("CUMINWARD_OLD").map_or(own, PathBuf::from);
+    check(Case {
+        name: "two builds",
+        seed: 26_120_601,
+        seconds: 15,
+        nodes: 5,
+        callers: 12,
+        weights: NEITHER,
+        former: Some(former),
     })
     .await
 }
@@ -96,6 +122,7 @@
         callers: case.callers,
         weights: case.weights,
         daemon: PathBuf::from(env!("CARGO_BIN_EXE_cuminward")),
+        former: case.former,
         directory,
     };
     let outcome = soak::run(&options).await.or_fail()?;
