feat: cuminward-gateway: nodes tell their build and its features beside the digest

Change: a datagram is the digest as it is, byte for byte, and after it an extension with named fields (JSON), at most every 2 s to each node. Builds before it ignore what follows the digest; later ones may add and leave out fields. It names the build and the ids of its features; retries are borrowed only from nodes that have that feature. Datagrams and extensions that can't be read are counted (metric) and reported once a minute for each sender (E2310); E2311 and a gauge tell which builds are heard.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -740,6 +740,26 @@
         /// Address of the host.
         address: String,
     }
+    /// Datagrams of another node couldn't be decoded; reported once a minute for each sender.
+    2310 Warn "digest-unreadable" DigestUnreadable {
+        /// Address of the sender.
+        from: String,
+        /// Size of the datagram, in bytes.
+        bytes: u64,
+        /// Error message.
+        cause: String,
+        /// Number of such datagrams of the sender since the last report.
+        count: u64,
+    }
+    /// Another node told of its build for the first time since its start.
+    2311 Info "build-heard" BuildHeard {
+        /// The node.
+        from: String,
+        /// Version of its build.
+        build: String,
+        /// Ids of the features of its build, separated by commas.
+        features: String,
+    }
     /// An upstream was chosen for a request; written for sampled requests only.
     2401 Info "upstream-chosen" UpstreamChosen {
         /// Name of the route.
--- a/cuminward-gateway/src/ingress/metrics.rs
+++ b/cuminward-gateway/src/ingress/metrics.rs
@@ -30,6 +30,12 @@
 /// Newest era of the store that the node has seen.
 const STORE_ERA: &str = "cuminward_gateway_store_era";
 
+/// Other nodes that were heard lately, by their build.
+const PEERS: &str = "cuminward_gateway_peers";
+
+/// Datagrams of other nodes that couldn't be decoded.
+const UNREADABLE: &str = "cuminward_gateway_unreadable_datagrams_total";
+
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
 
@@ -73,6 +79,10 @@
         ::metrics::gauge!(VERSION).set(version as f64);
         ::metrics::gauge!(STRANDED).set(f64::from(u8::from(state.paths.is_stranded())));
         ::metrics::gauge!(STORE_ERA).set(*state.store.era().borrow() as f64);
+        for (build, count) in state.builds().iter() {
+            ::metrics::gauge!(PEERS, "build" => build.clone()).set(*count as f64);
+        }
+        ::metrics::counter!(UNREADABLE).absolute(state.unreadable());
         handle.run_upkeep();
         handle.render()
     }
--- /dev/null
+++ b/cuminward-gateway/src/peer/datagram.rs
@@ -0,0 +1,78 @@
+//! Datagrams between nodes: a digest by position, whose layout never changes, and after it an extension with named fields.
+//!
+//! Builds before the extension ignore what follows the digest. Each build ignores fields of the extension that it doesn't
+//! know and takes the default of those that are missing, so that fields may be added and left out.
+
+use std::{
+    io::{self, Cursor},
+    time::Duration,
+};
+
+use cuminward_derive::record;
+
+use super::{digest::Digest, feature};
+
+/// Largest datagram, in bytes.
+pub(crate) const MAX_BYTES: usize = 60_000;
+
+/// Time after which the extension is sent again to a node that got it.
+pub(crate) const EXTENSION_INTERVAL: Duration = Duration::from_secs(2);
+
+/// What a node tells about itself beyond its digest.
+#[record]
+#[derive(Default)]
+#[serde(default)]
+pub(crate) struct Extension {
+    /// Version of the node's build.
+    pub(crate) build: String,
+    /// Features of the node's build.
+    pub(crate) features: Vec<feature::Id>,
+}
+
+/// A datagram that was received.
+pub(crate) struct Datagram {
+    pub(crate) digest: Digest,
+    /// The extension; `None` if the datagram has none, and the error if it can't be decoded.
+    pub(crate) extension: io::Result<Option<Extension>>,
+}
+
+/// Life cycle
+impl Extension {
+    /// Creates the extension of this build.
+    pub(crate) fn own() -> Extension {
+        Extension {
+            build: String::from(env!("CARGO_PKG_VERSION")),
+            features: feature::OWN.to_vec(),
+        }
+    }
+}
+
+/// Encodes a digest, and an extension if there is one.
+///
+/// # Errors
+///
+/// Fails if either has no encoding.
+pub(crate) fn encode(digest: &Digest, extension: Option<&Extension>) -> io::Result<Vec<u8>> {
+    let mut bytes = bincode::serialize(digest).map_err(invalid)?;
+    if let Some(extension) = extension {
+        serde_json::to_writer(&mut bytes, extension)?;
+    }
+    Ok(bytes)
+}
+
+/// Decodes a datagram.
+///
+/// # Errors
+///
+/// Fails if the digest can't be decoded.
+pub(crate) fn decode(bytes: &[u8]) -> io::Result<Datagram> {
+    let mut rest = Cursor::new(bytes);
+    let digest = bincode::deserialize_from(&mut rest).map_err(invalid)?;
+    let rest = &bytes[rest.position() as usize..];
+    let extension = if rest.is_empty() { Ok(None) } else { serde_json::from_slice(rest).map(Some) };
+    Ok(Datagram { digest, extension: extension.map_err(io::Error::from) })
+}
+
+fn invalid(error: bincode::Error) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
+}
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -12,7 +12,12 @@
 use cuminward_serving::{id, loss, scaling};
 use tokio::{net::UdpSocket, time};
 
-use super::digest::{Builder, Digest};
+use super::{
+    datagram::{self, Datagram, Extension},
+    digest::{Builder, Digest},
+    feature,
+    unreadable::Unreadable,
+};
 use crate::{
     control::health_check,
     state::{State, routing::Key},
@@ -33,8 +38,8 @@
 /// Number of rounds of which one also sends digests to silent nodes.
 const SILENT_PEER_ROUNDS: u64 = 10;
 
-/// Largest datagram, in bytes.
-const MAX_DATAGRAM: usize = 60_000;
+/// Build of nodes that name none.
+const UNKNOWN_BUILD: &str = "unknown";
 
 /// Known other nodes, by name.
 #[derive(Debug, Default)]
@@ -49,6 +54,16 @@
     /// When the last digest arrived, or when the node was found in the store, since this node's start.
     pub(crate) seen_at: Duration,
     pub(crate) digest: Option<Digest>,
+    /// What the present run of the node tells about itself; `None` if it hasn't told, as nodes of earlier builds.
+    pub(crate) extension: Option<Extension>,
+}
+
+/// Access
+impl Peer {
+    /// Returns whether the node has a feature.
+    fn has(&self, feature: feature::Id) -> bool {
+        self.extension.as_ref().is_some_and(|it| it.features.contains(&feature))
+    }
 }
 
 /// Access
@@ -80,6 +95,11 @@
         digest.map(|it| it.lost.clone()).unwrap_or_default()
     }
 
+    /// Returns what the present run of a node tells about itself.
+    fn extension(&self, node: &str) -> Option<Extension> {
+        self.lock().get(node).and_then(|it| it.extension.clone())
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<id::Node, Peer>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -90,20 +110,28 @@
     /// Adds a node that the store lists.
     pub(crate) fn add(&self, now: Duration, node: &str, address: SocketAddr) {
         let mut peers = self.lock();
-        let peer =
-            peers.entry(node.to_owned()).or_insert(Peer { address, seen_at: now, digest: None });
+        let new = Peer { address, seen_at: now, digest: None, extension: None };
+        let peer = peers.entry(node.to_owned()).or_insert(new);
         peer.address = address;
     }
 
-    /// Stores a digest. Returns false, without a change, if it is no newer than the known one of its
+    /// Stores a digest, and the extension that came with it. Returns false, without a change, if it is no newer than the known one of its
     /// node.
-    fn store_digest(&self, now: Duration, digest: Digest) -> bool {
+    fn store(&self, now: Duration, digest: Digest, extension: Option<Extension>) -> bool {
         let mut peers = self.lock();
-        let known = peers.get(&digest.node).and_then(|it| it.digest.as_ref());
-        if known.is_some_and(|it| !digest.sequence().supersedes(it.sequence())) {
+        let known = peers.get(&digest.node);
+        let last = known.and_then(|it| it.digest.as_ref());
+        if last.is_some_and(|it| !digest.sequence().supersedes(it.sequence())) {
             return false;
         }
-        let peer = Peer { address: digest.address, seen_at: now, digest: Some(digest.clone()) };
+        let is_same_run = last.is_some_and(|it| it.start == digest.start);
+        let earlier = known.filter(|_| is_same_run).and_then(|it| it.extension.clone());
+        let peer = Peer {
+            address: digest.address,
+            seen_at: now,
+            digest: Some(digest.clone()),
+            extension: extension.or(earlier),
+        };
         peers.insert(digest.node, peer);
         true
     }
@@ -129,18 +157,11 @@
 /// Sends digests until the task is dropped.
 pub(crate) async fn send(state: Arc<State>, peers: Arc<Peers>, socket: Arc<UdpSocket>, start: u64) {
     let mut builder = Builder { start, number: 0 };
+    let mut told = Told::default();
     loop {
         let digest = builder.build_next(&state);
-        match bincode::serialize(&digest) {
-            Ok(bytes) => {
-                let is_broadcast = state.take_broadcast_request();
-                for address in peers.targets(state.now(), digest.number, is_broadcast) {
-                    if let Err(error) = socket.send_to(&bytes, address).await {
-                        log::debug!("can't send a digest to {address}: {error}");
-                    }
-                }
-            }
-            Err(error) => log::error!("can't encode a digest: {error}"),
+        if let Err(error) = send_digest(&state, &peers, &socket, &digest, &mut told).await {
+            log::error!("can't encode a digest: {error}");
         }
         time::sleep(MIN_INTERVAL).await;
         update_from_digests(&state, &peers);
@@ -153,26 +174,62 @@
     }
 }
 
+/// When the extension was last sent to each address, since the node's start.
+type Told = HashMap<SocketAddr, Duration>;
+
+/// Sends a digest to the nodes whose turn it is, with the extension to those that haven't got it for a while.
+///
+/// # Errors
+///
+/// Fails if the digest can't be encoded.
+async fn send_digest(
+    state: &State,
+    peers: &Peers,
+    socket: &UdpSocket,
+    digest: &Digest,
+    told: &mut Told,
+) -> io::Result<()> {
+    let now = state.now();
+    let plain = datagram::encode(digest, None)?;
+    let extended = datagram::encode(digest, Some(&Extension::own()))?;
+    told.retain(|_, at| now < *at + datagram::EXTENSION_INTERVAL);
+    let is_broadcast = state.take_broadcast_request();
+    for address in peers.targets(now, digest.number, is_broadcast) {
+        let bytes = if told.contains_key(&address) { &plain } else { &extended };
+        told.entry(address).or_insert(now);
+        if let Err(error) = socket.send_to(bytes, address).await {
+            log::debug!("can't send a digest to {address}: {error}");
+        }
+    }
+    Ok(())
+}
+
 /// Receives digests until the task is dropped.
 pub(crate) async fn receive(state: Arc<State>, peers: Arc<Peers>, socket: Arc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut buffer = vec![0; datagram::MAX_BYTES];
+    let mut unreadable = Unreadable::default();
     loop {
-        let received = socket.recv_from(&mut buffer).await;
-        match received.and_then(|(length, _)| decode(&buffer[..length])) {
-            Ok(digest) => apply_digest(&state, &peers, digest),
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(it) => it,
             Err(error) => {
                 log::debug!("can't receive a digest: {error}");
                 time::sleep(Duration::from_millis(1)).await;
+                continue;
+            }
+        };
+        match datagram::decode(&buffer[..length]) {
+            Ok(Datagram { digest, extension }) => {
+                if let Err(error) = &extension {
+                    unreadable.record(&state, from.ip(), length, error);
+                }
+                apply(&state, &peers, digest, extension.ok().flatten());
             }
+            Err(error) => unreadable.record(&state, from.ip(), length, &error),
         }
     }
 }
 
-fn decode(bytes: &[u8]) -> io::Result<Digest> {
-    bincode::deserialize(bytes).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
-}
-
-fn apply_digest(state: &Arc<State>, peers: &Peers, digest: Digest) {
+fn apply(state: &Arc<State>, peers: &Peers, digest: Digest, extension: Option<Extension>) {
     if digest.node == state.settings.node.name {
         return;
     }
@@ -185,9 +242,15 @@
     let quarantine = digest.quarantine.clone();
     let lost_before = peers.reported_losses(&node);
     let is_new = !peers.contains(&node);
-    if !peers.store_digest(now, digest) {
+    let extension_before = peers.extension(&node);
+    if !peers.store(now, digest, extension.clone()) {
         return;
     }
+    if let Some(it) = extension.filter(|it| extension_before.as_ref() != Some(it)) {
+        let features: Vec<String> = it.features.iter().map(ToString::to_string).collect();
+        let (node, features) = (node.clone(), features.join(","));
+        state.events.emit(Kind::BuildHeard { from: node, build: it.build, features });
+    }
     if is_new {
         state.add_nodes([node.as_str()], false);
     }
@@ -253,11 +316,22 @@
     let is_candidate = scaling::is_candidate(&state.settings.node.name, others);
     state.election.set_observers(!is_candidate, is_candidate && has_observers);
     state.paths.set_relays(relays(state, &fresh));
-    let heard = fresh.iter().filter(|it| it.digest.is_some());
-    state.lenders.set_nodes(heard.map(|it| it.address).collect());
+    let lenders = fresh.iter().filter(|it| it.has(feature::LEND_RETRY));
+    state.lenders.set_nodes(lenders.map(|it| it.address).collect());
+    state.set_builds(count_builds(&fresh));
     update_remote_load(state, fresh);
 }
 
+/// Returns the number of nodes that were heard of each build.
+fn count_builds(peers: &[Peer]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for peer in peers.iter().filter(|it| it.digest.is_some()) {
+        let build = peer.extension.as_ref().map_or(UNKNOWN_BUILD, |it| &it.build);
+        *counts.entry(build.to_owned()).or_default() += 1;
+    }
+    counts
+}
+
 /// Returns the nodes that connect this one to hosts.
 fn relays(state: &State, peers: &[Peer]) -> Vec<Relay> {
     let domain = &state.settings.node.domain;
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -9,7 +9,7 @@
 pub(crate) mod stats;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     io,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -76,6 +76,10 @@
     pub(crate) election: election::Election,
     /// What crashing requests have in common.
     pub(crate) quarantine: quarantine::Quarantine,
+    /// Number of nodes that were heard lately, by their build; 0 for builds that were heard before.
+    builds: ArcSwap<BTreeMap<String, usize>>,
+    /// Number of datagrams of other nodes that couldn't be decoded.
+    unreadable: AtomicU64,
     /// Nodes that lend retries to this one.
     pub(crate) lenders: loan::Lenders,
     /// Requests and retries of this node, by service.
@@ -147,6 +151,8 @@
             store,
             election: election::Election::default(),
             quarantine: quarantine::Quarantine::new(),
+            builds: ArcSwap::default(),
+            unreadable: AtomicU64::new(0),
             lenders: loan::Lenders::default(),
             retry_budgets: Mutex::default(),
             node_count: AtomicUsize::new(1),
@@ -198,6 +204,16 @@
         self.has_traffic.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of nodes that were heard lately, by their build.
+    pub(crate) fn builds(&self) -> Arc<BTreeMap<String, usize>> {
+        self.builds.load_full()
+    }
+
+    /// Returns the number of datagrams of other nodes that couldn't be decoded.
+    pub(crate) fn unreadable(&self) -> u64 {
+        self.unreadable.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of known nodes, this one included.
     pub(crate) fn node_count(&self) -> usize {
         self.node_count.load(Ordering::Relaxed)
@@ -263,6 +279,19 @@
         self.stop_requested.notify_one();
     }
 
+    /// Sets the number of nodes that were heard lately, by their build.
+    pub(crate) fn set_builds(&self, mut counts: BTreeMap<String, usize>) {
+        for build in self.builds.load().keys() {
+            counts.entry(build.clone()).or_default();
+        }
+        self.builds.store(Arc::new(counts));
+    }
+
+    /// Counts a datagram of another node that couldn't be decoded.
+    pub(crate) fn count_unreadable(&self) {
+        self.unreadable.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Records when a successful read of the host list began.
     pub(crate) fn record_host_list_read(&self, started: Duration) {
         self.host_list_read_ms.store(started.as_millis() as u64, Ordering::Relaxed);
--- a/cuminward-gateway/tests/all/former_build.rs
+++ b/cuminward-gateway/tests/all/former_build.rs
@@ -38,18 +38,18 @@
 /// A position of the store's log.
 #[record]
 #[derive(Default)]
-struct Position {
-    era: u64,
-    offset: u64,
+pub(crate) struct Position {
+    pub(crate) era: u64,
+    pub(crate) offset: u64,
 }
 
 /// What a node has.
 #[record]
 #[derive(Default)]
-struct Known {
-    version: u64,
-    declarations: Position,
-    listing: Position,
+pub(crate) struct Known {
+    pub(crate) version: u64,
+    pub(crate) declarations: Position,
+    pub(crate) listing: Position,
 }
 
 /// A record of a topic.
@@ -70,19 +70,19 @@
 
 /// A digest, with lists that are empty here.
 #[record]
-struct Digest {
-    node: String,
-    domain: String,
-    start: u64,
-    number: u64,
-    address: SocketAddr,
-    has_traffic: bool,
-    known: Known,
-    flights: Vec<(u64, u32)>,
-    lost: Vec<String>,
-    is_relay: bool,
-    sightings: Vec<u8>,
-    proofs: Vec<u8>,
+pub(crate) struct Digest {
+    pub(crate) node: String,
+    pub(crate) domain: String,
+    pub(crate) start: u64,
+    pub(crate) number: u64,
+    pub(crate) address: SocketAddr,
+    pub(crate) has_traffic: bool,
+    pub(crate) known: Known,
+    pub(crate) flights: Vec<(u64, u32)>,
+    pub(crate) lost: Vec<String>,
+    pub(crate) is_relay: bool,
+    pub(crate) sightings: Vec<u8>,
+    pub(crate) proofs: Vec<u8>,
 }
 
 mod service {
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a gateway node against a fake platform on loopback sockets.
 
+mod builds;
 mod configuration;
 mod followers;
 mod former_build;
