--- a/cuminward-gateway/tests/all/builds.rs
+++ b/cuminward-gateway/tests/all/builds.rs
@@ -1,9 +1,12 @@
 //! Nodes of this build beside nodes of later builds, which a fake speaks for, and the bytes that all builds promise to read.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, io, net::SocketAddr, time::Duration};
 
 use cuminward_adapter::topic;
-use cuminward_adapter_fake::host::{self, Behaviour};
+use cuminward_adapter_fake::{
+    header,
+    host::{self, Behaviour},
+};
 use futures::StreamExt;
 use googletest::prelude::*;
 use tarpc::{
@@ -13,14 +16,15 @@
     tokio_serde::formats::Bincode,
 };
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, UdpSocket},
     task::JoinSet,
     time,
 };
 
 use crate::{
-    former_build::{Digest, Known, Position},
-    site::Site,
+    former_build::{Digest, Known, Position, Sighting, Subject},
+    site::{self, Node, Site},
 };
 
 /// Interval of the digests of a fake node.
@@ -29,6 +33,18 @@
 /// Time in which nodes hear of each other.
 const SETTLE_TIME: Duration = Duration::from_millis(800);
 
+/// Time in which a node learns what a digest tells.
+const LEARN_TIME: Duration = Duration::from_secs(1);
+
+/// Time within which a node's digests show what has happened: it finds out by itself within the first second.
+const SHOW_TIME: Duration = Duration::from_secs(2);
+
+/// Number of hosts of a replica.
+const SIZE: usize = 2;
+
+/// Silence of a lost host.
+const SILENCE: Duration = Duration::from_secs(3);
+
 /// Longest wait for a datagram of a node.
 const DATAGRAM_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -195,3 +211,175 @@
     expect_that!(extension["features"].as_array().map(Vec::len), some(ge(2)));
     Ok(())
 }
+
+/// Sends the bytes of a call to a node and returns those of its answer, in hexadecimal digits.
+async fn call(node: SocketAddr, request: &str) -> io::Result<String> {
+    let digits: Vec<char> = request.chars().collect();
+    let byte = |it: &[char]| u8::from_str_radix(&it.iter().collect::<String>(), 16);
+    let bytes: Vec<u8> = digits.chunks(2).filter_map(|it| byte(it).ok()).collect();
+    let mut stream = TcpStream::connect(node).await?;
+    stream.write_all(&bytes).await?;
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await?;
+    let mut answer = vec![0; u32::from_be_bytes(length) as usize];
+    stream.read_exact(&mut answer).await?;
+    Ok(hex(&answer))
+}
+
+/// Guards against calls whose layout changes. The bytes were recorded from a client with these layouts; that of
+/// `records_since` is ef07e0b's. The caller knows what [`example`] does; the answers hold nothing newer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_are_read_and_answered_in_the_bytes_of_earlier_builds() -> Result<()> {
+    struct Case {
+        name: &'static str,
+        request: &'static str,
+        /// The answer's bytes, as a regular expression.
+        answer: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "records_since",
+            request: "000000280009fc4a21993b00000000000000000000000000000000\
+                      fd9bcb49db11add58601000003012a0205",
+            answer: "0000000000",
+        },
+        Case {
+            name: "changes_since",
+            request: "000000280009fc26f5993b00000000000000000000000000000000\
+                      fd15af03bdbec9a4c801000103012a0205",
+            answer: r"000001000001(..|fb....)000001(..|fb....)",
+        },
+        Case {
+            name: "lend_retry",
+            request: "000000280009fcba91993b00000000000000000000000000000000\
+                      fde3f11cbaaea9f9c8010002046465736b",
+            answer: "00000201",
+        },
+    ];
+    let site = Site::start().await;
+    let node = site.node("calls").await;
+    for Case { name, request, answer } in cases {
+        let answered = time::timeout(DATAGRAM_TIMEOUT, call(node.peers, request)).await;
+        expect_that!(answered.or_fail()?.or_fail()?, matches_regex(answer), "{name}");
+    }
+    Ok(())
+}
+
+/// What happens at a node, and what its digests show of it within [`SHOW_TIME`].
+struct Row {
+    name: &'static str,
+    event: fn(&Site, &Node) -> Pending,
+    is_shown: fn(&Digest) -> bool,
+}
+
+/// An event that takes a while.
+type Pending = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// Starts a GET request to a node, whatever becomes of it.
+fn send(node: &Node, path: &'static str, parts: &'static str) -> Pending {
+    let callers = node.callers;
+    Box::pin(async move {
+        let headers = [(header::MODEL, site::MODEL), (header::PROMPT_PARTS, parts)];
+        let _ = site::send(callers, "POST", path, &headers, "body").await;
+    })
+}
+
+/// Receives digests for a time; returns whether one shows what was asked for, as earlier builds read it.
+async fn shows(socket: &UdpSocket, is_shown: fn(&Digest) -> bool) -> bool {
+    let mut buffer = vec![0; 60_000];
+    let received = async {
+        loop {
+            let Ok((length, _)) = socket.recv_from(&mut buffer).await else { return };
+            let digest = bincode::deserialize::<Digest>(&buffer[..length]);
+            if digest.is_ok_and(|it| is_shown(&it)) {
+                return;
+            }
+        }
+    };
+    time::timeout(SHOW_TIME, received).await.is_ok()
+}
+
+/// Guards against a node of an earlier build that doesn't learn what the others know: their load, lost hosts, crashing
+/// requests, versions, and that they leave.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn digests_show_nodes_of_earlier_builds_what_has_happened() -> Result<()> {
+    let rows = [
+        Row {
+            name: "load",
+            event: |site, node| {
+                let pausing = Behaviour::StreamPausing(1, Duration::from_secs(1));
+                host::share_script(&site.replicas, [pausing]);
+                send(node, "/chat/1", "1:10")
+            },
+            is_shown: |it| it.flights.iter().any(|(_, count)| *count == 1),
+        },
+        Row {
+            name: "lost host",
+            event: |site, node| {
+                site.replicas[..SIZE].iter().for_each(|it| it.fall_silent(SILENCE));
+                let (first, second) =
+                    (send(node, "/chat/1", "1:10"), send(node, "/chat/2", "2:10"));
+                Box::pin(async {
+                    let _ = tokio::join!(first, second);
+                })
+            },
+            is_shown: |it| it.lost.iter().any(|it| it.starts_with("e-")),
+        },
+        Row {
+            name: "crash",
+            event: |site, node| {
+                site.replicas.iter().for_each(|it| it.crash_on_part("dead"));
+                send(node, "/chat/1", "dead:100,1:10")
+            },
+            is_shown: |it| it.sightings.iter().any(|it| it.subject == Subject::Part(0xdead)),
+        },
+        Row {
+            name: "version",
+            event: |site, _| {
+                site.configure_size(2, SIZE);
+                Box::pin(async {})
+            },
+            is_shown: |it| it.known.version == 2,
+        },
+    ];
+    for Row { name, event, is_shown } in rows {
+        let socket = UdpSocket::bind("127.0.0.1:0").await.or_fail()?;
+        let site = Site::with_engine_hosts(2 * SIZE).await;
+        site.join_replicas(1, SIZE, None);
+        let address = socket.local_addr().or_fail()?;
+        site.store.put(topic::NODES, "earlier", &address.to_string());
+        let node = site.node("exchange").await;
+        let happening = tokio::spawn(event(&site, &node));
+        expect_that!(shows(&socket, is_shown).await, eq(true), "{name}");
+        happening.abort();
+    }
+    Ok(())
+}
+
+/// Guards against a node that doesn't learn from nodes of earlier builds which requests crash hosts.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantine_of_an_earlier_build_is_believed_within_a_second() -> Result<()> {
+    let site = Site::start().await;
+    let node = site.node("believes").await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.or_fail()?;
+    let sighting = |crash| Sighting {
+        subject: Subject::Part(0xdead),
+        crash,
+        // Crashes at the same time count once.
+        age_ms: crash * 3000,
+        companions: BTreeSet::new(),
+    };
+    let digest =
+        Digest { known: Known::default(), sightings: (1..=3).map(sighting).collect(), ..example() };
+    socket.send_to(&bincode::serialize(&digest).or_fail()?, node.peers).await.or_fail()?;
+    time::sleep(LEARN_TIME).await;
+    for (parts, expected) in [("dead:100,1:10", 503), ("beef:100,1:10", 200)] {
+        let headers = [(header::MODEL, site::MODEL), (header::PROMPT_PARTS, parts)];
+        let answer = node.send("POST", "/chat/1", &headers, "body").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(expected), "{parts}");
+    }
+    Ok(())
+}
--- a/cuminward-gateway/tests/all/former_build.rs
+++ b/cuminward-gateway/tests/all/former_build.rs
@@ -1,6 +1,7 @@
 //! Nodes of this build beside nodes of the build at commit ef07e0b, which a fake speaks for.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -68,7 +69,31 @@
     listing: Vec<Record>,
 }
 
-/// A digest, with lists that are empty here.
+/// What crashing requests have in common.
+#[record]
+#[derive(Eq, PartialOrd, Ord)]
+pub(crate) enum Subject {
+    Request(u64),
+    Part(u64),
+}
+
+/// A subject that was in flight at a crash.
+#[record]
+pub(crate) struct Sighting {
+    pub(crate) subject: Subject,
+    pub(crate) crash: u64,
+    pub(crate) age_ms: u64,
+    pub(crate) companions: BTreeSet<Subject>,
+}
+
+/// A subject whose request got a response.
+#[record]
+pub(crate) struct Proof {
+    subject: Subject,
+    age_ms: u64,
+}
+
+/// A digest.
 #[record]
 pub(crate) struct Digest {
     pub(crate) node: String,
@@ -81,8 +106,8 @@
     pub(crate) flights: Vec<(u64, u32)>,
     pub(crate) lost: Vec<String>,
     pub(crate) is_relay: bool,
-    pub(crate) sightings: Vec<u8>,
-    pub(crate) proofs: Vec<u8>,
+    pub(crate) sightings: Vec<Sighting>,
+    pub(crate) proofs: Vec<Proof>,
 }
 
 mod service {
