--- a/cuminward-gateway/tests/all/local_views.rs
+++ b/cuminward-gateway/tests/all/local_views.rs
@@ -1,9 +1,10 @@
 //! What a node observes over its own paths alone, and must not take for a fact about hosts.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use cuminward_adapter::topic;
 use cuminward_adapter_fake::{
+    caller::Response,
     catalog::{Retry, Route},
     entry::{Entry, Phase},
     gate::{Gate, Mode},
@@ -24,6 +25,9 @@
 
 const SILENCE: Duration = Duration::from_millis(1200);
 
+/// Path of the long stream.
+const LONG_STREAM: &str = "/long-chat/1";
+
 /// Opens a gate in front of a host and lists the host at the gate.
 async fn list(store: &Store, host: &Host, entry: Entry) -> Gate {
     let gate = Gate::start(host.address).await.expect("a loopback port is free");
@@ -39,6 +43,27 @@
     }
 }
 
+/// Sends a request for a long stream and reads the response.
+async fn send_long(callers: SocketAddr) -> io::Result<Response> {
+    let headers = [MODEL, (header::DEADLINE_MS, "6000")];
+    site::send(callers, "POST", LONG_STREAM, &headers, "prompt").await
+}
+
+/// Returns the number of hosts' runs of the long stream.
+fn long_runs(site: &Site) -> usize {
+    let received = site.replicas.iter().flat_map(Host::received);
+    received.filter(|it| it.request_line.contains(LONG_STREAM)).count()
+}
+
+/// Sends short streams, whatever becomes of them.
+fn spawn_short(callers: SocketAddr, count: usize) {
+    for _ in 0..count {
+        tokio::spawn(async move {
+            let _ = site::send(callers, "POST", "/chat/2", &[MODEL], "prompt").await;
+        });
+    }
+}
+
 fn has_left(host: &Host) -> bool {
     host.orders().iter().any(|it| it["operation"] == "leave")
 }
@@ -118,27 +143,17 @@
 async fn a_path_that_is_silent_for_a_moment_moves_no_stream() -> Result<()> {
     let Gated { site, gates, node, _view, _other } = Gated::start("moment", 2).await?;
     host::share_script(&site.replicas, [Behaviour::StreamPausing(3, Duration::from_millis(1000))]);
-    let callers = node.callers;
-    let stream = tokio::spawn(async move {
-        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
-        site::send(callers, "POST", "/long-chat/1", &headers, "prompt").await
-    });
+    let stream = tokio::spawn(send_long(node.callers));
     time::sleep(Duration::from_millis(80)).await;
     let index = site.replicas.iter().position(|it| !it.received().is_empty());
     let index = index.or_fail()?;
     gates[index].set(Mode::Silent);
-    for _ in 0..4 {
-        tokio::spawn(async move {
-            let _ = site::send(callers, "POST", "/chat/2", &[MODEL], "prompt").await;
-        });
-    }
+    spawn_short(node.callers, 4);
     time::sleep(Duration::from_millis(150)).await;
     gates[index].set(Mode::Open);
     let answer = stream.await.or_fail()?.or_fail()?;
     expect_that!(answer.body, eq(&site::events(1..=EVENTS)));
-    let received = site.replicas.iter().flat_map(Host::received);
-    let runs = received.filter(|it| it.request_line.contains("/long-chat/1")).count();
-    expect_that!(runs, eq(1));
+    expect_that!(long_runs(&site), eq(1));
     Ok(())
 }
 
@@ -165,11 +180,7 @@
     time::sleep(Duration::from_millis(2500)).await;
     expect_that!(has_left(head), eq(false));
     head.enqueue(Behaviour::StreamPausing(3, SILENCE));
-    let callers = node.callers;
-    let stream = tokio::spawn(async move {
-        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
-        site::send(callers, "POST", "/long-chat/1", &headers, "prompt").await
-    });
+    let stream = tokio::spawn(send_long(node.callers));
     time::sleep(Duration::from_millis(100)).await;
     own.set(Mode::Refuse);
     others.set(Mode::Silent);
@@ -223,12 +234,9 @@
     // The first event comes after a usual time for a prompt of some length, and before requests without an event
     // move to another replica.
     host::share_script(&site.replicas, [Behaviour::StreamPausing(0, Duration::from_millis(250))]);
-    let headers = [MODEL, (header::DEADLINE_MS, "6000")];
-    let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+    let answer = send_long(node.callers).await.or_fail()?;
     expect_that!(answer.body, eq(&site::events(1..=EVENTS)));
-    let received = site.replicas.iter().flat_map(Host::received);
-    let runs = received.filter(|it| it.request_line.contains("/long-chat/1")).count();
-    expect_that!(runs, eq(1));
+    expect_that!(long_runs(&site), eq(1));
     Ok(())
 }
 
@@ -246,11 +254,7 @@
     let node = site.node("moment-cut").await;
     wait_until_serving(&node).await;
     host::share_script(&site.replicas, [Behaviour::StreamPausing(1, Duration::from_millis(300))]);
-    let callers = node.callers;
-    let stream = tokio::spawn(async move {
-        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
-        site::send(callers, "POST", "/long-chat/1", &headers, "prompt").await
-    });
+    let stream = tokio::spawn(send_long(node.callers));
     time::sleep(Duration::from_millis(100)).await;
     gates.iter().for_each(|it| it.set(Mode::Reset));
     time::sleep(Duration::from_millis(900)).await;
@@ -267,24 +271,14 @@
 async fn paths_to_some_hosts_that_are_lost_move_no_stream_at_the_others() -> Result<()> {
     let Gated { site, gates, node, _view, _other } = Gated::start("some", 5).await?;
     host::share_script(&site.replicas, [Behaviour::StreamPausing(3, Duration::from_millis(1000))]);
-    let callers = node.callers;
-    let stream = tokio::spawn(async move {
-        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
-        site::send(callers, "POST", "/long-chat/1", &headers, "prompt").await
-    });
+    let stream = tokio::spawn(send_long(node.callers));
     time::sleep(Duration::from_millis(60)).await;
     let index = site.replicas.iter().position(|it| !it.received().is_empty()).or_fail()?;
     let cut = (0..5).filter(|it| *it != index).take(3);
     cut.for_each(|it| gates[it].set(Mode::Reset));
-    for _ in 0..15 {
-        tokio::spawn(async move {
-            let _ = site::send(callers, "POST", "/chat/2", &[MODEL], "prompt").await;
-        });
-    }
+    spawn_short(node.callers, 15);
     let answer = stream.await.or_fail()?.or_fail()?;
     expect_that!(answer.body, eq(&site::events(1..=EVENTS)));
-    let received = site.replicas.iter().flat_map(Host::received);
-    let runs = received.filter(|it| it.request_line.contains("/long-chat/1")).count();
-    expect_that!(runs, eq(1));
+    expect_that!(long_runs(&site), eq(1));
     Ok(())
 }
--- a/cuminward-testkit/tests/groups.rs
+++ b/cuminward-testkit/tests/groups.rs
@@ -412,7 +412,9 @@
         expect_that!(held.generation, eq(old.generation), "{}", kind.name);
         fleet.inject(&Fault::Resume { host: host.clone() }).await;
         let is_free = || fleet.report(&host).is_some_and(|it| it.membership.is_none());
-        expect_that!(cluster::wait(REPAIR_TIMEOUT, is_free).await, eq(true), "{}", kind.name);
+        let was_freed = cluster::wait(REPAIR_TIMEOUT, is_free).await;
+        let (report, counters) = (fleet.report(&host), fleet.counters());
+        expect_that!(was_freed, eq(true), "{}: {counters:?}, {report:?}", kind.name);
         expect_that!(all_memberships_ready(&cluster), eq(true), "{}", kind.name);
         wait_for_repair(&cluster, setup.replicas, REPAIR_TIMEOUT, kind.name).await;
         check_invariants(&cluster, kind.name);
