fix: cuminward-ctl: explain tells of events that another build has written

Cause: lines that aren't read as an event of this build were skipped like those without any event. Change: such events are counted by their name and printed after the others, or with the message that there are none. Evidence: events_of_other_builds_are_read_or_counted; the former code had no way to tell.

--- a/cuminward-ctl/src/command/explain.rs
+++ b/cuminward-ctl/src/command/explain.rs
@@ -30,11 +30,18 @@
     if files.is_empty() {
         lines = read_lines(input).map_err(Error::io("standard input"))?;
     }
-    let events = explain::request_events(explain::parse_lines(lines), request);
+    let explain::Lines { records, unreadable } = explain::parse_lines(lines);
+    let events = explain::request_events(records, request);
+    let hidden: String = unreadable
+        .iter()
+        .map(|(event, count)| format!("not shown, written by another build: {count} x {event}\n"))
+        .collect();
     if events.is_empty() {
-        return Err(Error::Usage(format!("no log line mentions request {request}")));
+        let message = format!("no log line mentions request {request}\n{hidden}");
+        return Err(Error::Usage(message.trim_end().to_owned()));
     }
-    out.write_all(trace::format_text(&events).as_bytes()).map_err(Error::io("standard output"))
+    let text = trace::format_text(&events) + &hidden;
+    out.write_all(text.as_bytes()).map_err(Error::io("standard output"))
 }
 
 fn read_lines(source: impl BufRead) -> io::Result<Vec<String>> {
--- a/cuminward-event/src/explain.rs
+++ b/cuminward-event/src/explain.rs
@@ -1,17 +1,47 @@
 //! Extracts the events that concern one request from the log lines of several nodes.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use serde::Deserialize;
 
 use crate::{kind::Kind, record::Record, trace};
 
 /// Time before the first event of a request in which events of nodes and upstreams are included.
 const LOOKBACK: Duration = Duration::from_secs(5);
 
+/// What log lines contain.
+#[derive(Debug, Default)]
+pub struct Lines {
+    /// Events that this build knows.
+    pub records: Vec<Record>,
+    /// Number of events that it can't read, by their name: another build has written them.
+    pub unreadable: BTreeMap<String, usize>,
+}
+
+/// The part of an event that all builds write alike.
+#[derive(Deserialize)]
+struct Head {
+    #[serde(rename = "stamp")]
+    _stamp: u64,
+    event: String,
+}
+
 /// Parses the records of log lines. Text before a record, such as the prefix of a log collector, and
 /// lines without a record are skipped.
-pub fn parse_lines(lines: impl IntoIterator<Item = String>) -> Vec<Record> {
-    let record = |line: String| serde_json::from_str(&line[line.find('{')?..]).ok();
-    lines.into_iter().filter_map(record).collect()
+pub fn parse_lines(lines: impl IntoIterator<Item = String>) -> Lines {
+    let mut parsed = Lines::default();
+    for line in lines {
+        let Some(text) = line.find('{').map(|start| &line[start..]) else { continue };
+        if let Ok(record) = serde_json::from_str(text) {
+            parsed.records.push(record);
+        } else if let Ok(head) = serde_json::from_str::<Head>(text) {
+            *parsed.unreadable.entry(head.event).or_default() += 1;
+        }
+    }
+    parsed
 }
 
 /// Returns the events of a request in order, together with the events that may explain its outcome:
--- a/cuminward-event/tests/all/explain.rs
+++ b/cuminward-event/tests/all/explain.rs
@@ -57,5 +57,56 @@
     let line = serde_json::to_string(&record(1, "n1", Some("r1"), failed("g")));
     let line = line.expect("records are serializable");
     let lines = [String::from("no record"), format!("12.3 node {line}"), line, String::from("{}")];
-    expect_that!(explain::parse_lines(lines).len(), eq(2));
+    let parsed = explain::parse_lines(lines);
+    expect_that!(parsed.records.len(), eq(2));
+    expect_that!(parsed.unreadable.is_empty(), eq(true));
+}
+
+/// Guards against events of another build that are missing from an explanation without a word.
+#[gtest]
+fn events_of_other_builds_are_read_or_counted() {
+    struct Case {
+        name: &'static str,
+        line: &'static str,
+        read: usize,
+        unreadable: usize,
+    }
+    let cases = [
+        Case {
+            name: "known",
+            line: r#"{"seq":1,"stamp":5,"node":"n","event":"host-found","host":"h"}"#,
+            read: 1,
+            unreadable: 0,
+        },
+        Case {
+            name: "a field more",
+            line: r#"{"seq":1,"stamp":5,"node":"n","event":"host-found","host":"h","mood":{"x":1}}"#,
+            read: 1,
+            unreadable: 0,
+        },
+        Case {
+            name: "a field less",
+            line: r#"{"seq":1,"stamp":5,"node":"n","event":"host-found"}"#,
+            read: 0,
+            unreadable: 1,
+        },
+        Case {
+            name: "another kind",
+            line: r#"n1 {"seq":1,"stamp":5,"node":"n","event":"mood-changed","mood":7}"#,
+            read: 0,
+            unreadable: 1,
+        },
+        Case { name: "no event", line: r#"{"level":"info","event":"x"}"#, read: 0, unreadable: 0 },
+        Case {
+            name: "cut off",
+            line: r#"{"seq":1,"stamp":5,"node":"n","ev"#,
+            read: 0,
+            unreadable: 0,
+        },
+    ];
+    for Case { name, line, read, unreadable } in cases {
+        let parsed = explain::parse_lines([line.to_owned()]);
+        expect_that!(parsed.records.len(), eq(read), "{name}");
+        expect_that!(parsed.unreadable.values().sum::<usize>(), eq(unreadable), "{name}");
+    }
 }
