--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -115,8 +115,8 @@
         peer.address = address;
     }
 
-    /// Stores a digest, and the extension that came with it. Returns false, without a change, if it is no newer than the known one of its
-    /// node.
+    /// Stores a digest, and the extension that came with it. Returns false, without a change, if the digest is no
+    /// newer than the known one of its node.
     fn store(&self, now: Duration, digest: Digest, extension: Option<Extension>) -> bool {
         let mut peers = self.lock();
         let known = peers.get(&digest.node);
--- a/cuminward-gateway/src/peer/unreadable.rs
+++ b/cuminward-gateway/src/peer/unreadable.rs
@@ -1,4 +1,4 @@
-//! Counts datagrams that can't be decoded, and reports them at most once a minute for each sender.
+//! Counts datagrams that can't be decoded, and reports them at most once a minute for each address of a sender.
 
 use std::{collections::HashMap, io, net::IpAddr, time::Duration};
 
