--- a/cuminward-gateway/tests/all/builds.rs
+++ b/cuminward-gateway/tests/all/builds.rs
@@ -1,6 +1,11 @@
 //! Nodes of this build beside nodes of later builds, which a fake speaks for, and the bytes that all builds promise to read.
 
-use std::{collections::BTreeSet, io, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeSet,
+    io,
+    net::SocketAddr,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use cuminward_adapter::topic;
 use cuminward_adapter_fake::{
@@ -383,3 +388,65 @@
     }
     Ok(())
 }
+
+/// Milliseconds since the Unix epoch.
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
+}
+
+/// Guards against records of the store whose form changes, and against records of a later build that a node loses or
+/// stumbles over. Three crashes of a subject put it into quarantine.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn records_in_the_store_are_read_and_kept_across_builds() -> Result<()> {
+    struct Case {
+        name: &'static str,
+        /// Fields of each record but for its crash and its time.
+        fields: &'static str,
+        is_refused: bool,
+    }
+    let cases = [
+        Case {
+            name: "present build",
+            fields: r#""subject":{"Part":57005},"companions":[]"#,
+            is_refused: true,
+        },
+        Case { name: "a field less", fields: r#""subject":{"Part":57005}"#, is_refused: true },
+        Case {
+            name: "a field more",
+            fields: r#""mood":{"x":[1]},"subject":{"Part":57005},"companions":[],"by":"n""#,
+            is_refused: true,
+        },
+        Case {
+            name: "another subject",
+            fields: r#""subject":{"Mood":7},"companions":[]"#,
+            is_refused: false,
+        },
+    ];
+    for Case { name, fields, is_refused } in cases {
+        let site = Site::start().await;
+        let mut stored = Vec::new();
+        for crash in 1..=3 {
+            let at = unix_ms() - 1000 * crash;
+            let value = format!(r#"{{{fields},"crash":{crash},"at_unix_ms":{at}}}"#);
+            let key = format!("part:dead/{crash:x}");
+            site.store.put(topic::CRASHES, &key, &value);
+            stored.push((key, value));
+        }
+        site.store.put(topic::NODES, "later", "mood://7");
+        let node = site.node("records").await;
+        let headers = [(header::MODEL, site::MODEL), (header::PROMPT_PARTS, "dead:100,1:10")];
+        let answer = node.send("POST", "/chat/1", &headers, "body").await.or_fail()?;
+        expect_that!(answer.status.as_u16() == 503, eq(is_refused), "{name}");
+        time::sleep(LEARN_TIME).await;
+        for (key, value) in stored {
+            let kept = site.store.value(topic::CRASHES, &key);
+            expect_that!(kept.as_deref(), some(eq(value.as_bytes())), "{name}, {key}");
+        }
+        let kept = site.store.value(topic::NODES, "later");
+        expect_that!(kept.as_deref(), some(eq(b"mood://7")), "{name}");
+        let own = site.store.value(topic::NODES, "records");
+        expect_that!(own.as_deref(), some(eq(node.peers.to_string().as_bytes())), "{name}");
+    }
+    Ok(())
+}
