change!: cuminward-serving: a table releases what is withheld if a read began at its end

The check stood three times, in the reading of declarations and twice where nodes fetch from each other. No behaviour is changed.

--- a/cuminward-gateway/src/control/topics.rs
+++ b/cuminward-gateway/src/control/topics.rs
@@ -111,9 +111,7 @@
     let complete_at = freshness::read_moment(sent_at, now, wait, page.records.is_empty());
     let batch = Batch { records: page.records, whole_before: None };
     let mut cluster = state.cluster();
-    if cluster.declarations.end() == from {
-        cluster.declarations.release();
-    }
+    cluster.declarations.release_since(from);
     let is_changed = cluster.apply_declarations(now, batch);
     cluster.confirm_declarations(complete_at);
     drop(cluster);
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -361,11 +361,11 @@
     let now = state.now();
     let Changes { declarations, listing } = changes;
     let mut cluster = state.cluster();
-    if cluster.declarations.end() == call.known.declarations && declarations.age.is_some() {
-        cluster.declarations.release();
+    if declarations.age.is_some() {
+        cluster.declarations.release_since(call.known.declarations);
     }
-    if cluster.host_list.end() == call.known.listing && listing.age.is_some() {
-        cluster.host_list.release();
+    if listing.age.is_some() {
+        cluster.host_list.release_since(call.known.listing);
     }
     let is_changed = if declarations.age.is_none() && listing.age.is_none() {
         cluster.apply_incomplete(now, declarations.batch, listing.batch)
--- a/cuminward-gateway/src/state/declarations.rs
+++ b/cuminward-gateway/src/state/declarations.rs
@@ -82,6 +82,11 @@
         self.table.release();
     }
 
+    /// Records that a read which began at the position `from` gave all that was lacking, if the copy still ends there.
+    pub(crate) fn release_since(&mut self, from: Position) {
+        self.table.release_since(from);
+    }
+
     /// Applies a record. Returns whether it is newer than the known one: an evacuation by its position, a
     /// catalog by its version, since a store that came back from an older copy has an older catalog again.
     pub(crate) fn apply(&mut self, record: &Record) -> bool {
--- a/cuminward-serving/src/table.rs
+++ b/cuminward-serving/src/table.rs
@@ -200,6 +200,13 @@
         self.withheld_from = None;
     }
 
+    /// Records that a read which began at the position `from` gave all that was withheld, if the table still ends there.
+    pub fn release_since(&mut self, from: Position) {
+        if self.end() == from {
+            self.release();
+        }
+    }
+
     /// Removes the tombstone with the lowest position if there are more than [`MAX_TOMBSTONES`].
     fn evict_oldest_tombstone(&mut self) {
         let deleted = self.rows.values().filter(|it| it.value.is_none()).count();
