--- a/cuminward-gateway/src/state/quarantine.rs
+++ b/cuminward-gateway/src/state/quarantine.rs
@@ -188,7 +188,7 @@
         let mut tracker = self.tracker();
         self.consider_responses(&mut tracker, now);
         tracker.expire(now);
-        if !tracker.unstored(now).is_empty() {
+        if tracker.has_unstored() {
             self.unstored.notify_one();
         }
         let after = tracker.quarantined(now);
--- a/cuminward-serving/src/quarantine.rs
+++ b/cuminward-serving/src/quarantine.rs
@@ -212,6 +212,14 @@
         times
     }
 
+    /// Returns the crashes that this node saw and that are to be stored but aren't yet.
+    fn unstored(&self) -> impl Iterator<Item = (id::Crash, &Crash)> {
+        let crashes = self.crashes.iter().filter(|(_, it)| it.is_own && !it.is_stored);
+        let mut crashes = crashes.map(|(id, it)| (*id, it)).peekable();
+        let are_blamed = crashes.peek().is_some() && self.crash_times(None).len() >= STORED_FROM;
+        crashes.filter(move |_| are_blamed)
+    }
+
     /// Returns whether the subject is or was quarantined.
     fn is_confirmed(&self) -> bool {
         self.crash_times(None).len() >= THRESHOLD
@@ -310,15 +318,17 @@
     pub fn unstored(&self, now: Duration) -> Vec<Sighting> {
         let mut sightings = Vec::new();
         for (subject, suspect) in &self.suspects {
-            if suspect.crash_times(None).len() < STORED_FROM {
-                continue;
-            }
-            let unstored = suspect.crashes.iter().filter(|(_, it)| it.is_own && !it.is_stored);
-            sightings.extend(unstored.map(|(id, it)| suspect.sighting(now, *subject, *id, it)));
+            let unstored = suspect.unstored();
+            sightings.extend(unstored.map(|(id, it)| suspect.sighting(now, *subject, id, it)));
         }
         sightings
     }
 
+    /// Returns whether there are any such crashes.
+    pub fn has_unstored(&self) -> bool {
+        self.suspects.values().any(|it| it.unstored().next().is_some())
+    }
+
     /// Returns whether a subject is suspect, or quarantined, for a crash.
     pub fn is_blamed(&self, subject: Subject, crash: id::Crash) -> bool {
         let suspect = self.suspects.get(&subject);
