--- a/cuminward-gateway/src/peer/datagram.rs
+++ b/cuminward-gateway/src/peer/datagram.rs
@@ -47,17 +47,21 @@
     }
 }
 
-/// Encodes a digest, and an extension if there is one.
+/// Access
+impl Extension {
+    /// Returns the bytes that follow those of a digest.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("text and numbers are valid JSON")
+    }
+}
+
+/// Encodes a digest without an extension.
 ///
 /// # Errors
 ///
-/// Fails if either has no encoding.
-pub(crate) fn encode(digest: &Digest, extension: Option<&Extension>) -> io::Result<Vec<u8>> {
-    let mut bytes = bincode::serialize(digest).map_err(invalid)?;
-    if let Some(extension) = extension {
-        serde_json::to_writer(&mut bytes, extension)?;
-    }
-    Ok(bytes)
+/// Fails if it has no encoding.
+pub(crate) fn encode(digest: &Digest) -> io::Result<Vec<u8>> {
+    bincode::serialize(digest).map_err(invalid)
 }
 
 /// Decodes a datagram.
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -157,7 +157,7 @@
 /// Sends digests until the task is dropped.
 pub(crate) async fn send(state: Arc<State>, peers: Arc<Peers>, socket: Arc<UdpSocket>, start: u64) {
     let mut builder = Builder { start, number: 0 };
-    let mut told = Told::default();
+    let mut told = Told { extension: Extension::own().encode(), at: HashMap::new() };
     loop {
         let digest = builder.build_next(&state);
         if let Err(error) = send_digest(&state, &peers, &socket, &digest, &mut told).await {
@@ -174,8 +174,13 @@
     }
 }
 
-/// When the extension was last sent to each address, since the node's start.
-type Told = HashMap<SocketAddr, Duration>;
+/// What other nodes were told about this one.
+struct Told {
+    /// Bytes of the extension, which stays the same.
+    extension: Vec<u8>,
+    /// When it was last sent to each address, since the node's start.
+    at: HashMap<SocketAddr, Duration>,
+}
 
 /// Sends a digest to the nodes whose turn it is, with the extension to those that haven't got it for a while.
 ///
@@ -190,13 +195,13 @@
     told: &mut Told,
 ) -> io::Result<()> {
     let now = state.now();
-    let plain = datagram::encode(digest, None)?;
-    let extended = datagram::encode(digest, Some(&Extension::own()))?;
-    told.retain(|_, at| now < *at + datagram::EXTENSION_INTERVAL);
+    let plain = datagram::encode(digest)?;
+    let extended = [plain.as_slice(), &told.extension].concat();
+    told.at.retain(|_, at| now < *at + datagram::EXTENSION_INTERVAL);
     let is_broadcast = state.take_broadcast_request();
     for address in peers.targets(now, digest.number, is_broadcast) {
-        let bytes = if told.contains_key(&address) { &plain } else { &extended };
-        told.entry(address).or_insert(now);
+        let bytes = if told.at.contains_key(&address) { &plain } else { &extended };
+        told.at.entry(address).or_insert(now);
         if let Err(error) = socket.send_to(bytes, address).await {
             log::debug!("can't send a digest to {address}: {error}");
         }
