change!: cuminward-gateway: one place for connections to other nodes

Fetching records and borrowing retries each kept connections, opened missing ones, limited the time and gave up a connection after a failure.

--- a/cuminward-gateway/src/peer/loan.rs
+++ b/cuminward-gateway/src/peer/loan.rs
@@ -5,7 +5,6 @@
 
 use std::{
     collections::HashMap,
-    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -15,9 +14,8 @@
 use cuminward_serving::id;
 use rand::seq::IndexedRandom;
 use tarpc::context;
-use tokio::time;
 
-use super::pull::{self, service::AntiEntropyClient};
+use super::{clients::Clients, pull::service::AntiEntropyClient};
 
 /// Number of nodes that are asked for a loan.
 const MAX_LENDERS: usize = 3;
@@ -41,8 +39,7 @@
 #[derive(Default)]
 pub(crate) struct Lenders {
     nodes: ArcSwap<Vec<SocketAddr>>,
-    /// Open connections by address.
-    clients: Mutex<HashMap<SocketAddr, AntiEntropyClient>>,
+    clients: Clients,
     /// Services for which all nodes refused, with the time until which they aren't asked again.
     refused: Mutex<HashMap<id::Service, Duration>>,
 }
@@ -51,7 +48,7 @@
 impl Lenders {
     /// Returns whether a node may lend a retry for a service now.
     pub(crate) fn may_lend(&self, now: Duration, service: &str) -> bool {
-        let is_paused = lock(&self.refused).get(service).is_some_and(|until| *until > now);
+        let is_paused = self.lock_refused().get(service).is_some_and(|until| *until > now);
         !is_paused && !self.nodes.load().is_empty()
     }
 }
@@ -60,7 +57,7 @@
 impl Lenders {
     /// Sets the nodes that may lend.
     pub(crate) fn set_nodes(&self, nodes: Vec<SocketAddr>) {
-        lock(&self.clients).retain(|it, _| nodes.contains(it));
+        self.clients.retain(&nodes);
         self.nodes.store(Arc::new(nodes));
     }
 
@@ -72,38 +69,20 @@
         let nodes = self.nodes.load_full();
         let asked: Vec<SocketAddr> = nodes.sample(&mut rand::rng(), MAX_LENDERS).copied().collect();
         for node in asked {
-            match time::timeout(CALL_TIMEOUT, self.ask(node, service)).await {
-                Ok(Ok(true)) => return true,
-                Ok(Ok(false)) => {}
-                Ok(Err(error)) => {
-                    log::debug!("can't borrow a retry from node {node}: {error}");
-                    lock(&self.clients).remove(&node);
-                }
-                Err(_) => {
-                    log::debug!("can't borrow a retry from node {node}: timeout");
-                    lock(&self.clients).remove(&node);
-                }
+            let ask = |client: AntiEntropyClient| async move {
+                client.lend_retry(context::current(), service.to_owned()).await
+            };
+            match self.clients.call(node, CALL_TIMEOUT, ask).await {
+                Ok(true) => return true,
+                Ok(false) => {}
+                Err(error) => log::debug!("can't borrow a retry from node {node}: {error}"),
             }
         }
-        lock(&self.refused).insert(service.to_owned(), now + PAUSE);
+        self.lock_refused().insert(service.to_owned(), now + PAUSE);
         false
     }
 
-    async fn ask(&self, node: SocketAddr, service: &str) -> io::Result<bool> {
-        let known = lock(&self.clients).get(&node).cloned();
-        let client = match known {
-            Some(it) => it,
-            None => {
-                let client = pull::connect(node).await?;
-                lock(&self.clients).insert(node, client.clone());
-                client
-            }
-        };
-        let answer = client.lend_retry(context::current(), service.to_owned()).await;
-        answer.map_err(io::Error::other)
+    fn lock_refused(&self) -> MutexGuard<'_, HashMap<id::Service, Duration>> {
+        self.refused.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/cuminward-gateway/src/peer/pull.rs
+++ b/cuminward-gateway/src/peer/pull.rs
@@ -16,14 +16,14 @@
 use futures::StreamExt;
 use serde_with::{DurationMilliSeconds, serde_as};
 use tarpc::{
-    client, context,
+    context,
     serde_transport::Transport,
     server::{BaseChannel, Channel},
     tokio_serde::formats::Bincode,
 };
 use tokio::{net::TcpStream, time};
 
-use super::gossip::Peers;
+use super::{clients::Clients, gossip::Peers};
 use crate::{ingress::listener, state::State, tunnel};
 
 /// Interval at which this node compares its positions with those in the digests of others.
@@ -132,7 +132,7 @@
     }
 }
 
-use service::{AntiEntropy, AntiEntropyClient};
+use service::AntiEntropy;
 
 #[derive(Clone)]
 struct Server {
@@ -203,7 +203,7 @@
 /// store to candidates of its failure domain fetches from them at each interval.
 pub(crate) async fn run(state: Arc<State>, peers: Arc<Peers>) {
     let mut fetcher =
-        Fetcher { state, peers, clients: HashMap::new(), former_builds: HashMap::new() };
+        Fetcher { state, peers, clients: Clients::default(), former_builds: HashMap::new() };
     let mut is_lagging = false;
     loop {
         if fetcher.state.election.is_observer() {
@@ -246,8 +246,7 @@
 struct Fetcher {
     state: Arc<State>,
     peers: Arc<Peers>,
-    /// Open connections by address.
-    clients: HashMap<SocketAddr, AntiEntropyClient>,
+    clients: Clients,
     /// Nodes that count as ones of an earlier build, with the time until which they do.
     former_builds: HashMap<SocketAddr, Duration>,
 }
@@ -270,46 +269,27 @@
     async fn fetch(&mut self, address: SocketAddr, call: Call) -> Option<Changes> {
         let now = call.sent_at;
         self.former_builds.retain(|_, until| *until > now);
-        let fetched = time::timeout(CALL_TIMEOUT, self.call(address, call.known)).await;
-        let cause = match fetched {
-            Ok(Ok(changes)) => return Some(changes),
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => String::from("timeout"),
-        };
-        log::debug!("can't fetch records from node {address}: {cause}");
-        self.clients.remove(&address);
-        self.former_builds.entry(address).or_insert(now + FORMER_BUILD_TIME);
-        None
-    }
-
-    async fn call(&mut self, address: SocketAddr, known: Known) -> io::Result<Changes> {
-        let client = match self.clients.get(&address) {
-            Some(it) => it.clone(),
-            None => {
-                let client = connect(address).await?;
-                self.clients.insert(address, client.clone());
-                client
+        let is_former = self.former_builds.contains_key(&address);
+        let fetched = self.clients.call(address, CALL_TIMEOUT, |client| async move {
+            if is_former {
+                return client
+                    .records_since(context::current(), call.known)
+                    .await
+                    .map(Changes::from);
+            }
+            client.changes_since(context::current(), call.known).await
+        });
+        match fetched.await {
+            Ok(changes) => Some(changes),
+            Err(error) => {
+                log::debug!("can't fetch records from node {address}: {error}");
+                self.former_builds.entry(address).or_insert(now + FORMER_BUILD_TIME);
+                None
             }
-        };
-        if self.former_builds.contains_key(&address) {
-            let delta = client.records_since(context::current(), known).await;
-            return delta.map(Changes::from).map_err(io::Error::other);
         }
-        let changes = client.changes_since(context::current(), known).await;
-        changes.map_err(io::Error::other)
     }
 }
 
-/// Opens a connection to another node.
-///
-/// # Errors
-///
-/// Fails if the node can't be reached.
-pub(super) async fn connect(address: SocketAddr) -> io::Result<AntiEntropyClient> {
-    let transport = tarpc::serde_transport::tcp::connect(address, Bincode::default).await?;
-    Ok(AntiEntropyClient::new(client::Config::default(), transport).spawn())
-}
-
 /// Returns the address of the node with the newest records, if its declarations are newer than those of
 /// this node or its host list is ahead: by more than [`MAX_HOST_LIST_LAG`], or at all if this node can't read it.
 fn find_newer_peer(state: &State, peers: &Peers) -> Option<SocketAddr> {
