--- a/cuminward-gateway/tests/all/builds.rs
+++ b/cuminward-gateway/tests/all/builds.rs
@@ -12,29 +12,20 @@
     header,
     host::{self, Behaviour},
 };
-use futures::StreamExt;
 use googletest::prelude::*;
-use tarpc::{
-    context,
-    serde_transport::Transport,
-    server::{BaseChannel, Channel},
-    tokio_serde::formats::Bincode,
-};
+use tarpc::context;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream, UdpSocket},
+    net::{TcpStream, UdpSocket},
     task::JoinSet,
     time,
 };
 
 use crate::{
-    former_build::{Digest, Known, Position, Sighting, Subject},
+    former_build::{Digest, Known, Position, Sighting, Subject, run_node},
     site::{self, Node, Site},
 };
 
-/// Interval of the digests of a fake node.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Time in which nodes hear of each other.
 const SETTLE_TIME: Duration = Duration::from_millis(800);
 
@@ -112,40 +103,6 @@
     bytes.iter().map(|it| format!("{it:02x}")).collect()
 }
 
-/// Runs a fake node, whose digests end with `extension`, until the task is dropped.
-async fn run_node(to: SocketAddr, extension: &'static str) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
-    let address = listener.local_addr().expect("the listener is bound");
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a loopback port is free");
-    let send_digests = async {
-        for number in 1.. {
-            let digest = Digest {
-                node: String::from("later"),
-                number,
-                address,
-                known: Known::default(),
-                flights: Vec::new(),
-                lost: Vec::new(),
-                is_relay: false,
-                ..example()
-            };
-            let mut bytes = bincode::serialize(&digest).expect("a digest has an encoding");
-            bytes.extend_from_slice(extension.as_bytes());
-            socket.send_to(&bytes, to).await.expect("the socket is open");
-            time::sleep(DIGEST_INTERVAL).await;
-        }
-    };
-    let answer_calls = async {
-        while let Ok((stream, _)) = listener.accept().await {
-            let channel = BaseChannel::with_defaults(Transport::from((stream, Bincode::default())));
-            tokio::spawn(channel.execute(Lender.serve()).for_each(|answer| async move {
-                tokio::spawn(answer);
-            }));
-        }
-    };
-    tokio::join!(send_digests, answer_calls);
-}
-
 /// Guards against a later build that isn't heard since its digest says more, and against calls to nodes that don't know
 /// them. Whether a node is heard, and which features it has, shows in whether it lends a retry.
 #[gtest]
@@ -181,7 +138,15 @@
         let site = Site::start().await;
         let node = site.following_node("later-build", 100).await;
         let mut tasks = JoinSet::new();
-        tasks.spawn(run_node(node.peers, extension));
+        let digest = Digest {
+            node: String::from("later"),
+            known: Known::default(),
+            flights: Vec::new(),
+            lost: Vec::new(),
+            is_relay: false,
+            ..example()
+        };
+        tasks.spawn(run_node(node.peers, digest, extension, Lender.serve()));
         time::sleep(SETTLE_TIME).await;
         host::share_script(&site.plain, [Behaviour::CloseConnection]);
         let answer = node.send("POST", "/desk/1", &[], "body").await.or_fail()?;
--- a/cuminward-gateway/tests/all/former_build.rs
+++ b/cuminward-gateway/tests/all/former_build.rs
@@ -8,12 +8,13 @@
 };
 
 use cuminward_derive::record;
-use futures::StreamExt;
+use futures::{StreamExt, stream};
 use googletest::prelude::*;
+use serde::{Serialize, de::DeserializeOwned};
 use tarpc::{
     client, context,
     serde_transport::{Transport, tcp},
-    server::{BaseChannel, Channel},
+    server::{BaseChannel, Channel, Serve},
     tokio_serde::formats::Bincode,
 };
 use tokio::{
@@ -133,49 +134,61 @@
     }
 }
 
-/// Runs a fake node that sends digests to `to` and answers calls, until the task is dropped.
-async fn run_node(name: String, to: SocketAddr, server: Server) {
+/// Runs a fake node until the task is dropped: sends digests to `to`, which are `digest` with their number and address and
+/// then the text `extension`, and answers calls.
+pub(crate) async fn run_node<S>(to: SocketAddr, digest: Digest, extension: &str, server: S)
+where
+    S: Serve<Req: DeserializeOwned, Resp: Serialize> + Clone,
+{
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
     let address = listener.local_addr().expect("the listener is bound");
     let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a loopback port is free");
     let send_digests = async {
         for number in 1.. {
-            let digest = Digest {
-                node: name.clone(),
-                domain: String::from("mercado"),
-                start: 1,
-                number,
-                address,
-                has_traffic: false,
-                known: Known::default(),
-                flights: Vec::new(),
-                lost: Vec::new(),
-                is_relay: false,
-                sightings: Vec::new(),
-                proofs: Vec::new(),
-            };
-            let bytes = bincode::serialize(&digest).expect("a digest has an encoding");
+            let digest = Digest { number, address, ..digest.clone() };
+            let mut bytes = bincode::serialize(&digest).expect("a digest has an encoding");
+            bytes.extend_from_slice(extension.as_bytes());
             socket.send_to(&bytes, to).await.expect("the socket is open");
             time::sleep(DIGEST_INTERVAL).await;
         }
     };
-    let answer_calls = async {
-        while let Ok((stream, _)) = listener.accept().await {
-            let channel = BaseChannel::with_defaults(Transport::from((stream, Bincode::default())));
-            tokio::spawn(channel.execute(server.clone().serve()).for_each(|answer| async move {
-                tokio::spawn(answer);
-            }));
-        }
-    };
+    let connections = stream::unfold(listener, |listener| async move {
+        let (connection, _) = listener.accept().await.ok()?;
+        Some((connection, listener))
+    });
+    let answer_calls = connections.for_each_concurrent(None, |connection| {
+        let transport = Transport::from((connection, Bincode::default()));
+        let calls = BaseChannel::with_defaults(transport).execute(server.clone());
+        calls.for_each_concurrent(None, |answer| answer)
+    });
     tokio::join!(send_digests, answer_calls);
 }
 
+/// Returns the digest of a fake node that has nothing, without its number and address.
+fn empty_digest(name: String) -> Digest {
+    Digest {
+        node: name,
+        domain: String::from("mercado"),
+        start: 1,
+        number: 0,
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        has_traffic: false,
+        known: Known::default(),
+        flights: Vec::new(),
+        lost: Vec::new(),
+        is_relay: false,
+        sightings: Vec::new(),
+        proofs: Vec::new(),
+    }
+}
+
 /// Starts a node that leaves reading the store to fake nodes of the former build.
 async fn start_follower(site: &Site, name: &str) -> (Node, JoinSet<()>) {
     let node = site.node(&format!("{name}-z")).await;
     let mut readers = JoinSet::new();
     for index in 0..READERS {
-        readers.spawn(run_node(format!("{name}-{index}"), node.peers, Server::default()));
+        let digest = empty_digest(format!("{name}-{index}"));
+        readers.spawn(run_node(node.peers, digest, "", Server::default().serve()));
     }
     time::sleep(SETTLE_TIME).await;
     (node, readers)
@@ -229,7 +242,7 @@
         let mut readers = JoinSet::new();
         for index in 0..READERS / 2 {
             let name = format!("mixed{round}-{index}");
-            readers.spawn(run_node(name, node.peers, server.clone()));
+            readers.spawn(run_node(node.peers, empty_digest(name), "", server.clone().serve()));
         }
         let mut nodes = Vec::new();
         for index in READERS / 2..READERS {
