feat: cuminward-upstream: tell which connections aren't kept, and on which one a refusal came

What operators saw: of a refusal, or a response of another request, neither whether its connection had carried an earlier request, nor which connections were closed instead of being kept. Change: the cause of attempt-failed ends with "on a kept connection" or "on a new connection" where a response wasn't accepted; cuminward_gateway_upstream_connections_discarded_total{cause} counts connections that weren't kept. Nothing is closed or kept that wasn't before.

--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -87,7 +87,9 @@
     let metadata = header::read_response(head.status, &head.headers);
     match check_response(context, &head, &metadata) {
         Ok(()) => Ok(Response { head, body }),
-        Err(fault) => {
+        Err(mut fault) => {
+            let connection = if body.is_connection_kept() { "kept" } else { "new" };
+            fault.cause = format!("{}, on a {connection} connection", fault.cause);
             if fault.failure == Failure::NotRun {
                 context.set_may_have_run(may_have_run_before);
             }
--- a/cuminward-gateway/src/ingress/metrics.rs
+++ b/cuminward-gateway/src/ingress/metrics.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
+use cuminward_upstream::discard;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service};
@@ -21,6 +22,9 @@
 /// Connections opened to upstreams.
 const CONNECTIONS: &str = "cuminward_gateway_upstream_connections_total";
 
+/// Connections to upstreams that weren't kept for further requests, by cause.
+const DISCARDED: &str = "cuminward_gateway_upstream_connections_discarded_total";
+
 /// Version of the catalog in force.
 const VERSION: &str = "cuminward_gateway_catalog_version";
 
@@ -75,6 +79,10 @@
         let in_flight = state.requests_in_flight.load(std::sync::atomic::Ordering::Relaxed);
         ::metrics::gauge!(IN_FLIGHT).set(in_flight as f64);
         ::metrics::counter!(CONNECTIONS).absolute(state.upstreams.opened());
+        for cause in discard::Cause::ALL {
+            let count = state.upstreams.discards().count(cause);
+            ::metrics::counter!(DISCARDED, "cause" => cause.to_string()).absolute(count);
+        }
         let version = state.routing.load().catalog.as_ref().map_or(0, |it| it.version);
         ::metrics::gauge!(VERSION).set(version as f64);
         ::metrics::gauge!(STRANDED).set(f64::from(u8::from(state.paths.is_stranded())));
--- a/cuminward-upstream/src/body.rs
+++ b/cuminward-upstream/src/body.rs
@@ -71,6 +71,7 @@
     incoming: Incoming,
     framing: Framing,
     lease: Lease<B>,
+    is_connection_kept: bool,
     read_timeout: Duration,
     deadline: Pin<Box<Sleep>>,
     ended: bool,
@@ -85,12 +86,13 @@
         read_timeout: Duration,
     ) -> Body<B> {
         let ended = http_body::Body::is_end_stream(&incoming);
+        let is_connection_kept = lease.is_kept();
         lease.record_part();
         if ended {
             lease.release();
         }
         let deadline = Box::pin(time::sleep(read_timeout));
-        Body { incoming, framing, lease, read_timeout, deadline, ended }
+        Body { incoming, framing, lease, is_connection_kept, read_timeout, deadline, ended }
     }
 }
 
@@ -108,6 +110,11 @@
     pub fn is_connection_reusable(&self) -> bool {
         self.lease.is_reusable()
     }
+
+    /// Returns whether the connection had carried an earlier request.
+    pub fn is_connection_kept(&self) -> bool {
+        self.is_connection_kept
+    }
 }
 
 /// Mutation
--- a/cuminward-upstream/src/lib.rs
+++ b/cuminward-upstream/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod connection;
 pub mod connector;
 pub mod count;
+pub mod discard;
 pub mod engine;
 pub mod error;
 pub mod generate;
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -23,6 +23,7 @@
     connection::{Cause, Connection, Payload, Protocol},
     connector::{Connector, Direct},
     count::Counter,
+    discard,
     error::Error,
 };
 
@@ -86,7 +87,7 @@
     hasher: RandomState,
     shards: Vec<Mutex<Shard<B>>>,
     opened: AtomicU64,
-    timeouts: AtomicU64,
+    discards: discard::Counter,
     counter: Arc<Counter>,
 }
 
@@ -135,7 +136,7 @@
             hasher: RandomState::new(),
             shards,
             opened: AtomicU64::new(0),
-            timeouts: AtomicU64::new(0),
+            discards: discard::Counter::default(),
             counter: Arc::default(),
         };
         Pool { inner: Arc::new(inner), connector }
@@ -188,7 +189,12 @@
 
     /// Returns the number of connections discarded because the upstream sent nothing in time.
     pub fn timeouts(&self) -> u64 {
-        self.inner.timeouts.load(Ordering::Relaxed)
+        self.inner.discards.count(discard::Cause::Timeout)
+    }
+
+    /// Returns the counter of connections that weren't kept for further requests.
+    pub fn discards(&self) -> &discard::Counter {
+        &self.inner.discards
     }
 
     /// Sends a request and waits for the response head.
@@ -368,6 +374,11 @@
         self.connection.as_ref().is_some_and(|it| it.is_reusable)
     }
 
+    /// Returns whether the connection has carried an earlier request.
+    pub(crate) fn is_kept(&self) -> bool {
+        self.connection.as_ref().is_some_and(|it| it.reused)
+    }
+
     /// Records that a part of the response arrived.
     pub(crate) fn record_part(&self) {
         if let Some(connection) = &self.connection {
@@ -378,7 +389,7 @@
     /// Discards the connection because the upstream sent nothing in time. Other requests on a
     /// shared connection continue, but new requests open another one.
     pub(crate) fn discard_timed_out(&mut self) {
-        self.pool.timeouts.fetch_add(1, Ordering::Relaxed);
+        self.pool.discards.record(discard::Cause::Timeout);
         let Some(connection) = self.connection.take() else { return };
         self.pool.remove(&self.address, connection.number);
         if !connection.is_shared() {
@@ -400,6 +411,7 @@
         if let Some(connection) = self.connection.take()
             && !connection.is_shared()
         {
+            self.pool.discards.record(discard::Cause::Unread);
             connection.abort();
         }
     }
