fix: cuminward-upstream: a connection carries no request after a refusal

Cause: a connection returned to the pool when a response without a body had arrived, before anybody had judged the response, and after refusals whose body was read. A host may send a copy of a refusal, with the id of its request. On such a connection it was taken for the response to the next request, and if that was the same one, sent again under its id, for "not run"; so the run wasn't counted by max_attempts either. Change: a body holds its connection until it is read to its end, also if it is empty; whoever doesn't accept a response drops it unread, which closes the connection. After 408, 421, 429 and 503 it is closed in any case, and after every other status than success where responses bear no id (reports and orders, engines). What counts as "not run" is as before. Connections of HTTP/2 are kept: its streams have ids. Tunnels were never reused. Why it works: a copy can only follow on the connection on which the request was refused, and no request does. The fake host of the tests can send a response twice and counts runs by id. No existing assertion is changed.

--- a/cuminward-gateway/src/control/host_client.rs
+++ b/cuminward-gateway/src/control/host_client.rs
@@ -120,7 +120,12 @@
             log::debug!("host {address} sent the response to a request of a caller");
             return Err(Error::Silent);
         }
-        let body = response.into_body().read(MAX_BODY_BYTES).await;
+        let mut body = response.into_body();
+        if !status.is_success() {
+            // The responses to these calls bear no id.
+            body.record_refusal();
+        }
+        let body = body.read(MAX_BODY_BYTES).await;
         let body = body.map_err(|error| {
             log::debug!("can't read the response of host {address}: {error}");
             Error::Silent
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod builds;
 mod configuration;
+mod copied_refusals;
 mod followers;
 mod former_build;
 mod groups;
--- a/cuminward-gateway/tests/all/raw.rs
+++ b/cuminward-gateway/tests/all/raw.rs
@@ -32,6 +32,8 @@
 pub(crate) enum Step {
     /// Sends these bytes.
     Send(String),
+    /// Sends these bytes, and a copy of them before the response to the next request on the connection.
+    SendTwice(String),
     /// Sends nothing for a time.
     Wait(Duration),
     /// Closes the connection.
@@ -63,6 +65,10 @@
     pub(crate) sent: AtomicU64,
     /// Requests of callers that were received, each as its method and path.
     requests: Mutex<Vec<String>>,
+    /// Ids of the requests of callers that ran: those whose response isn't sent twice.
+    runs: Mutex<Vec<String>>,
+    /// Number of requests of any kind that came on a connection after a response that is sent twice.
+    pub(crate) followers: AtomicUsize,
     /// Number of requests for reports.
     pub(crate) reports_asked: AtomicUsize,
     /// Bodies of the orders that were received.
@@ -87,6 +93,25 @@
     body: String,
 }
 
+/// Access
+impl Request {
+    /// Returns whether this is a request of a caller.
+    fn is_call(&self) -> bool {
+        !self.line.contains(" /report") && !self.line.contains(" /order")
+    }
+}
+
+/// Access
+impl Step {
+    /// Returns the step that sends a copy of this one's bytes, if they are sent twice.
+    fn copy(&self, id: &str) -> Option<Step> {
+        match self {
+            Step::SendTwice(text) => Some(Step::Send(text.replace("{id}", id))),
+            _ => None,
+        }
+    }
+}
+
 /// Life cycle
 impl Host {
     /// Starts a host whose responses are sound.
@@ -120,6 +145,11 @@
         lock(&self.record.requests).clone()
     }
 
+    /// Returns how often the request with an id ran.
+    pub(crate) fn runs(&self, id: &str) -> usize {
+        lock(&self.record.runs).iter().filter(|it| *it == id).count()
+    }
+
     /// Returns the bodies of the orders that were received.
     pub(crate) fn orders(&self) -> Vec<String> {
         lock(&self.record.orders).clone()
@@ -177,6 +207,7 @@
     let (mut reader, mut writer) = stream.into_split();
     let mut buffer = Vec::new();
     let mut is_scripted = false;
+    let mut copy: Option<Step> = None;
     while let Some(request) = read_request(&mut reader, &mut buffer).await {
         let response = log.next_response(&request);
         if response.is_some() && !is_scripted {
@@ -184,7 +215,15 @@
             log.begun.fetch_add(1, Ordering::SeqCst);
         }
         let counted = response.is_some().then_some(&log.sent);
-        let response = response.unwrap_or_else(|| sound_response(&request));
+        let mut response = response.unwrap_or_else(|| sound_response(&request));
+        let next_copy = response.iter().find_map(|it| it.copy(&request.id));
+        if next_copy.is_none() && request.is_call() {
+            lock(&log.runs).push(request.id.clone());
+        }
+        if let Some(copy) = std::mem::replace(&mut copy, next_copy) {
+            log.followers.fetch_add(1, Ordering::SeqCst);
+            response.insert(0, copy);
+        }
         let more = tokio::select! {
             sent = send(&mut writer, &response, &request.id, counted) => sent.is_some(),
             () = wait_for_end(&mut reader, &mut buffer) => false,
@@ -254,7 +293,7 @@
 ) -> Option<()> {
     for step in steps {
         match step {
-            Step::Send(text) => {
+            Step::Send(text) | Step::SendTwice(text) => {
                 write(writer, text.replace("{id}", id).as_bytes(), counted).await?;
             }
             Step::Wait(pause) => time::sleep(*pause).await,
--- a/cuminward-upstream/src/body.rs
+++ b/cuminward-upstream/src/body.rs
@@ -66,7 +66,8 @@
 }
 
 /// Body of a response. The connection returns to its pool when the body has been read completely,
-/// and is discarded when the body fails, times out or is dropped earlier.
+/// also if it is empty, and is discarded when the body fails, times out or is dropped earlier, or when
+/// the response is a refusal.
 pub struct Body<B> {
     incoming: Incoming,
     framing: Framing,
@@ -82,15 +83,12 @@
     pub(crate) fn new(
         incoming: Incoming,
         framing: Framing,
-        mut lease: Lease<B>,
+        lease: Lease<B>,
         read_timeout: Duration,
     ) -> Body<B> {
         let ended = http_body::Body::is_end_stream(&incoming);
         let is_connection_kept = lease.is_kept();
         lease.record_part();
-        if ended {
-            lease.release();
-        }
         let deadline = Box::pin(time::sleep(read_timeout));
         Body { incoming, framing, lease, is_connection_kept, read_timeout, deadline, ended }
     }
@@ -158,6 +156,12 @@
         self.deadline.as_mut().reset(Instant::now() + read_timeout);
     }
 
+    /// Closes the connection when the body ends, as its response is a refusal whose copy may follow. Responses whose
+    /// status says so by itself need no such call.
+    pub fn record_refusal(&mut self) {
+        self.lease.record_refusal();
+    }
+
     fn finish(&mut self) {
         self.ended = true;
         self.lease.release();
@@ -177,6 +181,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let this = self.get_mut();
         if this.ended {
+            this.lease.release();
             return Poll::Ready(None);
         }
         // An upstream that always has a part ready would keep the task from its timeouts.
--- a/cuminward-upstream/src/discard.rs
+++ b/cuminward-upstream/src/discard.rs
@@ -8,6 +8,8 @@
 /// Why a connection isn't kept for further requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
+    /// The response refuses the request; a copy of it may follow, which nothing tells from the next response.
+    Refusal,
     /// The response wasn't read to its end: it failed, isn't trusted or is no longer wanted.
     Unread,
     /// The upstream sent nothing in time.
@@ -17,12 +19,13 @@
 /// Access
 impl Cause {
     /// All causes.
-    pub const ALL: [Cause; 2] = [Cause::Unread, Cause::Timeout];
+    pub const ALL: [Cause; 3] = [Cause::Refusal, Cause::Unread, Cause::Timeout];
 }
 
 impl fmt::Display for Cause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Cause::Refusal => "refusal",
             Cause::Unread => "unread",
             Cause::Timeout => "timeout",
         })
@@ -32,6 +35,7 @@
 /// Number of connections that weren't kept, by cause.
 #[derive(Debug, Default)]
 pub struct Counter {
+    refusals: AtomicU64,
     unread: AtomicU64,
     timeouts: AtomicU64,
 }
@@ -45,6 +49,7 @@
 
     fn counter(&self, cause: Cause) -> &AtomicU64 {
         match cause {
+            Cause::Refusal => &self.refusals,
             Cause::Unread => &self.unread,
             Cause::Timeout => &self.timeouts,
         }
--- a/cuminward-upstream/src/engine.rs
+++ b/cuminward-upstream/src/engine.rs
@@ -308,7 +308,10 @@
         .get(header::RETRY_AFTER)
         .and_then(|it| it.to_str().ok())
         .and_then(|it| it.parse().ok());
-    let envelope: Envelope = match read_body(response.into_body()).await {
+    let mut body = response.into_body();
+    // The responses of engines bear no id.
+    body.record_refusal();
+    let envelope: Envelope = match read_body(body).await {
         Ok(body) => serde_json::from_slice(&body).unwrap_or_default(),
         Err(_) => Envelope::default(),
     };
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -1,8 +1,11 @@
 //! Pool of connections to upstreams, keyed by address.
 //!
 //! The pool is split into shards by address, so that no lock is shared by all requests. A
-//! connection returns to the pool only after a complete response; one that failed or timed out is
-//! discarded, and the next request opens a new one.
+//! connection returns to the pool only after a response that was read to its end and refuses
+//! nothing; otherwise it is discarded, and the next request opens a new one. So whoever doesn't
+//! trust a response drops it unread. A refusal may come twice, with the id of its request. Its copy
+//! would be taken for the response to the next request on the connection, or to the same request
+//! if that is sent again.
 
 use std::{
     collections::{HashMap, hash_map},
@@ -15,7 +18,7 @@
 };
 
 use derive_builder::Builder;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use tokio::time;
 
 use crate::{
@@ -116,6 +119,8 @@
     pool: Arc<Inner<B>>,
     address: String,
     connection: Option<Connection<B>>,
+    /// Whether the response is a refusal.
+    is_refused: bool,
 }
 
 /// Life cycle
@@ -249,6 +254,9 @@
             };
             let mut error = match sent {
                 Ok(response) => {
+                    if is_refusal(response.status()) {
+                        lease.record_refusal();
+                    }
                     let read_timeout = self.inner.options.read_timeout;
                     let framing = Framing::from_head(&response);
                     return Ok(response.map(|it| Body::new(it, framing, lease, read_timeout)));
@@ -293,7 +301,12 @@
 
 impl<B: Payload> Inner<B> {
     fn lease(self: &Arc<Self>, address: &str, connection: Connection<B>) -> Lease<B> {
-        Lease { pool: Arc::clone(self), address: address.to_owned(), connection: Some(connection) }
+        Lease {
+            pool: Arc::clone(self),
+            address: address.to_owned(),
+            connection: Some(connection),
+            is_refused: false,
+        }
     }
 
     /// Takes the most recently used connection, unless it was idle for longer than `idle_timeout`.
@@ -339,6 +352,17 @@
     }
 }
 
+/// Returns whether a status states that the request wasn't run, by the meaning that callers give it.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Closes connections except those that several requests share.
 fn abort_idle<B>(connections: &mut Vec<Connection<B>>) {
     connections.retain(|it| {
@@ -354,13 +378,16 @@
 }
 
 impl<B> Lease<B> {
-    /// Returns the connection to the pool after a complete response.
+    /// Returns the connection to the pool after a complete response, unless that is a refusal.
     pub(crate) fn release(&mut self) {
         let Some(mut connection) = self.connection.take() else { return };
         if connection.is_shared() {
             return;
         }
-        if !connection.is_reusable {
+        if self.is_refused {
+            self.pool.discards.record(discard::Cause::Refusal);
+        }
+        if self.is_refused || !connection.is_reusable {
             connection.abort();
             return;
         }
@@ -386,6 +413,12 @@
         }
     }
 
+    /// Records that the response is a refusal, after which the connection carries no further request. The streams
+    /// of a shared connection have ids of their own, so that a copy can't be taken for another response there.
+    pub(crate) fn record_refusal(&mut self) {
+        self.is_refused = true;
+    }
+
     /// Discards the connection because the upstream sent nothing in time. Other requests on a
     /// shared connection continue, but new requests open another one.
     pub(crate) fn discard_timed_out(&mut self) {
@@ -411,7 +444,9 @@
         if let Some(connection) = self.connection.take()
             && !connection.is_shared()
         {
-            self.pool.discards.record(discard::Cause::Unread);
+            let cause =
+                if self.is_refused { discard::Cause::Refusal } else { discard::Cause::Unread };
+            self.pool.discards.record(cause);
             connection.abort();
         }
     }
--- a/cuminward-upstream/tests/all/engine.rs
+++ b/cuminward-upstream/tests/all/engine.rs
@@ -305,3 +305,33 @@
         expect_that!(fence, eq(case.fence));
     }
 }
+
+/// Guards against the copy of a refused order that is taken for the outcome of the next one, as responses bear no id.
+#[gtest]
+#[tokio::test]
+async fn no_order_follows_a_refused_one_on_its_connection() {
+    struct Case {
+        name: &'static str,
+        reply: String,
+        connections: usize,
+    }
+    let report = r#"{"host":"h","incarnation":1,"fence":7,"membership":null,"load":null}"#;
+    let stale = r#"{"error":{"code":"stale-fence","message":"m"},"fence":9}"#;
+    let case = |name, reply, connections| Case { name, reply, connections };
+    let cases = [
+        case("accepted", fake::json(200, report), 1),
+        case("stale fence", fake::json(409, stale), 2),
+        case("409, empty", fake::json(409, ""), 2),
+        case("500", fake::json(500, "{}"), 2),
+        case("503, empty", fake::json(503, ""), 2),
+    ];
+    for Case { name, reply, connections } in cases {
+        let upstream = Upstream::start(&reply, End::KeepOpen).await;
+        let client = client();
+        for _ in 0..2 {
+            let _ = client.send_order(&upstream.address, &serde_json::json!({})).await;
+        }
+        expect_that!(upstream.request_lines().len(), eq(2), "{name}");
+        expect_that!(upstream.connections.load(Ordering::SeqCst), eq(connections), "{name}");
+    }
+}
--- a/cuminward-upstream/tests/all/plain.rs
+++ b/cuminward-upstream/tests/all/plain.rs
@@ -193,3 +193,18 @@
         expect_that!(read(response).await, ok(anything()), "{}", case.reply);
     }
 }
+
+/// Guards against the copy of a refusal that is taken for the response to the next call.
+#[gtest]
+#[tokio::test]
+async fn no_call_follows_a_refused_one_on_its_connection() {
+    let not_run = "HTTP/1.1 503 X\r\ncuminward-not-run: true\r\ncontent-length: 0\r\n\r\n";
+    let upstream = Upstream::start(not_run, End::KeepOpen).await;
+    let client = client(TIMEOUT);
+    for connections in 1..=3 {
+        let response = client.call(&upstream.address, request(Method::GET), TIMEOUT).await;
+        let outcome = response.err().map(|it| it.error.outcome());
+        expect_that!(outcome, some(eq(Outcome::NotRun)));
+        expect_that!(upstream.connections.load(Ordering::SeqCst), eq(connections));
+    }
+}
--- a/cuminward-upstream/tests/all/pool.rs
+++ b/cuminward-upstream/tests/all/pool.rs
@@ -1,4 +1,4 @@
-//! What a pool does between opening a connection and sending a request.
+//! What a pool does between opening a connection and sending a request, and when it keeps a connection.
 
 use std::{
     io,
@@ -9,12 +9,13 @@
 use bytes::Bytes;
 use cuminward_upstream::{
     connector::{Connected, Connector, Direct},
+    discard::Cause,
     error::Error,
     pool::{Options, Pool, Ready},
 };
 use googletest::prelude::*;
-use http::{HeaderValue, Request};
-use http_body_util::Full;
+use http::{HeaderValue, Method, Request};
+use http_body_util::{BodyExt, Full};
 use tokio::{net::TcpStream, time};
 
 use crate::raw::{Step, Upstream};
@@ -86,3 +87,83 @@
         }
     }
 }
+
+/// What a caller does with the body of a response.
+#[derive(Debug, Clone, Copy)]
+enum Use {
+    Read,
+    Drop,
+}
+
+/// Guards against connections that carry a request after a response that is refused or wasn't accepted, and against
+/// closing those whose response was accepted.
+#[gtest]
+#[tokio::test]
+async fn a_connection_is_kept_only_after_an_accepted_response() {
+    struct Case {
+        name: &'static str,
+        method: Method,
+        response: &'static str,
+        body: Use,
+        is_kept: bool,
+    }
+    let case = |name, response, body, is_kept| Case {
+        name,
+        method: Method::POST,
+        response,
+        body,
+        is_kept,
+    };
+    let cases = [
+        case("200", "200 X\r\ncontent-length: 1\r\n\r\na", Use::Read, true),
+        case("200, dropped", "200 X\r\ncontent-length: 1\r\n\r\na", Use::Drop, false),
+        case("200, empty", "200 X\r\ncontent-length: 0\r\n\r\n", Use::Read, true),
+        case("200, empty, dropped", "200 X\r\ncontent-length: 0\r\n\r\n", Use::Drop, false),
+        case(
+            "200, no chunks",
+            "200 X\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            Use::Read,
+            true,
+        ),
+        case("202, empty", "202 X\r\ncontent-length: 0\r\n\r\n", Use::Read, true),
+        case("204", "204 X\r\n\r\n", Use::Read, true),
+        case("204, dropped", "204 X\r\n\r\n", Use::Drop, false),
+        case("304", "304 X\r\n\r\n", Use::Read, true),
+        case("404, empty", "404 X\r\ncontent-length: 0\r\n\r\n", Use::Read, true),
+        case("500, empty", "500 X\r\ncontent-length: 0\r\n\r\n", Use::Read, true),
+        case("408, empty", "408 X\r\ncontent-length: 0\r\n\r\n", Use::Read, false),
+        case("408", "408 X\r\ncontent-length: 1\r\n\r\na", Use::Read, false),
+        case("421, empty", "421 X\r\ncontent-length: 0\r\n\r\n", Use::Read, false),
+        case("421", "421 X\r\ncontent-length: 1\r\n\r\na", Use::Read, false),
+        case("429, empty", "429 X\r\ncontent-length: 0\r\n\r\n", Use::Read, false),
+        case("429", "429 X\r\ncontent-length: 1\r\n\r\na", Use::Read, false),
+        case("503, empty", "503 X\r\ncontent-length: 0\r\n\r\n", Use::Read, false),
+        case("503, empty, dropped", "503 X\r\ncontent-length: 0\r\n\r\n", Use::Drop, false),
+        case("503", "503 X\r\ncontent-length: 1\r\n\r\na", Use::Read, false),
+        Case {
+            name: "HEAD",
+            method: Method::HEAD,
+            response: "200 X\r\ncontent-length: 1\r\n\r\n",
+            body: Use::Read,
+            is_kept: true,
+        },
+    ];
+    for Case { name, method, response, body, is_kept } in cases {
+        let step = Step::Send(format!("HTTP/1.1 {response}"));
+        let upstream = Upstream::start(vec![vec![step.clone()], vec![step]]).await;
+        let pool: Pool<Full<Bytes>> = Pool::new(Options::default());
+        for _ in 0..2 {
+            let mut request = Request::new(Full::new(Bytes::new()));
+            *request.method_mut() = method.clone();
+            let sent = pool.send(&upstream.address, request, IDLE_TIMEOUT, HEADER_TIMEOUT).await;
+            let received = sent.expect("the upstream responds").into_body();
+            if let Use::Read = body {
+                expect_that!(received.collect().await, ok(anything()), "{name}");
+            }
+        }
+        let connections = upstream.record.connections.load(Ordering::SeqCst);
+        expect_that!(connections, eq(if is_kept { 1 } else { 2 }), "{name}");
+        let discards: u64 = Cause::ALL.iter().map(|it| pool.discards().count(*it)).sum();
+        expect_that!(discards, eq(if is_kept { 0 } else { 2 }), "{name}");
+    }
+}
