fix: cuminward-gateway: a test of digests makes sure that a request reaches the silent replica

Traced: the node's log has no attempt-failed and no replica-silent, and no request was rejected: both requests were answered by the replica that wasn't silent. The test took for granted that two requests at once go to both replicas; on a busy machine the second one is sent after the first has ended, and the choice between replicas without load is random.

--- a/cuminward-gateway/tests/all/builds.rs
+++ b/cuminward-gateway/tests/all/builds.rs
@@ -38,6 +38,9 @@
 /// Number of hosts of a replica.
 const SIZE: usize = 2;
 
+/// Number of pairs of requests, one after the other, of which one has to reach a certain replica.
+const PAIRS: usize = 10;
+
 /// Silence of a lost host.
 const SILENCE: Duration = Duration::from_secs(3);
 
@@ -289,10 +292,14 @@
             name: "lost host",
             event: |site, node| {
                 site.replicas[..SIZE].iter().for_each(|it| it.fall_silent(SILENCE));
-                let (first, second) =
-                    (send(node, "/chat/1", "1:10"), send(node, "/chat/2", "2:10"));
+                // Both of a pair may go to the other replica if the first one ends before the second is sent.
+                let pairs: Vec<[Pending; 2]> = (0..PAIRS)
+                    .map(|_| [send(node, "/chat/1", "1:10"), send(node, "/chat/2", "2:10")])
+                    .collect();
                 Box::pin(async {
-                    let _ = tokio::join!(first, second);
+                    for [first, second] in pairs {
+                        tokio::join!(first, second);
+                    }
                 })
             },
             is_shown: |it| it.lost.iter().any(|it| it.starts_with("e-")),
