change!: cuminward-serving: the limit on requests to a cold host is one on requests to any host

A limit is a rate, a peak and the window in which the peak holds; the bucket of a node has a module of its own, and a node's standing among those that share a limit is a value. Cold hosts keep theirs: a window of one second. No behaviour changed; the test of the sum over all nodes plays windows of the limit's length.

--- a/cuminward-gateway/src/settings.rs
+++ b/cuminward-gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{fs, io, net::SocketAddr, path::Path, time::Duration};
 
 use cuminward_core::number::Rounded;
-use cuminward_serving::cold;
+use cuminward_serving::limit;
 use serde::Deserialize;
 use serde_with::{DurationMilliSecondsWithFrac, DurationSecondsWithFrac, serde_as};
 
@@ -126,10 +126,14 @@
     /// Factor on the declared rate if the settings name none.
     pub const DEFAULT_OVERRUN: f64 = 1.5;
 
+    /// Time within which the requests are counted.
+    const WINDOW: Duration = Duration::from_secs(1);
+
     /// Returns the limit for a host that sustains `rate` requests per second.
-    pub fn limit(&self, rate: f64) -> cold::Limit {
+    pub fn limit(&self, rate: f64) -> limit::Limit {
         let overrun = self.overrun.unwrap_or(Cold::DEFAULT_OVERRUN);
-        cold::Limit { rate, peak: rate * overrun + self.slack.unwrap_or(0.0) }
+        let peak = rate * overrun + self.slack.unwrap_or(0.0);
+        limit::Limit { rate, peak, window: Cold::WINDOW }
     }
 }
 
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -504,7 +504,7 @@
     fn cold_share(&self, now: Duration, service: &catalog::Service, host: &str) -> Option<f64> {
         let rate = service.cold_rate?;
         self.cold_until.get(host).filter(|until| **until > now)?;
-        Some(self.cold.limit(rate).share(&self.nodes, host))
+        Some(self.cold.limit(rate).share(self.nodes.standing(routing::key(host))))
     }
 
     fn upstream_stats(&mut self, now: Duration, name: &str, host: &str) -> Arc<Stats> {
--- a/cuminward-gateway/src/state/stats.rs
+++ b/cuminward-gateway/src/state/stats.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use cuminward_serving::{cold::Bucket, progress};
+use cuminward_serving::{bucket::Bucket, progress};
 use tokio::sync::Notify;
 
 /// Time without progress after which a busy upstream counts as suspect.
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -9,8 +9,8 @@
 #![forbid(unsafe_code)]
 
 pub mod attempt;
+pub mod bucket;
 pub mod catalog;
-pub mod cold;
 pub mod crash;
 pub mod departure;
 pub mod engine;
@@ -19,6 +19,7 @@
 pub mod freshness;
 pub mod host;
 pub mod id;
+pub mod limit;
 pub mod loss;
 pub mod message;
 pub mod nodes;
--- a/cuminward-serving/src/nodes.rs
+++ b/cuminward-serving/src/nodes.rs
@@ -15,6 +15,15 @@
     is_complete: bool,
 }
 
+/// Position of a node among those that share an item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standing {
+    /// Position in the order of preference for the item; 0 for the node that comes first.
+    pub rank: usize,
+    /// Number of all nodes.
+    pub nodes: usize,
+}
+
 /// Life cycle
 impl List {
     /// Creates a list that contains only the node itself and isn't complete.
@@ -48,6 +57,11 @@
         self.others.iter().filter(|it| (weight(it), *it) > own).count()
     }
 
+    /// Returns this node's standing for an item; `None` until the list is complete.
+    pub fn standing(&self, item: u64) -> Option<Standing> {
+        self.is_complete.then(|| Standing { rank: self.rank(item), nodes: self.len() })
+    }
+
     /// Returns this node's part of an amount that all nodes share; `None` until the list is
     /// complete.
     pub fn divide(&self, amount: f64) -> Option<f64> {
--- a/cuminward-serving/tests/all/cold.rs
+++ b/cuminward-serving/tests/all/limit.rs
@@ -1,12 +1,19 @@
-//! Limit on the requests that all nodes together send to a cold host.
+//! Limit on the requests that all nodes together send to one host.
 
 use std::{collections::VecDeque, time::Duration};
 
-use cuminward_serving::{
-    cold::{Bucket, Limit},
-    nodes,
-};
+use cuminward_serving::{bucket::Bucket, limit::Limit, nodes};
 use googletest::prelude::*;
+use xxhash_rust::xxh3;
+
+fn key(host: &str) -> u64 {
+    xxh3::xxh3_64(host.as_bytes())
+}
+
+/// Returns a limit as it is declared for cold hosts.
+fn cold(rate: f64, peak: f64) -> Limit {
+    Limit { rate, peak, window: Duration::from_secs(1) }
+}
 
 #[gtest]
 fn a_bucket_never_exceeds_its_rate() {
@@ -71,34 +78,35 @@
         .collect()
 }
 
-/// Returns the largest number of requests that a host gets within a second, and the requests per
-/// second over three seconds, if each node has always a request for it. All nodes were idle before.
+/// Returns the largest number of requests that a host gets within a window, and the requests per
+/// second over three windows, if each node has always a request for it. All nodes were idle before.
 fn play(nodes: &mut [Node], limit: &Limit, host: &str) -> (usize, f64) {
     let start = Duration::from_secs(60);
-    let mut last_second: VecDeque<Duration> = VecDeque::new();
+    let mut last_window: VecDeque<Duration> = VecDeque::new();
     let (mut most, mut total) = (0, 0);
-    let rates: Vec<f64> = nodes.iter().map(|it| limit.share(&it.nodes, host)).collect();
+    let rates: Vec<f64> =
+        nodes.iter().map(|it| limit.share(it.nodes.standing(key(host)))).collect();
     for step in 0..3000 {
-        let now = start + Duration::from_millis(step);
-        last_second.retain(|it| now - *it < Duration::from_secs(1));
+        let now = start + limit.window * step / 1000;
+        last_window.retain(|it| now - *it < limit.window);
         for (node, rate) in nodes.iter_mut().zip(&rates) {
             if node.bucket.try_take(now - node.behind, *rate) {
-                last_second.push_back(now);
+                last_window.push_back(now);
                 total += 1;
             }
         }
-        most = most.max(last_second.len());
+        most = most.max(last_window.len());
     }
-    (most, f64::from(total) / 3.0)
+    (most, f64::from(total) / 3.0 / limit.window.as_secs_f64())
 }
 
 #[gtest]
-fn all_nodes_together_stay_under_the_peak_of_a_cold_host() {
+fn all_nodes_together_stay_under_the_peak_of_a_host() {
     let limits = [
-        Limit { rate: 14.0, peak: 26.0 },
-        Limit { rate: 23.0, peak: 39.5 },
-        Limit { rate: 36.0, peak: 59.0 },
-        Limit { rate: 2.0, peak: 8.0 },
+        (cold(14.0, 26.0), 26.0),
+        (cold(23.0, 39.5), 39.5),
+        (cold(36.0, 59.0), 59.0),
+        (cold(2.0, 8.0), 8.0),
     ];
     let case =
         |name, known| Case { name, known, added: 0, restarted: 0.0, unread: 0.0, least: 0.8 };
@@ -116,11 +124,11 @@
         Case { unread: 0.5, least: 0.0, ..case("half have read the list", 95) },
     ];
     for case in cases {
-        for limit in limits {
+        for (limit, bound) in limits {
             for host in 0..3 {
                 let (most, rate) = play(&mut nodes(&case), &limit, &format!("i-{host}"));
                 let detail = format!("{}, {limit:?}, host {host}", case.name);
-                expect_that!(most as f64, le(limit.peak), "{detail}");
+                expect_that!(most as f64, le(bound), "{detail}");
                 expect_that!(rate, ge(limit.rate * case.least), "{detail}");
             }
         }
@@ -129,11 +137,12 @@
 
 #[gtest]
 fn the_owners_of_cold_hosts_are_spread_over_the_nodes() {
-    let limit = Limit { rate: 14.0, peak: 26.0 };
+    let limit = cold(14.0, 26.0);
     let case = Case { name: "", known: 95, added: 0, restarted: 0.0, unread: 0.0, least: 0.0 };
     let hosts: Vec<String> = (0..150).map(|it| format!("i-{it}")).collect();
     for node in nodes(&case) {
-        let owned = hosts.iter().filter(|it| limit.share(&node.nodes, it) > 0.0).count();
+        let owned =
+            hosts.iter().filter(|it| limit.share(node.nodes.standing(key(it))) > 0.0).count();
         expect_that!(owned, all!(ge(1), le(30)), "150 hosts with 7 owners are 11 for a node");
     }
 }
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -2,12 +2,12 @@
 
 mod attempt;
 mod catalog;
-mod cold;
 mod crash;
 mod event;
 mod fixture;
 mod freshness;
 mod host;
+mod limit;
 mod loss;
 mod message;
 mod nodes;
