--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod hostile_upstreams;
 mod ingress;
 mod lifecycle;
+mod limits;
 mod loans;
 mod local_views;
 mod quarantine;
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -62,12 +62,17 @@
 
     /// Starts a store, two hosts of the plain service and `count` hosts of the engine, without a catalog.
     pub(crate) async fn with_engine_hosts(count: usize) -> Site {
+        Site::with_hosts(2, count).await
+    }
+
+    /// Starts a store and the given numbers of hosts of the plain service and of the engine, without a catalog.
+    pub(crate) async fn with_hosts(plain_hosts: usize, engine_hosts: usize) -> Site {
         let store = Arc::new(Store::start().await.expect("a loopback port is free"));
         let (mut plain, mut replicas) = (Vec::new(), Vec::new());
-        for index in 0..2 {
+        for index in 0..plain_hosts {
             plain.push(host(&format!("p-{index}")).await);
         }
-        for index in 0..count {
+        for index in 0..engine_hosts {
             replicas.push(host(&format!("e-{index}")).await);
         }
         let site = Site { store, plain, replicas };
