--- a/cuminward-gateway/tests/all/limits.rs
+++ b/cuminward-gateway/tests/all/limits.rs
@@ -4,11 +4,15 @@
 
 use cuminward_adapter_fake::{
     caller::Response,
+    catalog::{Retry, Route},
+    entry::Entry,
     header,
     host::{self, Behaviour, Host},
 };
 use futures::{StreamExt, future, stream};
 use googletest::prelude::*;
+use http::header::RETRY_AFTER;
+use serde_json::json;
 use tokio::time::{self, Instant};
 
 use crate::site::{self, Node, Site};
@@ -104,6 +108,12 @@
         self.response.as_ref().map(|it| it.status.as_u16())
     }
 
+    /// Returns the time after which the caller is to send the request again.
+    fn retry_after(&self) -> Option<Duration> {
+        let value = self.response.as_ref()?.headers.get(RETRY_AFTER)?;
+        Duration::try_from_secs_f64(value.to_str().ok()?.parse().ok()?).ok()
+    }
+
     fn is_served(&self) -> bool {
         self.response.as_ref().is_some_and(|it| it.status.is_success() && it.is_complete)
     }
@@ -220,3 +230,260 @@
         expect_that!(failed, is_empty(), "{case:?}");
     }
 }
+
+/// Returns the answers of nodes that had no room for the request.
+fn rejections(answers: &[Answer]) -> Vec<&Answer> {
+    answers.iter().filter(|it| it.status() == Some(503)).collect()
+}
+
+/// Guards against callers who wait in vain, or are told a time after which there is no room yet.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_rejected_at_once_if_all_hosts_have_used_their_limits() -> Result<()> {
+    /// Longest time that half of the rejections take. Requests wait for twice as long if there is room by then.
+    const AT_ONCE: Duration = Duration::from_millis(150);
+
+    /// Time by which a caller returns later than it was told.
+    const LATENESS: Duration = Duration::from_millis(100);
+
+    for service in [Service::Plain, Service::Engine] {
+        let site = Site::with_hosts(2, 2).await;
+        site.configure(1, None);
+        let nodes = start_nodes(&site, 1).await;
+        let hosts = service.hosts(&site);
+        hosts.iter().for_each(|it| it.name_limit(Some("0.5")));
+        let _ = drive(&nodes, service, LOAD, Duration::from_secs(1)).await;
+        let answers = drive(&nodes, service, LOAD, Duration::from_secs(4)).await;
+        let rejections = rejections(&answers);
+        let mut times: Vec<Duration> = rejections.iter().map(|it| it.elapsed).collect();
+        times.sort();
+        expect_that!(times.get(times.len() / 2), some(lt(&AT_ONCE)), "{service:?}");
+        let untold = rejections.iter().filter(|it| it.retry_after().is_none()).count();
+        expect_that!(untold, eq(0), "{service:?}");
+        let received: Vec<_> = hosts.iter().flat_map(Host::received).collect();
+        let was_sent = |it: &Answer| {
+            received.iter().any(|request| request.request_line == format!("POST {}", it.path))
+        };
+        expect_that!(rejections.iter().filter(|it| was_sent(it)).count(), eq(0), "{service:?}");
+        let Some(after) = send(&nodes[0], service, "early").await.retry_after() else { continue };
+        time::sleep(after + LATENESS).await;
+        let answer = send(&nodes[0], service, "patient").await;
+        expect_that!(answer.is_served(), eq(true), "{service:?}, after {after:?}");
+    }
+    Ok(())
+}
+
+/// What ends the limit of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The host responds without a limit.
+    Response,
+    /// The host was started again and names no limit since.
+    Restart,
+}
+
+/// Guards against hosts that get fewer requests for good since they were in need once.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_ends_with_a_response_that_names_none() {
+    /// Time in which all nodes notice the end of a limit.
+    const END_TIME: Duration = Duration::from_secs(4);
+
+    #[derive(Debug, Clone, Copy)]
+    struct Case {
+        nodes: usize,
+        /// Limit in requests per second. Before a restart, it is so low that no response tells the nodes of its end.
+        limit: f64,
+        end: End,
+    }
+
+    /// Returns the maximum number of requests in [`WINDOW`] while there is a limit, and the number after its end.
+    async fn play(case: Case) -> (usize, usize) {
+        let site = Site::with_hosts(HOSTS, 1).await;
+        site.configure(1, None);
+        let nodes = start_nodes(&site, case.nodes).await;
+        let response = Behaviour::RespondAfter(RESPONSE_TIME, String::from("ok"));
+        host::share_script(&site.plain, iter::repeat_n(response, 1000));
+        let host = &site.plain[0];
+        host.name_limit(Some(&case.limit.to_string()));
+        drive(&nodes, Service::Plain, LOAD, STABLE_WINDOW + WINDOW).await;
+        let limited = max_in_window(&arrivals(host));
+        host.name_limit(None);
+        if case.end == End::Restart {
+            let restarted = Entry { incarnation: 2, ..site::plain_entry(host) };
+            site.store.put_entry(&host.id, &restarted);
+        }
+        drive(&nodes, Service::Plain, LOAD, END_TIME).await;
+        host.clear_received();
+        drive(&nodes, Service::Plain, LOAD, WINDOW).await;
+        (limited, host.received().len())
+    }
+
+    let cases = [
+        Case { nodes: 1, limit: 2.0, end: End::Response },
+        Case { nodes: 3, limit: 2.0, end: End::Response },
+        Case { nodes: 1, limit: 0.05, end: End::Restart },
+        Case { nodes: 3, limit: 0.05, end: End::Restart },
+    ];
+    let usual = (LOAD * WINDOW.as_secs_f64()) as usize / HOSTS;
+    let playing = cases.map(|case| async move { (case, play(case).await) });
+    for (case, (limited, after)) in future::join_all(playing).await {
+        expect_that!(limited, le(allowed(case.limit)), "{case:?}");
+        expect_that!(after, ge(usual / 2), "{case:?}");
+    }
+}
+
+/// Guards against a limit that ends with a slow response from before the limit, and against one that ends with any new
+/// entry of its host.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_stays_whatever_was_sent_before_it() -> Result<()> {
+    /// Number of requests that the host got before it named a limit.
+    const SLOW_REQUESTS: u32 = 40;
+
+    /// Interval at which the host responds to them, and at which it writes its entry.
+    const INTERVAL: Duration = Duration::from_millis(100);
+
+    const LIMIT: f64 = 0.5;
+
+    let site = Site::with_hosts(1, 1).await;
+    let slow = Route {
+        timeout: Duration::from_secs(10),
+        latency_objective: Some(Duration::from_millis(300)),
+        ..site::route("/slow/", Retry::Never, site::PLAIN)
+    };
+    site.configure(1, Some(slow));
+    let host = &site.plain[0];
+    put_wide_entry(&site, host, 0)?;
+    let nodes = start_nodes(&site, 1).await;
+    let mut sending = Vec::new();
+    for index in 0..SLOW_REQUESTS {
+        let response_time = STABLE_WINDOW + INTERVAL * index;
+        host.enqueue(Behaviour::RespondAfter(response_time, String::from("late")));
+        let callers = nodes[0].callers;
+        sending.push(tokio::spawn(async move {
+            let id = format!("slow-{index}");
+            let headers = [(header::REQUEST_ID, id.as_str()), (header::DEADLINE_MS, "10000")];
+            site::send(callers, "POST", "/slow/1", &headers, "").await.map(|it| it.status.as_u16())
+        }));
+    }
+    let arrived = async {
+        while host.received().len() < SLOW_REQUESTS as usize {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    verify_that!(time::timeout(Duration::from_secs(2), arrived).await.is_ok(), eq(true))?;
+    host.clear_received();
+    host.name_limit(Some(&LIMIT.to_string()));
+    tokio::select! {
+        _ = drive(&nodes, Service::Plain, LOAD, STABLE_WINDOW + WINDOW) => {}
+        written = rewrite_entry(&site, host, INTERVAL) => written?,
+    }
+    expect_that!(max_in_window(&arrivals(host)), le(allowed(LIMIT)));
+    for answer in sending {
+        expect_that!(answer.await.or_fail()?.or_fail()?, eq(200));
+    }
+    Ok(())
+}
+
+/// Writes the entry of a host again at an interval, as hosts do that stay.
+async fn rewrite_entry(site: &Site, host: &Host, interval: Duration) -> Result<()> {
+    for seq in 1.. {
+        time::sleep(interval).await;
+        put_wide_entry(site, host, seq)?;
+    }
+    Ok(())
+}
+
+/// Writes an entry of a plain host that runs a hundred requests at once.
+fn put_wide_entry(site: &Site, host: &Host, seq: u64) -> Result<()> {
+    let stored = site.store.entry(&host.id).or_fail()?;
+    let mut entry: serde_json::Value = serde_json::from_slice(&stored).or_fail()?;
+    entry["slots"] = json!(100);
+    entry["seq"] = json!(seq);
+    site.store.put_raw_entry(&host.id, &entry.to_string());
+    Ok(())
+}
+
+/// Guards against nodes that heed a limit only in responses that succeed.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_in_a_failure_or_a_refusal_counts() {
+    const LIMIT: f64 = 0.5;
+
+    struct Case {
+        name: &'static str,
+        service: Service,
+        /// What the only host does with all requests.
+        behaviour: Behaviour,
+    }
+
+    async fn play(case: &Case) -> usize {
+        let site = Site::with_hosts(1, 1).await;
+        site.configure(1, None);
+        let nodes = start_nodes(&site, 1).await;
+        let hosts = case.service.hosts(&site);
+        host::share_script(hosts, iter::repeat_n(case.behaviour.clone(), 1000));
+        hosts[0].name_limit(Some(&LIMIT.to_string()));
+        drive(&nodes, case.service, LOAD, STABLE_WINDOW + WINDOW).await;
+        max_in_window(&arrivals(&hosts[0]))
+    }
+
+    let (plain, engine) = (Service::Plain, Service::Engine);
+    let cases = [
+        Case { name: "failure", service: plain, behaviour: Behaviour::Fail(500) },
+        Case { name: "overload", service: plain, behaviour: Behaviour::Fail(429) },
+        Case { name: "refusal", service: plain, behaviour: Behaviour::Refuse },
+        Case { name: "failed stream", service: engine, behaviour: Behaviour::Fail(500) },
+        Case { name: "refused stream", service: engine, behaviour: Behaviour::Refuse },
+        Case { name: "head of a stream", service: engine, behaviour: Behaviour::StreamNothing },
+    ];
+    let playing = cases.iter().map(|case| async move { (case, play(case).await) });
+    for (case, received) in future::join_all(playing).await {
+        expect_that!(received, le(allowed(LIMIT)), "{}", case.name);
+    }
+}
+
+/// Guards against limits that hold for the first attempt of each request only.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_were_sent_to_another_host_before_count() {
+    const LIMIT: f64 = 0.5;
+
+    struct Case {
+        name: &'static str,
+        service: Service,
+        /// What the host without a limit does with all requests.
+        behaviour: Behaviour,
+    }
+
+    async fn play(case: &Case) -> usize {
+        let site = Site::with_hosts(2, 2).await;
+        site.configure(1, None);
+        let nodes = start_nodes(&site, 3).await;
+        let [other, limited] = case.service.hosts(&site) else { return usize::MAX };
+        (0..1000).for_each(|_| other.enqueue(case.behaviour.clone()));
+        limited.name_limit(Some(&LIMIT.to_string()));
+        drive(&nodes, case.service, LOAD, STABLE_WINDOW + WINDOW).await;
+        max_in_window(&arrivals(limited))
+    }
+
+    let late = Behaviour::RespondAfter(Duration::from_secs(1), String::from("late"));
+    let pausing = Behaviour::StreamPausing(7, Duration::from_secs(1));
+    let (plain, engine) = (Service::Plain, Service::Engine);
+    let cases = [
+        Case { name: "failed", service: plain, behaviour: Behaviour::Fail(500) },
+        Case { name: "lost", service: plain, behaviour: Behaviour::CloseConnection },
+        Case { name: "refused", service: plain, behaviour: Behaviour::Refuse },
+        Case { name: "moved", service: plain, behaviour: late },
+        Case { name: "refused stream", service: engine, behaviour: Behaviour::Refuse },
+        Case { name: "begun stream", service: engine, behaviour: Behaviour::StreamNothing },
+        Case { name: "resumed stream", service: engine, behaviour: Behaviour::StreamUntil(7) },
+        Case { name: "moved stream", service: engine, behaviour: pausing },
+    ];
+    let playing = stream::iter(&cases).map(|case| async move { (case, play(case).await) });
+    let played: Vec<_> = playing.buffered(CONCURRENT_CASES).collect().await;
+    for (case, received) in played {
+        expect_that!(received, le(allowed(LIMIT)), "{}", case.name);
+    }
+}
