test: cuminward-gateway: limits that nodes keep without hearing each other

The callers of all cases now send 60 requests a second instead of 40, so that an owner that sends only when it has both a request and a token uses more than half of its part.

--- a/cuminward-gateway/tests/all/limits.rs
+++ b/cuminward-gateway/tests/all/limits.rs
@@ -1,13 +1,20 @@
 //! Hosts that name the number of requests per second that they take from all nodes together.
 
-use std::{iter, time::Duration};
+use std::{
+    iter, slice,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
+use cuminward_adapter::topic;
 use cuminward_adapter_fake::{
+    address,
     caller::Response,
     catalog::{Retry, Route},
     entry::Entry,
     header,
     host::{self, Behaviour, Host},
+    store::Store,
 };
 use futures::{StreamExt, future, stream};
 use googletest::prelude::*;
@@ -27,7 +34,7 @@
 const WINDOW: Duration = Duration::from_secs(4);
 
 /// Requests per second from the callers of all nodes together.
-const LOAD: f64 = 40.0;
+const LOAD: f64 = 60.0;
 
 /// Number of hosts of each service.
 const HOSTS: usize = 3;
@@ -35,6 +42,9 @@
 /// Time in which plain hosts respond. Requests that a node gets at the same time overlap, so that it uses all hosts.
 const RESPONSE_TIME: Duration = Duration::from_millis(50);
 
+/// Number of requests that the hosts of a test get at most.
+const MAX_REQUESTS: usize = 4000;
+
 /// Number of cases that are played at the same time.
 const CONCURRENT_CASES: usize = 5;
 
@@ -94,6 +104,33 @@
     nodes
 }
 
+/// Starts `count` nodes that know of each other and can't reach each other, each with a store of its own.
+async fn start_deaf_nodes(site: &Site, count: usize) -> (Vec<Node>, Vec<Store>) {
+    let names: Vec<String> = (0..count).map(|it| format!("limits-{it}")).collect();
+    let names = &names;
+    let starting = names.iter().map(|name| async move {
+        let view = Store::start().await.expect("a loopback port is free");
+        for other in names.iter().filter(|it| *it != name) {
+            let closed = address::allocate().expect("a loopback port is free");
+            view.put(topic::NODES, other, &closed.to_string());
+        }
+        site.plain.iter().for_each(|it| view.put_entry(&it.id, &site::plain_entry(it)));
+        site.replicas.iter().for_each(|it| view.put_entry(&it.id, &site::replica_entry(it)));
+        view.declare(&site::usual_catalog(1, None, 1));
+        let node = site.start_node(name, view.address).await;
+        (site.wait_until_known(node).await, view)
+    });
+    let (nodes, views) = future::join_all(starting).await.into_iter().unzip();
+    time::sleep(SETTLE_TIME).await;
+    site.plain.iter().chain(&site.replicas).for_each(Host::clear_received);
+    (nodes, views)
+}
+
+/// Makes hosts handle all requests of a test in one way.
+fn handle_all(hosts: &[Host], behaviour: &Behaviour) {
+    host::share_script(hosts, iter::repeat_n(behaviour.clone(), MAX_REQUESTS));
+}
+
 /// The end of a caller's request.
 struct Answer {
     path: String,
@@ -120,9 +157,11 @@
 }
 
 /// Sends a request for a service with an id of its own.
-async fn send(node: &Node, service: Service, id: &str) -> Answer {
+async fn send(node: &Node, service: Service) -> Answer {
+    static NEXT_ID: AtomicU64 = AtomicU64::new(0);
+    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed).to_string();
     let path = format!("{}{id}", service.prefix());
-    let headers = [service.headers(), &[(header::REQUEST_ID, id)]].concat();
+    let headers = [service.headers(), &[(header::REQUEST_ID, id.as_str())]].concat();
     let sent_at = Instant::now();
     let response = node.send("POST", &path, &headers, "body").await.ok();
     Answer { path, elapsed: sent_at.elapsed(), response }
@@ -132,12 +171,11 @@
 /// earlier ones were answered.
 async fn drive(nodes: &[Node], service: Service, rate: f64, duration: Duration) -> Vec<Answer> {
     let started = Instant::now();
-    let bursts = (duration.as_secs_f64() * rate) as usize / HOSTS;
-    let interval = duration / bursts as u32;
-    let sending = (0..bursts as u32).zip(nodes.iter().cycle()).map(|(burst, node)| async move {
+    let bursts = (duration.as_secs_f64() * rate) as u32 / HOSTS as u32;
+    let interval = duration / bursts;
+    let sending = (0..bursts).zip(nodes.iter().cycle()).map(|(burst, node)| async move {
         time::sleep_until(started + interval * burst).await;
-        let ids = (0..HOSTS).map(|it| format!("{burst:x}-{it}"));
-        future::join_all(ids.map(|id| async move { send(node, service, &id).await })).await
+        future::join_all((0..HOSTS).map(|_| send(node, service))).await
     });
     future::join_all(sending).await.into_iter().flatten().collect()
 }
@@ -160,75 +198,122 @@
     counts.max().unwrap_or(0)
 }
 
+/// What the nodes of a case know of each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Exchange {
+    /// They hear each other.
+    Messages,
+    /// They know of each other from the store, and hear nothing from each other.
+    ListOnly,
+}
+
+/// A load at which each host of a service would get several times what a limited one takes.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    nodes: usize,
+    exchange: Exchange,
+    service: Service,
+    limited: Limited,
+    /// Limit of each limited host, in requests per second.
+    limit: f64,
+}
+
+/// What happened in a case.
+struct Outcome {
+    /// Arrivals at each limited host.
+    arrivals: Vec<Vec<Instant>>,
+    answers: Vec<Answer>,
+}
+
+/// Time for which the callers of a case send requests.
+const CASE_DURATION: Duration = Duration::from_secs(9);
+
+/// Case with nodes that hear each other.
+const HEARING: Case = Case {
+    nodes: 1,
+    exchange: Exchange::Messages,
+    service: Service::Plain,
+    limited: Limited::One,
+    limit: 2.0,
+};
+
+async fn play(case: Case) -> Outcome {
+    let site = Site::with_hosts(HOSTS, HOSTS).await;
+    site.configure(1, None);
+    let (nodes, _views) = match case.exchange {
+        Exchange::Messages => (start_nodes(&site, case.nodes).await, Vec::new()),
+        Exchange::ListOnly => start_deaf_nodes(&site, case.nodes).await,
+    };
+    let response = Behaviour::RespondAfter(RESPONSE_TIME, String::from("ok"));
+    handle_all(&site.plain, &response);
+    let hosts = case.service.hosts(&site);
+    let limited = match case.limited {
+        Limited::One => &hosts[..1],
+        Limited::All => hosts,
+    };
+    limited.iter().for_each(|it| it.name_limit(Some(&case.limit.to_string())));
+    let answers = drive(&nodes, case.service, LOAD, CASE_DURATION).await;
+    Outcome { arrivals: limited.iter().map(arrivals).collect(), answers }
+}
+
+/// Checks that limited hosts get no more than they take and at least half of it, and that no request fails if there is
+/// a host without a limit.
+fn check(case: Case, outcome: &Outcome) {
+    let stable_time = (CASE_DURATION - STABLE_WINDOW).as_secs_f64();
+    for arrivals in &outcome.arrivals {
+        expect_that!(max_in_window(arrivals), le(allowed(case.limit)), "{case:?}");
+        let stable = arrivals.iter().filter(|it| **it >= arrivals[0] + STABLE_WINDOW).count();
+        if case.limit >= 2.0 {
+            expect_that!(stable as f64, ge(case.limit * stable_time / 2.0), "{case:?}");
+        }
+    }
+    let failed = outcome.answers.iter().filter(|it| match case.limited {
+        Limited::One => !it.is_served(),
+        Limited::All => !it.is_served() && it.status() != Some(503),
+    });
+    let failed: Vec<_> = failed.map(|it| (&it.path, it.status(), it.elapsed)).collect();
+    expect_that!(failed, is_empty(), "{case:?}");
+}
+
+async fn play_and_check(cases: impl IntoIterator<Item = Case>) {
+    let playing = stream::iter(cases).map(|case| async move { (case, play(case).await) });
+    let outcomes: Vec<_> = playing.buffered(CONCURRENT_CASES).collect().await;
+    outcomes.iter().for_each(|(case, outcome)| check(*case, outcome));
+}
+
 /// Guards against nodes that together send a host more requests than the limit that it names, against limited hosts
 /// that get next to nothing, and against requests that fail although other hosts have no limit.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_that_names_a_limit_gets_no_more_from_all_nodes_together() {
-    /// Time for which callers send requests.
-    const DURATION: Duration = Duration::from_secs(9);
-
-    #[derive(Debug, Clone, Copy)]
-    struct Case {
-        nodes: usize,
-        service: Service,
-        limited: Limited,
-        /// Limit of each limited host, in requests per second.
-        limit: f64,
-    }
-
-    struct Outcome {
-        /// Arrivals at each limited host.
-        arrivals: Vec<Vec<Instant>>,
-        answers: Vec<Answer>,
-    }
-
-    async fn play(case: Case) -> Outcome {
-        let site = Site::with_hosts(HOSTS, HOSTS).await;
-        site.configure(1, None);
-        let nodes = start_nodes(&site, case.nodes).await;
-        let response = Behaviour::RespondAfter(RESPONSE_TIME, String::from("ok"));
-        host::share_script(&site.plain, iter::repeat_n(response, 1000));
-        let hosts = case.service.hosts(&site);
-        let limited = match case.limited {
-            Limited::One => &hosts[..1],
-            Limited::All => hosts,
-        };
-        limited.iter().for_each(|it| it.name_limit(Some(&case.limit.to_string())));
-        let answers = drive(&nodes, case.service, LOAD, DURATION).await;
-        Outcome { arrivals: limited.iter().map(arrivals).collect(), answers }
-    }
+    let (all, engine) = (Limited::All, Service::Engine);
+    let cases = [
+        Case { nodes: 1, limit: 2.0, ..HEARING },
+        Case { nodes: 1, limit: 2.0, service: engine, limited: all, ..HEARING },
+        Case { nodes: 3, limit: 0.5, limited: all, ..HEARING },
+        Case { nodes: 3, limit: 2.0, service: engine, ..HEARING },
+        Case { nodes: 6, limit: 5.0, ..HEARING },
+        Case { nodes: 1, limit: 0.5, service: engine, ..HEARING },
+        Case { nodes: 3, limit: 5.0, ..HEARING },
+        Case { nodes: 6, limit: 2.0, limited: all, ..HEARING },
+        Case { nodes: 6, limit: 0.5, service: engine, ..HEARING },
+        Case { nodes: 6, limit: 2.0, service: engine, limited: all, ..HEARING },
+    ];
+    play_and_check(cases).await;
+}
 
+/// Guards against nodes that each use the parts of others while they can't hear that these do so too.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_holds_while_nodes_do_not_hear_each_other() {
+    const DEAF: Case = Case { exchange: Exchange::ListOnly, ..HEARING };
     let cases = [
-        Case { nodes: 1, service: Service::Plain, limited: Limited::One, limit: 2.0 },
-        Case { nodes: 1, service: Service::Engine, limited: Limited::All, limit: 2.0 },
-        Case { nodes: 3, service: Service::Plain, limited: Limited::All, limit: 0.5 },
-        Case { nodes: 3, service: Service::Engine, limited: Limited::One, limit: 2.0 },
-        Case { nodes: 6, service: Service::Plain, limited: Limited::One, limit: 5.0 },
-        Case { nodes: 1, service: Service::Engine, limited: Limited::One, limit: 0.5 },
-        Case { nodes: 3, service: Service::Plain, limited: Limited::One, limit: 5.0 },
-        Case { nodes: 6, service: Service::Plain, limited: Limited::All, limit: 2.0 },
-        Case { nodes: 6, service: Service::Engine, limited: Limited::One, limit: 0.5 },
-        Case { nodes: 6, service: Service::Engine, limited: Limited::All, limit: 2.0 },
+        Case { nodes: 3, limit: 2.0, ..DEAF },
+        Case { nodes: 3, limit: 0.5, service: Service::Engine, ..DEAF },
+        Case { nodes: 6, limit: 5.0, ..DEAF },
+        Case { nodes: 6, limit: 2.0, limited: Limited::All, ..DEAF },
     ];
-    let playing = stream::iter(cases).map(|case| async move { (case, play(case).await) });
-    let outcomes: Vec<_> = playing.buffered(CONCURRENT_CASES).collect().await;
-    for (case, outcome) in outcomes {
-        let stable_time = (DURATION - STABLE_WINDOW).as_secs_f64();
-        for arrivals in &outcome.arrivals {
-            expect_that!(max_in_window(arrivals), le(allowed(case.limit)), "{case:?}");
-            let stable = arrivals.iter().filter(|it| **it >= arrivals[0] + STABLE_WINDOW).count();
-            if case.limit >= 2.0 {
-                expect_that!(stable as f64, ge(case.limit * stable_time / 2.0), "{case:?}");
-            }
-        }
-        let failed = outcome.answers.iter().filter(|it| match case.limited {
-            Limited::One => !it.is_served(),
-            Limited::All => !it.is_served() && it.status() != Some(503),
-        });
-        let failed: Vec<_> = failed.map(|it| (&it.path, it.status(), it.elapsed)).collect();
-        expect_that!(failed, is_empty(), "{case:?}");
-    }
+    play_and_check(cases).await;
 }
 
 /// Returns the answers of nodes that had no room for the request.
@@ -265,9 +350,9 @@
             received.iter().any(|request| request.request_line == format!("POST {}", it.path))
         };
         expect_that!(rejections.iter().filter(|it| was_sent(it)).count(), eq(0), "{service:?}");
-        let Some(after) = send(&nodes[0], service, "early").await.retry_after() else { continue };
+        let Some(after) = send(&nodes[0], service).await.retry_after() else { continue };
         time::sleep(after + LATENESS).await;
-        let answer = send(&nodes[0], service, "patient").await;
+        let answer = send(&nodes[0], service).await;
         expect_that!(answer.is_served(), eq(true), "{service:?}, after {after:?}");
     }
     Ok(())
@@ -303,7 +388,7 @@
         site.configure(1, None);
         let nodes = start_nodes(&site, case.nodes).await;
         let response = Behaviour::RespondAfter(RESPONSE_TIME, String::from("ok"));
-        host::share_script(&site.plain, iter::repeat_n(response, 1000));
+        handle_all(&site.plain, &response);
         let host = &site.plain[0];
         host.name_limit(Some(&case.limit.to_string()));
         drive(&nodes, Service::Plain, LOAD, STABLE_WINDOW + WINDOW).await;
@@ -337,7 +422,7 @@
 /// entry of its host.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_limit_stays_whatever_was_sent_before_it() -> Result<()> {
+async fn a_response_to_an_earlier_request_does_not_end_a_limit() -> Result<()> {
     /// Number of requests that the host got before it named a limit.
     const SLOW_REQUESTS: u32 = 40;
 
@@ -423,7 +508,7 @@
         site.configure(1, None);
         let nodes = start_nodes(&site, 1).await;
         let hosts = case.service.hosts(&site);
-        host::share_script(hosts, iter::repeat_n(case.behaviour.clone(), 1000));
+        handle_all(hosts, &case.behaviour);
         hosts[0].name_limit(Some(&LIMIT.to_string()));
         drive(&nodes, case.service, LOAD, STABLE_WINDOW + WINDOW).await;
         max_in_window(&arrivals(&hosts[0]))
@@ -462,7 +547,7 @@
         site.configure(1, None);
         let nodes = start_nodes(&site, 3).await;
         let [other, limited] = case.service.hosts(&site) else { return usize::MAX };
-        (0..1000).for_each(|_| other.enqueue(case.behaviour.clone()));
+        handle_all(slice::from_ref(other), &case.behaviour);
         limited.name_limit(Some(&LIMIT.to_string()));
         drive(&nodes, case.service, LOAD, STABLE_WINDOW + WINDOW).await;
         max_in_window(&arrivals(limited))
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -102,7 +102,12 @@
         self.wait_until_known(node).await
     }
 
-    async fn wait_until_known(&self, node: Node) -> Node {
+    /// Waits until a node is ready and forwards requests.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that takes longer than about 4 s.
+    pub(crate) async fn wait_until_known(&self, node: Node) -> Node {
         for _ in 0..200 {
             if is_ready(node.ready).await && self.is_known(&node).await {
                 return node;
