fix: cuminward-gateway: nodes keep the limit that a host names on the requests of all of them together

Cause: nobody read the limit. Class: a promise to a host that each node could break alone, and all together by their sum. Change: the head of a response tells the limit of its host. The first nodes in the rendezvous order own the limit, each an equal part, so that the sum holds without a message, as for cold hosts; a permit is taken when an upstream is reserved, for every attempt. A limit belongs to one start of a host and ends with a stamped response that names none to a request that was sent after the limit was last heard. Owners tell the others of beginnings and ends in the extension of the digest, which builds before ignore; nodes without a part find out one after the other if they hear nothing.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -760,6 +760,24 @@
         /// Ids of the features of its build, separated by commas.
         features: String,
     }
+    /// A host named a limit for the requests of all nodes together.
+    2312 Info "limit-named" LimitNamed {
+        /// The host.
+        host: String,
+        /// Requests per minute from all nodes together.
+        rate: u64,
+        /// This node's part of them.
+        share: u64,
+        /// How the node learnt of it: `response` of the host, or another `node`.
+        source: String,
+    }
+    /// A host no longer names a limit.
+    2313 Info "limit-ended" LimitEnded {
+        /// The host.
+        host: String,
+        /// How the node learnt of it: `response` of the host, or another `node`.
+        source: String,
+    }
     /// An upstream was chosen for a request; written for sampled requests only.
     2401 Info "upstream-chosen" UpstreamChosen {
         /// Name of the route.
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -85,6 +85,7 @@
     };
     let (head, body) = response.into_parts();
     let metadata = header::read_response(head.status, &head.headers);
+    record_notice(state, context, slot, started, &metadata);
     match check_response(context, &head, &metadata) {
         Ok(()) => Ok(Response { head, body }),
         Err(mut fault) => {
@@ -102,6 +103,24 @@
     }
 }
 
+/// Records what a response to this request says of its host. Only a stamped one can end a limit by not naming it.
+fn record_notice(
+    state: &State,
+    context: &Context,
+    slot: &Slot,
+    sent_at: Duration,
+    response: &request::Response,
+) {
+    let is_own = response.id.is_some() && response.id == context.meta.id;
+    if !is_own || response.is_misdirected {
+        return;
+    }
+    let limit = response.notice.limit;
+    if limit.is_some() || response.is_stamped {
+        state.record_limit(&slot.upstream.notices, sent_at, limit);
+    }
+}
+
 /// Sets the time that is left now that a connection is open.
 fn set_time_left(context: &Context, request: &mut Request<Full<Bytes>>) -> pool::Ready {
     let time_left = context.remaining();
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -45,6 +45,11 @@
     Absent,
     /// The request, or a part of its prompt, has crashed several hosts.
     Quarantined,
+    /// All upstreams name limits, and this node's parts of them are used up for longer than the request may wait.
+    Limited {
+        /// Time until this node has room for the request; `None` if it won't have any by itself.
+        room_in: Option<Duration>,
+    },
     /// None of the upstreams had capacity in time.
     Full {
         /// Number of upstreams of the service and model.
@@ -53,6 +58,8 @@
         full: usize,
         /// Number of these that are cold.
         cold: usize,
+        /// Number of these that name a limit of which this node has used its part.
+        limited: usize,
         /// Number of these that failed or made no progress lately.
         suspect: usize,
     },
@@ -75,9 +82,13 @@
         let range = match self {
             Unavailable::Absent => ABSENT_RETRY_AFTER_MS,
             Unavailable::Quarantined => QUARANTINED_RETRY_AFTER_MS,
-            Unavailable::Full { .. } => FULL_RETRY_AFTER_MS,
+            Unavailable::Limited { .. } | Unavailable::Full { .. } => FULL_RETRY_AFTER_MS,
         };
-        Duration::from_millis(rand::random_range(range))
+        let after = Duration::from_millis(rand::random_range(range));
+        match self {
+            Unavailable::Limited { room_in: Some(it) } => after.max(it),
+            _ => after,
+        }
     }
 }
 
@@ -88,9 +99,18 @@
             Unavailable::Quarantined => {
                 write!(f, "the request, or a part of its prompt, crashed several hosts")
             }
-            Unavailable::Full { upstreams, full, cold, suspect } => write!(
+            Unavailable::Limited { room_in: Some(it) } => write!(
                 f,
-                "no upstream has capacity: {upstreams} known, {full} full, {cold} cold, {suspect} suspect"
+                "all upstreams have limits, and this node has room in {} ms",
+                it.as_millis()
+            ),
+            Unavailable::Limited { room_in: None } => {
+                write!(f, "all upstreams have limits, of which this node has no part")
+            }
+            Unavailable::Full { upstreams, full, cold, limited, suspect } => write!(
+                f,
+                "no upstream has capacity: {upstreams} known, {full} full, {cold} cold, {limited} limited, \
+                 {suspect} suspect"
             ),
         }
     }
@@ -110,11 +130,15 @@
     progress: Progress,
 ) -> Result<Slot, Unavailable> {
     let started = Instant::now();
+    let until = longest_wait(state, context, progress);
     let criteria = criteria(context, tried);
     check_quarantine(state, context)?;
     if progress == Progress::New && is_absent(state, &criteria.target) {
         return Err(Unavailable::Absent);
     }
+    if progress == Progress::New {
+        check_limits(state, &criteria.target, until.saturating_duration_since(started))?;
+    }
     let grant = if state.admission.has_waiting(&criteria.target) {
         None
     } else {
@@ -122,7 +146,7 @@
     };
     let grant = match grant {
         Some(it) => it,
-        None => wait_for_upstream(state, context, criteria, progress).await?,
+        None => wait_for_upstream(state, context, criteria, progress, until).await?,
     };
     check_quarantine(state, context)?;
     report::record_choice(state, context, &grant.upstream, started.elapsed());
@@ -160,23 +184,45 @@
     }
 }
 
+/// Returns until when a request may wait for an upstream.
+fn longest_wait(state: &State, context: &Context, progress: Progress) -> Instant {
+    if progress == Progress::Started {
+        return context.deadline;
+    }
+    let objective =
+        context.route.latency_objective.mul_f64(state.current_settings().admission.wait);
+    let is_stream = context.route.retry.is_stream();
+    let service_time = if is_stream { state.mean_first_event() } else { Duration::ZERO };
+    (Instant::now() + queue::longest_wait(objective, service_time)).min(context.deadline)
+}
+
+/// Checks that this node has room for a request within `wait` if all upstreams of its target name limits.
+///
+/// # Errors
+///
+/// [`Unavailable::Limited`].
+fn check_limits(state: &State, target: &Target, wait: Duration) -> Result<(), Unavailable> {
+    let snapshot = state.routing.load();
+    let upstreams = snapshot.upstreams(&target.service, target.model.as_deref());
+    if !upstreams.iter().all(|it| it.notices.is_limited()) {
+        return Ok(());
+    }
+    let now = state.now();
+    let room_in = upstreams.iter().filter_map(|it| it.notices.time_to_permit(now)).min();
+    match room_in {
+        Some(it) if it <= wait => Ok(()),
+        _ => Err(Unavailable::Limited { room_in }),
+    }
+}
+
 /// Waits in the admission queue until an upstream is assigned or the wait times out.
 async fn wait_for_upstream(
     state: &Arc<State>,
     context: &Context,
     criteria: Criteria,
     progress: Progress,
+    until: Instant,
 ) -> Result<Grant, Unavailable> {
-    let until = match progress {
-        Progress::Started => context.deadline,
-        Progress::New => {
-            let objective =
-                context.route.latency_objective.mul_f64(state.current_settings().admission.wait);
-            let is_stream = context.route.retry.is_stream();
-            let service_time = if is_stream { state.mean_first_event() } else { Duration::ZERO };
-            (Instant::now() + queue::longest_wait(objective, service_time)).min(context.deadline)
-        }
-    };
     let target = criteria.target.clone();
     let mut ticket = state.admission.enqueue(criteria, progress, context.priority);
     state.capacity_changed.notify_one();
@@ -199,6 +245,7 @@
         upstreams: upstreams.len(),
         full: upstreams.iter().filter(|it| !has_free_slot(it, fill)).count(),
         cold: upstreams.iter().filter(|it| it.stats.is_cold(now)).count(),
+        limited: upstreams.iter().filter(|it| !has_limit_permit(it, now)).count(),
         suspect: upstreams.iter().filter(|it| it.stats.is_suspect(now)).count(),
     }
 }
@@ -232,10 +279,18 @@
     {
         return None;
     }
+    if !upstream.notices.try_take_permit(now) {
+        return None;
+    }
     let in_flight = upstream.stats.begin_request(now);
     Some(Grant { upstream: Arc::clone(upstream), in_flight })
 }
 
+/// Returns whether the limit that an upstream names, if any, lets this node send a request now.
+fn has_limit_permit(upstream: &Upstream, now: Duration) -> bool {
+    upstream.notices.time_to_permit(now) == Some(Duration::ZERO)
+}
+
 /// Returns this node's share of the request rate that an upstream sustains during slow start, in
 /// requests per second; `None` if the upstream is warm or its rate isn't limited.
 fn cold_rate(upstream: &Upstream, now: Duration) -> Option<f64> {
@@ -254,6 +309,7 @@
         has_free_slot(it, fill)
             && !it.stats.is_excluded(now)
             && !criteria.tried.contains(&it.host)
+            && has_limit_permit(it, now)
             && cold_rate(it, now).is_none_or(|rate| it.stats.has_cold_permit(now, rate))
     };
     let all = snapshot.upstreams(&criteria.target.service, criteria.target.model.as_deref());
--- a/cuminward-gateway/src/ingress/metrics.rs
+++ b/cuminward-gateway/src/ingress/metrics.rs
@@ -40,6 +40,9 @@
 /// Datagrams of other nodes that couldn't be decoded.
 const UNREADABLE: &str = "cuminward_gateway_unreadable_datagrams_total";
 
+/// Hosts that name a limit on their requests.
+const LIMITED_HOSTS: &str = "cuminward_gateway_limited_hosts";
+
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
 
@@ -91,6 +94,7 @@
             ::metrics::gauge!(PEERS, "build" => build.clone()).set(*count as f64);
         }
         ::metrics::counter!(UNREADABLE).absolute(state.unreadable());
+        ::metrics::gauge!(LIMITED_HOSTS).set(state.limited_hosts() as f64);
         handle.run_upkeep();
         handle.render()
     }
--- a/cuminward-gateway/src/peer/datagram.rs
+++ b/cuminward-gateway/src/peer/datagram.rs
@@ -11,6 +11,7 @@
 use cuminward_derive::record;
 
 use super::{digest::Digest, feature};
+use crate::state::notices::Report;
 
 /// Largest datagram, in bytes.
 pub(crate) const MAX_BYTES: usize = 60_000;
@@ -27,6 +28,9 @@
     pub(crate) build: String,
     /// Features of the node's build.
     pub(crate) features: Vec<feature::Id>,
+    /// Limits of hosts that began or ended lately.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) limits: Vec<Report>,
 }
 
 /// A datagram that was received.
@@ -39,10 +43,11 @@
 /// Life cycle
 impl Extension {
     /// Creates the extension of this build.
-    pub(crate) fn own() -> Extension {
+    pub(crate) fn own(limits: Vec<Report>) -> Extension {
         Extension {
             build: String::from(env!("CARGO_PKG_VERSION")),
             features: feature::OWN.to_vec(),
+            limits,
         }
     }
 }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -157,7 +157,7 @@
 /// Sends digests until the task is dropped.
 pub(crate) async fn send(state: Arc<State>, peers: Arc<Peers>, socket: Arc<UdpSocket>, start: u64) {
     let mut builder = Builder { start, number: 0 };
-    let mut told = Told { extension: Extension::own().encode(), at: HashMap::new() };
+    let mut told: Told = HashMap::new();
     loop {
         let digest = builder.build_next(&state);
         if let Err(error) = send_digest(&state, &peers, &socket, &digest, &mut told).await {
@@ -174,13 +174,8 @@
     }
 }
 
-/// What other nodes were told about this one.
-struct Told {
-    /// Bytes of the extension, which stays the same.
-    extension: Vec<u8>,
-    /// When it was last sent to each address, since the node's start.
-    at: HashMap<SocketAddr, Duration>,
-}
+/// When the extension was last sent to each address, since the node's start.
+type Told = HashMap<SocketAddr, Duration>;
 
 /// Sends a digest to the nodes whose turn it is, with the extension to those that haven't got it for a while.
 ///
@@ -196,12 +191,17 @@
 ) -> io::Result<()> {
     let now = state.now();
     let plain = datagram::encode(digest)?;
-    let extended = [plain.as_slice(), &told.extension].concat();
-    told.at.retain(|_, at| now < *at + datagram::EXTENSION_INTERVAL);
+    if state.take_limit_news() {
+        told.clear();
+    }
+    told.retain(|_, at| now < *at + datagram::EXTENSION_INTERVAL);
+    let extend = || [plain.as_slice(), &Extension::own(state.limit_reports()).encode()].concat();
+    let mut extended = None;
     let is_broadcast = state.take_broadcast_request();
     for address in peers.targets(now, digest.number, is_broadcast) {
-        let bytes = if told.at.contains_key(&address) { &plain } else { &extended };
-        told.at.entry(address).or_insert(now);
+        let is_told = told.contains_key(&address);
+        let bytes = if is_told { &plain } else { &*extended.get_or_insert_with(extend) };
+        told.entry(address).or_insert(now);
         if let Err(error) = socket.send_to(bytes, address).await {
             log::debug!("can't send a digest to {address}: {error}");
         }
@@ -251,7 +251,12 @@
     if !peers.store(now, digest, extension.clone()) {
         return;
     }
-    if let Some(it) = extension.filter(|it| extension_before.as_ref() != Some(it)) {
+    if let Some(it) = &extension {
+        state.apply_limit_reports(&it.limits);
+    }
+    let told_build = |it: &Extension| (it.build.clone(), it.features.clone());
+    let build_before = extension_before.as_ref().map(told_build);
+    if let Some(it) = extension.filter(|it| build_before != Some(told_build(it))) {
         let features: Vec<String> = it.features.iter().map(ToString::to_string).collect();
         let (node, features) = (node.clone(), features.join(","));
         state.events.emit(Kind::BuildHeard { from: node, build: it.build, features });
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -22,7 +22,8 @@
 
 use super::{
     declarations::Declarations,
-    routing::{self, Member, Pool, Snapshot, Upstream},
+    notices,
+    routing::{self, Key, Member, Pool, Snapshot, Upstream},
     stats::Stats,
 };
 
@@ -56,6 +57,8 @@
     losses: loss::Tracker,
     /// Hosts that are slow.
     slowdowns: slowdown::Tracker,
+    /// What hosts say of themselves, by host and start.
+    notices: HashMap<Key, Arc<notices::Host>>,
     /// Load and health of upstreams, by name.
     stats: HashMap<String, Arc<Stats>>,
 }
@@ -87,6 +90,7 @@
             cold_until: BTreeMap::new(),
             losses: loss::Tracker::default(),
             slowdowns: slowdown::Tracker::default(),
+            notices: HashMap::new(),
             stats: HashMap::new(),
         }
     }
@@ -120,6 +124,16 @@
         self.nodes.rank(routing::key(host)) < loss::PROBERS
     }
 
+    /// Iterates over what hosts say of themselves, by host and start.
+    pub(crate) fn all_notices(&self) -> impl Iterator<Item = (Key, &Arc<notices::Host>)> {
+        self.notices.iter().map(|(key, it)| (*key, it))
+    }
+
+    /// Returns what a start of a host says of itself.
+    pub(crate) fn notices_of(&self, key: Key) -> Option<Arc<notices::Host>> {
+        self.notices.get(&key).cloned()
+    }
+
     /// Returns the services that have a model engine, with their engines.
     pub(crate) fn engines(&self) -> Vec<(id::Service, engine::Engine)> {
         let Some(catalog) = &self.declarations.catalog else { return Vec::new() };
@@ -409,6 +423,7 @@
         let snapshot = Snapshot::new(catalog, services);
         let used: BTreeSet<String> = snapshot.routable().map(|it| it.name.clone()).collect();
         self.stats.retain(|name, it| used.contains(name) || it.in_flight() > 0);
+        self.notices.retain(|_, it| Arc::strong_count(it) > 1 || it.is_limited_lately(now));
         snapshot
     }
 
@@ -465,6 +480,7 @@
             members: members.collect(),
             slowdown: group.members.values().map(|it| it.slowdown).fold(slowdown::NORMAL, f64::max),
             cold_share: self.cold_share(now, service, &head.id),
+            notices: self.notices(head),
             stats: self.upstream_stats(now, &name, &head.id),
             name,
         }
@@ -487,6 +503,7 @@
                 affinity: routing::affinity(&self.node, key),
                 stats: self.upstream_stats(now, &name, &host.id),
                 cold_share: self.cold_share(now, service, &host.id),
+                notices: self.notices(&host),
                 name,
                 host: host.id,
                 address: host.address,
@@ -507,6 +524,17 @@
         Some(self.cold.limit(rate).share(self.nodes.standing(routing::key(host))))
     }
 
+    /// Returns what the present start of a host says of itself.
+    fn notices(&mut self, host: &host::Host) -> Arc<notices::Host> {
+        let key = routing::key(&format!("{}/{}", host.id, host.started_ms));
+        let new = || Arc::new(notices::Host::new(host.id.clone()));
+        let notices = Arc::clone(self.notices.entry(key).or_insert_with(new));
+        if notices.is_limited() {
+            notices.set_standing(self.nodes.standing(routing::key(&host.id)));
+        }
+        notices
+    }
+
     fn upstream_stats(&mut self, now: Duration, name: &str, host: &str) -> Arc<Stats> {
         let stats = Arc::clone(self.stats.entry(name.to_owned()).or_default());
         if let Some(until) = self.cold_until.get(host).filter(|until| **until > now) {
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod cluster;
 pub(crate) mod declarations;
 pub(crate) mod election;
+pub(crate) mod notices;
 pub(crate) mod quarantine;
 pub(crate) mod routing;
 pub(crate) mod stats;
@@ -108,6 +109,8 @@
     /// When the last successful read of the host list began, in milliseconds since the node's start; 0
     /// if none succeeded.
     host_list_read_ms: AtomicU64,
+    /// Whether this node has found since the last digest that a limit of a host began or ended.
+    has_limit_news: AtomicBool,
     /// Whether the next digest goes to all other nodes at once.
     is_broadcast_requested: AtomicBool,
     /// Mean time from sending a request with a streamed response to its first event, in milliseconds.
@@ -165,6 +168,7 @@
             capacity_changed: Notify::new(),
             snapshot_changed: Notify::new(),
             host_list_read_ms: AtomicU64::new(0),
+            has_limit_news: AtomicBool::new(false),
             is_broadcast_requested: AtomicBool::new(false),
             first_event_ms: AtomicU64::new(0),
         })
--- /dev/null
+++ b/cuminward-gateway/src/state/notices.rs
@@ -0,0 +1,245 @@
+//! What hosts say of themselves in their responses, for each start of a host.
+
+use std::{
+    fmt,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use cuminward_derive::record;
+use cuminward_event::kind::Kind;
+use cuminward_serving::{
+    id,
+    nodes::Standing,
+    notice::{self, Change, Rate, Tracker},
+};
+
+use super::{
+    State,
+    routing::{self, Key},
+};
+
+/// Time for which the limit of a host is kept that no upstream uses, as its entry may come back.
+const RETENTION: Duration = Duration::from_secs(60);
+
+/// Time for which a node tells the others that a limit began or ended.
+const NEWS_TIME: Duration = Duration::from_secs(6);
+
+/// Largest number of limits of which a node tells the others at a time.
+const MAX_REPORTS: usize = 64;
+
+/// What a node tells the others about the limit of a start of a host.
+#[record]
+pub(crate) struct Report {
+    /// The host and its start.
+    pub(crate) host: Key,
+    /// Requests per second that the host takes from all nodes together; `None` if it names no limit any more.
+    pub(crate) rate: Option<Rate>,
+    /// Time since the node knew it, in milliseconds.
+    pub(crate) age_ms: u64,
+}
+
+/// What one start of a host says of itself. Requests to hosts without a limit take no lock.
+#[derive(Debug)]
+pub(crate) struct Host {
+    id: id::Host,
+    is_limited: AtomicBool,
+    /// When a request was last sent whose response named no limit, while none was known, in milliseconds since the
+    /// node's start.
+    unlimited_ms: AtomicU64,
+    limit: Mutex<Limit>,
+}
+
+#[derive(Debug, Default)]
+struct Limit {
+    tracker: Tracker,
+    /// This node's standing among those that share the limit; `None` as long as it isn't known.
+    standing: Option<Standing>,
+}
+
+/// Life cycle
+impl Host {
+    /// Creates a host that has said nothing yet.
+    pub(crate) fn new(id: id::Host) -> Host {
+        Host {
+            id,
+            is_limited: AtomicBool::new(false),
+            unlimited_ms: AtomicU64::new(0),
+            limit: Mutex::default(),
+        }
+    }
+}
+
+/// Access
+impl Host {
+    /// Returns whether the host names a limit, as far as this node knows.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.is_limited.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the host named a limit within [`RETENTION`].
+    pub(crate) fn is_limited_lately(&self, now: Duration) -> bool {
+        self.is_limited() && now < self.lock().tracker.known_at() + RETENTION
+    }
+
+    /// Returns the time until this node may send a request to the host: zero if it may now, `None` if it may not
+    /// until it hears more.
+    pub(crate) fn time_to_permit(&self, now: Duration) -> Option<Duration> {
+        if !self.is_limited() {
+            return Some(Duration::ZERO);
+        }
+        let limit = self.lock();
+        limit.tracker.time_to_permit(now, limit.standing)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Limit> {
+        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Mutation
+impl Host {
+    /// Takes a permit to send a request to the host. Returns false if there is none now.
+    pub(crate) fn try_take_permit(&self, now: Duration) -> bool {
+        if !self.is_limited() {
+            return true;
+        }
+        let mut limit = self.lock();
+        let standing = limit.standing;
+        limit.tracker.try_take_permit(now, standing)
+    }
+
+    /// Sets this node's standing among those that share the limit.
+    pub(crate) fn set_standing(&self, standing: Option<Standing>) {
+        self.lock().standing = standing;
+    }
+
+    /// Records what the response to a request that was sent at `sent_at` says about the limit.
+    fn record_response(
+        &self,
+        now: Duration,
+        sent_at: Duration,
+        limit: Option<Rate>,
+    ) -> Option<Change> {
+        if limit.is_none() && !self.is_limited() {
+            self.unlimited_ms.fetch_max(sent_at.as_millis() as u64, Ordering::Relaxed);
+            return None;
+        }
+        self.update(|it| it.record_response(now, sent_at, limit))
+    }
+
+    /// Records what another node knew about the limit at the time `known_at`.
+    fn record_report(
+        &self,
+        now: Duration,
+        known_at: Duration,
+        limit: Option<Rate>,
+    ) -> Option<Change> {
+        let unlimited_at = Duration::from_millis(self.unlimited_ms.load(Ordering::Relaxed));
+        if known_at <= unlimited_at {
+            return None;
+        }
+        self.update(|it| it.record_report(now, known_at, limit))
+    }
+
+    fn update(&self, change: impl FnOnce(&mut Tracker) -> Option<Change>) -> Option<Change> {
+        let mut inner = self.lock();
+        let change = change(&mut inner.tracker);
+        self.is_limited.store(inner.tracker.rate().is_some(), Ordering::Relaxed);
+        change
+    }
+}
+
+/// Access
+impl State {
+    /// Returns the number of hosts that name a limit, as far as this node knows.
+    pub(crate) fn limited_hosts(&self) -> usize {
+        self.cluster().all_notices().filter(|(_, it)| it.is_limited()).count()
+    }
+
+    /// Returns what this node tells the others about the limits of hosts.
+    pub(crate) fn limit_reports(&self) -> Vec<Report> {
+        let now = self.now();
+        let cluster = self.cluster();
+        let reports = cluster.all_notices().filter_map(|(host, it)| {
+            let limit = it.lock();
+            let (rate, known_at) = limit.tracker.news(now, NEWS_TIME, limit.standing)?;
+            let age_ms = now.saturating_sub(known_at).as_millis() as u64;
+            Some(Report { host, rate, age_ms })
+        });
+        reports.take(MAX_REPORTS).collect()
+    }
+}
+
+/// Mutation
+impl State {
+    /// Records what the response of a host to a request that was sent at `sent_at` says about its limit.
+    pub(crate) fn record_limit(&self, host: &Host, sent_at: Duration, limit: Option<Rate>) {
+        let change = host.record_response(self.now(), sent_at, limit);
+        self.apply_limit_change(host, change, Source::Response);
+    }
+
+    /// Records what another node tells about the limits of hosts.
+    pub(crate) fn apply_limit_reports(&self, reports: &[Report]) {
+        let now = self.now();
+        for it in reports {
+            let Some(host) = self.cluster().notices_of(it.host) else { continue };
+            let known_at = now.saturating_sub(Duration::from_millis(it.age_ms));
+            let change = host.record_report(now, known_at, it.rate);
+            self.apply_limit_change(&host, change, Source::Node);
+        }
+    }
+
+    fn apply_limit_change(&self, host: &Host, change: Option<Change>, source: Source) {
+        let Some(change) = change else { return };
+        self.has_limit_news.fetch_or(source == Source::Response, Ordering::Relaxed);
+        let source = source.to_string();
+        match change {
+            Change::Named(rate) => {
+                let standing = self.cluster().nodes.standing(routing::key(&host.id));
+                host.set_standing(standing);
+                self.events.emit(Kind::LimitNamed {
+                    host: host.id.clone(),
+                    rate: per_minute(rate),
+                    share: per_minute(notice::limit(rate).share(standing)),
+                    source,
+                });
+            }
+            Change::Ended => {
+                self.events.emit(Kind::LimitEnded { host: host.id.clone(), source });
+                self.capacity_changed.notify_one();
+            }
+        }
+    }
+
+    /// Returns whether this node has found since the last call that a limit of a host began or ended.
+    pub(crate) fn take_limit_news(&self) -> bool {
+        self.has_limit_news.swap(false, Ordering::Relaxed)
+    }
+}
+
+/// How a node learnt of a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// From a response of the host.
+    Response,
+    /// From another node.
+    Node,
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Source::Response => "response",
+            Source::Node => "node",
+        })
+    }
+}
+
+/// Returns a rate in requests per minute.
+fn per_minute(rate: Rate) -> u64 {
+    (rate * 60.0).round() as u64
+}
--- a/cuminward-gateway/src/state/routing.rs
+++ b/cuminward-gateway/src/state/routing.rs
@@ -8,7 +8,7 @@
 use cuminward_serving::{catalog, id, slowdown};
 use xxhash_rust::xxh3;
 
-use super::stats::Stats;
+use super::{notices, stats::Stats};
 
 /// Key that identifies an upstream on all nodes: a hash of its name.
 pub(crate) type Key = u64;
@@ -54,6 +54,8 @@
     /// This node's share of the request rate while the upstream is cold, in requests per second; `None` if
     /// there is no limit.
     pub(crate) cold_share: Option<f64>,
+    /// What the host that takes the requests says of itself.
+    pub(crate) notices: Arc<notices::Host>,
     pub(crate) stats: Arc<Stats>,
 }
 
--- a/cuminward-gateway/tests/all/limits.rs
+++ b/cuminward-gateway/tests/all/limits.rs
@@ -338,6 +338,8 @@
         let hosts = service.hosts(&site);
         hosts.iter().for_each(|it| it.name_limit(Some("0.5")));
         let _ = drive(&nodes, service, LOAD, Duration::from_secs(1)).await;
+        // The ids of the next requests are the same.
+        hosts.iter().for_each(Host::clear_received);
         let answers = drive(&nodes, service, LOAD, Duration::from_secs(4)).await;
         let rejections = rejections(&answers);
         let mut times: Vec<Duration> = rejections.iter().map(|it| it.elapsed).collect();
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod loss;
 pub mod message;
 pub mod nodes;
+pub mod notice;
 pub mod path;
 pub mod placement;
 pub mod position;
--- a/cuminward-serving/src/request.rs
+++ b/cuminward-serving/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{event, id};
+use crate::{event, id, notice::Notice};
 
 /// Metadata in the headers of a request from a caller.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -51,7 +51,7 @@
 }
 
 /// Metadata in the head of a response from an upstream.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Response {
     /// Identifier of the request that is answered.
     pub id: Option<id::Request>,
@@ -64,4 +64,6 @@
     pub is_misdirected: bool,
     /// Time for which the host stays cold.
     pub cold_left: Option<Duration>,
+    /// What the host says of itself.
+    pub notice: Notice,
 }
--- a/cuminward-serving/tests/all/limit.rs
+++ b/cuminward-serving/tests/all/limit.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use cuminward_serving::{bucket::Bucket, limit::Limit, nodes};
+use cuminward_serving::{bucket::Bucket, limit::Limit, nodes, notice};
 use googletest::prelude::*;
 use xxhash_rust::xxh3;
 
@@ -32,6 +32,11 @@
     }
 }
 
+/// Returns the largest number of requests that a host which names a rate bears within a window.
+fn named_bound(rate: f64) -> f64 {
+    1.5 * 4.0 * rate + 5.0
+}
+
 /// A node with its own view of the other nodes.
 struct Node {
     nodes: nodes::List,
@@ -107,6 +112,10 @@
         (cold(23.0, 39.5), 39.5),
         (cold(36.0, 59.0), 59.0),
         (cold(2.0, 8.0), 8.0),
+        (notice::limit(0.5), named_bound(0.5)),
+        (notice::limit(2.0), named_bound(2.0)),
+        (notice::limit(4.2), named_bound(4.2)),
+        (notice::limit(30.0), named_bound(30.0)),
     ];
     let case =
         |name, known| Case { name, known, added: 0, restarted: 0.0, unread: 0.0, least: 0.8 };
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod loss;
 mod message;
 mod nodes;
+mod notice;
 mod path;
 mod placement;
 mod progress;
