--- /dev/null
+++ b/cuminward-gateway/tests/all/limits.rs
@@ -0,0 +1,576 @@
+//! Hosts that name the number of requests per second that they take from all nodes together.
+
+use std::{
+    iter, slice,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use cuminward_adapter::topic;
+use cuminward_adapter_fake::{
+    address,
+    caller::Response,
+    catalog::{Retry, Route},
+    entry::Entry,
+    header,
+    host::{self, Behaviour, Host},
+    store::Store,
+};
+use futures::{StreamExt, future, stream};
+use googletest::prelude::*;
+use http::header::RETRY_AFTER;
+use serde_json::json;
+use tokio::time::{self, Instant};
+
+use crate::site::{self, Node, Site};
+
+/// Time in which nodes hear of each other.
+const SETTLE_TIME: Duration = Duration::from_millis(1500);
+
+/// Time from when a host first named a limit until the limit holds.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
+/// Period in which the requests to a host are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Requests per second from the callers of all nodes together.
+const LOAD: f64 = 60.0;
+
+/// Number of hosts of each service.
+const HOSTS: usize = 3;
+
+/// Time in which plain hosts respond. Requests that a node gets at the same time overlap, so that it uses all hosts.
+const RESPONSE_TIME: Duration = Duration::from_millis(50);
+
+/// Number of requests that the hosts of a test get at most.
+const MAX_REQUESTS: usize = 4000;
+
+/// Number of cases that are played at the same time.
+const CONCURRENT_CASES: usize = 5;
+
+/// Returns the maximum number of requests that a host may get in [`WINDOW`].
+fn allowed(limit: f64) -> usize {
+    (1.5 * limit * WINDOW.as_secs_f64() + 5.0).floor() as usize
+}
+
+/// Kind of the hosts that the callers of a case need.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Service {
+    Plain,
+    Engine,
+}
+
+/// Access
+impl Service {
+    /// Returns the path prefix of requests for the service.
+    fn prefix(self) -> &'static str {
+        match self {
+            Service::Plain => "/desk/",
+            Service::Engine => "/chat/",
+        }
+    }
+
+    /// Returns the headers of requests for the service, which resume a stream near its end, so that replicas have
+    /// free slots.
+    fn headers(self) -> &'static [(&'static str, &'static str)] {
+        match self {
+            Service::Plain => &[],
+            Service::Engine => &[(header::MODEL, site::MODEL), (header::LAST_EVENT, "6")],
+        }
+    }
+
+    fn hosts(self, site: &Site) -> &[Host] {
+        match self {
+            Service::Plain => &site.plain,
+            Service::Engine => &site.replicas,
+        }
+    }
+}
+
+/// Which hosts of a service name a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Limited {
+    /// One host, beside others without a limit.
+    One,
+    All,
+}
+
+/// Starts `count` nodes that hear of each other.
+async fn start_nodes(site: &Site, count: usize) -> Vec<Node> {
+    let names: Vec<String> = (0..count).map(|it| format!("limits-{it}")).collect();
+    let nodes = future::join_all(names.iter().map(|it| site.node(it))).await;
+    time::sleep(SETTLE_TIME).await;
+    site.plain.iter().chain(&site.replicas).for_each(Host::clear_received);
+    nodes
+}
+
+/// Starts `count` nodes that know of each other and can't reach each other, each with a store of its own.
+async fn start_deaf_nodes(site: &Site, count: usize) -> (Vec<Node>, Vec<Store>) {
+    let names: Vec<String> = (0..count).map(|it| format!("limits-{it}")).collect();
+    let names = &names;
+    let starting = names.iter().map(|name| async move {
+        let view = Store::start().await.expect("a loopback port is free");
+        for other in names.iter().filter(|it| *it != name) {
+            let closed = address::allocate().expect("a loopback port is free");
+            view.put(topic::NODES, other, &closed.to_string());
+        }
+        site.plain.iter().for_each(|it| view.put_entry(&it.id, &site::plain_entry(it)));
+        site.replicas.iter().for_each(|it| view.put_entry(&it.id, &site::replica_entry(it)));
+        view.declare(&site::usual_catalog(1, None, 1));
+        let node = site.start_node(name, view.address).await;
+        (site.wait_until_known(node).await, view)
+    });
+    let (nodes, views) = future::join_all(starting).await.into_iter().unzip();
+    time::sleep(SETTLE_TIME).await;
+    site.plain.iter().chain(&site.replicas).for_each(Host::clear_received);
+    (nodes, views)
+}
+
+/// Makes hosts handle all requests of a test in one way.
+fn handle_all(hosts: &[Host], behaviour: &Behaviour) {
+    host::share_script(hosts, iter::repeat_n(behaviour.clone(), MAX_REQUESTS));
+}
+
+/// The end of a caller's request.
+struct Answer {
+    path: String,
+    elapsed: Duration,
+    /// `None` if the node closed the connection.
+    response: Option<Response>,
+}
+
+/// Access
+impl Answer {
+    fn status(&self) -> Option<u16> {
+        self.response.as_ref().map(|it| it.status.as_u16())
+    }
+
+    /// Returns the time after which the caller is to send the request again.
+    fn retry_after(&self) -> Option<Duration> {
+        let value = self.response.as_ref()?.headers.get(RETRY_AFTER)?;
+        Duration::try_from_secs_f64(value.to_str().ok()?.parse().ok()?).ok()
+    }
+
+    fn is_served(&self) -> bool {
+        self.response.as_ref().is_some_and(|it| it.status.is_success() && it.is_complete)
+    }
+}
+
+/// Sends a request for a service with an id of its own.
+async fn send(node: &Node, service: Service) -> Answer {
+    static NEXT_ID: AtomicU64 = AtomicU64::new(0);
+    let id = NEXT_ID.fetch_add(1, Ordering::Relaxed).to_string();
+    let path = format!("{}{id}", service.prefix());
+    let headers = [service.headers(), &[(header::REQUEST_ID, id.as_str())]].concat();
+    let sent_at = Instant::now();
+    let response = node.send("POST", &path, &headers, "body").await.ok();
+    Answer { path, elapsed: sent_at.elapsed(), response }
+}
+
+/// Sends requests to all nodes in turn, as many at a time as there are hosts and `rate` per second, whether or not
+/// earlier ones were answered.
+async fn drive(nodes: &[Node], service: Service, rate: f64, duration: Duration) -> Vec<Answer> {
+    let started = Instant::now();
+    let bursts = (duration.as_secs_f64() * rate) as u32 / HOSTS as u32;
+    let interval = duration / bursts;
+    let sending = (0..bursts).zip(nodes.iter().cycle()).map(|(burst, node)| async move {
+        time::sleep_until(started + interval * burst).await;
+        future::join_all((0..HOSTS).map(|_| send(node, service))).await
+    });
+    future::join_all(sending).await.into_iter().flatten().collect()
+}
+
+/// Returns when requests arrived at a host, in their order.
+fn arrivals(host: &Host) -> Vec<Instant> {
+    let mut arrivals: Vec<Instant> = host.received().iter().map(|it| it.at).collect();
+    arrivals.sort();
+    arrivals
+}
+
+/// Returns the largest number of arrivals within [`WINDOW`], from [`STABLE_WINDOW`] after the first one on.
+fn max_in_window(arrivals: &[Instant]) -> usize {
+    let Some(first) = arrivals.first() else { return 0 };
+    let stable = arrivals.partition_point(|it| *it < *first + STABLE_WINDOW);
+    let counts = (stable..arrivals.len()).map(|start| {
+        let end = arrivals[start] + WINDOW;
+        arrivals.partition_point(|it| *it < end) - start
+    });
+    counts.max().unwrap_or(0)
+}
+
+/// What the nodes of a case know of each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Exchange {
+    /// They hear each other.
+    Messages,
+    /// They know of each other from the store, and hear nothing from each other.
+    ListOnly,
+}
+
+/// A load at which each host of a service would get several times what a limited one takes.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    nodes: usize,
+    exchange: Exchange,
+    service: Service,
+    limited: Limited,
+    /// Limit of each limited host, in requests per second.
+    limit: f64,
+}
+
+/// What happened in a case.
+struct Outcome {
+    /// Arrivals at each limited host.
+    arrivals: Vec<Vec<Instant>>,
+    answers: Vec<Answer>,
+}
+
+/// Time for which the callers of a case send requests.
+const CASE_DURATION: Duration = Duration::from_secs(9);
+
+/// Case with nodes that hear each other.
+const HEARING: Case = Case {
+    nodes: 1,
+    exchange: Exchange::Messages,
+    service: Service::Plain,
+    limited: Limited::One,
+    limit: 2.0,
+};
+
+async fn play(case: Case) -> Outcome {
+    let site = Site::with_hosts(HOSTS, HOSTS).await;
+    site.configure(1, None);
+    let (nodes, _views) = match case.exchange {
+        Exchange::Messages => (start_nodes(&site, case.nodes).await, Vec::new()),
+        Exchange::ListOnly => start_deaf_nodes(&site, case.nodes).await,
+    };
+    let response = Behaviour::RespondAfter(RESPONSE_TIME, String::from("ok"));
+    handle_all(&site.plain, &response);
+    let hosts = case.service.hosts(&site);
+    let limited = match case.limited {
+        Limited::One => &hosts[..1],
+        Limited::All => hosts,
+    };
+    limited.iter().for_each(|it| it.name_limit(Some(&case.limit.to_string())));
+    let answers = drive(&nodes, case.service, LOAD, CASE_DURATION).await;
+    Outcome { arrivals: limited.iter().map(arrivals).collect(), answers }
+}
+
+/// Checks that limited hosts get no more than they take and at least half of it, and that no request fails if there is
+/// a host without a limit.
+fn check(case: Case, outcome: &Outcome) {
+    let stable_time = (CASE_DURATION - STABLE_WINDOW).as_secs_f64();
+    for arrivals in &outcome.arrivals {
+        expect_that!(max_in_window(arrivals), le(allowed(case.limit)), "{case:?}");
+        let stable = arrivals.iter().filter(|it| **it >= arrivals[0] + STABLE_WINDOW).count();
+        if case.limit >= 2.0 {
+            expect_that!(stable as f64, ge(case.limit * stable_time / 2.0), "{case:?}");
+        }
+    }
+    let failed = outcome.answers.iter().filter(|it| match case.limited {
+        Limited::One => !it.is_served(),
+        Limited::All => !it.is_served() && it.status() != Some(503),
+    });
+    let failed: Vec<_> = failed.map(|it| (&it.path, it.status(), it.elapsed)).collect();
+    expect_that!(failed, is_empty(), "{case:?}");
+}
+
+async fn play_and_check(cases: impl IntoIterator<Item = Case>) {
+    let playing = stream::iter(cases).map(|case| async move { (case, play(case).await) });
+    let outcomes: Vec<_> = playing.buffered(CONCURRENT_CASES).collect().await;
+    outcomes.iter().for_each(|(case, outcome)| check(*case, outcome));
+}
+
+/// Guards against nodes that together send a host more requests than the limit that it names, against limited hosts
+/// that get next to nothing, and against requests that fail although other hosts have no limit.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_names_a_limit_gets_no_more_from_all_nodes_together() {
+    let (all, engine) = (Limited::All, Service::Engine);
+    let cases = [
+        Case { nodes: 1, limit: 2.0, ..HEARING },
+        Case { nodes: 1, limit: 2.0, service: engine, limited: all, ..HEARING },
+        Case { nodes: 3, limit: 0.5, limited: all, ..HEARING },
+        Case { nodes: 3, limit: 2.0, service: engine, ..HEARING },
+        Case { nodes: 6, limit: 5.0, ..HEARING },
+        Case { nodes: 1, limit: 0.5, service: engine, ..HEARING },
+        Case { nodes: 3, limit: 5.0, ..HEARING },
+        Case { nodes: 6, limit: 2.0, limited: all, ..HEARING },
+        Case { nodes: 6, limit: 0.5, service: engine, ..HEARING },
+        Case { nodes: 6, limit: 2.0, service: engine, limited: all, ..HEARING },
+    ];
+    play_and_check(cases).await;
+}
+
+/// Guards against nodes that each use the parts of others while they can't hear that these do so too.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_holds_while_nodes_do_not_hear_each_other() {
+    const DEAF: Case = Case { exchange: Exchange::ListOnly, ..HEARING };
+    let cases = [
+        Case { nodes: 3, limit: 2.0, ..DEAF },
+        Case { nodes: 3, limit: 0.5, service: Service::Engine, ..DEAF },
+        Case { nodes: 6, limit: 5.0, ..DEAF },
+        Case { nodes: 6, limit: 2.0, limited: Limited::All, ..DEAF },
+    ];
+    play_and_check(cases).await;
+}
+
+/// Returns the answers of nodes that had no room for the request.
+fn rejections(answers: &[Answer]) -> Vec<&Answer> {
+    answers.iter().filter(|it| it.status() == Some(503)).collect()
+}
+
+/// Guards against callers who wait in vain, or are told a time after which there is no room yet.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_rejected_at_once_if_all_hosts_have_used_their_limits() -> Result<()> {
+    /// Longest time that half of the rejections take. Requests wait for twice as long if there is room by then.
+    const AT_ONCE: Duration = Duration::from_millis(150);
+
+    /// Time by which a caller returns later than it was told.
+    const LATENESS: Duration = Duration::from_millis(100);
+
+    for service in [Service::Plain, Service::Engine] {
+        let site = Site::with_hosts(2, 2).await;
+        site.configure(1, None);
+        let nodes = start_nodes(&site, 1).await;
+        let hosts = service.hosts(&site);
+        hosts.iter().for_each(|it| it.name_limit(Some("0.5")));
+        let _ = drive(&nodes, service, LOAD, Duration::from_secs(1)).await;
+        // The ids of the next requests are the same.
+        hosts.iter().for_each(Host::clear_received);
+        let answers = drive(&nodes, service, LOAD, Duration::from_secs(4)).await;
+        let rejections = rejections(&answers);
+        let mut times: Vec<Duration> = rejections.iter().map(|it| it.elapsed).collect();
+        times.sort();
+        expect_that!(times.get(times.len() / 2), some(lt(&AT_ONCE)), "{service:?}");
+        let untold = rejections.iter().filter(|it| it.retry_after().is_none()).count();
+        expect_that!(untold, eq(0), "{service:?}");
+        let received: Vec<_> = hosts.iter().flat_map(Host::received).collect();
+        let was_sent = |it: &Answer| {
+            received.iter().any(|request| request.request_line == format!("POST {}", it.path))
+        };
+        expect_that!(rejections.iter().filter(|it| was_sent(it)).count(), eq(0), "{service:?}");
+        let Some(after) = send(&nodes[0], service).await.retry_after() else { continue };
+        time::sleep(after + LATENESS).await;
+        let answer = send(&nodes[0], service).await;
+        expect_that!(answer.is_served(), eq(true), "{service:?}, after {after:?}");
+    }
+    Ok(())
+}
+
+/// What ends the limit of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The host responds without a limit.
+    Response,
+    /// The host was started again and names no limit since.
+    Restart,
+}
+
+/// Guards against hosts that get fewer requests for good since they were in need once.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_ends_with_a_response_that_names_none() {
+    /// Time in which all nodes notice the end of a limit.
+    const END_TIME: Duration = Duration::from_secs(4);
+
+    #[derive(Debug, Clone, Copy)]
+    struct Case {
+        nodes: usize,
+        /// Limit in requests per second. Before a restart, it is so low that no response tells the nodes of its end.
+        limit: f64,
+        end: End,
+    }
+
+    /// Returns the maximum number of requests in [`WINDOW`] while there is a limit, and the number after its end.
+    async fn play(case: Case) -> (usize, usize) {
+        let site = Site::with_hosts(HOSTS, 1).await;
+        site.configure(1, None);
+        let nodes = start_nodes(&site, case.nodes).await;
+        let response = Behaviour::RespondAfter(RESPONSE_TIME, String::from("ok"));
+        handle_all(&site.plain, &response);
+        let host = &site.plain[0];
+        host.name_limit(Some(&case.limit.to_string()));
+        drive(&nodes, Service::Plain, LOAD, STABLE_WINDOW + WINDOW).await;
+        let limited = max_in_window(&arrivals(host));
+        host.name_limit(None);
+        if case.end == End::Restart {
+            let restarted = Entry { incarnation: 2, ..site::plain_entry(host) };
+            site.store.put_entry(&host.id, &restarted);
+        }
+        drive(&nodes, Service::Plain, LOAD, END_TIME).await;
+        host.clear_received();
+        drive(&nodes, Service::Plain, LOAD, WINDOW).await;
+        (limited, host.received().len())
+    }
+
+    let cases = [
+        Case { nodes: 1, limit: 2.0, end: End::Response },
+        Case { nodes: 3, limit: 2.0, end: End::Response },
+        Case { nodes: 1, limit: 0.05, end: End::Restart },
+        Case { nodes: 3, limit: 0.05, end: End::Restart },
+    ];
+    let usual = (LOAD * WINDOW.as_secs_f64()) as usize / HOSTS;
+    let playing = cases.map(|case| async move { (case, play(case).await) });
+    for (case, (limited, after)) in future::join_all(playing).await {
+        expect_that!(limited, le(allowed(case.limit)), "{case:?}");
+        expect_that!(after, ge(usual / 2), "{case:?}");
+    }
+}
+
+/// Guards against a limit that ends with a slow response from before the limit, and against one that ends with any new
+/// entry of its host.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_to_an_earlier_request_does_not_end_a_limit() -> Result<()> {
+    /// Number of requests that the host got before it named a limit.
+    const SLOW_REQUESTS: u32 = 40;
+
+    /// Interval at which the host responds to them, and at which it writes its entry.
+    const INTERVAL: Duration = Duration::from_millis(100);
+
+    const LIMIT: f64 = 0.5;
+
+    let site = Site::with_hosts(1, 1).await;
+    let slow = Route {
+        timeout: Duration::from_secs(10),
+        latency_objective: Some(Duration::from_millis(300)),
+        ..site::route("/slow/", Retry::Never, site::PLAIN)
+    };
+    site.configure(1, Some(slow));
+    let host = &site.plain[0];
+    put_wide_entry(&site, host, 0)?;
+    let nodes = start_nodes(&site, 1).await;
+    let mut sending = Vec::new();
+    for index in 0..SLOW_REQUESTS {
+        let response_time = STABLE_WINDOW + INTERVAL * index;
+        host.enqueue(Behaviour::RespondAfter(response_time, String::from("late")));
+        let callers = nodes[0].callers;
+        sending.push(tokio::spawn(async move {
+            let id = format!("slow-{index}");
+            let headers = [(header::REQUEST_ID, id.as_str()), (header::DEADLINE_MS, "10000")];
+            site::send(callers, "POST", "/slow/1", &headers, "").await.map(|it| it.status.as_u16())
+        }));
+    }
+    let arrived = async {
+        while host.received().len() < SLOW_REQUESTS as usize {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    verify_that!(time::timeout(Duration::from_secs(2), arrived).await.is_ok(), eq(true))?;
+    host.clear_received();
+    host.name_limit(Some(&LIMIT.to_string()));
+    tokio::select! {
+        _ = drive(&nodes, Service::Plain, LOAD, STABLE_WINDOW + WINDOW) => {}
+        written = rewrite_entry(&site, host, INTERVAL) => written?,
+    }
+    expect_that!(max_in_window(&arrivals(host)), le(allowed(LIMIT)));
+    for answer in sending {
+        expect_that!(answer.await.or_fail()?.or_fail()?, eq(200));
+    }
+    Ok(())
+}
+
+/// Writes the entry of a host again at an interval, as hosts do that stay.
+async fn rewrite_entry(site: &Site, host: &Host, interval: Duration) -> Result<()> {
+    for seq in 1.. {
+        time::sleep(interval).await;
+        put_wide_entry(site, host, seq)?;
+    }
+    Ok(())
+}
+
+/// Writes an entry of a plain host that runs a hundred requests at once.
+fn put_wide_entry(site: &Site, host: &Host, seq: u64) -> Result<()> {
+    let stored = site.store.entry(&host.id).or_fail()?;
+    let mut entry: serde_json::Value = serde_json::from_slice(&stored).or_fail()?;
+    entry["slots"] = json!(100);
+    entry["seq"] = json!(seq);
+    site.store.put_raw_entry(&host.id, &entry.to_string());
+    Ok(())
+}
+
+/// Guards against nodes that heed a limit only in responses that succeed.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_in_a_failure_or_a_refusal_counts() {
+    const LIMIT: f64 = 0.5;
+
+    struct Case {
+        name: &'static str,
+        service: Service,
+        /// What the only host does with all requests.
+        behaviour: Behaviour,
+    }
+
+    async fn play(case: &Case) -> usize {
+        let site = Site::with_hosts(1, 1).await;
+        site.configure(1, None);
+        let nodes = start_nodes(&site, 1).await;
+        let hosts = case.service.hosts(&site);
+        handle_all(hosts, &case.behaviour);
+        hosts[0].name_limit(Some(&LIMIT.to_string()));
+        drive(&nodes, case.service, LOAD, STABLE_WINDOW + WINDOW).await;
+        max_in_window(&arrivals(&hosts[0]))
+    }
+
+    let (plain, engine) = (Service::Plain, Service::Engine);
+    let cases = [
+        Case { name: "failure", service: plain, behaviour: Behaviour::Fail(500) },
+        Case { name: "overload", service: plain, behaviour: Behaviour::Fail(429) },
+        Case { name: "refusal", service: plain, behaviour: Behaviour::Refuse },
+        Case { name: "failed stream", service: engine, behaviour: Behaviour::Fail(500) },
+        Case { name: "refused stream", service: engine, behaviour: Behaviour::Refuse },
+        Case { name: "head of a stream", service: engine, behaviour: Behaviour::StreamNothing },
+    ];
+    let playing = cases.iter().map(|case| async move { (case, play(case).await) });
+    for (case, received) in future::join_all(playing).await {
+        expect_that!(received, le(allowed(LIMIT)), "{}", case.name);
+    }
+}
+
+/// Guards against limits that hold for the first attempt of each request only.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_were_sent_to_another_host_before_count() {
+    const LIMIT: f64 = 0.5;
+
+    struct Case {
+        name: &'static str,
+        service: Service,
+        /// What the host without a limit does with all requests.
+        behaviour: Behaviour,
+    }
+
+    async fn play(case: &Case) -> usize {
+        let site = Site::with_hosts(2, 2).await;
+        site.configure(1, None);
+        let nodes = start_nodes(&site, 3).await;
+        let [other, limited] = case.service.hosts(&site) else { return usize::MAX };
+        handle_all(slice::from_ref(other), &case.behaviour);
+        limited.name_limit(Some(&LIMIT.to_string()));
+        drive(&nodes, case.service, LOAD, STABLE_WINDOW + WINDOW).await;
+        max_in_window(&arrivals(limited))
+    }
+
+    let late = Behaviour::RespondAfter(Duration::from_secs(1), String::from("late"));
+    let pausing = Behaviour::StreamPausing(7, Duration::from_secs(1));
+    let (plain, engine) = (Service::Plain, Service::Engine);
+    let cases = [
+        Case { name: "failed", service: plain, behaviour: Behaviour::Fail(500) },
+        Case { name: "lost", service: plain, behaviour: Behaviour::CloseConnection },
+        Case { name: "refused", service: plain, behaviour: Behaviour::Refuse },
+        Case { name: "moved", service: plain, behaviour: late },
+        Case { name: "refused stream", service: engine, behaviour: Behaviour::Refuse },
+        Case { name: "begun stream", service: engine, behaviour: Behaviour::StreamNothing },
+        Case { name: "resumed stream", service: engine, behaviour: Behaviour::StreamUntil(7) },
+        Case { name: "moved stream", service: engine, behaviour: pausing },
+    ];
+    let playing = stream::iter(&cases).map(|case| async move { (case, play(case).await) });
+    let played: Vec<_> = playing.buffered(CONCURRENT_CASES).collect().await;
+    for (case, received) in played {
+        expect_that!(received, le(allowed(LIMIT)), "{}", case.name);
+    }
+}
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -62,12 +62,17 @@
 
     /// Starts a store, two hosts of the plain service and `count` hosts of the engine, without a catalog.
     pub(crate) async fn with_engine_hosts(count: usize) -> Site {
+        Site::with_hosts(2, count).await
+    }
+
+    /// Starts a store and the given numbers of hosts of the plain service and of the engine, without a catalog.
+    pub(crate) async fn with_hosts(plain_hosts: usize, engine_hosts: usize) -> Site {
         let store = Arc::new(Store::start().await.expect("a loopback port is free"));
         let (mut plain, mut replicas) = (Vec::new(), Vec::new());
-        for index in 0..2 {
+        for index in 0..plain_hosts {
             plain.push(host(&format!("p-{index}")).await);
         }
-        for index in 0..count {
+        for index in 0..engine_hosts {
             replicas.push(host(&format!("e-{index}")).await);
         }
         let site = Site { store, plain, replicas };
@@ -97,7 +102,12 @@
         self.wait_until_known(node).await
     }
 
-    async fn wait_until_known(&self, node: Node) -> Node {
+    /// Waits until a node is ready and forwards requests.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that takes longer than about 4 s.
+    pub(crate) async fn wait_until_known(&self, node: Node) -> Node {
         for _ in 0..200 {
             if is_ready(node.ready).await && self.is_known(&node).await {
                 return node;
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -2,15 +2,16 @@
 
 mod attempt;
 mod catalog;
-mod cold;
 mod crash;
 mod event;
 mod fixture;
 mod freshness;
 mod host;
+mod limit;
 mod loss;
 mod message;
 mod nodes;
+mod notice;
 mod path;
 mod placement;
 mod progress;
