feat: cuminward-gateway: a test of what nodes tell each other about limits

nodes_learn_from_each_other_that_a_limit_begins_and_ends: six nodes, one host; those that got no response keep the limit a second after an owner heard of it, and those without a part serve again a second after it ended.

--- a/cuminward-gateway/tests/all/limits.rs
+++ b/cuminward-gateway/tests/all/limits.rs
@@ -16,11 +16,13 @@
     host::{self, Behaviour, Host},
     store::Store,
 };
+use cuminward_serving::{nodes::List, notice};
 use futures::{StreamExt, future, stream};
 use googletest::prelude::*;
 use http::header::RETRY_AFTER;
 use serde_json::json;
 use tokio::time::{self, Instant};
+use xxhash_rust::xxh3;
 
 use crate::site::{self, Node, Site};
 
@@ -338,8 +340,6 @@
         let hosts = service.hosts(&site);
         hosts.iter().for_each(|it| it.name_limit(Some("0.5")));
         let _ = drive(&nodes, service, LOAD, Duration::from_secs(1)).await;
-        // The ids of the next requests are the same.
-        hosts.iter().for_each(Host::clear_received);
         let answers = drive(&nodes, service, LOAD, Duration::from_secs(4)).await;
         let rejections = rejections(&answers);
         let mut times: Vec<Duration> = rejections.iter().map(|it| it.elapsed).collect();
@@ -574,3 +574,63 @@
         expect_that!(received, le(allowed(LIMIT)), "{}", case.name);
     }
 }
+
+/// Time in which a node learns what another one tells.
+const LEARN_TIME: Duration = Duration::from_secs(1);
+
+/// Returns the nodes in the order in which they own the limit of a host.
+fn sort_by_rank(nodes: Vec<Node>, host: &Host) -> Vec<Node> {
+    let name = |index: usize| format!("limits-{index}");
+    let rank = |own: usize| {
+        let mut list = List::new(name(own));
+        (0..nodes.len()).for_each(|it| {
+            list.add(&name(it));
+        });
+        list.rank(xxh3::xxh3_64(host.id.as_bytes()))
+    };
+    let ranks: Vec<usize> = (0..nodes.len()).map(rank).collect();
+    let mut ranked: Vec<(usize, Node)> = ranks.into_iter().zip(nodes).collect();
+    ranked.sort_by_key(|it| it.0);
+    ranked.into_iter().map(|it| it.1).collect()
+}
+
+/// Sends some requests to each node at once; returns how many were served.
+async fn send_to_all(nodes: &[Node]) -> usize {
+    const REQUESTS: usize = 4;
+    let sending = (0..nodes.len() * REQUESTS)
+        .map(|it| async move { send(&nodes[it % nodes.len()], Service::Plain).await.is_served() });
+    future::join_all(sending).await.into_iter().filter(|it| *it).count()
+}
+
+/// Guards against nodes that learn of a limit only from a response of their own, and against nodes without a part of a
+/// limit that don't learn that it has ended.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_learn_from_each_other_that_a_limit_begins_and_ends() {
+    const LIMIT: f64 = 2.0;
+    let site = Site::with_hosts(1, 1).await;
+    site.configure(1, None);
+    let host = &site.plain[0];
+    let nodes = sort_by_rank(start_nodes(&site, 6).await, host);
+    let owners = notice::limit(LIMIT).owners();
+    expect_that!(owners, lt(nodes.len()));
+
+    host.name_limit(Some(&LIMIT.to_string()));
+    expect_that!(send(&nodes[0], Service::Plain).await.is_served(), eq(true));
+    time::sleep(LEARN_TIME).await;
+    expect_that!(send_to_all(&nodes[1..]).await, eq(0));
+
+    host.name_limit(None);
+    let mut is_served = false;
+    for _ in 0..40 {
+        time::sleep(Duration::from_millis(100)).await;
+        is_served |= send(&nodes[0], Service::Plain).await.is_served();
+        if is_served {
+            break;
+        }
+    }
+    expect_that!(is_served, eq(true));
+    time::sleep(LEARN_TIME).await;
+    let others = &nodes[owners..];
+    expect_that!(send_to_all(others).await, eq(others.len() * 4));
+}
