--- a/cuminward-gateway/tests/all/copied_refusals.rs
+++ b/cuminward-gateway/tests/all/copied_refusals.rs
@@ -28,35 +28,33 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A site whose plain service has raw hosts, and a node.
-struct RawSite {
+struct PlainSite {
     _site: Site,
     node: Node,
     hosts: Vec<Host>,
 }
 
 /// Life cycle
-impl RawSite {
+impl PlainSite {
     /// Starts a site with raw hosts, and a node that knows them.
-    async fn start(name: &str, hosts: usize) -> RawSite {
+    async fn start(name: &str, hosts: usize) -> PlainSite {
         let site = Site::start().await;
-        let mut raw = Vec::new();
-        for index in 0..hosts {
-            let host = Host::start().await;
+        let raw = raw::start_hosts(hosts).await;
+        for (index, host) in raw.iter().enumerate() {
             let entry = Entry { address: host.address, ..site::plain_entry(&site.plain[0]) };
             site.store.put_entry(&format!("p-{index}"), &entry);
-            raw.push(host);
         }
         for unused in site.plain.iter().skip(hosts) {
             let entry = Entry { is_draining: true, ..site::plain_entry(unused) };
             site.store.put_entry(&unused.id, &entry);
         }
         let node = site.node(name).await;
-        RawSite { _site: site, node, hosts: raw }
+        PlainSite { _site: site, node, hosts: raw }
     }
 }
 
 /// Access
-impl RawSite {
+impl PlainSite {
     /// Returns how often the request with an id ran.
     fn runs(&self, id: &str) -> usize {
         self.hosts.iter().map(|it| it.runs(id)).sum()
@@ -69,7 +67,7 @@
 }
 
 /// Calls
-impl RawSite {
+impl PlainSite {
     async fn send(&self, path: &str, id: &str) -> std::io::Result<Response> {
         self.node.send("POST", path, &[(header::REQUEST_ID, id)], "body").await
     }
@@ -132,7 +130,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_copied_refusal_is_not_taken_for_the_response_to_the_request_sent_again() -> Result<()> {
     for Case { name, hosts, refusal, status, pause } in cases() {
-        let site = RawSite::start("refused-again", hosts).await;
+        let site = PlainSite::start("refused-again", hosts).await;
         raw::play(&site.hosts, vec![vec![Step::SendTwice(refusal)]; hosts]);
         let answer = site.send(ONCE, "first").await.or_fail()?;
         expect_that!(answer.status.as_u16(), eq(status), "{name}, first");
@@ -152,7 +150,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_copied_refusal_does_not_fail_another_request() -> Result<()> {
     for Case { name, hosts, refusal, status, pause } in cases() {
-        let site = RawSite::start("refused-other", hosts).await;
+        let site = PlainSite::start("refused-other", hosts).await;
         raw::play(&site.hosts, vec![vec![Step::SendTwice(refusal)]; hosts]);
         let answer = site.send(ONCE, "first").await.or_fail()?;
         expect_that!(answer.status.as_u16(), eq(status), "{name}, first");
@@ -177,7 +175,7 @@
         ("429, not run", refusal(429, ""), Duration::ZERO),
     ];
     for (name, refusal, pause) in cases {
-        let site = RawSite::start("refused-attempts", HOSTS).await;
+        let site = PlainSite::start("refused-attempts", HOSTS).await;
         raw::play(&site.hosts, vec![vec![Step::SendTwice(refusal)]; HOSTS]);
         let answer = site.send(IDEMPOTENT, "first").await.or_fail()?;
         expect_that!(answer.status.as_u16(), eq(503), "{name}, first");
@@ -223,13 +221,10 @@
 async fn start_replicas(count: usize) -> (Site, Vec<Host>) {
     let site = Site::with_engine_hosts(count).await;
     site.join_replicas(1, 1, None);
-    let mut hosts = Vec::new();
-    for host in &site.replicas {
-        let raw = Host::start().await;
-        let index = hosts.len();
+    let hosts = raw::start_hosts(count).await;
+    for (index, (host, raw)) in site.replicas.iter().zip(&hosts).enumerate() {
         let entry = Entry { address: raw.address, ..site::member_entry(host, index, 1) };
         site.store.put_entry(&host.id, &entry);
-        hosts.push(raw);
     }
     (site, hosts)
 }
@@ -259,7 +254,7 @@
     for Case { name, status, body } in cases {
         let length = body.len();
         let refused = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}");
-        let (site, hosts) = start_free_hosts().await;
+        let (site, hosts) = raw::start_free_hosts(SIZE).await;
         for host in &hosts {
             host.play_orders(vec![vec![Step::SendTwice(refused.clone())]]);
             host.play_reports(vec![vec![Step::SendTwice(refused.clone())]]);
@@ -273,23 +268,6 @@
     Ok(())
 }
 
-/// Starts a site whose engine hosts are raw and in no group, with a catalog whose replicas span all of them.
-async fn start_free_hosts() -> (Site, Vec<Host>) {
-    let site = Site::with_engine_hosts(SIZE).await;
-    let mut hosts = Vec::new();
-    for host in &site.replicas {
-        let raw = Host::start().await;
-        let mut entry = Entry { address: raw.address, ..site::replica_entry(host) };
-        let engine = entry.engine.as_mut().expect("the entry is one of an engine");
-        engine.group = None;
-        engine.fabric = String::from("f");
-        site.store.put_entry(&host.id, &entry);
-        hosts.push(raw);
-    }
-    site.configure_size(1, SIZE);
-    (site, hosts)
-}
-
 /// Waits until a host has received orders and reports after the refused ones; returns whether that was the case in time.
 async fn has_more_calls(host: &Host) -> bool {
     for _ in 0..500 {
--- a/cuminward-gateway/tests/all/hostile_upstreams.rs
+++ b/cuminward-gateway/tests/all/hostile_upstreams.rs
@@ -54,8 +54,8 @@
     async fn start(name: &str, replicas: usize) -> RawSite {
         let site = Site::with_engine_hosts(replicas * SIZE).await;
         site.join_replicas(1, SIZE, None);
-        let plain = start_hosts(site.plain.len()).await;
-        let raw_replicas = start_hosts(replicas).await;
+        let plain = raw::start_hosts(site.plain.len()).await;
+        let raw_replicas = raw::start_hosts(replicas).await;
         for (host, raw) in site.plain.iter().zip(&plain) {
             let entry = Entry { address: raw.address, ..site::plain_entry(host) };
             site.store.put_entry(&host.id, &entry);
@@ -120,14 +120,6 @@
     }
 }
 
-async fn start_hosts(count: usize) -> Vec<Host> {
-    let mut hosts = Vec::new();
-    for _ in 0..count {
-        hosts.push(Host::start().await);
-    }
-    hosts
-}
-
 fn text(it: &str) -> Step {
     Send(it.to_owned())
 }
@@ -404,21 +396,6 @@
     Ok(())
 }
 
-/// Starts a site whose engine hosts are raw and in no group, with a catalog whose replicas span all of them.
-async fn start_free_hosts() -> (Site, Vec<Host>) {
-    let site = Site::with_engine_hosts(SIZE).await;
-    let raw = start_hosts(SIZE).await;
-    for (host, raw) in site.replicas.iter().zip(&raw) {
-        let mut entry = Entry { address: raw.address, ..site::replica_entry(host) };
-        let engine = entry.engine.as_mut().expect("the entry is one of an engine");
-        engine.group = None;
-        engine.fabric = String::from("f");
-        site.store.put_entry(&host.id, &entry);
-    }
-    site.configure_size(1, SIZE);
-    (site, raw)
-}
-
 /// Waits up to 10 s until each host has received this many orders.
 async fn wait_for_orders(hosts: &[Host], count: usize) {
     for _ in 0..200 {
@@ -442,7 +419,7 @@
         ("body again and again", vec![unframed(), Trickle(" ", PAUSE)]),
     ];
     for (name, steps) in cases {
-        let (site, raw) = start_free_hosts().await;
+        let (site, raw) = raw::start_free_hosts(SIZE).await;
         for host in &raw {
             host.play_reports(vec![steps.clone(), steps.clone()]);
             host.play_orders(vec![steps.clone()]);
@@ -466,7 +443,7 @@
     let refused = |id: &str| {
         Send(format!("HTTP/1.1 412 X\r\n{}: {id}\r\ncontent-length: 0\r\n\r\n", header::REQUEST_ID))
     };
-    let (site, raw) = start_free_hosts().await;
+    let (site, raw) = raw::start_free_hosts(SIZE).await;
     for host in &raw {
         host.play_orders(vec![vec![refused("first")]]);
     }
--- a/cuminward-gateway/tests/all/raw.rs
+++ b/cuminward-gateway/tests/all/raw.rs
@@ -9,14 +9,14 @@
     time::{Duration, Instant},
 };
 
-use cuminward_adapter_fake::header;
+use cuminward_adapter_fake::{entry::Entry, header};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, tcp},
     task, time,
 };
 
-use crate::site;
+use crate::site::{self, Site};
 
 /// Bytes that are sent with one call when they are sent without end.
 const FLOOD_BYTES: usize = 16 << 10;
@@ -130,6 +130,30 @@
     }
 }
 
+/// Starts hosts whose responses are sound.
+pub(crate) async fn start_hosts(count: usize) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for _ in 0..count {
+        hosts.push(Host::start().await);
+    }
+    hosts
+}
+
+/// Starts a site whose `size` engine hosts are raw and in no group, with a catalog whose replicas span all of them.
+pub(crate) async fn start_free_hosts(size: usize) -> (Site, Vec<Host>) {
+    let site = Site::with_engine_hosts(size).await;
+    let hosts = start_hosts(size).await;
+    for (host, raw) in site.replicas.iter().zip(&hosts) {
+        let mut entry = Entry { address: raw.address, ..site::replica_entry(host) };
+        let engine = entry.engine.as_mut().expect("the entry is one of an engine");
+        engine.group = None;
+        engine.fabric = String::from("f");
+        site.store.put_entry(&host.id, &entry);
+    }
+    site.configure_size(1, size);
+    (site, hosts)
+}
+
 /// Makes hosts share the responses to the next requests of callers.
 pub(crate) fn play(hosts: &[Host], responses: Vec<Vec<Step>>) {
     let script: Script = Arc::new(Mutex::new(responses.into_iter().rev().collect()));
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -352,7 +352,7 @@
     }
 }
 
-/// Returns whether a status states that the request wasn't run, by the meaning that callers give it.
+/// Returns whether a response with this status refuses its request, so that a copy of it may follow.
 fn is_refusal(status: StatusCode) -> bool {
     matches!(
         status,
--- a/cuminward-upstream/tests/all/pool.rs
+++ b/cuminward-upstream/tests/all/pool.rs
@@ -105,50 +105,52 @@
         method: Method,
         response: &'static str,
         body: Use,
-        is_kept: bool,
+        /// Why the connection isn't kept; `None` if it is.
+        discard: Option<Cause>,
     }
-    let case = |name, response, body, is_kept| Case {
+    let case = |name, response, body, discard| Case {
         name,
         method: Method::POST,
         response,
         body,
-        is_kept,
+        discard,
     };
+    let (refusal, unread) = (Some(Cause::Refusal), Some(Cause::Unread));
     let cases = [
-        case("200", "200 X\r\ncontent-length: 1\r\n\r\na", Use::Read, true),
-        case("200, dropped", "200 X\r\ncontent-length: 1\r\n\r\na", Use::Drop, false),
-        case("200, empty", "200 X\r\ncontent-length: 0\r\n\r\n", Use::Read, true),
-        case("200, empty, dropped", "200 X\r\ncontent-length: 0\r\n\r\n", Use::Drop, false),
+        case("200", "200 X\r\ncontent-length: 1\r\n\r\na", Use::Read, None),
+        case("200, dropped", "200 X\r\ncontent-length: 1\r\n\r\na", Use::Drop, unread),
+        case("200, empty", "200 X\r\ncontent-length: 0\r\n\r\n", Use::Read, None),
+        case("200, empty, dropped", "200 X\r\ncontent-length: 0\r\n\r\n", Use::Drop, unread),
         case(
             "200, no chunks",
             "200 X\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
             Use::Read,
-            true,
+            None,
         ),
-        case("202, empty", "202 X\r\ncontent-length: 0\r\n\r\n", Use::Read, true),
-        case("204", "204 X\r\n\r\n", Use::Read, true),
-        case("204, dropped", "204 X\r\n\r\n", Use::Drop, false),
-        case("304", "304 X\r\n\r\n", Use::Read, true),
-        case("404, empty", "404 X\r\ncontent-length: 0\r\n\r\n", Use::Read, true),
-        case("500, empty", "500 X\r\ncontent-length: 0\r\n\r\n", Use::Read, true),
-        case("408, empty", "408 X\r\ncontent-length: 0\r\n\r\n", Use::Read, false),
-        case("408", "408 X\r\ncontent-length: 1\r\n\r\na", Use::Read, false),
-        case("421, empty", "421 X\r\ncontent-length: 0\r\n\r\n", Use::Read, false),
-        case("421", "421 X\r\ncontent-length: 1\r\n\r\na", Use::Read, false),
-        case("429, empty", "429 X\r\ncontent-length: 0\r\n\r\n", Use::Read, false),
-        case("429", "429 X\r\ncontent-length: 1\r\n\r\na", Use::Read, false),
-        case("503, empty", "503 X\r\ncontent-length: 0\r\n\r\n", Use::Read, false),
-        case("503, empty, dropped", "503 X\r\ncontent-length: 0\r\n\r\n", Use::Drop, false),
-        case("503", "503 X\r\ncontent-length: 1\r\n\r\na", Use::Read, false),
+        case("202, empty", "202 X\r\ncontent-length: 0\r\n\r\n", Use::Read, None),
+        case("204", "204 X\r\n\r\n", Use::Read, None),
+        case("204, dropped", "204 X\r\n\r\n", Use::Drop, unread),
+        case("304", "304 X\r\n\r\n", Use::Read, None),
+        case("404, empty", "404 X\r\ncontent-length: 0\r\n\r\n", Use::Read, None),
+        case("500, empty", "500 X\r\ncontent-length: 0\r\n\r\n", Use::Read, None),
+        case("408, empty", "408 X\r\ncontent-length: 0\r\n\r\n", Use::Read, refusal),
+        case("408", "408 X\r\ncontent-length: 1\r\n\r\na", Use::Read, refusal),
+        case("421, empty", "421 X\r\ncontent-length: 0\r\n\r\n", Use::Read, refusal),
+        case("421", "421 X\r\ncontent-length: 1\r\n\r\na", Use::Read, refusal),
+        case("429, empty", "429 X\r\ncontent-length: 0\r\n\r\n", Use::Read, refusal),
+        case("429", "429 X\r\ncontent-length: 1\r\n\r\na", Use::Read, refusal),
+        case("503, empty", "503 X\r\ncontent-length: 0\r\n\r\n", Use::Read, refusal),
+        case("503, empty, dropped", "503 X\r\ncontent-length: 0\r\n\r\n", Use::Drop, refusal),
+        case("503", "503 X\r\ncontent-length: 1\r\n\r\na", Use::Read, refusal),
         Case {
             name: "HEAD",
             method: Method::HEAD,
             response: "200 X\r\ncontent-length: 1\r\n\r\n",
             body: Use::Read,
-            is_kept: true,
+            discard: None,
         },
     ];
-    for Case { name, method, response, body, is_kept } in cases {
+    for Case { name, method, response, body, discard } in cases {
         let step = Step::Send(format!("HTTP/1.1 {response}"));
         let upstream = Upstream::start(vec![vec![step.clone()], vec![step]]).await;
         let pool: Pool<Full<Bytes>> = Pool::new(Options::default());
@@ -162,8 +164,10 @@
             }
         }
         let connections = upstream.record.connections.load(Ordering::SeqCst);
-        expect_that!(connections, eq(if is_kept { 1 } else { 2 }), "{name}");
-        let discards: u64 = Cause::ALL.iter().map(|it| pool.discards().count(*it)).sum();
-        expect_that!(discards, eq(if is_kept { 0 } else { 2 }), "{name}");
+        expect_that!(connections, eq(if discard.is_none() { 1 } else { 2 }), "{name}");
+        for cause in Cause::ALL {
+            let expected = if discard == Some(cause) { 2 } else { 0 };
+            expect_that!(pool.discards().count(cause), eq(expected), "{name}, {cause}");
+        }
     }
 }
