feat: cuminward-soak: hosts that refuse requests and send copies of the refusals late

A fault, refusals, with a weight (`--copies`): two thirds of the hosts or all of them refuse one in four requests when these first arrive, with their id and an empty body, and a proxy in front of each host sends the same bytes again 2 to 900 ms later on the same connection, between two responses. Callers send a refused request that must run once again, under the same id, and the checker tells runs before the second sending from those after it: of one id at most one run, none before the second sending, none at all if the last sending was refused.

Changed checks: `checker::Checker` judged a request that was refused and ran as REFUSED, whenever it ran. A request that is sent again may run from then on; one that isn't is judged as before.

--- a/cuminward-soak/src/caller.rs
+++ b/cuminward-soak/src/caller.rs
@@ -12,7 +12,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    checker::{Checker, Kind, Reply, Request},
+    checker::{self, Checker, Kind, Reply, Request},
     node::Node,
     testbed::{HOST_NAME, MODEL, REQUEST_TIMEOUT, STREAM_EVENTS, TEAM_KEY},
 };
@@ -27,6 +27,9 @@
 const PAUSE: Duration = Duration::from_millis(20);
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 
+/// Mean pause before a refused request is sent again under the same id.
+const REPEAT_PAUSE: Duration = Duration::from_millis(30);
+
 /// A caller closes its kept connection before one in this many requests, so that callers spread over all nodes,
 /// also those that were restarted.
 const RENEWAL_RATIO: u32 = 10;
@@ -39,6 +42,8 @@
 pub enum End {
     /// With a complete successful response.
     Served,
+    /// With a complete response that guarantees that it doesn't run.
+    Refused,
     /// With another complete response.
     Failed,
     /// The connection was closed before the response was complete.
@@ -64,13 +69,22 @@
     pub end: End,
 }
 
+/// What callers send besides requests of all kinds for several hosts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Whether some requests are streams that are sent to one host only.
+    pub has_single_streams: bool,
+    /// Whether requests that must run once are sent once more, under the same id, after they were refused.
+    pub has_repeats: bool,
+}
+
 /// A caller that sends one request after another to random nodes.
 pub struct Caller {
     nodes: Arc<[Node]>,
     checker: Arc<Checker>,
     random: Pcg64,
     name: String,
-    has_single_streams: bool,
+    load: Load,
     count: u64,
     /// Connection kept from the last answered request, and the number of its node.
     connection: Option<(usize, Connection)>,
@@ -78,17 +92,16 @@
 
 /// Life cycle
 impl Caller {
-    /// Creates a caller; `name` prefixes its request ids, `seed` determines its requests. `has_single_streams`
-    /// tells whether some of them are streams that are sent to one host only.
+    /// Creates a caller; `name` prefixes its request ids, `seed` determines its requests.
     pub fn new(
         nodes: Arc<[Node]>,
         checker: Arc<Checker>,
         name: String,
         seed: u64,
-        has_single_streams: bool,
+        load: Load,
     ) -> Caller {
         let random = Pcg64::seed_from_u64(seed);
-        Caller { nodes, checker, random, name, has_single_streams, count: 0, connection: None }
+        Caller { nodes, checker, random, name, load, count: 0, connection: None }
     }
 }
 
@@ -98,22 +111,36 @@
     pub async fn run(mut self) {
         loop {
             let sent = self.next_request();
-            let is_renewed = self.random.random_ratio(1, RENEWAL_RATIO);
-            let kept = self.connection.take().filter(|(_, it)| !is_renewed && !it.is_closed());
-            let node = kept.as_ref().map_or_else(|| self.pick_node(), |it| it.0);
-            let (request, began) = (sent.id.clone(), Instant::now());
-            let end = self.send(&sent, node, kept.map(|it| it.1)).await;
-            self.checker.record_try(Try { request, node, sent: began, ended: Instant::now(), end });
-            let pause = if end == End::Served { PAUSE } else { FAILURE_PAUSE };
-            time::sleep(pause.mul_f64(self.random.random_range(0.5..1.5))).await;
+            let mut end = self.attempt(&sent).await;
+            if end == End::Refused && self.load.has_repeats && sent.kind == Kind::Once {
+                self.pause(REPEAT_PAUSE).await;
+                end = self.attempt(&sent).await;
+            }
+            self.pause(if end == End::Served { PAUSE } else { FAILURE_PAUSE }).await;
         }
     }
 
+    /// Waits for about the mean pause.
+    async fn pause(&mut self, mean: Duration) {
+        time::sleep(mean.mul_f64(self.random.random_range(0.5..1.5))).await;
+    }
+
+    /// Sends a request, mostly on the kept connection, and records it.
+    async fn attempt(&mut self, sent: &Request) -> End {
+        let is_renewed = self.random.random_ratio(1, RENEWAL_RATIO);
+        let kept = self.connection.take().filter(|(_, it)| !is_renewed && !it.is_closed());
+        let node = kept.as_ref().map_or_else(|| self.pick_node(), |it| it.0);
+        let (request, began) = (sent.id.clone(), Instant::now());
+        let end = self.send(sent, node, kept.map(|it| it.1)).await;
+        self.checker.record_try(Try { request, node, sent: began, ended: Instant::now(), end });
+        end
+    }
+
     /// Draws the next request: half of them streams, or three in five with those to one host.
     fn next_request(&mut self) -> Request {
         self.count += 1;
         let id = format!("{}-{}", self.name, self.count);
-        match self.random.random_range(0..if self.has_single_streams { 5 } else { 4 }) {
+        match self.random.random_range(0..if self.load.has_single_streams { 5 } else { 4 }) {
             0 => Request::new(id, Kind::Idempotent),
             1 => Request::new(id, Kind::Once),
             4 => Request::new(id, Kind::SingleStream),
@@ -142,7 +169,11 @@
             Err(end) => return end,
         };
         self.connection = Some((node, connection));
-        if reply.status == SUCCESS { End::Served } else { End::Failed }
+        match reply.status {
+            SUCCESS => End::Served,
+            status if checker::is_refusal(status) => End::Refused,
+            _ => End::Failed,
+        }
     }
 }
 
--- a/cuminward-soak/src/checker.rs
+++ b/cuminward-soak/src/checker.rs
@@ -7,6 +7,7 @@
 };
 
 use cuminward_adapter_fake::cluster::Run;
+use tokio::time::Instant;
 
 use crate::caller::Try;
 
@@ -75,19 +76,31 @@
 #[derive(Debug, Default)]
 struct State {
     sent: HashMap<String, Request>,
-    /// Requests refused with the guarantee that they don't run, with their statuses.
-    refused: HashMap<String, u16>,
+    /// Requests refused with the guarantee that they don't run.
+    refused: HashMap<String, Refusal>,
     answered: u64,
     failed: u64,
     tries: Vec<Try>,
     violations: Vec<String>,
 }
 
+/// The guarantee that a request doesn't run unless its caller sends it again.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    status: u16,
+    /// When the caller began to send the request again, if it did.
+    repeated: Option<Instant>,
+}
+
 /// Numbers of requests by outcome.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Counts {
     /// Requests sent.
     pub sent: u64,
+    /// Those of them that must run at most once.
+    pub once: u64,
+    /// Requests sent again after they were refused.
+    pub repeated: u64,
     /// Requests answered successfully and completely.
     pub answered: u64,
     /// Requests refused with the guarantee that they don't run.
@@ -101,8 +114,11 @@
     /// Returns the numbers of requests by outcome.
     pub fn counts(&self) -> Counts {
         let state = self.lock();
-        let (sent, refused) = (state.sent.len() as u64, state.refused.len() as u64);
-        Counts { sent, answered: state.answered, refused, failed: state.failed }
+        let refused = state.refused.values().filter(|it| it.repeated.is_none()).count() as u64;
+        let repeated = state.refused.len() as u64 - refused;
+        let once = state.sent.values().filter(|it| it.kind == Kind::Once).count() as u64;
+        let (sent, answered, failed) = (state.sent.len() as u64, state.answered, state.failed);
+        Counts { sent, once, repeated, answered, refused, failed }
     }
 
     /// Returns the requests that were sent to nodes, as their callers saw them.
@@ -114,20 +130,22 @@
     pub fn violations(&self, runs: &[Run]) -> Vec<String> {
         let state = self.lock();
         let mut violations = state.violations.clone();
-        let mut count: HashMap<&str, u32> = HashMap::new();
+        let mut began: HashMap<&str, Vec<Instant>> = HashMap::new();
         for run in runs {
-            *count.entry(&run.request).or_default() += 1;
+            began.entry(&run.request).or_default().push(run.began);
             match state.sent.get(&run.request) {
                 None => violations.push(format!("UNASKED: nobody sent {run:?}")),
                 Some(sent) => violations.extend(check_run(sent, run)),
             }
         }
         for sent in state.sent.values().filter(|it| it.kind == Kind::Once) {
-            let ran = count.get(sent.id.as_str()).copied().unwrap_or(0);
-            if ran > 1 {
-                violations.push(format!("TWICE: {} ran {ran} times", sent.id));
+            let began = began.get(sent.id.as_str()).map_or(&[][..], Vec::as_slice);
+            if began.len() > 1 {
+                violations.push(format!("TWICE: {} ran {} times", sent.id, began.len()));
             }
-            if let Some(status) = state.refused.get(&sent.id).filter(|_| ran > 0) {
+            let refusal = state.refused.get(&sent.id);
+            if let Some(refusal) = refusal.filter(|it| began.iter().any(|at| it.rules_out(*at))) {
+                let status = refusal.status;
                 violations.push(format!("REFUSED: {} was answered {status} and ran", sent.id));
             }
         }
@@ -139,11 +157,23 @@
     }
 }
 
+/// Access
+impl Refusal {
+    /// Returns whether the guarantee rules out that the request begins to run at a time.
+    fn rules_out(&self, began: Instant) -> bool {
+        self.repeated.is_none_or(|it| began < it)
+    }
+}
+
 /// Mutation
 impl Checker {
-    /// Records a request; has to be called before the request is sent.
+    /// Records a request; has to be called before the request is sent, also if it is sent again.
     pub fn record_request(&self, sent: Request) {
-        self.lock().sent.insert(sent.id.clone(), sent);
+        let mut state = self.lock();
+        if let Some(refusal) = state.refused.get_mut(&sent.id) {
+            refusal.repeated = Some(Instant::now());
+        }
+        state.sent.insert(sent.id.clone(), sent);
     }
 
     /// Records and checks the reply to a request; `None` if no answer was received. A complete stream has
@@ -154,8 +184,9 @@
             state.failed += 1;
             return;
         };
-        if NOT_RUN_STATUSES.contains(&reply.status) {
-            state.refused.insert(sent.id.clone(), reply.status);
+        if is_refusal(reply.status) {
+            let refusal = Refusal { status: reply.status, repeated: None };
+            state.refused.insert(sent.id.clone(), refusal);
             return;
         }
         if UNEXPECTED_STATUSES.contains(&reply.status) {
@@ -183,6 +214,11 @@
     }
 }
 
+/// Returns whether a status guarantees that the request has not run and will not run.
+pub fn is_refusal(status: u16) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
 /// Checks that a host ran a request as its caller sent it and for the caller's team; returns the violation.
 fn check_run(sent: &Request, run: &Run) -> Option<String> {
     let is_same = sent.line == run.request_line && sent.body.as_bytes() == run.body.as_ref();
--- a/cuminward-soak/src/fault.rs
+++ b/cuminward-soak/src/fault.rs
@@ -2,27 +2,35 @@
 
 use std::{sync::Arc, time::Duration};
 
+use cuminward_adapter_fake::cluster::Refusals;
 use cuminward_standin::link::{Disruption, Link};
 use http::StatusCode;
 use rand::RngExt;
 use rand_pcg::Pcg64;
 use rustix::process::Signal;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::{
     node::{Node, SHUTDOWN_GRACE},
     testbed::{DOMAINS, HOSTS, Testbed},
 };
 
-/// Range of a fault's duration, in milliseconds: of pauses, of strandings, and of all other faults.
+/// Range of a fault's duration, in milliseconds: of pauses, of strandings, of refusals, and of all other faults.
 const PAUSE_MS: std::ops::Range<u64> = 500..1500;
 const STRANDING_MS: std::ops::Range<u64> = 4000..12000;
+const REFUSALS_MS: std::ops::Range<u64> = 3000..9000;
 const DURATION_MS: std::ops::Range<u64> = 200..3500;
 
 /// Numbers of hosts that may pause together.
 const PAUSED_HOSTS: [usize; 3] = [1, HOSTS * 2 / 3, HOSTS];
 
-/// Weight of all faults other than pauses and strandings.
+/// Numbers of hosts that may refuse requests together.
+const REFUSING_HOSTS: [usize; 2] = [HOSTS * 2 / 3, HOSTS];
+/// Such a host refuses one in this many requests, and needs this time for others that aren't streams.
+const REFUSAL_RATIO: u64 = 4;
+const SLOW_ANSWER: Duration = Duration::from_millis(300);
+
+/// Weight of all faults without a weight of their own.
 const BASE_WEIGHT: u32 = 26;
 
 /// Time between the crash of a host and its removal from the platform's host list.
@@ -38,19 +46,22 @@
 /// Added latency of a delayed link.
 const LINK_DELAY: Duration = Duration::from_millis(120);
 
-/// Weights of faults, relative to that of all others together. With 0 for both, a seed draws the same faults as
-/// before there were pauses and strandings.
+/// Weights of faults, relative to that of all others together. With 0 for all, a seed draws the same faults as
+/// before these existed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Weights {
     /// Weight of pauses of hosts.
     pub pauses: u32,
     /// Weight of strandings of nodes.
     pub strandings: u32,
+    /// Weight of hosts that refuse requests and send copies of the refusals. Unless it is 0, callers send requests
+    /// again that must run once and were refused.
+    pub refusals: u32,
 }
 
 impl Default for Weights {
     fn default() -> Weights {
-        Weights { pauses: 3, strandings: 1 }
+        Weights { pauses: 3, strandings: 1, refusals: 2 }
     }
 }
 
@@ -106,6 +117,8 @@
     Configure,
     /// Sound hosts, this many from the first one on, send and read nothing on any connection, and then go on.
     Pause(usize, usize),
+    /// Hosts, this many from the first one on, refuse a part of the requests and send a copy of each refusal late.
+    Refuse(usize, usize),
     /// The paths between some nodes and all hosts are disrupted.
     Strand(Scope, Disruption),
 }
@@ -126,6 +139,7 @@
                 | Fault::LateOrders
                 | Fault::Configure
                 | Fault::Pause(..)
+                | Fault::Refuse(..)
         )
     }
 }
@@ -149,7 +163,9 @@
 pub fn draw(random: &mut Pcg64, weights: Weights, nodes: usize, hosts: usize) -> Fault {
     let node = random.random_range(0..nodes);
     let host = random.random_range(0..hosts);
-    match random.random_range(0..BASE_WEIGHT + weights.pauses + weights.strandings) {
+    let refusals_from = BASE_WEIGHT + weights.pauses;
+    let strandings_from = refusals_from + weights.refusals;
+    match random.random_range(0..strandings_from + weights.strandings) {
         0 | 1 => Fault::Kill(node),
         2 => Fault::KillAll,
         3 | 4 => Fault::Terminate(node),
@@ -168,9 +184,12 @@
         22 => Fault::Delay(host),
         23 => Fault::LateOrders,
         24 | 25 => Fault::Configure,
-        it if it < BASE_WEIGHT + weights.pauses => {
+        it if it < refusals_from => {
             Fault::Pause(host, PAUSED_HOSTS[random.random_range(0..PAUSED_HOSTS.len())])
         }
+        it if it < strandings_from => {
+            Fault::Refuse(host, REFUSING_HOSTS[random.random_range(0..REFUSING_HOSTS.len())])
+        }
         _ => draw_stranding(random, node),
     }
 }
@@ -194,6 +213,7 @@
     let range = match fault {
         Fault::Pause(..) => PAUSE_MS,
         Fault::Strand(..) => STRANDING_MS,
+        Fault::Refuse(..) => REFUSALS_MS,
         _ => DURATION_MS,
     };
     Duration::from_millis(random.random_range(range))
@@ -238,10 +258,18 @@
             apply_for(duration, || link(host).cut(), || link(host).heal()).await;
         }
         Fault::Pause(first, count) => {
-            let paused = || paused_hosts(first, count).map(link);
+            let paused = || hosts_from(first, count).map(link);
             apply_for(duration, || paused().for_each(Link::cut), || paused().for_each(Link::heal))
                 .await;
         }
+        Fault::Refuse(first, count) => {
+            let until = Instant::now() + duration;
+            let refusals = Refusals { ratio: REFUSAL_RATIO, answer: SLOW_ANSWER, until };
+            for host in hosts_from(first, count) {
+                testbed.cluster.refuse(&testbed.links[host].0, refusals);
+            }
+            time::sleep(duration).await;
+        }
         Fault::CutAnswers(host) => {
             apply_for(duration, || link(host).cut_backward(), || link(host).heal()).await;
         }
@@ -266,8 +294,8 @@
     }
 }
 
-/// Returns the numbers of the hosts in a pause of `count` hosts.
-pub fn paused_hosts(first: usize, count: usize) -> impl Iterator<Item = usize> {
+/// Returns the numbers of `count` hosts from the first one on.
+pub fn hosts_from(first: usize, count: usize) -> impl Iterator<Item = usize> {
     (first..first + count).map(|it| it % HOSTS)
 }
 
--- a/cuminward-soak/src/history.rs
+++ b/cuminward-soak/src/history.rs
@@ -116,7 +116,7 @@
                 Some(HOST_MARGIN)
             }
             Fault::Pause(first, count) => {
-                fault::paused_hosts(first, count).any(|it| it == host).then_some(HOST_MARGIN)
+                fault::hosts_from(first, count).any(|it| it == host).then_some(HOST_MARGIN)
             }
             Fault::SilenceHost(at) if at == host => Some(SILENT_CONNECTION_MARGIN),
             _ => None,
--- a/cuminward-soak/src/soak.rs
+++ b/cuminward-soak/src/soak.rs
@@ -84,7 +84,7 @@
 /// Fails if no port is free, a file can't be written, or a process can't be started.
 pub async fn run(options: &Options) -> io::Result<Outcome> {
     let processes = process::Registry::default();
-    let testbed = Arc::new(Testbed::start(&processes).await?);
+    let testbed = Arc::new(Testbed::start(&processes, options.weights.refusals > 0).await?);
     let nodes: Arc<[Node]> = start_nodes(options, &testbed, &processes).await?.into();
     let history = Arc::new(History::default());
     let checker = Arc::new(Checker::default());
@@ -94,8 +94,11 @@
         let name = format!("c{index}");
         let seed = options.seed ^ (index as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15);
         let (nodes, checker) = (Arc::clone(&nodes), Arc::clone(&checker));
-        let has_single_streams = options.weights.pauses > 0;
-        let caller = Caller::new(nodes, checker, name, seed, has_single_streams);
+        let load = caller::Load {
+            has_single_streams: options.weights.pauses > 0,
+            has_repeats: options.weights.refusals > 0,
+        };
+        let caller = Caller::new(nodes, checker, name, seed, load);
         callers.spawn(caller.run());
     }
     let (faults, ()) = tokio::join!(
--- a/cuminward-soak/src/testbed.rs
+++ b/cuminward-soak/src/testbed.rs
@@ -17,7 +17,7 @@
 use cuminward_standin::link::{Disruption, Link};
 use tokio::net::TcpListener;
 
-use crate::{checker::TEAM, process};
+use crate::{checker::TEAM, copier, process};
 
 /// Host name in the requests of callers.
 pub const HOST_NAME: &str = "soak.example";
@@ -87,12 +87,12 @@
 /// Life cycle
 impl Testbed {
     /// Starts the store and the hosts, and declares the first configuration. The proxies tell the nodes apart by
-    /// their processes.
+    /// their processes. `has_copies` tells whether copies of refusals follow these.
     ///
     /// # Errors
     ///
     /// Fails if no port is free.
-    pub async fn start(processes: &process::Registry) -> io::Result<Testbed> {
+    pub async fn start(processes: &process::Registry, has_copies: bool) -> io::Result<Testbed> {
         let store = Arc::new(Store::start().await?);
         let cluster = Cluster::new(Arc::clone(&store), DELAYS, REPLICA_SIZE, STREAM_EVENTS);
         let mut links = Vec::new();
@@ -103,7 +103,9 @@
                 let id = format!("{service}-{domain}-{index}");
                 let listener = TcpListener::bind("127.0.0.1:0").await?;
                 let identify = Arc::new(processes.clone());
-                let link = Link::start_identifying(listener.local_addr()?, identify).await?;
+                let host = listener.local_addr()?;
+                let target = if has_copies { copier::start(host).await? } else { host };
+                let link = Link::start_identifying(target, identify).await?;
                 let spec = Spec {
                     id: id.clone(),
                     service: service.to_owned(),
--- a/cuminward-soak/tests/all/checker.rs
+++ b/cuminward-soak/tests/all/checker.rs
@@ -4,6 +4,7 @@
 use cuminward_adapter_fake::cluster::Run;
 use cuminward_soak::checker::{Checker, Kind, Reply, Request, TEAM};
 use googletest::prelude::*;
+use tokio::time::Instant;
 
 const EVENTS: u64 = 3;
 
@@ -26,6 +27,7 @@
         request_line: sent.line.clone(),
         body: Bytes::from(sent.body.clone()),
         team: Some(TEAM.to_owned()),
+        began: Instant::now(),
     }
 }
 
@@ -85,3 +87,43 @@
         expect_that!(checker.violations(std::slice::from_ref(&run)), not(is_empty()), "{run:?}");
     }
 }
+
+struct RepeatCase {
+    name: &'static str,
+    /// Status of the response to the second sending; `None` if there was no response.
+    status: Option<u16>,
+    /// Number of runs that begin before the second sending and after its beginning.
+    runs: (usize, usize),
+    /// What the violations begin with.
+    violations: Vec<&'static str>,
+}
+
+#[gtest]
+fn refused_requests_that_are_sent_again_run_at_most_once() {
+    let case = |name, status, runs, violations| RepeatCase { name, status, runs, violations };
+    let cases = [
+        case("answered", Some(200), (0, 1), vec![]),
+        case("no answer", None, (0, 1), vec![]),
+        case("refused again", Some(503), (0, 0), vec![]),
+        case("ran for the second refusal", Some(503), (0, 1), vec!["REFUSED"]),
+        case("ran before it was sent again", Some(200), (1, 0), vec!["REFUSED"]),
+        case("ran for both", Some(200), (1, 1), vec!["TWICE", "REFUSED"]),
+        case("ran twice for the second", Some(200), (0, 2), vec!["TWICE"]),
+        case("ran twice without an answer", None, (0, 2), vec!["TWICE"]),
+    ];
+    let reply = |status, body| Reply { status, is_stamped: true, body, is_complete: true };
+    for case in cases {
+        let checker = Checker::default();
+        let sent = Request::new(String::from("r"), Kind::Once);
+        checker.record_request(sent.clone());
+        checker.record_reply(&sent, Some(&reply(503, String::new())), EVENTS);
+        let mut runs = vec![run(&sent); case.runs.0];
+        checker.record_request(sent.clone());
+        runs.extend(vec![run(&sent); case.runs.1]);
+        let second = case.status.map(|it| reply(it, String::from("answer r")));
+        checker.record_reply(&sent, second.as_ref(), EVENTS);
+        let violations = checker.violations(&runs);
+        let names: Vec<&str> = violations.iter().filter_map(|it| it.split(':').next()).collect();
+        expect_that!(names, eq(&case.violations), "{}", case.name);
+    }
+}
--- a/cuminward-soak/tests/all/lost.rs
+++ b/cuminward-soak/tests/all/lost.rs
@@ -64,6 +64,7 @@
             request_line: String::new(),
             body: Bytes::new(),
             team: None,
+            began: start,
         };
         let event = |fault| Event { fault, from: start, until: Some(ended) };
         let events: Vec<Event> = case.fault.into_iter().map(event).collect();
--- a/cuminward-soak/tests/all/main.rs
+++ b/cuminward-soak/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the soak test's own checks and faults.
 
 mod checker;
+mod copier;
 mod fault;
 mod history;
 mod lost;
