feat: cuminward-soak: hosts that name a limit, and the check that it is kept

A fault, named limits, with a weight (`--limits`): a third or two thirds of the hosts name in all their responses, for 6 to 12 s, that they take 2 to 6 requests a second from all nodes together. LIMIT is judged by what arrived at the hosts: from 3 s after a limit was first passed on, in any 4 s until the host ceases to name it, over the nodes that passed on a successful response half a second before or earlier and weren't killed, stopped, suspended or cut off since. Where the rule leaves room the check takes the milder reading: a window begins, not ends, 3 s after; a response counts as passed on when it is complete, and only if its request reached no other host; windows of a disrupted host don't count.

`history::is_sound` and the new check share the search for a host's disruptions; no expectation of an older check is changed.

--- a/cuminward-soak/examples/soak.rs
+++ b/cuminward-soak/examples/soak.rs
@@ -36,6 +36,9 @@
     /// Weight of hosts that refuse requests and send copies of the refusals, likewise.
     #[arg(long, default_value_t = fault::Weights::default().refusals)]
     copies: u32,
+    /// Weight of hosts that name a limit, likewise.
+    #[arg(long, default_value_t = fault::Weights::default().limits)]
+    limits: u32,
     /// Path of the daemon's executable; by default the one built in the same target directory.
     #[arg(long)]
     daemon: Option<PathBuf>,
@@ -62,6 +65,7 @@
             pauses: arguments.pauses,
             strandings: arguments.strandings,
             refusals: arguments.copies,
+            limits: arguments.limits,
         },
         daemon: find_daemon(arguments.daemon)?,
         former: arguments.old,
--- a/cuminward-soak/src/fault.rs
+++ b/cuminward-soak/src/fault.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cuminward_adapter_fake::cluster::Refusals;
+use cuminward_adapter_fake::cluster::{Limit, Refusals};
 use cuminward_standin::link::{Disruption, Link};
 use http::StatusCode;
 use rand::RngExt;
@@ -15,10 +15,12 @@
     testbed::{DOMAINS, HOSTS, Testbed},
 };
 
-/// Range of a fault's duration, in milliseconds: of pauses, of strandings, of refusals, and of all other faults.
+/// Range of a fault's duration, in milliseconds: of pauses, of strandings, of refusals, of limits, and of
+/// all other faults.
 const PAUSE_MS: std::ops::Range<u64> = 500..1500;
 const STRANDING_MS: std::ops::Range<u64> = 4000..12000;
 const REFUSALS_MS: std::ops::Range<u64> = 3000..9000;
+const LIMIT_MS: std::ops::Range<u64> = 6000..12000;
 const DURATION_MS: std::ops::Range<u64> = 200..3500;
 
 /// Numbers of hosts that may pause together.
@@ -30,6 +32,10 @@
 const REFUSAL_RATIO: u64 = 4;
 const SLOW_ANSWER: Duration = Duration::from_millis(300);
 
+/// Numbers of hosts that may name a limit together, and range of the limits, in tenths of a request a second.
+const LIMITED_HOSTS: [usize; 2] = [HOSTS / 3, HOSTS * 2 / 3];
+const LIMIT_TENTHS: std::ops::Range<u32> = 20..60;
+
 /// Weight of all faults without a weight of their own.
 const BASE_WEIGHT: u32 = 26;
 
@@ -57,11 +63,13 @@
     /// Weight of hosts that refuse requests and send copies of the refusals. Unless it is 0, callers send requests
     /// again that must run once and were refused.
     pub refusals: u32,
+    /// Weight of hosts that name a limit.
+    pub limits: u32,
 }
 
 impl Default for Weights {
     fn default() -> Weights {
-        Weights { pauses: 3, strandings: 1, refusals: 2 }
+        Weights { pauses: 3, strandings: 1, refusals: 2, limits: 2 }
     }
 }
 
@@ -119,6 +127,8 @@
     Pause(usize, usize),
     /// Hosts, this many from the first one on, refuse a part of the requests and send a copy of each refusal late.
     Refuse(usize, usize),
+    /// Hosts, this many from the first one on, name a limit in all their responses, in tenths of a request a second.
+    NameLimit(usize, usize, u32),
     /// The paths between some nodes and all hosts are disrupted.
     Strand(Scope, Disruption),
 }
@@ -164,7 +174,8 @@
     let node = random.random_range(0..nodes);
     let host = random.random_range(0..hosts);
     let refusals_from = BASE_WEIGHT + weights.pauses;
-    let strandings_from = refusals_from + weights.refusals;
+    let limits_from = refusals_from + weights.refusals;
+    let strandings_from = limits_from + weights.limits;
     match random.random_range(0..strandings_from + weights.strandings) {
         0 | 1 => Fault::Kill(node),
         2 => Fault::KillAll,
@@ -187,13 +198,19 @@
         it if it < refusals_from => {
             Fault::Pause(host, PAUSED_HOSTS[random.random_range(0..PAUSED_HOSTS.len())])
         }
-        it if it < strandings_from => {
+        it if it < limits_from => {
             Fault::Refuse(host, REFUSING_HOSTS[random.random_range(0..REFUSING_HOSTS.len())])
         }
+        it if it < strandings_from => draw_limit(random, host),
         _ => draw_stranding(random, node),
     }
 }
 
+fn draw_limit(random: &mut Pcg64, first: usize) -> Fault {
+    let count = LIMITED_HOSTS[random.random_range(0..LIMITED_HOSTS.len())];
+    Fault::NameLimit(first, count, random.random_range(LIMIT_TENTHS))
+}
+
 fn draw_stranding(random: &mut Pcg64, node: usize) -> Fault {
     let scope = match random.random_range(0..3) {
         0 => Scope::Node(node),
@@ -214,6 +231,7 @@
         Fault::Pause(..) => PAUSE_MS,
         Fault::Strand(..) => STRANDING_MS,
         Fault::Refuse(..) => REFUSALS_MS,
+        Fault::NameLimit(..) => LIMIT_MS,
         _ => DURATION_MS,
     };
     Duration::from_millis(random.random_range(range))
@@ -270,6 +288,15 @@
             }
             time::sleep(duration).await;
         }
+        Fault::NameLimit(first, count, tenths) => {
+            let rate = f64::from(tenths) / 10.0;
+            let (from, until) = (Instant::now(), Instant::now() + duration);
+            for at in hosts_from(first, count) {
+                let host = testbed.links[at].0.clone();
+                testbed.cluster.name_limit(Limit { host, rate, from, until });
+            }
+            time::sleep(duration).await;
+        }
         Fault::CutAnswers(host) => {
             apply_for(duration, || link(host).cut_backward(), || link(host).heal()).await;
         }
--- a/cuminward-soak/src/history.rs
+++ b/cuminward-soak/src/history.rs
@@ -149,10 +149,33 @@
     })
 }
 
+/// Returns whether the process of a node, one of `nodes`, was stopped, suspended or cut off from the store or the hosts
+/// at any time of a span. A store that fails by itself cuts no node off.
+pub fn was_disrupted(events: &[Event], node: usize, nodes: usize, span: Span) -> bool {
+    let is_cut = |it: &Event| match it.fault {
+        Fault::StoreCut(at) | Fault::StoreSilent(at) => at == node,
+        _ => it.strands(Some(node), nodes),
+    };
+    events
+        .iter()
+        .any(|it| (it.stops(Some(node)) || is_cut(it)) && it.acted_in(span, Duration::ZERO))
+}
+
+/// Returns whether a host was crashed, closed or silent at any time of a span or shortly before.
+pub fn was_host_disrupted(events: &[Event], host: usize, span: Span) -> bool {
+    disruptions(events, host, span).next().is_some()
+}
+
+/// Returns the faults that may have disrupted a host in a span.
+fn disruptions(events: &[Event], host: usize, span: Span) -> impl Iterator<Item = &Event> {
+    let acted =
+        move |it: &&Event| it.host_margin(host).is_some_and(|margin| it.acted_in(span, margin));
+    events.iter().filter(acted)
+}
+
 /// Returns whether a host was sound through a span: neither crashed nor closed, and silent at most once and
 /// briefly.
 pub fn is_sound(events: &[Event], host: usize, span: Span) -> bool {
-    let acted = |it: &&Event| it.host_margin(host).is_some_and(|margin| it.acted_in(span, margin));
-    let acted: Vec<&Event> = events.iter().filter(acted).collect();
+    let acted: Vec<&Event> = disruptions(events, host, span).collect();
     acted.len() <= 1 && acted.iter().all(|it| it.is_silence())
 }
--- a/cuminward-soak/src/soak.rs
+++ b/cuminward-soak/src/soak.rs
@@ -20,7 +20,7 @@
     checker::{Checker, Counts, Kind, Request},
     fault::{self, Fault},
     history::History,
-    lost,
+    limit, lost,
     node::{Node, SHUTDOWN_GRACE},
     process, recover,
     testbed::{self, DOMAINS, Testbed},
@@ -121,6 +121,14 @@
         hosts: &testbed.hosts(),
         nodes: nodes.len(),
     }));
+    violations.extend(limit::find(&limit::Records {
+        tries: &tries,
+        arrivals: &testbed.cluster.arrivals(),
+        limits: &testbed.cluster.limits(),
+        events: &events,
+        hosts: &testbed.hosts(),
+        nodes: nodes.len(),
+    }));
     let strandings = recover::report(&tries, &events, nodes.len());
     let is_violation = |it: &&recover::Report| it.is_violation();
     violations.extend(strandings.iter().filter(is_violation).map(|it| format!("RECOVER: {it}")));
--- a/cuminward-soak/tests/all/main.rs
+++ b/cuminward-soak/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod copier;
 mod fault;
 mod history;
+mod limit;
 mod lost;
 mod process;
 mod recover;
--- a/cuminward/tests/soak.rs
+++ b/cuminward/tests/soak.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 
 /// Weights of a run without the faults that have weights.
-const NONE: fault::Weights = fault::Weights { pauses: 0, strandings: 0, refusals: 0 };
+const NONE: fault::Weights = fault::Weights { pauses: 0, strandings: 0, refusals: 0, limits: 0 };
 
 struct Case {
     name: &'static str,
@@ -106,6 +106,21 @@
     .await
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_get_no_more_requests_than_the_limit_that_they_name() -> Result<()> {
+    check(Case {
+        name: "limits that hosts named were read by no node",
+        seed: 26_120_647,
+        seconds: 20,
+        nodes: 3,
+        callers: 24,
+        weights: fault::Weights { limits: 5, ..NONE },
+        former: None,
+    })
+    .await
+}
+
 /// Guards against builds that don't understand each other while machines are replaced one after the other. `CUMINWARD_OLD`
 /// names the executable of the other build, see `cuminward-soak/build-old.sh`; without it the present build takes turns
 /// with itself, as CI doesn't build two.
