test: cuminward-gateway: the case of pausing streams is named for what it shows

A trial with a limiter that counted first attempts only failed the other seven cases (49 to 62 requests in 4 s, 8 allowed) and passed this one: streams that pause for a second don't move. The case stays, since the bound holds for it too. The cases' values are as before.

--- a/cuminward-gateway/tests/all/limits.rs
+++ b/cuminward-gateway/tests/all/limits.rs
@@ -557,16 +557,16 @@
 
     let late = Behaviour::RespondAfter(Duration::from_secs(1), String::from("late"));
     let pausing = Behaviour::StreamPausing(7, Duration::from_secs(1));
-    let (plain, engine) = (Service::Plain, Service::Engine);
+    let case = |name, service, behaviour| Case { name, service, behaviour };
     let cases = [
-        Case { name: "failed", service: plain, behaviour: Behaviour::Fail(500) },
-        Case { name: "lost", service: plain, behaviour: Behaviour::CloseConnection },
-        Case { name: "refused", service: plain, behaviour: Behaviour::Refuse },
-        Case { name: "moved", service: plain, behaviour: late },
-        Case { name: "refused stream", service: engine, behaviour: Behaviour::Refuse },
-        Case { name: "begun stream", service: engine, behaviour: Behaviour::StreamNothing },
-        Case { name: "resumed stream", service: engine, behaviour: Behaviour::StreamUntil(7) },
-        Case { name: "moved stream", service: engine, behaviour: pausing },
+        case("failed", Service::Plain, Behaviour::Fail(500)),
+        case("lost", Service::Plain, Behaviour::CloseConnection),
+        case("refused", Service::Plain, Behaviour::Refuse),
+        case("moved", Service::Plain, late),
+        case("refused stream", Service::Engine, Behaviour::Refuse),
+        case("begun stream", Service::Engine, Behaviour::StreamNothing),
+        case("resumed stream", Service::Engine, Behaviour::StreamUntil(7)),
+        case("pausing stream", Service::Engine, pausing),
     ];
     let playing = stream::iter(&cases).map(|case| async move { (case, play(case).await) });
     let played: Vec<_> = playing.buffered(CONCURRENT_CASES).collect().await;
