fix: cuminward-gateway: a host that says in a response that it is leaving gets no further request

The header is read in all responses of hosts: those to requests of callers and those to health checks, reports and orders. It marks that start of the host, and all earlier ones, as draining on this node, whatever the host list says; only a newer start that is listed ends that. The mark goes to the other nodes in the extension of the digest, to all at once when a response says so, as host and start in place of the key that limits have, so that it also counts where the host isn't listed yet. Responses to control calls also count for limits that they name; absence there ends nothing. A request whose connection is open only after the mark isn't sent and chooses again.

Not shown by a test of its own: the attempt that is chosen before the mark and not sent yet, and the response to an order alone (a report is fetched before each order).

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -778,6 +778,22 @@
         /// How the node learnt of it: `response` of the host, or another `node`.
         source: String,
     }
+    /// A host said in a response that it is leaving; that start of it gets no new requests.
+    2314 Info "host-leaving" HostLeaving {
+        /// The host.
+        host: String,
+        /// Start of the host, in milliseconds since the Unix epoch.
+        start: u64,
+        /// How the node learnt of it: `response` of the host, or another `node`.
+        source: String,
+    }
+    /// A host of which an earlier start was leaving has started again; it gets requests.
+    2315 Info "host-returned" HostReturned {
+        /// The host.
+        host: String,
+        /// Start of the host, in milliseconds since the Unix epoch.
+        start: u64,
+    }
     /// An upstream was chosen for a request; written for sampled requests only.
     2401 Info "upstream-chosen" UpstreamChosen {
         /// Name of the route.
--- a/cuminward-gateway/src/control/host_client.rs
+++ b/cuminward-gateway/src/control/host_client.rs
@@ -60,7 +60,7 @@
     idle: Duration,
 ) -> Result<host::Status, Error> {
     let request = build_request(Method::GET, host::REPORT_PATH, host, Bytes::new());
-    let (status, body) = exchange(state, address, request, idle, timeout).await?;
+    let (status, body) = exchange(state, host, address, request, idle, timeout).await?;
     if status != StatusCode::OK {
         return Err(Error::Wrong);
     }
@@ -82,7 +82,7 @@
 ) -> Outcome {
     let body = wire::encode(action, token, seq);
     let request = build_request(Method::POST, wire::PATH, host, body.into());
-    match exchange(state, address, request, IDLE_TIMEOUT, ORDER_TIMEOUT).await {
+    match exchange(state, host, address, request, IDLE_TIMEOUT, ORDER_TIMEOUT).await {
         Ok((status, body)) => wire::decode_outcome(status, &body),
         Err(_) => Outcome::Unanswered,
     }
@@ -96,19 +96,22 @@
     request
 }
 
-/// Sends a request and reads the response. A response to a request of a caller, which was left over on the
-/// connection, counts as none.
+/// Sends a request and reads the response, and records what it says of the host. A response to a request of a caller,
+/// which was left over on the connection, counts as none.
 ///
 /// # Errors
 ///
 /// [`Error::Refused`] and [`Error::Silent`].
 async fn exchange(
     state: &State,
+    host: &str,
     address: &str,
     request: Request<Full<Bytes>>,
     idle: Duration,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), Error> {
+    let notices = state.cluster().listed_notices(host);
+    let sent_at = state.now();
     let exchange = async {
         let sent = state.upstreams.send(address, request, idle, timeout).await;
         let response = sent.map_err(|it| {
@@ -116,10 +119,14 @@
             if it.error.is_connection_refused() { Error::Refused } else { Error::Silent }
         })?;
         let status = response.status();
-        if header::read_response(status, response.headers()).id.is_some() {
+        let metadata = header::read_response(status, response.headers());
+        if metadata.id.is_some() {
             log::debug!("host {address} sent the response to a request of a caller");
             return Err(Error::Silent);
         }
+        if let Some(it) = notices.as_ref().filter(|_| !metadata.is_misdirected) {
+            state.record_notice(it, sent_at, metadata.notice, false);
+        }
         let mut body = response.into_body();
         if !status.is_success() {
             // The responses to these calls bear no id.
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -62,7 +62,11 @@
     let started = state.now();
     let may_have_run_before = context.may_have_run();
     context.set_may_have_run(true);
-    let prepare = |request: &mut Request<_>| set_time_left(context, request);
+    let notices = &slot.upstream.notices;
+    let prepare = |request: &mut Request<_>| match set_time_left(context, request) {
+        pool::Ready::Send if notices.is_leaving() => pool::Ready::Expired,
+        it => it,
+    };
     let sent = state.upstreams.send_with(address, request, idle, timeout, prepare).await;
     let response = match sent {
         Ok(it) => it,
@@ -70,8 +74,12 @@
             let is_unsent = failed.request.is_some();
             context.set_may_have_run(may_have_run_before || !is_unsent);
             if is_unsent && matches!(failed.error, Error::Timeout { .. }) {
-                let cause = String::from("its time was up when the connection was open");
-                return Err(Fault { failure: Failure::NotRun, cause });
+                let cause = if notices.is_leaving() {
+                    "the host was found to be leaving before the connection was open"
+                } else {
+                    "its time was up when the connection was open"
+                };
+                return Err(Fault { failure: Failure::NotRun, cause: cause.to_owned() });
             }
             slot.upstream.stats.record_failure(state.now());
             if !is_unsent {
@@ -112,12 +120,9 @@
     response: &request::Response,
 ) {
     let is_own = response.id.is_some() && response.id == context.meta.id;
-    if !is_own || response.is_misdirected {
-        return;
-    }
-    let limit = response.notice.limit;
-    if limit.is_some() || response.is_stamped {
-        state.record_limit(&slot.upstream.notices, sent_at, limit);
+    if is_own && !response.is_misdirected {
+        let notices = &slot.upstream.notices;
+        state.record_notice(notices, sent_at, response.notice, response.is_stamped);
     }
 }
 
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -307,6 +307,7 @@
     let fill = state.current_settings().admission.fill;
     let has_capacity = |it: &&Arc<Upstream>| {
         has_free_slot(it, fill)
+            && !it.notices.is_leaving()
             && !it.stats.is_excluded(now)
             && !criteria.tried.contains(&it.host)
             && has_limit_permit(it, now)
--- a/cuminward-gateway/src/ingress/metrics.rs
+++ b/cuminward-gateway/src/ingress/metrics.rs
@@ -43,6 +43,9 @@
 /// Hosts that name a limit on their requests.
 const LIMITED_HOSTS: &str = "cuminward_gateway_limited_hosts";
 
+/// Hosts that said that they are leaving.
+const LEAVING_HOSTS: &str = "cuminward_gateway_leaving_hosts";
+
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
 
@@ -95,6 +98,7 @@
         }
         ::metrics::counter!(UNREADABLE).absolute(state.unreadable());
         ::metrics::gauge!(LIMITED_HOSTS).set(state.limited_hosts() as f64);
+        ::metrics::gauge!(LEAVING_HOSTS).set(state.leaving_hosts() as f64);
         handle.run_upkeep();
         handle.render()
     }
--- a/cuminward-gateway/src/peer/datagram.rs
+++ b/cuminward-gateway/src/peer/datagram.rs
@@ -9,6 +9,7 @@
 };
 
 use cuminward_derive::record;
+use cuminward_serving::leaving::Start;
 
 use super::{digest::Digest, feature};
 use crate::state::notices::Report;
@@ -31,6 +32,9 @@
     /// Limits of hosts that began or ended lately.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) limits: Vec<Report>,
+    /// Hosts that were found to be leaving lately.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(crate) leaving: Vec<Start>,
 }
 
 /// A datagram that was received.
@@ -43,11 +47,12 @@
 /// Life cycle
 impl Extension {
     /// Creates the extension of this build.
-    pub(crate) fn own(limits: Vec<Report>) -> Extension {
+    pub(crate) fn own(limits: Vec<Report>, leaving: Vec<Start>) -> Extension {
         Extension {
             build: String::from(env!("CARGO_PKG_VERSION")),
             features: feature::OWN.to_vec(),
             limits,
+            leaving,
         }
     }
 }
--- a/cuminward-gateway/src/peer/gossip.rs
+++ b/cuminward-gateway/src/peer/gossip.rs
@@ -191,11 +191,14 @@
 ) -> io::Result<()> {
     let now = state.now();
     let plain = datagram::encode(digest)?;
-    if state.take_limit_news() {
+    if state.take_host_news() {
         told.clear();
     }
     told.retain(|_, at| now < *at + datagram::EXTENSION_INTERVAL);
-    let extend = || [plain.as_slice(), &Extension::own(state.limit_reports()).encode()].concat();
+    let extend = || {
+        let extension = Extension::own(state.limit_reports(), state.leaving_reports());
+        [plain.as_slice(), &extension.encode()].concat()
+    };
     let mut extended = None;
     let is_broadcast = state.take_broadcast_request();
     for address in peers.targets(now, digest.number, is_broadcast) {
@@ -253,6 +256,7 @@
     }
     if let Some(it) = &extension {
         state.apply_limit_reports(&it.limits);
+        state.apply_leaving_reports(&it.leaving);
     }
     let told_build = |it: &Extension| (it.build.clone(), it.features.clone());
     let build_before = extension_before.as_ref().map(told_build);
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -11,7 +11,7 @@
 use cuminward_serving::{
     catalog, departure, engine,
     freshness::Watermark,
-    host, id, loss, nodes,
+    host, id, leaving, loss, nodes,
     position::Position,
     replica::{self, Group},
     restore, slowdown,
@@ -57,6 +57,8 @@
     losses: loss::Tracker,
     /// Hosts that are slow.
     slowdowns: slowdown::Tracker,
+    /// Hosts that said that they are leaving.
+    leaving: leaving::Tracker,
     /// What hosts say of themselves, by host and start.
     notices: HashMap<Key, Arc<notices::Host>>,
     /// Load and health of upstreams, by name.
@@ -90,6 +92,7 @@
             cold_until: BTreeMap::new(),
             losses: loss::Tracker::default(),
             slowdowns: slowdown::Tracker::default(),
+            leaving: leaving::Tracker::default(),
             notices: HashMap::new(),
             stats: HashMap::new(),
         }
@@ -134,6 +137,11 @@
         self.notices.get(&key).cloned()
     }
 
+    /// Returns the hosts that said that they are leaving.
+    pub(crate) fn leaving_hosts(&self) -> &leaving::Tracker {
+        &self.leaving
+    }
+
     /// Returns the services that have a model engine, with their engines.
     pub(crate) fn engines(&self) -> Vec<(id::Service, engine::Engine)> {
         let Some(catalog) = &self.declarations.catalog else { return Vec::new() };
@@ -314,11 +322,40 @@
             self.slowdowns.forget(&id);
         }
         host.slowdown = self.slowdowns.factor(&id);
+        self.apply_leaving(&mut host);
         let address = host.address.clone();
         let former = self.hosts.insert(id, host);
         self.are_addresses_changed |= former.is_none_or(|it| it.address != address);
     }
 
+    /// Makes a host draining if it said that it is leaving, whatever its entry says. A newer start ends that.
+    fn apply_leaving(&mut self, host: &mut host::Host) {
+        if self.leaving.contains(&host.id, host.started_ms) {
+            host.state = host::State::Draining;
+        } else if self.leaving.clear_earlier(host) {
+            let (host, start) = (host.id.clone(), host.started_ms);
+            self.events.emit(Kind::HostReturned { host, start });
+        }
+    }
+
+    /// Records that a start of a host is leaving. Returns whether that is new; it isn't if a newer start is listed.
+    pub(crate) fn mark_leaving(&mut self, now: Duration, start: &leaving::Start) -> bool {
+        let listed = self.hosts.get_mut(&start.host);
+        if listed.as_ref().is_some_and(|it| it.started_ms > start.started_ms) {
+            return false;
+        }
+        if !self.leaving.record(now, start) {
+            return false;
+        }
+        if let Some(host) = listed {
+            host.state = host::State::Draining;
+        }
+        if let Some(it) = self.notices.get(&notices::key(&start.host, start.started_ms)) {
+            it.mark_leaving();
+        }
+        true
+    }
+
     /// Records the slowdown factor that a host reported. A slow host is probed again after `interval`.
     /// Returns whether the known factor changed.
     pub(crate) fn set_slowdown(
@@ -524,11 +561,23 @@
         Some(self.cold.limit(rate).share(self.nodes.standing(routing::key(host))))
     }
 
+    /// Returns what the present start of a listed host says of itself.
+    pub(crate) fn listed_notices(&mut self, id: &str) -> Option<Arc<notices::Host>> {
+        let host = self.hosts.get(id)?.clone();
+        Some(self.notices(&host))
+    }
+
     /// Returns what the present start of a host says of itself.
     fn notices(&mut self, host: &host::Host) -> Arc<notices::Host> {
-        let key = routing::key(&format!("{}/{}", host.id, host.started_ms));
-        let new = || Arc::new(notices::Host::new(host.id.clone()));
+        let key = notices::key(&host.id, host.started_ms);
+        let new = || {
+            let start = leaving::Start { host: host.id.clone(), started_ms: host.started_ms };
+            Arc::new(notices::Host::new(start))
+        };
         let notices = Arc::clone(self.notices.entry(key).or_insert_with(new));
+        if self.leaving.contains(&host.id, host.started_ms) {
+            notices.mark_leaving();
+        }
         if notices.is_limited() {
             notices.set_standing(self.nodes.standing(routing::key(&host.id)));
         }
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -109,8 +109,9 @@
     /// When the last successful read of the host list began, in milliseconds since the node's start; 0
     /// if none succeeded.
     host_list_read_ms: AtomicU64,
-    /// Whether this node has found since the last digest that a limit of a host began or ended.
-    has_limit_news: AtomicBool,
+    /// Whether this node has found since the last digest that a limit of a host began or ended, or that a host is
+    /// leaving.
+    has_host_news: AtomicBool,
     /// Whether the next digest goes to all other nodes at once.
     is_broadcast_requested: AtomicBool,
     /// Mean time from sending a request with a streamed response to its first event, in milliseconds.
@@ -168,7 +169,7 @@
             capacity_changed: Notify::new(),
             snapshot_changed: Notify::new(),
             host_list_read_ms: AtomicU64::new(0),
-            has_limit_news: AtomicBool::new(false),
+            has_host_news: AtomicBool::new(false),
             is_broadcast_requested: AtomicBool::new(false),
             first_event_ms: AtomicU64::new(0),
         })
--- a/cuminward-gateway/src/state/notices.rs
+++ b/cuminward-gateway/src/state/notices.rs
@@ -12,9 +12,9 @@
 use cuminward_derive::record;
 use cuminward_event::kind::Kind;
 use cuminward_serving::{
-    id,
+    leaving::Start,
     nodes::Standing,
-    notice::{self, Change, Rate, Tracker},
+    notice::{self, Change, Notice, Rate, Tracker},
 };
 
 use super::{
@@ -25,10 +25,10 @@
 /// Time for which the limit of a host is kept that no upstream uses, as its entry may come back.
 const RETENTION: Duration = Duration::from_secs(60);
 
-/// Time for which a node tells the others that a limit began or ended.
+/// Time for which a node tells the others that a limit began or ended, or that a host is leaving.
 const NEWS_TIME: Duration = Duration::from_secs(6);
 
-/// Largest number of limits of which a node tells the others at a time.
+/// Largest number of limits, and of hosts that are leaving, of which a node tells the others at a time.
 const MAX_REPORTS: usize = 64;
 
 /// What a node tells the others about the limit of a start of a host.
@@ -42,10 +42,16 @@
     pub(crate) age_ms: u64,
 }
 
+/// Returns the key of a start of a host, which is the same on all nodes.
+pub(crate) fn key(host: &str, started_ms: u64) -> Key {
+    routing::key(&format!("{host}/{started_ms}"))
+}
+
 /// What one start of a host says of itself. Requests to hosts without a limit take no lock.
 #[derive(Debug)]
 pub(crate) struct Host {
-    id: id::Host,
+    start: Start,
+    is_leaving: AtomicBool,
     is_limited: AtomicBool,
     /// When a request was last sent whose response named no limit, while none was known, in milliseconds since the
     /// node's start.
@@ -63,9 +69,10 @@
 /// Life cycle
 impl Host {
     /// Creates a host that has said nothing yet.
-    pub(crate) fn new(id: id::Host) -> Host {
+    pub(crate) fn new(start: Start) -> Host {
         Host {
-            id,
+            start,
+            is_leaving: AtomicBool::new(false),
             is_limited: AtomicBool::new(false),
             unlimited_ms: AtomicU64::new(0),
             limit: Mutex::default(),
@@ -75,6 +82,11 @@
 
 /// Access
 impl Host {
+    /// Returns whether the host is leaving and gets no new requests.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the host names a limit, as far as this node knows.
     pub(crate) fn is_limited(&self) -> bool {
         self.is_limited.load(Ordering::Relaxed)
@@ -112,6 +124,11 @@
         limit.tracker.try_take_permit(now, standing)
     }
 
+    /// Records that the host is leaving.
+    pub(crate) fn mark_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Sets this node's standing among those that share the limit.
     pub(crate) fn set_standing(&self, standing: Option<Standing>) {
         self.lock().standing = standing;
@@ -160,6 +177,17 @@
         self.cluster().all_notices().filter(|(_, it)| it.is_limited()).count()
     }
 
+    /// Returns the number of hosts that are leaving, as far as this node knows.
+    pub(crate) fn leaving_hosts(&self) -> usize {
+        self.cluster().leaving_hosts().len()
+    }
+
+    /// Returns the starts of hosts of which this node tells the others that they are leaving.
+    pub(crate) fn leaving_reports(&self) -> Vec<Start> {
+        let now = self.now();
+        self.cluster().leaving_hosts().news(now, NEWS_TIME).take(MAX_REPORTS).collect()
+    }
+
     /// Returns what this node tells the others about the limits of hosts.
     pub(crate) fn limit_reports(&self) -> Vec<Report> {
         let now = self.now();
@@ -176,10 +204,41 @@
 
 /// Mutation
 impl State {
-    /// Records what the response of a host to a request that was sent at `sent_at` says about its limit.
-    pub(crate) fn record_limit(&self, host: &Host, sent_at: Duration, limit: Option<Rate>) {
-        let change = host.record_response(self.now(), sent_at, limit);
-        self.apply_limit_change(host, change, Source::Response);
+    /// Records what the response of a host to a request that was sent at `sent_at` says of the host. It ends a limit
+    /// by naming none only if `may_end_limit`.
+    pub(crate) fn record_notice(
+        &self,
+        host: &Host,
+        sent_at: Duration,
+        notice: Notice,
+        may_end_limit: bool,
+    ) {
+        if notice.is_leaving && !host.is_leaving() {
+            host.mark_leaving();
+            self.record_leaving(&host.start, Source::Response);
+        }
+        if notice.limit.is_some() || may_end_limit {
+            let change = host.record_response(self.now(), sent_at, notice.limit);
+            self.apply_limit_change(host, change, Source::Response);
+        }
+    }
+
+    /// Records what another node tells about hosts that are leaving.
+    pub(crate) fn apply_leaving_reports(&self, reports: &[Start]) {
+        reports.iter().for_each(|it| self.record_leaving(it, Source::Node));
+    }
+
+    fn record_leaving(&self, start: &Start, source: Source) {
+        if !self.cluster().mark_leaving(self.now(), start) {
+            return;
+        }
+        if source == Source::Response {
+            self.has_host_news.store(true, Ordering::Relaxed);
+            self.is_broadcast_requested.store(true, Ordering::Relaxed);
+        }
+        let (host, source) = (start.host.clone(), source.to_string());
+        self.events.emit(Kind::HostLeaving { host, start: start.started_ms, source });
+        self.publish();
     }
 
     /// Records what another node tells about the limits of hosts.
@@ -195,33 +254,34 @@
 
     fn apply_limit_change(&self, host: &Host, change: Option<Change>, source: Source) {
         let Some(change) = change else { return };
-        self.has_limit_news.fetch_or(source == Source::Response, Ordering::Relaxed);
+        self.has_host_news.fetch_or(source == Source::Response, Ordering::Relaxed);
         let source = source.to_string();
         match change {
             Change::Named(rate) => {
-                let standing = self.cluster().nodes.standing(routing::key(&host.id));
+                let standing = self.cluster().nodes.standing(routing::key(&host.start.host));
                 host.set_standing(standing);
                 self.events.emit(Kind::LimitNamed {
-                    host: host.id.clone(),
+                    host: host.start.host.clone(),
                     rate: per_minute(rate),
                     share: per_minute(notice::limit(rate).share(standing)),
                     source,
                 });
             }
             Change::Ended => {
-                self.events.emit(Kind::LimitEnded { host: host.id.clone(), source });
+                self.events.emit(Kind::LimitEnded { host: host.start.host.clone(), source });
                 self.capacity_changed.notify_one();
             }
         }
     }
 
-    /// Returns whether this node has found since the last call that a limit of a host began or ended.
-    pub(crate) fn take_limit_news(&self) -> bool {
-        self.has_limit_news.swap(false, Ordering::Relaxed)
+    /// Returns whether this node has found since the last call that a limit of a host began or ended, or that a host is
+    /// leaving.
+    pub(crate) fn take_host_news(&self) -> bool {
+        self.has_host_news.swap(false, Ordering::Relaxed)
     }
 }
 
-/// How a node learnt of a limit.
+/// How a node learnt what a host says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Source {
     /// From a response of the host.
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod freshness;
 pub mod host;
 pub mod id;
+pub mod leaving;
 pub mod limit;
 pub mod loss;
 pub mod message;
--- a/cuminward-serving/src/notice.rs
+++ b/cuminward-serving/src/notice.rs
@@ -1,4 +1,5 @@
-//! What a host says of itself in its responses: the rate of requests that it takes from all nodes together.
+//! What a host says of itself in its responses: the rate of requests that it takes from all nodes together, and
+//! whether it is leaving.
 //!
 //! A host in need names such a limit for as long as it holds. Responses overtake each other, so only the response
 //! to a request that was sent after the limit was last heard can end it.
@@ -15,6 +16,8 @@
 pub struct Notice {
     /// Requests that the host takes from all nodes together; `None` if it names no limit.
     pub limit: Option<Rate>,
+    /// Whether the host is leaving and takes no new requests.
+    pub is_leaving: bool,
 }
 
 /// Window in which a host counts the requests that it gets.
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod freshness;
 mod host;
+mod leaving;
 mod limit;
 mod loss;
 mod message;
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -101,7 +101,7 @@
 pub enum Ready {
     /// It is sent.
     Send,
-    /// Its time has passed; it isn't sent.
+    /// Its time, or that of the choice of its upstream, has passed; it isn't sent.
     Expired,
 }
 
