--- a/cuminward-serving/src/notice.rs
+++ b/cuminward-serving/src/notice.rs
@@ -1,4 +1,5 @@
-//! What a host says of itself in its responses: the rate of requests that it takes from all nodes together.
+//! What a host says of itself in its responses: the rate of requests that it takes from all nodes together, and
+//! whether it is leaving.
 //!
 //! A host in need names such a limit for as long as it holds. Responses overtake each other, so only the response
 //! to a request that was sent after the limit was last heard can end it.
@@ -17,6 +18,8 @@
     pub limit: Option<Rate>,
     /// Whether the host names a limit that can't be read, which tells neither that it has one nor that it has none.
     pub is_limit_unreadable: bool,
+    /// Whether the host is leaving and takes no new requests.
+    pub is_leaving: bool,
 }
 
 /// Window in which a host counts the requests that it gets.
