--- a/cuminward-gateway/tests/all/limits.rs
+++ b/cuminward-gateway/tests/all/limits.rs
@@ -427,3 +427,29 @@
         expect_that!(received, le(allowed(LIMIT)), "{}", case.name);
     }
 }
+
+/// Guards against nodes that send a host a burst of requests although it has named a limit in its report.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_in_a_response_to_a_health_check_counts() {
+    /// Pause in a stream after which the members of its replica are asked.
+    const PAUSE: Duration = Duration::from_millis(800);
+
+    let site = Site::with_hosts(1, 4).await;
+    site.join_replicas(1, 2, None);
+    let nodes = start_nodes(&site, 1).await;
+    let head = &site.replicas[0];
+    handle_all(slice::from_ref(head), &Behaviour::StreamPausing(7, PAUSE));
+    let streams = future::join_all((0..4).map(|_| send(&nodes[0], Service::Engine)));
+    let naming = async {
+        while head.received().is_empty() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        head.name_limit(Some("0.2"));
+    };
+    future::join(streams, naming).await;
+    head.clear_received();
+    let answers = future::join_all((0..8).map(|_| send(&nodes[0], Service::Engine))).await;
+    expect_that!(head.received().len(), le(1));
+    expect_that!(answers.iter().filter(|it| !it.is_served()).count(), eq(0));
+}
