test: cuminward-gateway: limits, relays and elections beside nodes of the former build

Over real sockets, 1 s after a node met fake nodes of: parts of cold hosts and of limits that hosts name, extensions with limits of later forms, relays, candidates, and nodes that leave.

--- a/cuminward-gateway/tests/all/builds.rs
+++ b/cuminward-gateway/tests/all/builds.rs
@@ -30,7 +30,7 @@
 const SETTLE_TIME: Duration = Duration::from_millis(800);
 
 /// Time in which a node learns what a digest tells.
-const LEARN_TIME: Duration = Duration::from_secs(1);
+pub(crate) const LEARN_TIME: Duration = Duration::from_secs(1);
 
 /// Time within which a node's digests show what has happened: it finds out by itself within the first second.
 const SHOW_TIME: Duration = Duration::from_secs(2);
@@ -45,7 +45,7 @@
 const SILENCE: Duration = Duration::from_secs(3);
 
 /// Longest wait for a datagram of a node.
-const DATAGRAM_TIMEOUT: Duration = Duration::from_secs(5);
+pub(crate) const DATAGRAM_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The digest of [`example`], as the builds since 65465ef send it.
 const GOLDEN_DIGEST: &str = "01000000000000006e01000000000000006407000000000000000900000000000000000000007f0000013930\
@@ -258,8 +258,12 @@
     })
 }
 
-/// Receives digests for a time; returns whether one shows what was asked for, as earlier builds read it.
-async fn shows(socket: &UdpSocket, is_shown: fn(&Digest) -> bool) -> bool {
+/// Receives digests for up to `duration`; returns whether one shows what was asked for, as earlier builds read it.
+pub(crate) async fn shows(
+    socket: &UdpSocket,
+    duration: Duration,
+    is_shown: fn(&Digest) -> bool,
+) -> bool {
     let mut buffer = vec![0; 60_000];
     let received = async {
         loop {
@@ -270,7 +274,7 @@
             }
         }
     };
-    time::timeout(SHOW_TIME, received).await.is_ok()
+    time::timeout(duration, received).await.is_ok()
 }
 
 /// Guards against a node of an earlier build that doesn't learn what the others know: their load, lost hosts, crashing
@@ -329,7 +333,7 @@
         site.store.put(topic::NODES, "earlier", &address.to_string());
         let node = site.node("exchange").await;
         let happening = tokio::spawn(event(&site, &node));
-        expect_that!(shows(&socket, is_shown).await, eq(true), "{name}");
+        expect_that!(shows(&socket, SHOW_TIME, is_shown).await, eq(true), "{name}");
         happening.abort();
     }
     Ok(())
--- a/cuminward-gateway/tests/all/former_build.rs
+++ b/cuminward-gateway/tests/all/former_build.rs
@@ -142,16 +142,6 @@
 {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a loopback port is free");
     let address = listener.local_addr().expect("the listener is bound");
-    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a loopback port is free");
-    let send_digests = async {
-        for number in 1.. {
-            let digest = Digest { number, address, ..digest.clone() };
-            let mut bytes = bincode::serialize(&digest).expect("a digest has an encoding");
-            bytes.extend_from_slice(extension.as_bytes());
-            socket.send_to(&bytes, to).await.expect("the socket is open");
-            time::sleep(DIGEST_INTERVAL).await;
-        }
-    };
     let connections = stream::unfold(listener, |listener| async move {
         let (connection, _) = listener.accept().await.ok()?;
         Some((connection, listener))
@@ -161,11 +151,28 @@
         let calls = BaseChannel::with_defaults(transport).execute(server.clone());
         calls.for_each_concurrent(None, |answer| answer)
     });
-    tokio::join!(send_digests, answer_calls);
+    tokio::join!(send_digests(to, Digest { address, ..digest }, extension), answer_calls);
+}
+
+/// Sends digests to `to` until the task is dropped, which are `digest` with their number and then the text `extension`.
+pub(crate) async fn send_digests(to: SocketAddr, digest: Digest, extension: &str) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a loopback port is free");
+    for number in 1.. {
+        let digest = Digest { number, ..digest.clone() };
+        let mut bytes = bincode::serialize(&digest).expect("a digest has an encoding");
+        bytes.extend_from_slice(extension.as_bytes());
+        socket.send_to(&bytes, to).await.expect("the socket is open");
+        time::sleep(DIGEST_INTERVAL).await;
+    }
+}
+
+/// Runs a fake node of the former build that has nothing until the task is dropped.
+pub(crate) async fn run_former_node(to: SocketAddr, digest: Digest) {
+    run_node(to, digest, "", Server::default().serve()).await;
 }
 
 /// Returns the digest of a fake node that has nothing, without its number and address.
-fn empty_digest(name: String) -> Digest {
+pub(crate) fn empty_digest(name: String) -> Digest {
     Digest {
         node: name,
         domain: String::from("mercado"),
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod loans;
 mod local_views;
+mod mixed_builds;
 mod quarantine;
 mod raw;
 mod restored;
