--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use tokio::{net::UdpSocket, task::JoinSet, time};
 
 use crate::{
+    build,
     control::{crashes, election, era, health_check, steward, topics},
     forward,
     ingress::{connection, listener, metrics, ready},
@@ -52,7 +53,7 @@
     /// handler can't be installed.
     pub async fn start(settings: Settings, path: PathBuf) -> io::Result<Gateway> {
         let state = Arc::new(State::new(settings)?);
-        let version = env!("CARGO_PKG_VERSION").to_owned();
+        let version = build::VERSION.to_owned();
         let incarnation = rand::random::<u32>().into();
         state.events.emit(Kind::NodeStarted { version, incarnation });
         let mut gateway = Gateway { state, tasks: JoinSet::new() };
--- a/cuminward-gateway/src/lib.rs
+++ b/cuminward-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod build;
 mod control;
 mod forward;
 pub mod gateway;
--- a/cuminward-gateway/src/peer/datagram.rs
+++ b/cuminward-gateway/src/peer/datagram.rs
@@ -11,7 +11,7 @@
 use cuminward_derive::record;
 
 use super::{digest::Digest, feature};
-use crate::state::notices::Report;
+use crate::{build, state::notices::Report};
 
 /// Largest datagram, in bytes.
 pub(crate) const MAX_BYTES: usize = 60_000;
@@ -44,11 +44,7 @@
 impl Extension {
     /// Creates the extension of this build.
     pub(crate) fn own(limits: Vec<Report>) -> Extension {
-        Extension {
-            build: String::from(env!("CARGO_PKG_VERSION")),
-            features: feature::OWN.to_vec(),
-            limits,
-        }
+        Extension { build: String::from(build::VERSION), features: feature::OWN.to_vec(), limits }
     }
 }
 
--- a/cuminward-gateway/tests/all/builds.rs
+++ b/cuminward-gateway/tests/all/builds.rs
@@ -12,6 +12,7 @@
     header,
     host::{self, Behaviour},
 };
+use cuminward_gateway::build;
 use googletest::prelude::*;
 use tarpc::context;
 use tokio::{
@@ -182,6 +183,7 @@
     let extension: serde_json::Value =
         serde_json::from_slice(&buffer[read.len()..length]).or_fail()?;
     expect_that!(extension["features"].as_array().map(Vec::len), some(ge(2)));
+    expect_that!(extension["build"].as_str(), some(eq(build::VERSION)));
     Ok(())
 }
 
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -23,3 +23,4 @@
 mod template;
 mod unary;
 mod unknown_fields;
+mod version;
