--- a/cuminward-gateway/src/peer/datagram.rs
+++ b/cuminward-gateway/src/peer/datagram.rs
@@ -12,7 +12,7 @@
 use cuminward_serving::leaving::Start;
 
 use super::{digest::Digest, feature};
-use crate::state::notices::Report;
+use crate::{build, state::notices::Report};
 
 /// Largest datagram, in bytes.
 pub(crate) const MAX_BYTES: usize = 60_000;
@@ -49,7 +49,7 @@
     /// Creates the extension of this build.
     pub(crate) fn own(limits: Vec<Report>, leaving: Vec<Start>) -> Extension {
         Extension {
-            build: String::from(env!("CARGO_PKG_VERSION")),
+            build: String::from(build::VERSION),
             features: feature::OWN.to_vec(),
             limits,
             leaving,
