fix: cuminward-gateway: a host that asks a node for a pause gets nothing from it until the pause ends

A 503 response of a host with `Retry-After` pauses that start of the host on this node, on the monotonic clock: no request, status query or order is sent, and one whose connection is open only after the response chooses again. After a pause the host gets two requests a second and slot for 1 s, by the bucket for cold hosts. If all hosts of a target are paused or have no permit of their limits, the request waits if there is room in time, or is rejected at once with the time until there is, now at most 2 min for limits too.

The tests failed first. One row found a fault while this was written: a pause of 0 s slowed its host down. Not shown by a test: the request whose connection is open only after the response; a node that is frozen.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -794,6 +794,20 @@
         /// Start of the host, in milliseconds since the Unix epoch.
         start: u64,
     }
+    /// A host asked this node in a 503 response to send it nothing for a time.
+    2316 Info "host-paused" HostPaused {
+        /// The host.
+        host: String,
+        /// Start of the host, in milliseconds since the Unix epoch.
+        start: u64,
+        /// The time in milliseconds.
+        pause_ms: u64,
+    }
+    /// A host sent a 503 response with a `Retry-After` that can't be read; written at most once a minute for each host.
+    2317 Warn "pause-unreadable" PauseUnreadable {
+        /// The host.
+        host: String,
+    }
     /// An upstream was chosen for a request; written for sampled requests only.
     2401 Info "upstream-chosen" UpstreamChosen {
         /// Name of the route.
--- a/cuminward-gateway/src/control/health_check.rs
+++ b/cuminward-gateway/src/control/health_check.rs
@@ -94,7 +94,8 @@
     Alive(slowdown::Factor),
     /// The host gave no usable answer and is marked as lost.
     Lost,
-    /// This node itself was delayed during the probe, so that a missing answer proves nothing.
+    /// This node itself was delayed during the probe, or the host wants no requests, so that a missing answer proves
+    /// nothing.
     Inconclusive,
 }
 
@@ -108,6 +109,7 @@
             state.record_slowdown(&member.host, status.slowdown);
             ProbeResult::Alive(status.slowdown)
         }
+        Err(host_client::Error::Paused) => ProbeResult::Inconclusive,
         Err(_) if started.elapsed() > MAX_PROBE_TIME => ProbeResult::Inconclusive,
         Err(error) => {
             let is_refusal = error == host_client::Error::Refused;
--- a/cuminward-gateway/src/control/host_client.rs
+++ b/cuminward-gateway/src/control/host_client.rs
@@ -29,6 +29,8 @@
     Silent,
     /// Nothing accepts connections at the host's address.
     Refused,
+    /// The host wants no requests from this node for a time, so that none was sent.
+    Paused,
     /// Another host answered at the address, or the report is malformed.
     Wrong,
 }
@@ -97,11 +99,11 @@
 }
 
 /// Sends a request and reads the response, and records what it says of the host. A response to a request of a caller,
-/// which was left over on the connection, counts as none.
+/// which was left over on the connection, counts as none. Nothing is sent to a host that wants no requests.
 ///
 /// # Errors
 ///
-/// [`Error::Refused`] and [`Error::Silent`].
+/// [`Error::Refused`], [`Error::Silent`] and [`Error::Paused`].
 async fn exchange(
     state: &State,
     host: &str,
@@ -112,6 +114,9 @@
 ) -> Result<(StatusCode, Bytes), Error> {
     let notices = state.cluster().listed_notices(host);
     let sent_at = state.now();
+    if notices.as_ref().is_some_and(|it| it.is_paused(sent_at)) {
+        return Err(Error::Paused);
+    }
     let exchange = async {
         let sent = state.upstreams.send(address, request, idle, timeout).await;
         let response = sent.map_err(|it| {
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -64,7 +64,7 @@
     context.set_may_have_run(true);
     let notices = &slot.upstream.notices;
     let prepare = |request: &mut Request<_>| match set_time_left(context, request) {
-        pool::Ready::Send if notices.is_leaving() => pool::Ready::Expired,
+        pool::Ready::Send if !notices.is_open(state.now()) => pool::Ready::Expired,
         it => it,
     };
     let sent = state.upstreams.send_with(address, request, idle, timeout, prepare).await;
@@ -74,8 +74,8 @@
             let is_unsent = failed.request.is_some();
             context.set_may_have_run(may_have_run_before || !is_unsent);
             if is_unsent && matches!(failed.error, Error::Timeout { .. }) {
-                let cause = if notices.is_leaving() {
-                    "the host was found to be leaving before the connection was open"
+                let cause = if !notices.is_open(state.now()) {
+                    "the host took no more requests when the connection was open"
                 } else {
                     "its time was up when the connection was open"
                 };
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -45,7 +45,7 @@
     Absent,
     /// The request, or a part of its prompt, has crashed several hosts.
     Quarantined,
-    /// All upstreams name limits, and this node's parts of them are used up for longer than the request may wait.
+    /// All upstreams name limits or asked for pauses, and this node has no room for longer than the request may wait.
     Limited {
         /// Time until this node has room for the request; `None` if it won't have any by itself.
         room_in: Option<Duration>,
@@ -60,6 +60,8 @@
         cold: usize,
         /// Number of these that name a limit of which this node has used its part.
         limited: usize,
+        /// Number of these whose hosts want no requests from this node for a time.
+        paused: usize,
         /// Number of these that failed or made no progress lately.
         suspect: usize,
     },
@@ -75,6 +77,12 @@
 /// `Retry-After` sent if all upstreams are full.
 const FULL_RETRY_AFTER_MS: RangeInclusive<u64> = 250..=400;
 
+/// Longest `Retry-After` sent; until then, other hosts may have come.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(120);
+
+/// Requests per second and slot that a host gets from this node right after a pause.
+const RECOVERY_RATE: f64 = 2.0;
+
 /// Access
 impl Unavailable {
     /// Returns the time after which the caller should try again.
@@ -86,7 +94,7 @@
         };
         let after = Duration::from_millis(rand::random_range(range));
         match self {
-            Unavailable::Limited { room_in: Some(it) } => after.max(it),
+            Unavailable::Limited { room_in: Some(it) } => after.max(it).min(MAX_RETRY_AFTER),
             _ => after,
         }
     }
@@ -101,16 +109,16 @@
             }
             Unavailable::Limited { room_in: Some(it) } => write!(
                 f,
-                "all upstreams have limits, and this node has room in {} ms",
+                "all upstreams have limits or are paused, and this node has room in {} ms",
                 it.as_millis()
             ),
             Unavailable::Limited { room_in: None } => {
                 write!(f, "all upstreams have limits, of which this node has no part")
             }
-            Unavailable::Full { upstreams, full, cold, limited, suspect } => write!(
+            Unavailable::Full { upstreams, full, cold, limited, paused, suspect } => write!(
                 f,
                 "no upstream has capacity: {upstreams} known, {full} full, {cold} cold, {limited} limited, \
-                 {suspect} suspect"
+                 {paused} paused, {suspect} suspect"
             ),
         }
     }
@@ -196,7 +204,8 @@
     (Instant::now() + queue::longest_wait(objective, service_time)).min(context.deadline)
 }
 
-/// Checks that this node has room for a request within `wait` if all upstreams of its target name limits.
+/// Checks that this node has room for a request within `wait` if all upstreams of its target name limits or asked for
+/// pauses.
 ///
 /// # Errors
 ///
@@ -204,11 +213,15 @@
 fn check_limits(state: &State, target: &Target, wait: Duration) -> Result<(), Unavailable> {
     let snapshot = state.routing.load();
     let upstreams = snapshot.upstreams(&target.service, target.model.as_deref());
-    if !upstreams.iter().all(|it| it.notices.is_limited()) {
+    let now = state.now();
+    if !upstreams.iter().all(|it| it.notices.is_limited() || it.notices.is_paused(now)) {
         return Ok(());
     }
-    let now = state.now();
-    let room_in = upstreams.iter().filter_map(|it| it.notices.time_to_permit(now)).min();
+    let time_to_room = |it: &Arc<Upstream>| {
+        let permit = it.notices.time_to_permit(now)?;
+        Some(permit.max(it.notices.pause_left(now)))
+    };
+    let room_in = upstreams.iter().filter_map(time_to_room).min();
     match room_in {
         Some(it) if it <= wait => Ok(()),
         _ => Err(Unavailable::Limited { room_in }),
@@ -246,6 +259,7 @@
         full: upstreams.iter().filter(|it| !has_free_slot(it, fill)).count(),
         cold: upstreams.iter().filter(|it| it.stats.is_cold(now)).count(),
         limited: upstreams.iter().filter(|it| !has_limit_permit(it, now)).count(),
+        paused: upstreams.iter().filter(|it| it.notices.is_paused(now)).count(),
         suspect: upstreams.iter().filter(|it| it.stats.is_suspect(now)).count(),
     }
 }
@@ -274,7 +288,7 @@
     let snapshot = state.routing.load();
     let now = state.now();
     let upstream = choose_upstream(state, &snapshot, criteria, now)?;
-    if let Some(rate) = cold_rate(upstream, now)
+    if let Some(rate) = reduced_rate(upstream, now)
         && !upstream.stats.acquire_cold_permit(now, rate)
     {
         return None;
@@ -291,10 +305,13 @@
     upstream.notices.time_to_permit(now) == Some(Duration::ZERO)
 }
 
-/// Returns this node's share of the request rate that an upstream sustains during slow start, in
-/// requests per second; `None` if the upstream is warm or its rate isn't limited.
-fn cold_rate(upstream: &Upstream, now: Duration) -> Option<f64> {
-    upstream.cold_share.filter(|_| upstream.stats.is_cold(now))
+/// Returns the request rate of this node that an upstream sustains during slow start and right after a pause, in
+/// requests per second; `None` if its rate isn't limited.
+fn reduced_rate(upstream: &Upstream, now: Duration) -> Option<f64> {
+    let cold = upstream.cold_share.filter(|_| upstream.stats.is_cold(now));
+    let is_recovering = upstream.notices.is_recovering(now);
+    let recovering = is_recovering.then(|| f64::from(upstream.slots) * RECOVERY_RATE);
+    [cold, recovering].into_iter().flatten().reduce(f64::min)
 }
 
 /// Selects the best upstream among those with capacity, on hosts that weren't tried before.
@@ -307,11 +324,11 @@
     let fill = state.current_settings().admission.fill;
     let has_capacity = |it: &&Arc<Upstream>| {
         has_free_slot(it, fill)
-            && !it.notices.is_leaving()
+            && it.notices.is_open(now)
             && !it.stats.is_excluded(now)
             && !criteria.tried.contains(&it.host)
             && has_limit_permit(it, now)
-            && cold_rate(it, now).is_none_or(|rate| it.stats.has_cold_permit(now, rate))
+            && reduced_rate(it, now).is_none_or(|rate| it.stats.has_cold_permit(now, rate))
     };
     let all = snapshot.upstreams(&criteria.target.service, criteria.target.model.as_deref());
     let usable: Vec<&Arc<Upstream>> = all.iter().filter(has_capacity).collect();
--- a/cuminward-gateway/src/ingress/metrics.rs
+++ b/cuminward-gateway/src/ingress/metrics.rs
@@ -46,6 +46,12 @@
 /// Hosts that said that they are leaving.
 const LEAVING_HOSTS: &str = "cuminward_gateway_leaving_hosts";
 
+/// Hosts that want no requests from this node for a time.
+const PAUSED_HOSTS: &str = "cuminward_gateway_paused_hosts";
+
+/// Pauses that hosts asked for and whose value couldn't be read.
+const UNREADABLE_PAUSES: &str = "cuminward_gateway_unreadable_pauses_total";
+
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
 
@@ -99,6 +105,8 @@
         ::metrics::counter!(UNREADABLE).absolute(state.unreadable());
         ::metrics::gauge!(LIMITED_HOSTS).set(state.limited_hosts() as f64);
         ::metrics::gauge!(LEAVING_HOSTS).set(state.leaving_hosts() as f64);
+        ::metrics::gauge!(PAUSED_HOSTS).set(state.paused_hosts() as f64);
+        ::metrics::counter!(UNREADABLE_PAUSES).absolute(state.unreadable_pauses());
         handle.run_upkeep();
         handle.render()
     }
--- a/cuminward-gateway/src/state/cluster.rs
+++ b/cuminward-gateway/src/state/cluster.rs
@@ -460,7 +460,9 @@
         let snapshot = Snapshot::new(catalog, services);
         let used: BTreeSet<String> = snapshot.routable().map(|it| it.name.clone()).collect();
         self.stats.retain(|name, it| used.contains(name) || it.in_flight() > 0);
-        self.notices.retain(|_, it| Arc::strong_count(it) > 1 || it.is_limited_lately(now));
+        self.notices.retain(|_, it| {
+            Arc::strong_count(it) > 1 || it.is_limited_lately(now) || it.is_paused(now)
+        });
         snapshot
     }
 
--- a/cuminward-gateway/src/state/mod.rs
+++ b/cuminward-gateway/src/state/mod.rs
@@ -81,6 +81,8 @@
     builds: ArcSwap<BTreeMap<String, usize>>,
     /// Number of datagrams of other nodes that couldn't be decoded.
     unreadable: AtomicU64,
+    /// Number of pauses that hosts asked for and whose value couldn't be read.
+    unreadable_pauses: AtomicU64,
     /// Nodes that lend retries to this one.
     pub(crate) lenders: loan::Lenders,
     /// Requests and retries of this node, by service.
@@ -157,6 +159,7 @@
             quarantine: quarantine::Quarantine::new(),
             builds: ArcSwap::default(),
             unreadable: AtomicU64::new(0),
+            unreadable_pauses: AtomicU64::new(0),
             lenders: loan::Lenders::default(),
             retry_budgets: Mutex::default(),
             node_count: AtomicUsize::new(1),
--- a/cuminward-gateway/src/state/notices.rs
+++ b/cuminward-gateway/src/state/notices.rs
@@ -14,7 +14,7 @@
 use cuminward_serving::{
     leaving::Start,
     nodes::Standing,
-    notice::{self, Change, Notice, Rate, Tracker},
+    notice::{self, Change, Notice, Pause, Rate, Tracker},
 };
 
 use super::{
@@ -31,6 +31,12 @@
 /// Largest number of limits, and of hosts that are leaving, of which a node tells the others at a time.
 const MAX_REPORTS: usize = 64;
 
+/// Time after a pause in which a host gets fewer requests.
+const RECOVERY_TIME: Duration = Duration::from_secs(1);
+
+/// Shortest time between two events about values of a host that can't be read.
+const UNREADABLE_INTERVAL: Duration = Duration::from_secs(60);
+
 /// What a node tells the others about the limit of a start of a host.
 #[record]
 pub(crate) struct Report {
@@ -52,6 +58,11 @@
 pub(crate) struct Host {
     start: Start,
     is_leaving: AtomicBool,
+    /// Until when the host wants no requests from this node, in milliseconds since the node's start; 0 if it never asked
+    /// for a pause.
+    paused_until_ms: AtomicU64,
+    /// Until when no event is written about values that can't be read, in milliseconds since the node's start.
+    unreadable_until_ms: AtomicU64,
     is_limited: AtomicBool,
     /// When a request was last sent whose response named no limit, while none was known, in milliseconds since the
     /// node's start.
@@ -73,6 +84,8 @@
         Host {
             start,
             is_leaving: AtomicBool::new(false),
+            paused_until_ms: AtomicU64::new(0),
+            unreadable_until_ms: AtomicU64::new(0),
             is_limited: AtomicBool::new(false),
             unlimited_ms: AtomicU64::new(0),
             limit: Mutex::default(),
@@ -87,6 +100,31 @@
         self.is_leaving.load(Ordering::Relaxed)
     }
 
+    /// Returns the time for which the host still wants no requests from this node; zero if it takes some.
+    pub(crate) fn pause_left(&self, now: Duration) -> Duration {
+        self.paused_until().saturating_sub(now)
+    }
+
+    /// Returns whether the host wants no requests from this node.
+    pub(crate) fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until()
+    }
+
+    /// Returns whether a pause of the host ended a short time ago.
+    pub(crate) fn is_recovering(&self, now: Duration) -> bool {
+        let until = self.paused_until();
+        until > Duration::ZERO && now >= until && now < until + RECOVERY_TIME
+    }
+
+    /// Returns whether the host takes new requests of this node, as far as it has said so.
+    pub(crate) fn is_open(&self, now: Duration) -> bool {
+        !self.is_leaving() && !self.is_paused(now)
+    }
+
+    fn paused_until(&self) -> Duration {
+        Duration::from_millis(self.paused_until_ms.load(Ordering::Relaxed))
+    }
+
     /// Returns whether the host names a limit, as far as this node knows.
     pub(crate) fn is_limited(&self) -> bool {
         self.is_limited.load(Ordering::Relaxed)
@@ -129,6 +167,26 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the host wants no requests from this node for a time. Returns whether it took some before.
+    fn record_pause(&self, now: Duration, pause: Duration) -> bool {
+        if pause.is_zero() {
+            return false;
+        }
+        let was_paused = self.is_paused(now);
+        let until = now.saturating_add(pause).as_millis();
+        let until = u64::try_from(until).unwrap_or(u64::MAX);
+        self.paused_until_ms.fetch_max(until, Ordering::Relaxed);
+        !was_paused
+    }
+
+    /// Returns whether an event is due about a value that can't be read.
+    fn take_unreadable_event(&self, now: Duration) -> bool {
+        let (now_ms, next_ms) =
+            (now.as_millis() as u64, (now + UNREADABLE_INTERVAL).as_millis() as u64);
+        let until = self.unreadable_until_ms.load(Ordering::Relaxed);
+        now_ms >= until && self.unreadable_until_ms.fetch_max(next_ms, Ordering::Relaxed) == until
+    }
+
     /// Sets this node's standing among those that share the limit.
     pub(crate) fn set_standing(&self, standing: Option<Standing>) {
         self.lock().standing = standing;
@@ -177,6 +235,17 @@
         self.cluster().all_notices().filter(|(_, it)| it.is_limited()).count()
     }
 
+    /// Returns the number of hosts that want no requests from this node now.
+    pub(crate) fn paused_hosts(&self) -> usize {
+        let now = self.now();
+        self.cluster().all_notices().filter(|(_, it)| it.is_paused(now)).count()
+    }
+
+    /// Returns the number of pauses that hosts asked for and whose value couldn't be read.
+    pub(crate) fn unreadable_pauses(&self) -> u64 {
+        self.unreadable_pauses.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of hosts that are leaving, as far as this node knows.
     pub(crate) fn leaving_hosts(&self) -> usize {
         self.cluster().leaving_hosts().len()
@@ -217,12 +286,34 @@
             host.mark_leaving();
             self.record_leaving(&host.start, Source::Response);
         }
+        if let Some(pause) = notice.pause {
+            self.record_pause(host, pause);
+        }
         if notice.limit.is_some() || may_end_limit {
             let change = host.record_response(self.now(), sent_at, notice.limit);
             self.apply_limit_change(host, change, Source::Response);
         }
     }
 
+    fn record_pause(&self, host: &Host, pause: Pause) {
+        let now = self.now();
+        let id = || host.start.host.clone();
+        match pause {
+            Pause::For(time) if host.record_pause(now, time) => {
+                let pause_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+                let start = host.start.started_ms;
+                self.events.emit(Kind::HostPaused { host: id(), start, pause_ms });
+            }
+            Pause::For(_) => {}
+            Pause::Unreadable => {
+                self.unreadable_pauses.fetch_add(1, Ordering::Relaxed);
+                if host.take_unreadable_event(now) {
+                    self.events.emit(Kind::PauseUnreadable { host: id() });
+                }
+            }
+        }
+    }
+
     /// Records what another node tells about hosts that are leaving.
     pub(crate) fn apply_leaving_reports(&self, reports: &[Start]) {
         reports.iter().for_each(|it| self.record_leaving(it, Source::Node));
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod load;
 mod loans;
 mod local_views;
+mod pauses;
 mod quarantine;
 mod raw;
 mod restored;
--- a/cuminward-serving/src/notice.rs
+++ b/cuminward-serving/src/notice.rs
@@ -1,5 +1,5 @@
 //! What a host says of itself in its responses: the rate of requests that it takes from all nodes together, and
-//! whether it is leaving.
+//! whether it is leaving, and whether it asks the node for a pause.
 //!
 //! A host in need names such a limit for as long as it holds. Responses overtake each other, so only the response
 //! to a request that was sent after the limit was last heard can end it.
@@ -18,6 +18,17 @@
     pub limit: Option<Rate>,
     /// Whether the host is leaving and takes no new requests.
     pub is_leaving: bool,
+    /// Time for which the host wants no more requests from the node that got the response.
+    pub pause: Option<Pause>,
+}
+
+/// Time for which a host wants no requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pause {
+    /// The time, counted from when the response arrived.
+    For(Duration),
+    /// The value can't be read.
+    Unreadable,
 }
 
 /// Window in which a host counts the requests that it gets.
