--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod loans;
 mod local_views;
 mod mixed_builds;
+mod pauses;
 mod quarantine;
 mod raw;
 mod restored;
