fix: cuminward-soak: of two faults that wait for the same process only one starts the node again

Checking that the process has exited and starting the next one are now one step, a start since is told by its number rather than guessed from a running process, and giving up is logged. The longest wait is 15 s, not 3 s. No check is changed, and the draws are the same.

--- a/cuminward-soak/src/fault.rs
+++ b/cuminward-soak/src/fault.rs
@@ -46,7 +46,7 @@
 const RESET_DURATION: Duration = Duration::from_millis(50);
 
 /// Longest wait for the exit of a killed process, and the interval at which its state is polled.
-const EXIT_TIMEOUT: Duration = Duration::from_secs(3);
+const EXIT_TIMEOUT: Duration = Duration::from_secs(15);
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Added latency of a delayed link.
@@ -334,12 +334,10 @@
 }
 
 async fn kill(nodes: &[Node], duration: Duration) {
-    for node in nodes {
-        node.signal(Signal::KILL);
-    }
+    let start_counts: Vec<u32> = nodes.iter().map(end).collect();
     time::sleep(duration).await;
-    for node in nodes {
-        restart(node).await;
+    for (node, start_count) in nodes.iter().zip(start_counts) {
+        restart(node, start_count).await;
     }
 }
 
@@ -347,24 +345,28 @@
     node.signal(Signal::TERM);
     time::sleep(SHUTDOWN_GRACE).await;
     // A process that another fault suspended hasn't handled SIGTERM yet.
+    restart(node, end(node)).await;
+}
+
+/// Kills the process of a node. Returns how often one had been started then.
+pub(crate) fn end(node: &Node) -> u32 {
     node.signal(Signal::KILL);
-    restart(node).await;
+    node.start_count()
 }
 
-/// Starts a node once its killed process has exited. Gives up if a process still runs after
-/// [`EXIT_TIMEOUT`]: then another fault has already started the node again.
-pub(crate) async fn restart(node: &Node) {
+/// Starts a node once its killed process has exited, unless another fault has started it since.
+pub(crate) async fn restart(node: &Node, start_count: u32) {
     let mut waited = Duration::ZERO;
-    while node.is_running() {
-        if waited > EXIT_TIMEOUT {
-            return;
+    loop {
+        match node.restart_after(start_count) {
+            Ok(true) => return,
+            Ok(false) if waited < EXIT_TIMEOUT => {}
+            Ok(false) => return log::error!("node {} still runs after {waited:?}", node.name()),
+            Err(error) => return log::error!("can't restart node {}: {error}", node.name()),
         }
         time::sleep(EXIT_POLL_INTERVAL).await;
         waited += EXIT_POLL_INTERVAL;
     }
-    if let Err(error) = node.restart() {
-        log::error!("can't restart node {}: {error}", node.name());
-    }
 }
 
 async fn crash(host: usize, duration: Duration, testbed: &Testbed) {
--- a/cuminward-soak/src/node.rs
+++ b/cuminward-soak/src/node.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::Stdio,
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -98,6 +98,15 @@
         self.addresses
     }
 
+    /// Returns how often a process was started.
+    pub fn start_count(&self) -> u32 {
+        *self.lock_start_count()
+    }
+
+    fn lock_start_count(&self) -> MutexGuard<'_, u32> {
+        self.start_count.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the node's settings as YAML.
     fn settings(&self, is_first_start: bool) -> String {
         let Addresses { callers, ready, peers } = self.addresses;
@@ -128,11 +137,30 @@
     ///
     /// Fails if a file can't be written or the process can't be started.
     pub fn restart(&self) -> io::Result<()> {
-        let number = {
-            let mut start_count = self.start_count.lock().unwrap_or_else(PoisonError::into_inner);
-            *start_count += 1;
-            *start_count
-        };
+        self.start_process(&mut self.lock_start_count())
+    }
+
+    /// Starts a new process once the previous one has exited, unless another was started since `start_count` was
+    /// read. Returns whether a process that was started later runs or has run.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file can't be written or the process can't be started.
+    pub fn restart_after(&self, start_count: u32) -> io::Result<bool> {
+        let mut current = self.lock_start_count();
+        if *current != start_count {
+            return Ok(true);
+        }
+        if self.is_running() {
+            return Ok(false);
+        }
+        self.start_process(&mut current)?;
+        Ok(true)
+    }
+
+    fn start_process(&self, start_count: &mut u32) -> io::Result<()> {
+        *start_count += 1;
+        let number = *start_count;
         let settings = self.directory.join(format!("{}.yaml", self.name));
         fs::write(&settings, self.settings(number == 1))?;
         let log = |stream: &str| {
--- a/cuminward-soak/src/upgrade.rs
+++ b/cuminward-soak/src/upgrade.rs
@@ -53,7 +53,6 @@
         time::sleep(POLL_INTERVAL).await;
     }
     // A process that another fault suspended hasn't handled SIGTERM yet.
-    node.signal(Signal::KILL);
-    fault::restart(node).await;
+    fault::restart(node, fault::end(node)).await;
     history.end(event);
 }
