--- a/cuminward-ctl/src/cli.rs
+++ b/cuminward-ctl/src/cli.rs
@@ -130,6 +130,11 @@
         /// Log files of one or several nodes; standard input if none is given.
         files: Vec<PathBuf>,
     },
+    /// Show the build of each gateway node and which nodes have heard of it, from log lines.
+    Builds {
+        /// Log files of one or several nodes; standard input if none is given.
+        files: Vec<PathBuf>,
+    },
     /// Work with keys and tokens.
     #[command(subcommand)]
     Key(Key),
--- a/cuminward-ctl/src/command/explain.rs
+++ b/cuminward-ctl/src/command/explain.rs
@@ -21,15 +21,7 @@
     input: &mut impl BufRead,
     out: &mut impl Write,
 ) -> Result<(), Error> {
-    let mut lines = Vec::new();
-    for file in files {
-        let name = file.display().to_string();
-        let opened_file = File::open(file).map_err(Error::io(name.clone()))?;
-        lines.extend(read_lines(BufReader::new(opened_file)).map_err(Error::io(name))?);
-    }
-    if files.is_empty() {
-        lines = read_lines(input).map_err(Error::io("standard input"))?;
-    }
+    let lines = read_logs(files, input)?;
     let explain::Lines { records, unreadable } = explain::parse_lines(lines);
     let events = explain::request_events(records, request);
     let hidden: String = unreadable
@@ -44,6 +36,24 @@
     out.write_all(text.as_bytes()).map_err(Error::io("standard output"))
 }
 
+/// Returns the lines of files; those of `input` if there is no file.
+///
+/// # Errors
+///
+/// Fails if a file can't be read.
+pub(crate) fn read_logs(files: &[PathBuf], input: &mut impl BufRead) -> Result<Vec<String>, Error> {
+    let mut lines = Vec::new();
+    for file in files {
+        let name = file.display().to_string();
+        let opened_file = File::open(file).map_err(Error::io(name.clone()))?;
+        lines.extend(read_lines(BufReader::new(opened_file)).map_err(Error::io(name))?);
+    }
+    if files.is_empty() {
+        lines = read_lines(input).map_err(Error::io("standard input"))?;
+    }
+    Ok(lines)
+}
+
 fn read_lines(source: impl BufRead) -> io::Result<Vec<String>> {
     source.lines().collect()
 }
--- a/cuminward-ctl/src/command/mod.rs
+++ b/cuminward-ctl/src/command/mod.rs
@@ -11,6 +11,7 @@
 };
 
 pub mod apply;
+pub mod builds;
 pub mod change;
 pub mod events;
 pub mod explain;
@@ -42,6 +43,7 @@
             events::print_timeline(&global, &request, format, out).await
         }
         Command::Explain { request, files } => explain::run(&request, &files, input, out),
+        Command::Builds { files } => builds::run(&files, global.output, input, out),
         Command::Key(cli::Key::Hash) => key::hash(input, out),
         Command::Completion { shell } => {
             clap_complete::generate(shell, &mut Cli::command(), "cuminctl", out);
--- a/cuminward-ctl/src/view.rs
+++ b/cuminward-ctl/src/view.rs
@@ -69,6 +69,20 @@
     pub members: Vec<String>,
 }
 
+/// The build that a gateway node runs.
+#[derive(Debug, Serialize, Tabled)]
+pub struct Build {
+    /// Name of the node.
+    pub node: String,
+    /// Its build.
+    pub build: String,
+    /// When the build was first named, in milliseconds since the Unix epoch.
+    pub since_ms: u64,
+    /// Other nodes that have heard of it.
+    #[tabled(display = "format_list")]
+    pub heard_by: Vec<String>,
+}
+
 /// A node.
 #[derive(Debug, Serialize, Tabled)]
 pub struct Node {
