--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod builds;
 mod configuration;
 mod copied_refusals;
+mod digest_size;
 mod followers;
 mod former_build;
 mod groups;
