--- a/cuminward-gateway/tests/all/leaving.rs
+++ b/cuminward-gateway/tests/all/leaving.rs
@@ -13,8 +13,8 @@
 use crate::{
     groups,
     load::{
-        Answer, CONCURRENT_CASES, RESPONSE_TIME, Service, arrivals, drive, handle_all, send,
-        start_deaf_nodes, start_nodes,
+        Answer, RESPONSE_TIME, Service, arrivals, drive, handle_all, send, start_deaf_nodes,
+        start_nodes,
     },
     site::{self, Node, Site},
 };
@@ -32,8 +32,8 @@
 const BEFORE: Duration = Duration::from_millis(500);
 const AFTER: Duration = Duration::from_secs(5);
 
-/// Number of slots of each host.
-const SLOTS: u32 = 30;
+/// Number of cases that are played at the same time.
+const CONCURRENT_CASES: usize = 2;
 
 /// Number of hosts of each service.
 const HOSTS: usize = 6;
@@ -74,7 +74,7 @@
     /// Returns when requests arrived at the host that leaves, and the requests that weren't served.
     async fn play(case: &Case) -> (Vec<Instant>, Vec<(String, Option<u16>)>) {
         let site = Site::with_hosts(HOSTS, HOSTS).await;
-        site.configure_slots(1, SLOTS);
+        site.configure(1, None);
         let nodes = start_nodes(&site, case.nodes).await;
         let hosts = case.service.hosts(&site);
         if case.service == Service::Plain {
@@ -119,7 +119,7 @@
 async fn a_node_without_a_response_hears_that_a_host_is_leaving() {
     for service in [Service::Plain, Service::Engine] {
         let site = Site::with_hosts(HOSTS, HOSTS).await;
-        site.configure_slots(1, SLOTS);
+        site.configure(1, None);
         let nodes = start_nodes(&site, 2).await;
         let host = &service.hosts(&site)[0];
         slow_down(&site.plain);
--- a/cuminward-gateway/tests/all/limits.rs
+++ b/cuminward-gateway/tests/all/limits.rs
@@ -80,8 +80,8 @@
     answers: Vec<Answer>,
 }
 
-/// Number of slots of each host.
-const SLOTS: u32 = 30;
+/// Number of slots of a replica.
+const REPLICA_SLOTS: u32 = 30;
 
 /// Time for which the callers of a case send requests.
 const CASE_DURATION: Duration = Duration::from_secs(9);
@@ -97,7 +97,8 @@
 
 async fn play(case: Case) -> Outcome {
     let site = Site::with_hosts(HOSTS, HOSTS).await;
-    site.configure_slots(1, SLOTS);
+    // The slots of a replica aren't what is scarce, also on a busy machine.
+    site.configure_slots(1, REPLICA_SLOTS);
     let (nodes, _views) = match case.exchange {
         Exchange::Messages => (start_nodes(&site, case.nodes).await, Vec::new()),
         Exchange::ListOnly => start_deaf_nodes(&site, case.nodes).await,
--- a/cuminward-gateway/tests/all/site.rs
+++ b/cuminward-gateway/tests/all/site.rs
@@ -19,7 +19,6 @@
 };
 use cuminward_gateway::{gateway::Gateway, settings};
 use http::StatusCode;
-use serde_json::Value;
 use tokio::time;
 
 /// Names of the plain service and of the model engine.
@@ -335,15 +334,8 @@
         self.declare(version, more, size, None);
     }
 
-    /// Declares a catalog with the usual routes in which replicas have this many slots, and lists the plain hosts with
-    /// as many, so that slots aren't what is scarce on a busy machine.
+    /// Declares a catalog with the usual routes in which replicas have this many slots.
     pub(crate) fn configure_slots(&self, version: u64, slots: u32) {
-        for host in &self.plain {
-            let entry = self.store.entry(&host.id).expect("the hosts of a site are listed");
-            let mut entry: Value = serde_json::from_slice(&entry).expect("entries are JSON");
-            entry["slots"] = slots.into();
-            self.store.put_raw_entry(&host.id, &entry.to_string());
-        }
         let mut catalog = usual_catalog(version, None, 1);
         catalog.engine.slots = slots;
         self.store.declare(&catalog);
