Review: nodes don't hear of a crashing request whose prompt has many parts

What nodes tell each other about crashes names all parts of the request for each of them, in one datagram. From 84 parts on the datagram is too large and isn't sent, so that each node lets the request crash servers until it has seen three crashes itself.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,15 +5,17 @@
 cd "$(dirname "$0")/../.."
 folder=$(mktemp -d) || exit 2
 end() {
-    # The stand-in ends the node; this is for the case that the stand-in itself was ended.
-    if [ -s "$folder/pid" ] && [ "$(readlink "/proc/$(cat "$folder/pid")/exe")" = "$PWD/target/release/cuminward" ]; then
-        kill -KILL "$(cat "$folder/pid")" 2>/dev/null
-    fi
+    # The stand-in ends the nodes; this is for the case that the stand-in itself was ended.
+    for id in $(cat "$folder/pids" 2>/dev/null); do
+        if [ "$(readlink "/proc/$id/exe")" = "$PWD/target/release/cuminward" ]; then
+            kill -KILL "$id" 2>/dev/null
+        fi
+    done
     rm -rf "$folder"
 }
 trap end EXIT
 [ -x target/release/cuminward ] && [ -x target/review-2/standin ] || exit 2
-timeout 115 target/review-2/standin refused "$folder" target/release/cuminward "review/7/record.txt"
+timeout 115 target/review-2/standin deadly "$folder" target/release/cuminward "review/7/record.txt"
 code=$?
 [ "$code" -le 2 ] && exit "$code"
 exit 2
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    fs,
+    env, fs,
     io::{self, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
     process::Child,
@@ -69,6 +69,7 @@
     record.line(format_args!("case {case}, disruption: {}", arguments.has_trouble));
     let code = match case {
         "parts" => parts(arguments, &record),
+        "deadly" => deadly(arguments, &record),
         "refused" => refused(arguments, &record),
         "memory" => memory(arguments, &record),
         "paths" => paths(arguments, &record),
@@ -347,6 +348,110 @@
     ]
 }
 
+/// Gateway nodes, model servers, and sends of the request that crashes servers.
+const NODES: usize = 6;
+const MANY_MODEL_SERVERS: usize = 12;
+const DEADLY_SENDS: usize = 10;
+
+/// Time between two of these sends.
+const DEADLY_PAUSE: Duration = Duration::from_secs(5);
+
+/// Sends that may reach servers after the request has crashed the third and the stable window has passed.
+const MAX_DEADLY_SENDS: usize = 3;
+
+/// A request crashes each server that begins to run it, and comes again at other nodes. Its prompt has 100 parts, or as
+/// many as the variable PARTS says.
+fn deadly(arguments: &Arguments, record: &Arc<Record>) -> i32 {
+    let count = env::var("PARTS").ok().and_then(|it| it.parse().ok()).unwrap_or(100);
+    let (store, address) = store::start();
+    let servers = (0..MANY_MODEL_SERVERS).map(|it| {
+        let group = format!("g-{}", it / 2);
+        model::Server::start(&format!("m-{it:04}"), "asistente", (&group, it % 2), &store, record)
+    });
+    let _servers: Vec<Arc<model::Server>> = servers.collect();
+    store.put("keyed.op", "config", CONFIG);
+    let names = (0..NODES).map(|it| format!("front-mercado-{it}"));
+    let mut nodes: Vec<(Node, Child)> = names.map(|it| start_node(arguments, &it, address)).collect();
+    thread::sleep(Duration::from_secs(8));
+    let all_ready = nodes.iter().all(|it| is_ready(it.0.ready));
+    model::IS_DEADLY.store(arguments.has_trouble, Ordering::SeqCst);
+    // Ordinary streams, one after the other at each node.
+    let is_over = Arc::new(AtomicBool::new(false));
+    let streams = Arc::new(AtomicU64::new(0));
+    let consumers: Vec<_> = nodes
+        .iter()
+        .enumerate()
+        .map(|(number, it)| {
+            let (record, is_over, streams) = (Arc::clone(record), Arc::clone(&is_over), Arc::clone(&streams));
+            let node = it.0.callers;
+            thread::spawn(move || {
+                for attempt in 0.. {
+                    if is_over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let id = format!("s{number}-{attempt}");
+                    let status = request_prompt(node, &format!("/resumen/{number}"), &id, "a:40,b:1420");
+                    record.line(format_args!("answered {id} {status}"));
+                    streams.fetch_add(u64::from(status == 200), Ordering::SeqCst);
+                    thread::sleep(Duration::from_millis(100));
+                }
+            })
+        })
+        .collect();
+    let parts: Vec<String> = (0..count).map(|it: usize| format!("{:x}:{}", 0x5000 + it, 1460 / count)).collect();
+    let parts = parts.join(",");
+    for send in 0..DEADLY_SENDS {
+        let (id, number) = (format!("deadly-{send}"), send % NODES);
+        record.line(format_args!("sent     {id} POST {} at node {number}", model::DEADLY_PATH));
+        let status = request_prompt(nodes[number].0.callers, model::DEADLY_PATH, &id, &parts);
+        record.line(format_args!("answered {id} {status}"));
+        thread::sleep(DEADLY_PAUSE);
+    }
+    is_over.store(true, Ordering::SeqCst);
+    consumers.into_iter().for_each(|it| drop(it.join()));
+    let live = nodes.iter_mut().all(|it| matches!(it.1.try_wait(), Ok(None)));
+    for (_, it) in &mut nodes {
+        let _ = it.kill();
+        let _ = it.wait();
+    }
+    if !all_ready || !live || streams.load(Ordering::SeqCst) < 50 {
+        record.line("the nodes didn't serve");
+        return NOT_RUN;
+    }
+    judge_deadly(record, arguments)
+}
+
+/// BUDGET: a request that crashes the servers that run it reaches servers in more than three retries, sent later than the
+/// stable window after it has crashed the third.
+fn judge_deadly(record: &Record, arguments: &Arguments) -> i32 {
+    let text = fs::read_to_string(&arguments.record).unwrap_or_default();
+    let words = |it: &str| it.split_whitespace().map(str::to_owned).collect::<Vec<_>>();
+    let lines: Vec<Vec<String>> = text.lines().map(words).filter(|it| it.len() > 2).collect();
+    let seconds = |it: &[String]| it[0].parse::<f64>().unwrap_or(0.0);
+    let runs: Vec<&Vec<String>> =
+        lines.iter().filter(|it| it[1] == "run" && it[2].starts_with("deadly-")).collect();
+    let third = runs.get(2).filter(|_| arguments.has_trouble).map_or(f64::INFINITY, |it| seconds(it));
+    let is_later = |it: &&Vec<String>| it[1] == "sent" && seconds(it) > third + STABLE_WINDOW.as_secs_f64();
+    let later: Vec<&String> = lines.iter().filter(is_later).map(|it| &it[2]).collect();
+    let reached = later.iter().filter(|id| runs.iter().any(|it| it[2] == ***id)).count();
+    record.line(format_args!(
+        "the request ran at {} servers; {reached} of {} sends later than the stable window after the third crash reached \
+         servers",
+        runs.len(),
+        later.len()
+    ));
+    if reached > MAX_DEADLY_SENDS { BROKEN } else { HELD }
+}
+
+/// Sends a request for a stream with these parts of its prompt. Returns the status of its answer, 0 if it isn't whole.
+fn request_prompt(node: SocketAddr, path: &str, id: &str, parts: &str) -> u16 {
+    let authorization = format!("Bearer {KEY}");
+    let headers = stream_headers(id, "1460,30", parts, &authorization);
+    let start = format!("POST {path} HTTP/1.1");
+    let answer = http::call(node, &start, &headers, b"a prompt", Duration::from_secs(6));
+    answer.map_or(0, |it| it.status())
+}
+
 /// One of seven servers runs requests and answers two in five of them with 503, for 6.5 s.
 fn refused(arguments: &Arguments, record: &Arc<Record>) -> i32 {
     let Some(site) = Site::start(arguments, record, 7) else { return NOT_RUN };
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,7 +10,7 @@
 mod record;
 mod store;
 
-use std::{env, fs, net::SocketAddr, path::PathBuf, process};
+use std::{env, fs, io::Write, net::SocketAddr, path::PathBuf, process};
 
 /// What a case is started with.
 pub struct Arguments {
@@ -74,6 +74,7 @@
         .spawn()
         .expect("the program was built");
     // Lets the script end the process if this one is ended.
-    let _ = fs::write(arguments.folder.join("pid"), child.id().to_string());
+    let pids = fs::OpenOptions::new().append(true).create(true).open(arguments.folder.join("pids"));
+    let _ = pids.and_then(|mut it| writeln!(it, "{}", child.id()));
     (Node { callers, ready }, child)
 }
--- a/review/standin-2/model.rs
+++ b/review/standin-2/model.rs
@@ -18,6 +18,18 @@
     store::Store,
 };
 
+/// Whether a request for [`DEADLY_PATH`] crashes each server that begins to run it.
+pub static IS_DEADLY: AtomicBool = AtomicBool::new(false);
+
+/// Path of the request that may crash servers.
+pub const DEADLY_PATH: &str = "/resumen/deadly";
+
+/// Time in which a prompt is read, before the request begins to run.
+const READING_TIME: Duration = Duration::from_millis(100);
+
+/// Time for which a server is down after such a crash.
+const CRASH_TIME: Duration = Duration::from_millis(3000);
+
 /// Name of the model.
 pub const MODEL: &str = "daka51";
 
@@ -260,6 +272,11 @@
     }
     let last: u64 = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
     server.record.line(format_args!("run      {id} at {} after event {last}", server.id));
+    if request.target() == DEADLY_PATH && IS_DEADLY.load(Ordering::SeqCst) {
+        thread::sleep(READING_TIME);
+        server.crash(CRASH_TIME);
+        return Err(std::io::ErrorKind::ConnectionReset.into());
+    }
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Cuminward-Request-Id: {id}\r\nX-Cuminward-Server-Stamp: stamp.{}\r\n\
          X-Cuminward-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
