Review: streams at a silent sound host are cut over dead connections

An attempt at a silent host is dropped before the next one has shown that it works, and a kept connection that turns out to be dead uses up an attempt. With two attempts the stream is cut although its first host goes on.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -15,7 +15,7 @@
 }
 trap end EXIT
 [ -x target/release/cuminward ] && [ -x target/review-2/standin ] || exit 2
-timeout 115 target/review-2/standin deadly "$folder" target/release/cuminward "review/7/record.txt"
+timeout 115 target/review-2/standin silence "$folder" target/release/cuminward "review/7/record.txt"
 code=$?
 [ "$code" -le 2 ] && exit "$code"
 exit 2
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -73,6 +73,7 @@
         "refused" => refused(arguments, &record),
         "memory" => memory(arguments, &record),
         "paths" => paths(arguments, &record),
+        "silence" => silence(arguments, &record),
         "places" => places(arguments, &record),
         _ => NOT_RUN,
     };
@@ -665,6 +666,71 @@
     }
 }
 
+/// Consumers with kept channels for a while, and those that go on when the load goes down.
+const MANY: usize = 24;
+const FEW: usize = 24;
+
+/// Replicas that are silent, one after the other, for how long, and the time between.
+const SILENT_GROUPS: [usize; 6] = [0, 1, 2, 0, 1, 2];
+const SILENCE: Duration = Duration::from_millis(1000);
+const SILENCE_PAUSE: Duration = Duration::from_secs(5);
+
+/// Sound servers are silent for a second, while servers drop idle channels without notice.
+fn silence(arguments: &Arguments, record: &Arc<Record>) -> i32 {
+    let Some(site) = Site::start(arguments, record, PLAIN_SERVERS) else { return NOT_RUN };
+    model::PACE.events.store(34, Ordering::SeqCst);
+    model::PACE.first_ms.store(200, Ordering::SeqCst);
+    model::DROPS_IDLE.store(arguments.has_trouble, Ordering::SeqCst);
+    let node = site.node.callers;
+    let kept: Arc<Mutex<Vec<Kept>>> = Arc::default();
+    let spawn = |numbers: std::ops::Range<usize>, is_over: &Arc<AtomicBool>| {
+        let one = |number| {
+            let (record, is_over, kept) = (Arc::clone(record), Arc::clone(is_over), Arc::clone(&kept));
+            thread::spawn(move || keep_channel(node, number, &record, &is_over, &kept))
+        };
+        numbers.map(one).collect::<Vec<_>>()
+    };
+    let (busy, calm): (Arc<AtomicBool>, Arc<AtomicBool>) = Default::default();
+    let few = spawn(0..FEW, &calm);
+    let many = spawn(FEW..FEW + MANY, &busy);
+    thread::sleep(Duration::from_secs(6));
+    // The load goes down, so that some of the node's channels to servers are idle.
+    busy.store(true, Ordering::SeqCst);
+    many.into_iter().for_each(|it| drop(it.join()));
+    thread::sleep(Duration::from_millis(2500));
+    for group in SILENT_GROUPS {
+        let members = &site.models[group * 2..group * 2 + 2];
+        record.line(format_args!("servers {} and {} are silent", members[0].id, members[1].id));
+        members.iter().for_each(|it| it.set_silent(true));
+        thread::sleep(SILENCE);
+        members.iter().for_each(|it| it.set_silent(false));
+        record.line("they go on");
+        thread::sleep(SILENCE_PAUSE);
+    }
+    calm.store(true, Ordering::SeqCst);
+    few.into_iter().for_each(|it| drop(it.join()));
+    drop(site);
+    let kept = std::mem::take(&mut *kept.lock().expect("no user panics"));
+    judge_kept(record, arguments, &kept, 0.0)
+}
+
+/// LOST: more than three requests on kept channels are passed on to a server, and their channel ends without a whole
+/// answer later than `since`.
+fn judge_kept(record: &Record, arguments: &Arguments, kept: &[Kept], since: f64) -> i32 {
+    let text = fs::read_to_string(&arguments.record).unwrap_or_default();
+    let runs = text.lines().filter(|it| it.contains(" run "));
+    let runs: HashSet<&str> = runs.filter_map(|it| it.split_whitespace().nth(2)).collect();
+    let answered = kept.iter().filter(|it| it.is_answered).count();
+    let is_lost = |it: &&Kept| !it.is_answered && it.ended > since && runs.contains(it.id.as_str());
+    let lost: Vec<&str> = kept.iter().filter(is_lost).map(|it| it.id.as_str()).collect();
+    record.line(format_args!("{answered} requests on kept channels answered"));
+    record.line(format_args!("{} were passed on to a server and lost with their channel: {}", lost.len(), lost.join(" ")));
+    if answered < 50 {
+        return NOT_RUN;
+    }
+    if lost.len() > 3 { BROKEN } else { HELD }
+}
+
 /// Consumers send heads over the limit and chunked bodies, stop short of their end and stay open. The platform kills the
 /// process when it exceeds the memory of its machine, and requests on kept channels get no answer.
 fn memory(arguments: &Arguments, record: &Arc<Record>) -> i32 {
@@ -710,19 +776,9 @@
     consumers.into_iter().for_each(|it| drop(it.join()));
     let _ = site.process.try_wait();
     drop(site);
-    let text = fs::read_to_string(&arguments.record).unwrap_or_default();
-    let runs = text.lines().filter(|it| it.contains(" run "));
-    let runs: HashSet<&str> = runs.filter_map(|it| it.split_whitespace().nth(2)).collect();
-    let kept = kept.lock().expect("no user panics");
-    let answered = kept.iter().filter(|it| it.is_answered).count();
-    let is_lost = |it: &&Kept| !it.is_answered && it.ended + 3.0 > killed_at && runs.contains(it.id.as_str());
-    let lost: Vec<&str> = kept.iter().filter(is_lost).map(|it| it.id.as_str()).collect();
-    record.line(format_args!("{answered} requests on kept channels answered"));
-    record.line(format_args!("{} were passed on to a server and lost with their channel: {}", lost.len(), lost.join(" ")));
-    if answered < 50 {
-        return NOT_RUN;
-    }
-    if lost.len() > 3 { BROKEN } else { HELD }
+    // A few seconds before the end of the process is known.
+    let kept = std::mem::take(&mut *kept.lock().expect("no user panics"));
+    judge_kept(record, arguments, &kept, killed_at - 3.0)
 }
 
 /// Ends a process at once, as the platform does.
@@ -781,3 +837,4 @@
     let (tries, checks) = load.finish();
     judge_channels(record, &tries, &checks)
 }
+
--- a/review/standin-2/model.rs
+++ b/review/standin-2/model.rs
@@ -9,7 +9,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -30,13 +30,36 @@
 /// Time for which a server is down after such a crash.
 const CRASH_TIME: Duration = Duration::from_millis(3000);
 
+/// Whether servers drop channels that were idle for [`IDLE_TIME`], without notice.
+pub static DROPS_IDLE: AtomicBool = AtomicBool::new(false);
+
+/// Time for which a channel has to be idle for that.
+const IDLE_TIME: Duration = Duration::from_millis(1000);
+
 /// Name of the model.
 pub const MODEL: &str = "daka51";
 
-/// Events of a stream, the time to the first one and between two.
-const EVENTS: u64 = 5;
-const FIRST_EVENT: Duration = Duration::from_millis(900);
-const EVENT_PAUSE: Duration = Duration::from_millis(40);
+/// Events of a stream, and the milliseconds to the first one and between two.
+pub struct Pace {
+    pub events: AtomicU64,
+    pub first_ms: AtomicU64,
+    pub pause_ms: AtomicU64,
+}
+
+/// Pace of all servers. It is that of a short answer after a long prompt, unless a case changes it.
+pub static PACE: Pace =
+    Pace { events: AtomicU64::new(5), first_ms: AtomicU64::new(900), pause_ms: AtomicU64::new(40) };
+
+/// Access
+impl Pace {
+    fn first(&self) -> Duration {
+        Duration::from_millis(self.first_ms.load(Ordering::SeqCst))
+    }
+
+    fn pause(&self) -> Duration {
+        Duration::from_millis(self.pause_ms.load(Ordering::SeqCst))
+    }
+}
 
 /// Time of a join with the model of the last group, and with a staged one.
 const JOIN_TIME: Duration = Duration::from_millis(1100);
@@ -69,6 +92,8 @@
     record: Arc<Record>,
     state: Mutex<State>,
     is_down: AtomicBool,
+    /// Whether the server sends and reads nothing for a moment.
+    is_silent: AtomicBool,
     next_connection: AtomicU64,
 }
 
@@ -95,6 +120,7 @@
             record: Arc::clone(record),
             state: Mutex::new(state),
             is_down: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
             next_connection: AtomicU64::new(0),
         });
         server.publish();
@@ -163,6 +189,18 @@
 
 /// Mutation
 impl Server {
+    /// Makes the server silent, or lets it go on.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
+    /// Waits until the server goes on.
+    fn wait_while_silent(&self) {
+        while self.is_silent.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Ends all connections and takes no new ones for a time. The server is back without a group then.
     pub fn crash(self: &Arc<Server>, down: Duration) {
         self.record.line(format_args!("server {} crashes", self.id));
@@ -241,7 +279,16 @@
     let kept = stream.try_clone().expect("sockets can be shared");
     server.state.lock().expect("no user panics").connections.insert(number, kept);
     let mut reader = BufReader::new(stream);
-    while let Ok(Some(request)) = http::read(&mut reader) {
+    loop {
+        let idle = Instant::now();
+        let has_bytes = matches!(reader.get_ref().peek(&mut [0]), Ok(1..));
+        if has_bytes && idle.elapsed() > IDLE_TIME && DROPS_IDLE.load(Ordering::SeqCst) {
+            // Closing a socket with unread bytes resets the channel.
+            server.record.line(format_args!("a channel to {} that was idle is reset", server.id));
+            break;
+        }
+        let Ok(Some(request)) = http::read(&mut reader) else { break };
+        server.wait_while_silent();
         if server.is_down.load(Ordering::SeqCst) || answer(server, &mut writer, &request).is_err() {
             break;
         }
@@ -283,11 +330,12 @@
         server.id
     );
     writer.write_all(head.as_bytes())?;
-    thread::sleep(FIRST_EVENT);
-    for number in last + 1..=EVENTS {
+    thread::sleep(PACE.first());
+    for number in last + 1..=PACE.events.load(Ordering::SeqCst) {
+        server.wait_while_silent();
         let event = format!("id: {number}\ndata: a piece of five tokens or so, as the sheet has it\n\n");
         writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
-        thread::sleep(EVENT_PAUSE);
+        thread::sleep(PACE.pause());
     }
     writer.write_all(b"0\r\n\r\n")
 }
