fix: close the connections of callers that hold them without use

Callers: beside 1,200 connections whose bodies come a byte at a time, a node took no new connection for 9.5 to 10.2 s, until the route's timeout; the same beside callers that send one request after the other and read no response, and for good if the connection that was to be closed got a request after all. Cause: only connections without a request were closed to make room, one for each that was accepted; any byte counted as progress of a body; and the rest of a refused request held its place for 3 s. Change: one connection in sixteen is kept free. `eviction` orders those that are closed for it: refused ones and idle ones, bodies by their rate, with 408 as no upstream has got them, and, when their response is sent, those that have served requests for longest. While room is short a body has to make 16 KiB in each second. A listener that waits looks again each 100 ms. The reading of bodies moves from `admit` into `upload`. Why it works: whatever a connection is used for, it ends within about a second once others need its place, but for a response that is on its way.

--- a/cuminward-gateway/src/forward/admit.rs
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -1,24 +1,21 @@
 //! Admission of requests: checks headers, finds the route and the team, and reads the body.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cuminward_serving::{
     catalog::{Catalog, Limits, Route, Team},
     request::Meta,
-    share,
 };
 use http::{HeaderMap, Request, StatusCode, request::Parts};
-use http_body::Frame;
-use http_body_util::BodyExt;
-use tokio::time::{self, Instant, Interval};
+use tokio::time::{self, Instant};
 
 use super::{
-    BoxError,
     context::{self, Context, Input},
     reply::Rejection,
+    upload,
 };
-use crate::state::{State, callers::Reservation};
+use crate::state::State;
 
 /// `Retry-After` sent while the node has no catalog, or when a route has no target.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -30,12 +27,6 @@
 /// `Retry-After` sent after [`ADMISSION_GRACE`] has passed: the caller should try another node at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
-/// `Retry-After` sent if the bodies of other requests take all memory: those that make no progress end within a moment.
-const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1000);
-
-/// Shortest pause for which a body ends while memory or connections are short; the longest one is twice as long.
-const PAUSE_INTERVAL: Duration = Duration::from_millis(1000);
-
 /// Admits a request and reads its body.
 ///
 /// # Errors
@@ -48,7 +39,7 @@
     meta: Meta,
 ) -> Result<Context, Rejection>
 where
-    B: http_body::Body<Data = Bytes, Error: Into<BoxError>>,
+    B: http_body::Body<Data = Bytes, Error = upload::Error>,
 {
     let started = Instant::now();
     if state.stopping_for().is_some_and(|it| it > ADMISSION_GRACE) {
@@ -66,8 +57,8 @@
     let team = find_team(catalog, &route, meta.key.as_deref())?.cloned();
     let hides_key = !catalog.teams.is_empty();
     let deadline = context::deadline(started, &meta, &route);
-    let body = time::timeout_at(deadline, read_body(state, body, &catalog.limits));
-    let (body, reservation) = body.await.unwrap_or_else(|_| Err(incomplete_body()))?;
+    let body = time::timeout_at(deadline, upload::read(state, body, catalog.limits.body_bytes));
+    let (body, reservation) = body.await.unwrap_or_else(|_| Err(upload::incomplete()))?;
     let no_target =
         Rejection::unavailable(NOT_READY_RETRY_AFTER).with_cause("the route has no target");
     let target = route.target(rand::random()).ok_or(no_target)?;
@@ -117,83 +108,3 @@
     Err(Rejection::new(StatusCode::UNAUTHORIZED)
         .with_cause("the API key is missing or belongs to no team"))
 }
-
-/// Returns the rejection of a request whose body didn't arrive before its deadline. It states that the request
-/// wasn't executed.
-fn incomplete_body() -> Rejection {
-    Rejection::new(StatusCode::REQUEST_TIMEOUT).with_cause("the request body didn't arrive in time")
-}
-
-/// Reads the whole request body, up to the size limit of the catalog. The body takes memory of what all bodies share until
-/// the reservation that is returned with it is dropped.
-async fn read_body<B>(
-    state: &State,
-    body: B,
-    limits: &Limits,
-) -> Result<(Bytes, Reservation), Rejection>
-where
-    B: http_body::Body<Data = Bytes, Error: Into<BoxError>>,
-{
-    let mut reservation = Reservation::new(Arc::clone(&state.callers));
-    let mut body = std::pin::pin!(body);
-    let declared = body.size_hint().exact().map(|it| it as usize);
-    if declared.is_some_and(|it| it > limits.body_bytes) {
-        return Err(too_large());
-    }
-    let max_bytes = declared.unwrap_or(limits.body_bytes);
-    // Frames are copied, as each of many small ones would keep a buffer of the connection.
-    let mut bytes = Vec::new();
-    let mut pause = time::interval(PAUSE_INTERVAL);
-    while let Some(frame) = next_frame(state, body.as_mut(), &mut pause).await? {
-        let Ok(data) = frame.into_data() else { continue };
-        let needed = bytes.len() + data.len();
-        if needed > limits.body_bytes {
-            return Err(too_large());
-        }
-        if needed > bytes.capacity() {
-            let size = share::grown(bytes.capacity(), needed, max_bytes);
-            if !reservation.resize(state.now(), size) {
-                return Err(Rejection::unavailable(NO_MEMORY_RETRY_AFTER)
-                    .with_cause("the bodies of other requests take all memory"));
-            }
-            bytes.reserve_exact(size - bytes.len());
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok((Bytes::from(bytes), reservation))
-}
-
-/// Returns the next frame of a body, or `None` at its end. A body without a frame between two ticks of `pause` ends if
-/// memory or connections are short.
-async fn next_frame<B>(
-    state: &State,
-    mut body: Pin<&mut B>,
-    pause: &mut Interval,
-) -> Result<Option<Frame<Bytes>>, Rejection>
-where
-    B: http_body::Body<Data = Bytes, Error: Into<BoxError>>,
-{
-    let mut ticks = 0;
-    loop {
-        let frame = tokio::select! {
-            biased;
-            frame = body.frame() => frame,
-            _ = pause.tick() => {
-                ticks += 1;
-                if ticks > 1 && state.callers.is_short() {
-                    return Err(incomplete_body());
-                }
-                continue;
-            }
-        };
-        return frame.transpose().map_err(|error| {
-            log::debug!("reading a request body failed: {}", error.into());
-            Rejection::new(StatusCode::BAD_REQUEST).with_cause("the request body could not be read")
-        });
-    }
-}
-
-/// Returns the rejection of a request whose body is larger than the catalog allows.
-fn too_large() -> Rejection {
-    Rejection::new(StatusCode::PAYLOAD_TOO_LARGE).with_cause("the request body is too large")
-}
--- a/cuminward-gateway/src/forward/mod.rs
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -13,8 +13,9 @@
 mod stall;
 mod stream;
 mod unary;
+pub(crate) mod upload;
 
-use std::{error::Error, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use cuminward_serving::request;
@@ -25,9 +26,6 @@
 use context::Context;
 use reply::Body;
 
-/// Error of reading a request body.
-type BoxError = Box<dyn Error + Send + Sync>;
-
 /// Handles a request of a caller. Returns 504 or 503 at the deadline, depending on whether the request
 /// may have been executed.
 pub(crate) async fn handle<B>(
@@ -36,7 +34,7 @@
     meta: request::Meta,
 ) -> Response<Body>
 where
-    B: http_body::Body<Data = Bytes, Error: Into<BoxError>>,
+    B: http_body::Body<Data = Bytes, Error = upload::Error>,
 {
     state.record_traffic();
     let id = meta.id.clone();
--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -102,7 +102,7 @@
         let state = Arc::clone(&self.state);
         let admit = move || {
             let state = Arc::clone(&state);
-            async move { state.callers.admit(state.now()).await }
+            async move { state.callers.admit(|| state.now()).await }
         };
         self.tasks.spawn(listener::accept_admitted(callers, admit, serve));
         let state = Arc::clone(&self.state);
--- a/cuminward-gateway/src/ingress/activity.rs
+++ b/cuminward-gateway/src/ingress/activity.rs
@@ -27,8 +27,6 @@
     unread_ms: AtomicU64,
     /// Whether the caller has closed its side of the connection.
     is_ended: AtomicBool,
-    /// Whether a part of the last request's body wasn't read.
-    is_body_open: AtomicBool,
     /// Id of the last request.
     request: ArcSwapOption<id::Request>,
 }
@@ -44,7 +42,6 @@
             receiving_ms: AtomicU64::new(0),
             unread_ms: AtomicU64::new(0),
             is_ended: AtomicBool::new(false),
-            is_body_open: AtomicBool::new(false),
             request: ArcSwapOption::empty(),
         }
     }
@@ -100,11 +97,6 @@
         self.state.callers.is_short()
     }
 
-    /// Returns whether a part of the last request's body wasn't read.
-    pub(super) fn is_body_open(&self) -> bool {
-        self.is_body_open.load(Ordering::Relaxed)
-    }
-
     /// Returns the id of the last request, if it had one.
     pub(super) fn request(&self) -> Option<Arc<id::Request>> {
         self.request.load_full()
@@ -115,7 +107,8 @@
 impl Activity {
     /// Records that a request begins, with its id.
     pub(super) fn begin_request(&self, id: Option<id::Request>) {
-        self.begin_work();
+        self.connection.begin_request(self.state.now());
+        self.state.requests_in_flight.fetch_add(1, Ordering::Relaxed);
         self.reset_receiving();
         self.request.store(id.map(Arc::new));
     }
@@ -146,19 +139,10 @@
     /// Records that the rest of a refused request is being read, which counts as a request in flight until the
     /// connection ends.
     pub(super) fn begin_drain(&self) {
-        self.begin_work();
-    }
-
-    fn begin_work(&self) {
-        self.connection.begin_request();
+        self.connection.begin_refusal(self.state.now());
         self.state.requests_in_flight.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Sets whether a part of the last request's body wasn't read.
-    pub(super) fn set_body_open(&self, is_open: bool) {
-        self.is_body_open.store(is_open, Ordering::Relaxed);
-    }
-
     /// Records that the response of a request is in the buffer for sending, or abandoned.
     pub(super) fn record_answer(&self) {
         self.answered.fetch_add(1, Ordering::Relaxed);
--- a/cuminward-gateway/src/ingress/body.rs
+++ b/cuminward-gateway/src/ingress/body.rs
@@ -1,4 +1,4 @@
-//! Bodies of callers' requests, whose end is recorded.
+//! Bodies of callers' requests, whose progress is recorded.
 
 use std::{
     pin::Pin,
@@ -11,8 +11,9 @@
 use hyper::body::Incoming;
 
 use super::activity::Activity;
+use crate::forward::upload::Error;
 
-/// Body of a request. Its end is recorded in the activity of its connection.
+/// Body of a request. Its bytes and its end are recorded in the activity of its connection.
 pub(super) struct Body {
     incoming: Incoming,
     activity: Arc<Activity>,
@@ -22,24 +23,32 @@
 impl Body {
     /// Wraps the body of a request that begins.
     pub(super) fn new(incoming: Incoming, activity: Arc<Activity>) -> Body {
-        activity.set_body_open(!incoming.is_end_stream());
+        activity.connection().set_body_open(!incoming.is_end_stream());
         Body { incoming, activity }
     }
 }
 
 impl http_body::Body for Body {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        let connection = self.activity.connection();
+        if polled.is_pending() && connection.is_evicted() {
+            return Poll::Ready(Some(Err(Error::Evicted)));
+        }
+        let frame = ready!(polled);
+        if let Some(Ok(data)) = frame.as_ref().map(|it| it.as_ref().map(Frame::data_ref)) {
+            connection.record_body_bytes(data.map_or(0, Bytes::len));
+        }
         if frame.is_none() || self.incoming.is_end_stream() {
-            self.activity.set_body_open(false);
+            connection.set_body_open(false);
         }
-        Poll::Ready(frame)
+        Poll::Ready(frame.map(|it| it.map_err(Error::Read)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/cuminward-gateway/src/ingress/connection.rs
+++ b/cuminward-gateway/src/ingress/connection.rs
@@ -137,7 +137,9 @@
     let http1::Parts { io, read_buf, .. } = connection.into_parts();
     let mut socket = io.into_inner();
     let mut buffered = read_buf.len() as u64;
-    if needs_drain(activity, ended, &read_buf) {
+    let needs_drain = needs_drain(activity, ended, &read_buf);
+    drop(read_buf);
+    if needs_drain {
         activity.begin_drain();
         socket.drain().await;
         buffered = 0;
@@ -155,7 +157,7 @@
 fn needs_drain(activity: &Activity, ended: &hyper::Result<()>, read_buf: &[u8]) -> bool {
     !activity.is_ended()
         && match ended {
-            Ok(()) => activity.is_body_open() || !read_buf.is_empty(),
+            Ok(()) => activity.connection().is_body_open() || !read_buf.is_empty(),
             Err(error) => error.is_parse(),
         }
 }
@@ -189,8 +191,9 @@
     let request = request.map(|it| body::Body::new(it, Arc::clone(&activity)));
     async move {
         let mut response = forward::handle(Arc::clone(&state), request, meta).await;
+        let connection = activity.connection();
         // A refused request whose body wasn't read is the last one on its connection.
-        if state.is_stopping() || activity.is_body_open() {
+        if state.is_stopping() || connection.is_body_open() || connection.is_evicted() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/cuminward-gateway/src/ingress/socket.rs
+++ b/cuminward-gateway/src/ingress/socket.rs
@@ -21,6 +21,10 @@
 /// bytes. A caller that still sends sees its refusal only if the node reads on.
 const DRAIN_PAUSE: Duration = Duration::from_secs(3);
 const DRAIN_TIME: Duration = Duration::from_secs(30);
+
+/// Time for which a connection that is closed to make room is read on after its last response.
+const EVICTED_DRAIN_TIME: Duration = Duration::from_millis(500);
+
 const DRAIN_BYTES: usize = 16 << 20;
 
 /// Bytes a second that a caller has to send beyond the first [`DRAIN_PAUSE`], so that one that trickles doesn't hold its
@@ -28,7 +32,7 @@
 const MIN_DRAIN_RATE: usize = 64 << 10;
 
 /// Size of the buffer for what is dropped, in bytes.
-const DRAIN_BUFFER_BYTES: usize = 32 << 10;
+const DRAIN_BUFFER_BYTES: usize = 8 << 10;
 
 /// Response to a request whose head didn't arrive in time.
 const SLOW_HEAD_RESPONSE: &[u8] =
@@ -82,14 +86,23 @@
 
     /// Reads and drops what the caller still sends, until it closes its side, sends nothing for [`DRAIN_PAUSE`], falls
     /// below [`MIN_DRAIN_RATE`], or exceeds [`DRAIN_TIME`] or [`DRAIN_BYTES`]; a node that stops or is crowded waits
-    /// for [`DRAIN_PAUSE`] in all. Closing a socket with unread bytes resets the connection, so that the caller may
-    /// lose a response that was sent before.
+    /// for [`DRAIN_PAUSE`] in all, or for [`EVICTED_DRAIN_TIME`] if this connection is closed to make room. Closing a socket with
+    /// unread bytes resets the connection, so that the caller may lose a response that was sent before.
     pub(super) async fn drain(&mut self) {
         let mut buffer = vec![0; DRAIN_BUFFER_BYTES];
+        let connection = Arc::clone(self.activity.connection());
         let begun = Instant::now();
         let mut dropped = 0;
-        while dropped < DRAIN_BYTES && begun.elapsed() < self.drain_time(dropped) {
-            match time::timeout(DRAIN_PAUSE, self.read(&mut buffer)).await {
+        while dropped < DRAIN_BYTES {
+            let left = self.drain_time(dropped).saturating_sub(begun.elapsed()).min(DRAIN_PAUSE);
+            if left.is_zero() {
+                break;
+            }
+            let read = tokio::select! {
+                read = time::timeout(left, self.read(&mut buffer)) => read,
+                () = connection.eviction.notified() => continue,
+            };
+            match read {
                 Ok(Ok(count @ 1..)) => dropped += count,
                 Ok(_) => return,
                 Err(_) => break,
@@ -100,6 +113,9 @@
 
     /// Returns the time for which a caller may send the rest of a refused request, of which `bytes` have arrived.
     fn drain_time(&self, bytes: usize) -> Duration {
+        if self.activity.connection().is_evicted() {
+            return EVICTED_DRAIN_TIME;
+        }
         if self.activity.is_wanted_back() {
             return DRAIN_PAUSE;
         }
--- a/cuminward-gateway/src/state/callers.rs
+++ b/cuminward-gateway/src/state/callers.rs
@@ -9,12 +9,21 @@
 };
 
 use cuminward_event::{kind::Kind, sink::Sink};
-use cuminward_serving::share;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use cuminward_serving::{
+    eviction::{self, Candidate, Stage},
+    share,
+};
+use tokio::{
+    sync::{Notify, OwnedSemaphorePermit, Semaphore},
+    time,
+};
 
 /// Time between two events about the same shortage.
 const EVENT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which a listener that waits for a place looks for connections to close.
+const ROOM_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Size of the buffer of a connection, as a multiple of the largest headers, and in addition, in bytes: a head also has a
 /// request line.
 const BUFFER_FACTOR: usize = 2;
@@ -32,10 +41,20 @@
 /// A connection of a caller, which can be closed to make room.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    /// When the connection was accepted, since the node's start.
+    accepted: Duration,
     /// Number of requests in flight.
     active: AtomicUsize,
     /// When the last request ended, or the connection was accepted, in milliseconds since the node's start.
     used_ms: AtomicU64,
+    /// When the last request or refusal began, in milliseconds since the node's start.
+    begun_ms: AtomicU64,
+    /// Whether a part of the last request's body hasn't arrived.
+    is_body_open: AtomicBool,
+    /// Whether the rest of a refused request is read.
+    is_refused: AtomicBool,
+    /// Bytes of the last request's body that have arrived.
+    received: AtomicU64,
     is_evicted: AtomicBool,
     /// Wakes the task that serves the connection when it is to be closed.
     pub(crate) eviction: Notify,
@@ -103,19 +122,27 @@
 
     /// Returns whether memory or connections are so short that bodies which make no progress have to end.
     pub(crate) fn is_short(&self) -> bool {
-        self.used() > self.capacity / 2 || self.free.available_permits() == 0
+        self.used() > self.capacity / 2 || self.free.available_permits() < self.spare()
+    }
+
+    /// Returns the number of connections that are kept free.
+    fn spare(&self) -> usize {
+        share::spare_connections(self.max_connections)
     }
 }
 
 /// Mutation
 impl Callers {
-    /// Waits until a further connection may be accepted. If there is none left, the connection on which no request has been
-    /// in flight for longest is closed; if there is none such, the wait lasts until a request ends.
-    pub(crate) async fn admit(&self, now: Duration) -> OwnedSemaphorePermit {
-        if self.free.available_permits() == 0 {
-            self.evict_one(now);
+    /// Waits until a further connection may be accepted. If few are left, connections without use are closed; if there is
+    /// none such, the wait lasts until a request ends. `now` returns the time since the node's start.
+    pub(crate) async fn admit(&self, now: impl Fn() -> Duration) -> OwnedSemaphorePermit {
+        loop {
+            self.make_room(now());
+            let permit = Arc::clone(&self.free).acquire_owned();
+            if let Ok(permit) = time::timeout(ROOM_INTERVAL, permit).await {
+                return permit.expect("the semaphore is never closed");
+            }
         }
-        Arc::clone(&self.free).acquire_owned().await.expect("the semaphore is never closed")
     }
 
     /// Adds a connection, so that it can be closed to make room.
@@ -125,13 +152,21 @@
         connections.push(Arc::downgrade(connection));
     }
 
-    fn evict_one(&self, now: Duration) {
+    /// Closes connections until enough are free, or will be when those that are being closed have ended.
+    fn make_room(&self, now: Duration) {
+        let wanted = self.spare().saturating_sub(self.free.available_permits());
+        if wanted == 0 {
+            return;
+        }
         let connections: Vec<Arc<Connection>> =
             self.lock().iter().filter_map(Weak::upgrade).collect();
-        let unused = connections.iter().filter(|it| it.active() == 0 && !it.is_evicted());
-        if let Some(it) = unused.max_by_key(|it| it.unused_for(now)) {
-            it.evict();
-            self.evicted.fetch_add(1, Ordering::Relaxed);
+        let (evicted, open): (Vec<_>, Vec<_>) = connections.iter().partition(|it| it.is_evicted());
+        let closing = evicted.iter().filter(|it| it.stage() != Stage::Serving).count();
+        let candidates: Vec<Candidate> = open.iter().map(|it| it.candidate(now)).collect();
+        let chosen = eviction::choose(&candidates, wanted.saturating_sub(closing));
+        self.evicted.fetch_add(chosen.len() as u64, Ordering::Relaxed);
+        for index in chosen {
+            open[index].evict();
         }
         self.emit_shortage(now, "connections");
     }
@@ -165,8 +200,13 @@
     /// Creates a connection that is accepted at `now`.
     pub(crate) fn new(now: Duration) -> Connection {
         Connection {
+            accepted: now,
             active: AtomicUsize::new(0),
             used_ms: AtomicU64::new(now.as_millis() as u64),
+            begun_ms: AtomicU64::new(0),
+            is_body_open: AtomicBool::new(false),
+            is_refused: AtomicBool::new(false),
+            received: AtomicU64::new(0),
             is_evicted: AtomicBool::new(false),
             eviction: Notify::new(),
         }
@@ -189,15 +229,62 @@
     pub(crate) fn is_evicted(&self) -> bool {
         self.is_evicted.load(Ordering::Relaxed)
     }
+
+    /// Returns whether a part of the last request's body hasn't arrived.
+    pub(crate) fn is_body_open(&self) -> bool {
+        self.is_body_open.load(Ordering::Relaxed)
+    }
+
+    /// Returns what the connection is used for.
+    fn stage(&self) -> Stage {
+        if self.is_refused.load(Ordering::Relaxed) {
+            Stage::Refused
+        } else if self.active() == 0 {
+            Stage::Idle
+        } else if self.is_body_open() {
+            Stage::Receiving
+        } else {
+            Stage::Serving
+        }
+    }
+
+    fn candidate(&self, now: Duration) -> Candidate {
+        let stage = self.stage();
+        let begun = Duration::from_millis(self.begun_ms.load(Ordering::Relaxed));
+        let age = match stage {
+            Stage::Idle => self.unused_for(now),
+            Stage::Receiving | Stage::Refused => now.saturating_sub(begun),
+            Stage::Serving => now.saturating_sub(self.accepted),
+        };
+        Candidate { stage, age, received: self.received.load(Ordering::Relaxed) }
+    }
 }
 
 /// Mutation
 impl Connection {
     /// Records that a request begins.
-    pub(crate) fn begin_request(&self) {
+    pub(crate) fn begin_request(&self, now: Duration) {
+        self.begun_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+        self.received.store(0, Ordering::Relaxed);
         self.active.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Records that the rest of a refused request is read, which counts as a request in flight.
+    pub(crate) fn begin_refusal(&self, now: Duration) {
+        self.begin_request(now);
+        self.is_refused.store(true, Ordering::Relaxed);
+    }
+
+    /// Sets whether a part of the last request's body hasn't arrived.
+    pub(crate) fn set_body_open(&self, is_open: bool) {
+        self.is_body_open.store(is_open, Ordering::Relaxed);
+    }
+
+    /// Records that bytes of the last request's body have arrived.
+    pub(crate) fn record_body_bytes(&self, bytes: usize) {
+        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     /// Records that `count` requests have ended.
     pub(crate) fn end_requests(&self, now: Duration, count: usize) {
         self.used_ms.store(now.as_millis() as u64, Ordering::Relaxed);
--- a/cuminward-serving/src/lib.rs
+++ b/cuminward-serving/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod departure;
 pub mod engine;
 pub mod event;
+pub mod eviction;
 pub mod fencing;
 pub mod freshness;
 pub mod host;
--- a/cuminward-serving/src/share.rs
+++ b/cuminward-serving/src/share.rs
@@ -12,6 +12,12 @@
 /// Largest body that counts as small, in bytes.
 const SMALL_BYTES: usize = 64 << 10;
 
+/// One in this many connections is kept free for new callers.
+const SPARE_PART: usize = 16;
+
+/// Bytes per second that a body has to make while memory or connections are short.
+pub const MIN_BODY_RATE: usize = 16 << 10;
+
 /// Descriptors for files, which the platform keeps free.
 const FILE_DESCRIPTORS: u64 = 200;
 
@@ -32,6 +38,11 @@
     if size <= SMALL_BYTES { body_bytes } else { body_bytes - body_bytes / SMALL_PART }
 }
 
+/// Returns the number of connections that are kept free for new callers, of `max_connections`.
+pub fn spare_connections(max_connections: usize) -> usize {
+    (max_connections / SPARE_PART).max(1)
+}
+
 /// Returns the number of connections of callers, each of which buffers up to `buffer_bytes`.
 pub fn connections(memory_bytes: u64, descriptors: u64, buffer_bytes: usize) -> usize {
     let by_descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS) / DESCRIPTOR_PART;
--- a/cuminward-serving/tests/all/main.rs
+++ b/cuminward-serving/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod crash;
 mod event;
+mod eviction;
 mod fixture;
 mod freshness;
 mod host;
