fix: count what heads take, and bound the request line

Callers: 1,200 connections with wide heads and bodies that go on slowly took more than 260 MiB; the process was killed with 20 streams on kept connections. Cause: 80 KiB were counted for a connection that takes 230 to 250: the buffer of its head, which the request line could fill beyond the limit on headers, a second buffer for the body, parsed lines, and prompt parts, parsed before anything was checked. Heads weren't counted with the bodies. Change: the request line has at most 8 KiB (431), and the buffer of a connection as much as the head may have. A request reserves memory for its head before its body is read, from what all requests share: four times its bytes, 128 bytes a line, 32 a prompt part; beyond it is 503, which is true, as nothing has run. Prompt parts are parsed when the body has arrived. An eighth of the memory is left to requests of up to 8 KiB, enough for one on each connection, and an eighth to those of up to 64 KiB.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -945,19 +945,19 @@
         /// Number of crashes that no longer count.
         outdated: u64,
     }
-    /// Memory for request bodies or connections of callers are short, so that some were turned away.
+    /// Memory for requests or connections of callers are short, so that some were turned away.
     2413 Warn "callers-crowded" CallersCrowded {
-        /// What is short: `bodies` or `connections`.
+        /// What is short: `requests` or `connections`.
         what: String,
         /// Connections of callers.
         connections: u64,
         /// Largest number of connections.
         max_connections: u64,
-        /// Bytes that request bodies take.
+        /// Bytes that requests take, with their heads and bodies.
         bytes: u64,
         /// Largest number of bytes.
         max_bytes: u64,
-        /// Request bodies that were refused so far.
+        /// Requests that were refused so far for want of memory.
         refused: u64,
         /// Connections that were closed to make room so far.
         evicted: u64,
--- a/cuminward-gateway/src/forward/admit.rs
+++ b/cuminward-gateway/src/forward/admit.rs
@@ -3,9 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use cuminward_adapter::header;
 use cuminward_serving::{
     catalog::{Catalog, Limits, Route, Team},
     request::Meta,
+    share::Head,
 };
 use http::{HeaderMap, Request, StatusCode, request::Parts};
 use tokio::time::{self, Instant};
@@ -13,9 +15,9 @@
 use super::{
     context::{self, Context, Input},
     reply::Rejection,
-    upload,
+    upload::{self, Memory},
 };
-use crate::state::State;
+use crate::state::{State, callers::REQUEST_LINE_BYTES};
 
 /// `Retry-After` sent while the node has no catalog, or when a route has no target.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -52,36 +54,68 @@
         .with_cause("no catalog has been received yet");
     let catalog = snapshot.catalog.as_ref().ok_or(no_catalog)?;
     let (parts, body) = request.into_parts();
-    check_headers(&parts.headers, &catalog.limits)?;
+    let head = check_head(&parts, &catalog.limits)?;
     let route = Arc::clone(find_route(catalog, &parts)?);
     let team = find_team(catalog, &route, meta.key.as_deref())?.cloned();
     let hides_key = !catalog.teams.is_empty();
     let deadline = context::deadline(started, &meta, &route);
-    let body = time::timeout_at(deadline, upload::read(state, body, catalog.limits.body_bytes));
-    let (body, reservation) = body.await.unwrap_or_else(|_| Err(upload::incomplete()))?;
+    let mut memory = Memory::reserve(state, head)?;
+    let max_bytes = catalog.limits.body_bytes;
+    let body = time::timeout_at(deadline, upload::read(state, body, max_bytes, &mut memory));
+    let body = body.await.unwrap_or_else(|_| Err(upload::incomplete()))?;
+    let prompt_parts = header::read_prompt_parts(&parts.headers);
     let no_target =
         Rejection::unavailable(NOT_READY_RETRY_AFTER).with_cause("the route has no target");
     let target = route.target(rand::random()).ok_or(no_target)?;
     let service = target.service.clone();
     let version = catalog.version;
-    let input =
-        Input { parts, body, reservation, meta, route, service, team, hides_key, version, started };
-    Ok(Context::new(input))
+    let reservation = memory.into_reservation();
+    Ok(Context::new(Input {
+        parts,
+        body,
+        prompt_parts,
+        reservation,
+        meta,
+        route,
+        service,
+        team,
+        hides_key,
+        version,
+        started,
+    }))
 }
 
-/// Checks that the headers don't exceed the size limit of the catalog.
-fn check_headers(headers: &HeaderMap, limits: &Limits) -> Result<(), Rejection> {
+/// Checks that the request line and the headers don't exceed their limits, and returns the size of both.
+fn check_head(parts: &Parts, limits: &Limits) -> Result<Head, Rejection> {
+    let too_large = Rejection::new(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    let line_bytes = request_line_bytes(parts);
+    if line_bytes > REQUEST_LINE_BYTES {
+        return Err(too_large.with_cause("the request line is too long"));
+    }
+    let header_bytes = header_bytes(&parts.headers);
+    if header_bytes > limits.header_bytes {
+        return Err(too_large.with_cause("the request headers are too large"));
+    }
+    Ok(Head {
+        bytes: line_bytes + header_bytes,
+        lines: parts.headers.len(),
+        prompt_parts: header::count_prompt_parts(&parts.headers),
+    })
+}
+
+/// Returns the size of the request line, without the version, in bytes.
+fn request_line_bytes(parts: &Parts) -> usize {
+    let target = &parts.uri;
+    let authority = target.authority().map_or(0, |it| it.as_str().len());
+    let path = target.path_and_query().map_or(0, |it| it.as_str().len());
+    parts.method.as_str().len() + authority + path
+}
+
+/// Returns the size of the header lines, in bytes.
+fn header_bytes(headers: &HeaderMap) -> usize {
     /// Bytes of a header line in addition to its name and value: `: ` and CR LF.
     const LINE_BYTES: usize = 4;
-    let size = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
-        name.as_str().len() + value.len() + LINE_BYTES
-    };
-    let bytes: usize = headers.iter().map(size).sum();
-    if bytes > limits.header_bytes {
-        let rejection = Rejection::new(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
-        return Err(rejection.with_cause("the request headers are too large"));
-    }
-    Ok(())
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES).sum()
 }
 
 /// Returns the route for the request's host, without its port, and path.
--- a/cuminward-gateway/src/forward/backlog.rs
+++ b/cuminward-gateway/src/forward/backlog.rs
@@ -73,7 +73,7 @@
             Part::Bytes(it) => it.len() + PART_BYTES,
             Part::End => PART_BYTES,
         };
-        let mut reservation = Reservation::new(Arc::clone(&self.callers));
+        let mut reservation = Reservation::for_response(Arc::clone(&self.callers));
         let is_reserved = reservation.resize(now, bytes);
         let taken = if is_reserved { bytes.min(MAX_BYTES) } else { MAX_BYTES };
         let room = Arc::clone(&self.room).acquire_many_owned(taken as u32);
--- a/cuminward-gateway/src/forward/context.rs
+++ b/cuminward-gateway/src/forward/context.rs
@@ -24,9 +24,11 @@
 pub(crate) struct Context {
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
-    /// Memory that the body takes.
+    /// Memory that the request takes.
     _reservation: Reservation,
     pub(crate) meta: request::Meta,
+    /// Parts of the prompt, in their order.
+    pub(crate) prompt_parts: Vec<id::PromptPart>,
     pub(crate) route: Arc<catalog::Route>,
     pub(crate) service: id::Service,
     pub(crate) team: Option<Arc<catalog::Team>>,
@@ -49,6 +51,7 @@
 pub(crate) struct Input {
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    pub(crate) prompt_parts: Vec<id::PromptPart>,
     pub(crate) reservation: Reservation,
     pub(crate) meta: request::Meta,
     pub(crate) route: Arc<catalog::Route>,
@@ -84,7 +87,8 @@
             priority: team_priority.unwrap_or(it.route.priority),
             team: it.team,
             fingerprint,
-            subjects: quarantine::subjects(fingerprint, &it.meta.prompt_parts),
+            subjects: quarantine::subjects(fingerprint, &it.prompt_parts),
+            prompt_parts: it.prompt_parts,
             version: it.version,
             started: it.started,
             deadline: deadline(it.started, &it.meta, &it.route),
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -244,7 +244,7 @@
     progress: Progress,
     broken_at: Duration,
 ) {
-    let parts = &context.meta.prompt_parts;
+    let parts = &context.prompt_parts;
     let ids: Vec<String> = parts.iter().map(|it| format!("{it:x}")).collect();
     let kind = Kind::HostCrashed {
         address: upstream.address.clone(),
--- a/cuminward-gateway/src/forward/upload.rs
+++ b/cuminward-gateway/src/forward/upload.rs
@@ -3,7 +3,7 @@
 use std::{fmt, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cuminward_serving::share;
+use cuminward_serving::share::{self, Head};
 use http::StatusCode;
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -12,7 +12,7 @@
 use super::reply::Rejection;
 use crate::state::{State, callers::Reservation};
 
-/// `Retry-After` sent if the bodies of other requests take all memory: those that make no progress end within a moment.
+/// `Retry-After` sent if other requests take all memory: those that make no progress end within a moment.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
 /// Time over which the rate of a body is measured.
@@ -38,6 +38,45 @@
 
 impl std::error::Error for Error {}
 
+/// Memory that a request takes of what all of them share.
+pub(super) struct Memory {
+    /// Memory of the head, in bytes.
+    head: usize,
+    reservation: Reservation,
+}
+
+/// Life cycle
+impl Memory {
+    /// Reserves the memory of a request's head.
+    ///
+    /// # Errors
+    ///
+    /// Returns a rejection if there is none left.
+    pub(super) fn reserve(state: &State, head: Head) -> Result<Memory, Rejection> {
+        let reservation = Reservation::new(Arc::clone(&state.callers));
+        let mut memory = Memory { head: head.memory_bytes(), reservation };
+        memory.resize(state, 0)?;
+        Ok(memory)
+    }
+
+    /// Returns the reservation of the head and the body.
+    pub(super) fn into_reservation(self) -> Reservation {
+        self.reservation
+    }
+}
+
+/// Mutation
+impl Memory {
+    /// Reserves the memory of the head and of a body of `body_bytes`.
+    fn resize(&mut self, state: &State, body_bytes: usize) -> Result<(), Rejection> {
+        if self.reservation.resize(state.now(), self.head + body_bytes) {
+            return Ok(());
+        }
+        let rejection = Rejection::unavailable(NO_MEMORY_RETRY_AFTER);
+        Err(rejection.with_cause("other requests take all memory"))
+    }
+}
+
 /// Rate at which a body arrives.
 struct Rate {
     interval: Interval,
@@ -70,8 +109,7 @@
     }
 }
 
-/// Reads a whole body of up to `max_bytes`. It takes memory of what all bodies share until the reservation that is returned
-/// with it is dropped.
+/// Reads a whole body of up to `max_bytes`. It takes memory of what all requests share.
 ///
 /// # Errors
 ///
@@ -81,11 +119,11 @@
     state: &State,
     body: B,
     max_bytes: usize,
-) -> Result<(Bytes, Reservation), Rejection>
+    memory: &mut Memory,
+) -> Result<Bytes, Rejection>
 where
     B: http_body::Body<Data = Bytes, Error = Error>,
 {
-    let mut reservation = Reservation::new(Arc::clone(&state.callers));
     let mut body = std::pin::pin!(body);
     let declared = body.size_hint().exact().map(|it| it as usize);
     if declared.is_some_and(|it| it > max_bytes) {
@@ -103,16 +141,13 @@
         }
         if needed > bytes.capacity() {
             let size = share::grown(bytes.capacity(), needed, expected);
-            if !reservation.resize(state.now(), size) {
-                return Err(Rejection::unavailable(NO_MEMORY_RETRY_AFTER)
-                    .with_cause("the bodies of other requests take all memory"));
-            }
+            memory.resize(state, size)?;
             bytes.reserve_exact(size - bytes.len());
         }
         bytes.extend_from_slice(&data);
         rate.bytes += data.len();
     }
-    Ok((Bytes::from(bytes), reservation))
+    Ok(Bytes::from(bytes))
 }
 
 /// Returns the next frame of a body, or `None` at its end.
--- a/cuminward-gateway/src/ingress/metrics.rs
+++ b/cuminward-gateway/src/ingress/metrics.rs
@@ -58,7 +58,7 @@
 /// Pauses that hosts asked for and whose value couldn't be read.
 const UNREADABLE_PAUSES: &str = "cuminward_gateway_unreadable_pauses_total";
 
-/// Connections of callers, bytes that request bodies take, and what was turned away for want of room.
+/// Connections of callers, bytes that requests take with their heads and bodies, and what was turned away for want of room.
 const CALLER_CONNECTIONS: &str = "cuminward_gateway_caller_connections";
 const BODY_BYTES: &str = "cuminward_gateway_request_body_bytes";
 const BODIES_REFUSED: &str = "cuminward_gateway_request_bodies_refused_total";
--- a/cuminward-gateway/src/state/callers.rs
+++ b/cuminward-gateway/src/state/callers.rs
@@ -24,10 +24,11 @@
 /// Interval at which a listener that waits for a place looks for connections to close.
 const ROOM_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Size of the buffer of a connection, as a multiple of the largest headers, and in addition, in bytes: a head also has a
-/// request line.
-const BUFFER_FACTOR: usize = 2;
-const BUFFER_MARGIN_BYTES: usize = 16 << 10;
+/// Largest request line, in bytes.
+pub(crate) const REQUEST_LINE_BYTES: usize = 8 << 10;
+
+/// Size of the buffer of a connection beside the largest request line and headers, in bytes: for blanks around values.
+const BUFFER_MARGIN_BYTES: usize = 2 << 10;
 
 /// Largest headers if the catalog limits none, in bytes.
 const DEFAULT_HEADER_BYTES: usize = 32 << 10;
@@ -35,7 +36,7 @@
 /// Returns the size of the buffer of a connection whose headers have up to `header_bytes` bytes.
 pub(crate) fn buffer_bytes(header_bytes: Option<usize>) -> usize {
     let header_bytes = header_bytes.unwrap_or(DEFAULT_HEADER_BYTES).min(DEFAULT_HEADER_BYTES);
-    header_bytes * BUFFER_FACTOR + BUFFER_MARGIN_BYTES
+    header_bytes + REQUEST_LINE_BYTES + BUFFER_MARGIN_BYTES
 }
 
 /// A connection of a caller, which can be closed to make room.
@@ -60,17 +61,17 @@
     pub(crate) eviction: Notify,
 }
 
-/// Memory of the bodies and connections of callers.
+/// Memory of the requests and connections of callers.
 pub(crate) struct Callers {
-    /// Bytes that all bodies together may take.
+    /// Bytes that all requests together may take.
     capacity: usize,
-    /// Bytes that bodies take.
+    /// Bytes that requests take.
     used: AtomicUsize,
     /// Connections that may still be accepted.
     free: Arc<Semaphore>,
     max_connections: usize,
     connections: Mutex<Vec<Weak<Connection>>>,
-    /// Bodies that were refused for want of memory.
+    /// Requests that were refused for want of memory.
     refused: AtomicU64,
     /// Connections that were closed to make room.
     evicted: AtomicU64,
@@ -79,10 +80,12 @@
     event_ms: AtomicU64,
 }
 
-/// Memory that a body takes until the reservation is dropped.
+/// Memory that a request or a part of a response takes until the reservation is dropped.
 pub(crate) struct Reservation {
     callers: Arc<Callers>,
     bytes: usize,
+    /// Size of the request by which the memory that is left to smaller ones is found; `None` for its bytes.
+    counted_as: Option<usize>,
 }
 
 /// Life cycle
@@ -90,7 +93,7 @@
     pub(crate) fn new(memory_bytes: u64, descriptors: u64, events: Arc<Sink>) -> Callers {
         let max_connections = share::connections(memory_bytes, descriptors, buffer_bytes(None));
         Callers {
-            capacity: share::body_bytes(memory_bytes),
+            capacity: share::request_bytes(memory_bytes),
             used: AtomicUsize::new(0),
             free: Arc::new(Semaphore::new(max_connections)),
             max_connections,
@@ -105,7 +108,7 @@
 
 /// Access
 impl Callers {
-    /// Returns the bytes that bodies take.
+    /// Returns the bytes that requests take.
     pub(crate) fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
     }
@@ -115,7 +118,7 @@
         self.max_connections - self.free.available_permits()
     }
 
-    /// Returns the numbers of bodies that were refused and of connections that were closed to make room.
+    /// Returns the numbers of requests that were refused and of connections that were closed to make room.
     pub(crate) fn turned_away(&self) -> (u64, u64) {
         (self.refused.load(Ordering::Relaxed), self.evicted.load(Ordering::Relaxed))
     }
@@ -300,9 +303,14 @@
 
 /// Life cycle
 impl Reservation {
-    /// Creates a reservation of nothing.
+    /// Creates a reservation of nothing for a request.
     pub(crate) fn new(callers: Arc<Callers>) -> Reservation {
-        Reservation { callers, bytes: 0 }
+        Reservation { callers, bytes: 0, counted_as: None }
+    }
+
+    /// Creates a reservation of nothing for a part of a response, which can't take what is left to small requests.
+    pub(crate) fn for_response(callers: Arc<Callers>) -> Reservation {
+        Reservation { callers, bytes: 0, counted_as: Some(usize::MAX) }
     }
 }
 
@@ -316,7 +324,8 @@
 impl Reservation {
     /// Changes the reservation to `bytes`. Returns false, without a change, if there is no room for them.
     pub(crate) fn resize(&mut self, now: Duration, bytes: usize) -> bool {
-        let capacity = share::body_bytes_for(bytes, self.callers.capacity);
+        let size = self.counted_as.unwrap_or(bytes);
+        let capacity = share::request_bytes_for(size, self.callers.capacity);
         let more = bytes.saturating_sub(self.bytes);
         let resized =
             self.callers.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
@@ -327,7 +336,7 @@
             self.bytes = bytes;
         } else {
             self.callers.refused.fetch_add(1, Ordering::Relaxed);
-            self.callers.emit_shortage(now, "bodies");
+            self.callers.emit_shortage(now, "requests");
         }
         resized.is_ok()
     }
--- a/cuminward-serving/src/request.rs
+++ b/cuminward-serving/src/request.rs
@@ -17,8 +17,6 @@
     pub model: Option<id::Model>,
     /// Size of the prompt and maximum size of the output.
     pub tokens: Option<Tokens>,
-    /// Parts of the prompt, in their order. The last one belongs to the request or its session alone.
-    pub prompt_parts: Vec<id::PromptPart>,
     /// Number of output tokens that the caller expects.
     pub expected_output: Option<u32>,
     /// Event after which a stream is to be resumed.
--- a/cuminward-serving/src/share.rs
+++ b/cuminward-serving/src/share.rs
@@ -3,14 +3,26 @@
 //! Answers crowds of callers that don't keep to the limits: heads and bodies that never end, many of them at once. Callers
 //! within the limits take a small part of these shares.
 
-/// Part of the memory for bodies that are received or kept for a retry, and for connections with their heads.
+/// Part of the memory for requests that are received or kept for a retry, and for connections.
 const MEMORY_PART: u64 = 4;
 
-/// Part of the memory for bodies that is left to small bodies.
-const SMALL_PART: usize = 8;
+/// Largest requests that count as small and as of medium size, in bytes. Parts of the memory are left to them; that of the
+/// small ones is enough for one on each connection.
+const SMALL_BYTES: usize = 8 << 10;
+const MEDIUM_BYTES: usize = 64 << 10;
 
-/// Largest body that counts as small, in bytes.
-const SMALL_BYTES: usize = 64 << 10;
+/// Memory of a connection beside its buffer: its task, its socket and the state of the protocol, in bytes.
+const CONNECTION_BYTES: usize = 24 << 10;
+
+/// Memory of a head for each of its bytes: the buffer that it arrived in, the copies of its values, and its form on the way to
+/// an upstream.
+const HEAD_FACTOR: usize = 4;
+
+/// Memory of a parsed header line beside its bytes, in bytes.
+const LINE_BYTES: usize = 128;
+
+/// Memory of a parsed part of a prompt, in bytes.
+const PROMPT_PART_BYTES: usize = 32;
 
 /// One in this many connections is kept free for new callers.
 const SPARE_PART: usize = 16;
@@ -27,15 +39,39 @@
 /// Smallest number of connections of callers, on however small a machine.
 const MIN_CONNECTIONS: usize = 16;
 
-/// Returns the number of bytes that all bodies together may take.
-pub fn body_bytes(memory_bytes: u64) -> usize {
+/// Size of a request's head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Head {
+    /// Bytes of the request line and of the headers.
+    pub bytes: usize,
+    /// Header lines.
+    pub lines: usize,
+    /// Parts of the prompt.
+    pub prompt_parts: usize,
+}
+
+/// Access
+impl Head {
+    /// Returns the memory that the head takes until its request has ended, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.bytes * HEAD_FACTOR + self.lines * LINE_BYTES + self.prompt_parts * PROMPT_PART_BYTES
+    }
+}
+
+/// Returns the number of bytes that all requests together may take, with their heads and bodies.
+pub fn request_bytes(memory_bytes: u64) -> usize {
     (memory_bytes / MEMORY_PART) as usize
 }
 
-/// Returns the number of bytes that all bodies together may take when one of `size` bytes grows. A part is left to small
-/// bodies, so that large ones can't keep ordinary requests out.
-pub fn body_bytes_for(size: usize, body_bytes: usize) -> usize {
-    if size <= SMALL_BYTES { body_bytes } else { body_bytes - body_bytes / SMALL_PART }
+/// Returns the number of bytes that all requests together may take when one of `size` bytes grows. Parts are left to smaller
+/// ones, so that large ones can't keep ordinary requests out.
+pub fn request_bytes_for(size: usize, request_bytes: usize) -> usize {
+    let eighths = match size {
+        it if it <= SMALL_BYTES => 8,
+        it if it <= MEDIUM_BYTES => 7,
+        _ => 6,
+    };
+    request_bytes / 8 * eighths
 }
 
 /// Returns the number of connections that are kept free for new callers, of `max_connections`.
@@ -46,7 +82,7 @@
 /// Returns the number of connections of callers, each of which buffers up to `buffer_bytes`.
 pub fn connections(memory_bytes: u64, descriptors: u64, buffer_bytes: usize) -> usize {
     let by_descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS) / DESCRIPTOR_PART;
-    let by_memory = memory_bytes / MEMORY_PART / buffer_bytes.max(1) as u64;
+    let by_memory = memory_bytes / MEMORY_PART / (buffer_bytes + CONNECTION_BYTES) as u64;
     (by_descriptors.min(by_memory) as usize).max(MIN_CONNECTIONS)
 }
 
