fix: bound what the kernel holds for callers' connections

Callers: 1,500 connections of pipelined requests that read no response took 138 MiB of 96, with the bytes that had arrived and weren't read, and no ordinary request was answered. Cause: up to 1,024 connections wait to be accepted, and each connection that isn't read holds what the kernel lets it, 64 KiB and, after a large body that was read quickly, more. The platform counts these bytes as memory of the process. Change: the listener for callers has a receive buffer of 32 KiB and a send buffer of 64 KiB, which its connections inherit; the receive buffer counts for a connection. A quarter of the connections may wait to be accepted.

--- a/cuminward-gateway/src/gateway.rs
+++ b/cuminward-gateway/src/gateway.rs
@@ -95,7 +95,7 @@
     /// Starts the listeners for callers, readiness checks and metrics.
     async fn start_listeners(&mut self) -> io::Result<()> {
         let listen = self.state.settings.listen.clone();
-        let callers = listener::open(listen.callers).await?;
+        let callers = listener::open_bounded(listen.callers, self.state.callers.listener_bounds())?;
         let checks = listener::open(listen.ready).await?;
         let state = Arc::clone(&self.state);
         let serve = move |stream| connection::serve(Arc::clone(&state), stream);
--- a/cuminward-gateway/src/ingress/listener.rs
+++ b/cuminward-gateway/src/ingress/listener.rs
@@ -3,13 +3,42 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     time,
 };
 
 /// Delay after a failed accept before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Bounds on what the kernel holds for the connections of a listener.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Bounds {
+    /// Connections that wait to be accepted.
+    pub(crate) backlog: u32,
+    /// Bytes of a connection that have arrived and weren't read.
+    pub(crate) receive_bytes: u32,
+    /// Bytes of a connection that were written and haven't arrived at the other side.
+    pub(crate) send_bytes: u32,
+}
+
+/// Opens a listener whose connections have bounded buffers. Buffers that can't be bounded are left as they are.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub(crate) fn open_bounded(address: SocketAddr, bounds: Bounds) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    let sized = socket
+        .set_recv_buffer_size(bounds.receive_bytes)
+        .and_then(|()| socket.set_send_buffer_size(bounds.send_bytes));
+    if let Err(error) = sized {
+        log::warn!("the buffers of callers' connections can't be bounded: {error}");
+    }
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(bounds.backlog)
+}
+
 /// Opens a listener.
 ///
 /// # Errors
--- a/cuminward-gateway/src/state/callers.rs
+++ b/cuminward-gateway/src/state/callers.rs
@@ -18,9 +18,14 @@
     time,
 };
 
+use crate::ingress::listener::Bounds;
+
 /// Time between two events about the same shortage.
 const EVENT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Bytes of responses that the kernel holds for a connection.
+const SEND_BUFFER_BYTES: u32 = 64 << 10;
+
 /// Interval at which a listener that waits for a place looks for connections to close.
 const ROOM_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -108,6 +113,15 @@
 
 /// Access
 impl Callers {
+    /// Returns what the kernel may hold for connections.
+    pub(crate) fn listener_bounds(&self) -> Bounds {
+        Bounds {
+            backlog: share::waiting_connections(self.max_connections) as u32,
+            receive_bytes: share::RECEIVE_BUFFER_BYTES as u32,
+            send_bytes: SEND_BUFFER_BYTES,
+        }
+    }
+
     /// Returns the bytes that requests take.
     pub(crate) fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
--- a/cuminward-serving/src/share.rs
+++ b/cuminward-serving/src/share.rs
@@ -14,6 +14,13 @@
 /// Memory of a connection beside its buffer: its task, its socket and the state of the protocol, in bytes.
 const CONNECTION_BYTES: usize = 24 << 10;
 
+/// Bytes that the kernel holds for a connection that isn't read, which count as memory of the process.
+pub const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+
+/// One connection for this many may wait to be accepted, but at least [`MIN_WAITING_CONNECTIONS`].
+const WAITING_PART: usize = 4;
+const MIN_WAITING_CONNECTIONS: usize = 64;
+
 /// Memory of a head for each of its bytes: the buffer that it arrived in, the copies of its values, and its form on the way to
 /// an upstream.
 const HEAD_FACTOR: usize = 4;
@@ -79,10 +86,17 @@
     (max_connections / SPARE_PART).max(1)
 }
 
+/// Returns the number of connections that may wait to be accepted, of `max_connections`.
+pub fn waiting_connections(max_connections: usize) -> usize {
+    (max_connections / WAITING_PART).max(MIN_WAITING_CONNECTIONS)
+}
+
 /// Returns the number of connections of callers, each of which buffers up to `buffer_bytes`.
 pub fn connections(memory_bytes: u64, descriptors: u64, buffer_bytes: usize) -> usize {
     let by_descriptors = descriptors.saturating_sub(FILE_DESCRIPTORS) / DESCRIPTOR_PART;
-    let by_memory = memory_bytes / MEMORY_PART / (buffer_bytes + CONNECTION_BYTES) as u64;
+    let by_memory = memory_bytes
+        / MEMORY_PART
+        / (buffer_bytes + CONNECTION_BYTES + RECEIVE_BUFFER_BYTES) as u64;
     (by_descriptors.min(by_memory) as usize).max(MIN_CONNECTIONS)
 }
 
--- a/cuminward/tests/crowd/main.rs
+++ b/cuminward/tests/crowd/main.rs
@@ -40,6 +40,7 @@
 const BODIES: usize = 60;
 const HEADS: usize = 500;
 const UNUSED: usize = 700;
+const WAITING: usize = 1500;
 
 /// Interval at which the memory is read.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
@@ -246,6 +247,21 @@
     check_start("pipelined", HEADS, manner::pipelined_requests(), Duration::ZERO).await;
 }
 
+/// Guards against bytes that the kernel holds for connections that weren't accepted yet, or on which nothing is read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_requests_on_more_connections_than_are_accepted() {
+    let manner = Manner { start: manner::pipelined_requests(), ..Manner::default() };
+    let manners = vec![(WAITING, manner)];
+    check(Case {
+        name: "waiting-connections",
+        machine: MANY_DESCRIPTORS,
+        manners,
+        ..Case::default()
+    })
+    .await;
+}
+
 /// Guards against bounds that hold for each manner alone and not for all together.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
