fix: send a request again whose kept connection its host had dropped

Cause: a kept connection that the upstream has dropped looks sound until a request is written to it, and is then closed without a byte of a response. The gateway took this for a failed attempt. A stream has two: a silence of the first host took one, a dropped connection at the second host the other; two dropped connections did the same before the head.

The gateway sends a request that may be repeated once more to the same upstream, on a new connection. This takes no attempt, as `maxAttempts` counts hosts; but it may be a second arrival, so it is counted in the retry budget and against the upstream's limits, and whatever becomes of it, the request may have run. Work that must run at most once is not sent again: 502, as before. The crash probe waits for the new connection, which tells the same. Event 2414 and the discard cause `stale` show it.

Why it works: a host that has only dropped its connections accepts a new one, so that the attempt is made after all; a host that has crashed refuses it, and the attempt fails as before.

--- a/cuminward-event/src/explain.rs
+++ b/cuminward-event/src/explain.rs
@@ -75,9 +75,9 @@
 /// Returns the upstream that an event of a request names.
 fn upstream(kind: &Kind) -> Option<&str> {
     match kind {
-        Kind::UpstreamChosen { upstream, .. } | Kind::AttemptFailed { upstream, .. } => {
-            Some(upstream)
-        }
+        Kind::UpstreamChosen { upstream, .. }
+        | Kind::AttemptFailed { upstream, .. }
+        | Kind::ConnectionStale { upstream, .. } => Some(upstream),
         _ => None,
     }
 }
--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -962,6 +962,15 @@
         /// Connections that were closed to make room so far.
         evicted: u64,
     }
+    /// A kept connection was closed without a response, most probably as its host had dropped it while it was idle.
+    2414 Info "connection-stale" ConnectionStale {
+        /// Name of the upstream.
+        upstream: String,
+        /// Milliseconds for which the connection had been idle.
+        idle_ms: u64,
+        /// Next step: `again` (the same request, to the same upstream on a new connection) or `fail` (of the attempt).
+        next: String,
+    }
 }
 
 /// Access
--- a/cuminward-gateway/src/forward/exchange.rs
+++ b/cuminward-gateway/src/forward/exchange.rs
@@ -4,27 +4,19 @@
 
 use bytes::Bytes;
 use cuminward_adapter::header;
-use cuminward_event::kind::Kind;
-use cuminward_serving::{attempt::Failure, catalog::Retry, event, quarantine, request};
-use cuminward_upstream::{body, connector::Connector, error::Error, plain, pool};
+use cuminward_serving::{attempt::Failure, catalog::Retry, event, request};
+use cuminward_upstream::{body, error::Error, plain, pool};
 use http::{HeaderValue, Request, StatusCode, header as names, response::Parts};
 use http_body_util::Full;
-use tokio::time;
 
-use super::{context::Context, slot::Slot};
-use crate::state::{State, routing::Upstream};
+use super::{context::Context, crash, report, resend, slot::Slot};
+use crate::state::State;
 
 /// Longest time that a pooled connection may have been idle to be reused for a retryable or for a
 /// non-retryable request.
 const MAX_IDLE: Duration = Duration::from_secs(9);
 const MAX_IDLE_NON_RETRYABLE: Duration = Duration::from_millis(900);
 
-/// Delay after a broken connection before the host is probed for a crash.
-const CRASH_PROBE_DELAY: Duration = Duration::from_millis(40);
-
-/// Timeout of the crash probe, which opens a TCP connection.
-const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// A response of an upstream, with a body that hasn't been read yet.
 pub(crate) struct Response {
     pub(crate) head: Parts,
@@ -43,7 +35,8 @@
     if retry.is_retryable() { MAX_IDLE } else { MAX_IDLE_NON_RETRYABLE }
 }
 
-/// Sends a request to the upstream of a slot and waits for the head of its response.
+/// Sends a request to the upstream of a slot and waits for the head of its response. A request that may be repeated is
+/// sent once more, on a new connection, if a stale one has lost it.
 ///
 /// # Errors
 ///
@@ -56,58 +49,136 @@
     last_event: Option<event::Id>,
     timeout: Duration,
 ) -> Result<Response, Fault> {
-    let request = build_request(context, slot, last_event);
-    let idle = max_idle(context.route.retry);
-    let address = &slot.upstream.address;
     let started = state.now();
-    let may_have_run_before = context.may_have_run();
-    context.set_may_have_run(true);
-    let notices = &slot.upstream.notices;
-    let prepare = |request: &mut Request<_>| match set_time_left(context, request) {
-        pool::Ready::Send if !notices.is_open(state.now()) => pool::Ready::Expired,
-        it => it,
+    let call = Call { state, context, slot, last_event, until: started + timeout };
+    let stale = match call.send(max_idle(context.route.retry), || {}).await {
+        Ok(it) => return Ok(it),
+        Err(Failed::Other(fault)) => return Err(fault),
+        Err(Failed::Stale(it)) => it,
     };
-    let sent = state.upstreams.send_with(address, request, idle, timeout, prepare).await;
-    let response = match sent {
-        Ok(it) => it,
-        Err(failed) => {
+    let progress = crash::Progress { started, events: 0 };
+    let probe = crash::detect(state, context, &slot.upstream, progress);
+    let is_resent = resend::is_allowed(state, context, slot).await;
+    report::record_stale_connection(state, context, slot, stale.idle, is_resent);
+    if !is_resent {
+        slot.upstream.stats.record_failure(state.now());
+        return Err(stale.fault);
+    }
+    // A host that accepts a connection hasn't crashed.
+    let sent = call.send(Duration::ZERO, || probe.abort()).await;
+    // Whatever becomes of the second sending, the first one may have run.
+    sent.map_err(|it| Fault { failure: Failure::Unknown, ..it.into_fault() })
+}
+
+/// A request on its way to the upstream of a slot.
+struct Call<'a> {
+    state: &'a Arc<State>,
+    context: &'a Arc<Context>,
+    slot: &'a Slot,
+    last_event: Option<event::Id>,
+    /// Until when the head of the response must arrive, since the node's start.
+    until: Duration,
+}
+
+/// Why a call failed.
+enum Failed {
+    /// The connection was stale.
+    Stale(Stale),
+    Other(Fault),
+}
+
+/// A connection that the upstream closed without a byte of a response.
+struct Stale {
+    fault: Fault,
+    /// For how long the connection had been idle.
+    idle: Duration,
+}
+
+impl Failed {
+    fn into_fault(self) -> Fault {
+        match self {
+            Failed::Stale(it) => it.fault,
+            Failed::Other(it) => it,
+        }
+    }
+}
+
+impl Call<'_> {
+    /// Sends the request on a connection that was idle for at most `idle`, or on a new one, and calls `on_connected` once
+    /// the connection is open.
+    async fn send(
+        &self,
+        idle: Duration,
+        on_connected: impl Fn() + Send + Sync,
+    ) -> Result<Response, Failed> {
+        let Call { state, context, slot, last_event, until } = *self;
+        let request = build_request(context, slot, last_event);
+        let address = &slot.upstream.address;
+        let started = state.now();
+        let may_have_run_before = context.may_have_run();
+        context.set_may_have_run(true);
+        let notices = &slot.upstream.notices;
+        let prepare = |request: &mut Request<_>| {
+            on_connected();
+            match set_time_left(context, request) {
+                pool::Ready::Send if !notices.is_open(state.now()) => pool::Ready::Expired,
+                it => it,
+            }
+        };
+        let timeout = until.saturating_sub(started);
+        let sent = state.upstreams.send_with(address, request, idle, timeout, prepare).await;
+        let response = sent.map_err(|failed| {
             let is_unsent = failed.request.is_some();
             context.set_may_have_run(may_have_run_before || !is_unsent);
-            if is_unsent && matches!(failed.error, Error::Timeout { .. }) {
-                let cause = if !notices.is_open(state.now()) {
-                    "the host took no more requests when the connection was open"
-                } else {
-                    "its time was up when the connection was open"
-                };
-                return Err(Fault { failure: Failure::NotRun, cause: cause.to_owned() });
-            }
-            slot.upstream.stats.record_failure(state.now());
-            if !is_unsent {
-                detect_crash(state, context, &slot.upstream, Progress { started, events: 0 });
-            } else if slot.upstream.is_replica() {
-                slot.upstream.stats.request_health_check();
+            self.judge_failure(failed, started)
+        })?;
+        let (head, body) = response.into_parts();
+        let metadata = header::read_response(head.status, &head.headers);
+        record_notice(state, context, slot, started, &metadata);
+        match check_response(context, &head, &metadata) {
+            Ok(()) => Ok(Response { head, body }),
+            Err(mut fault) => {
+                let connection = if body.is_connection_kept() { "kept" } else { "new" };
+                fault.cause = format!("{}, on a {connection} connection", fault.cause);
+                if fault.failure == Failure::NotRun {
+                    context.set_may_have_run(may_have_run_before);
+                }
+                slot.upstream.stats.record_failure(state.now());
+                if metadata.is_misdirected {
+                    slot.upstream.stats.record_misdirection(state.now());
+                }
+                Err(Failed::Other(fault))
             }
-            let failure = if is_unsent { Failure::NotRun } else { Failure::Unknown };
-            return Err(Fault { failure, cause: failed.error.to_string() });
         }
-    };
-    let (head, body) = response.into_parts();
-    let metadata = header::read_response(head.status, &head.headers);
-    record_notice(state, context, slot, started, &metadata);
-    match check_response(context, &head, &metadata) {
-        Ok(()) => Ok(Response { head, body }),
-        Err(mut fault) => {
-            let connection = if body.is_connection_kept() { "kept" } else { "new" };
-            fault.cause = format!("{}, on a {connection} connection", fault.cause);
-            if fault.failure == Failure::NotRun {
-                context.set_may_have_run(may_have_run_before);
-            }
-            slot.upstream.stats.record_failure(state.now());
-            if metadata.is_misdirected {
-                slot.upstream.stats.record_misdirection(state.now());
-            }
-            Err(fault)
+    }
+
+    /// Returns why a call failed to which no response arrived, and records what that says of the upstream. A stale
+    /// connection alone says nothing of it.
+    fn judge_failure(&self, failed: pool::Failure<Full<Bytes>>, started: Duration) -> Failed {
+        let Call { state, context, slot, .. } = *self;
+        let upstream = &slot.upstream;
+        let pool::Failure { error, request, stale_after } = failed;
+        let is_unsent = request.is_some();
+        if is_unsent && matches!(error, Error::Timeout { .. }) {
+            let cause = if !upstream.notices.is_open(state.now()) {
+                "the host took no more requests when the connection was open"
+            } else {
+                "its time was up when the connection was open"
+            };
+            return Failed::Other(Fault { failure: Failure::NotRun, cause: cause.to_owned() });
+        }
+        let failure = if is_unsent { Failure::NotRun } else { Failure::Unknown };
+        let fault = Fault { failure, cause: error.to_string() };
+        if let Some(idle) = stale_after {
+            return Failed::Stale(Stale { fault, idle });
+        }
+        upstream.stats.record_failure(state.now());
+        if !is_unsent {
+            crash::detect(state, context, upstream, crash::Progress { started, events: 0 });
+        } else if upstream.is_replica() {
+            upstream.stats.request_health_check();
         }
+        Failed::Other(fault)
     }
 }
 
@@ -205,56 +276,3 @@
     let content = head.headers.get(names::CONTENT_TYPE).map(HeaderValue::as_bytes);
     head.status == StatusCode::OK && content.is_some_and(|it| it.starts_with(b"text/event-stream"))
 }
-
-/// How far an attempt had come when it was broken off.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Progress {
-    /// When the request was sent, since the node's start.
-    pub(crate) started: Duration,
-    /// Number of events that had arrived.
-    pub(crate) events: u64,
-}
-
-/// Probes the host of a broken connection in a task of its own, and records a crash if the host accepts no new
-/// connection.
-pub(crate) fn detect_crash(
-    state: &Arc<State>,
-    context: &Arc<Context>,
-    upstream: &Arc<Upstream>,
-    progress: Progress,
-) {
-    let (state, context) = (Arc::clone(state), Arc::clone(context));
-    let (upstream, broken_at) = (Arc::clone(upstream), state.now());
-    tokio::spawn(async move {
-        time::sleep(CRASH_PROBE_DELAY).await;
-        let connecting = state.upstreams.connector().connect(&upstream.address);
-        let connected = time::timeout(CRASH_PROBE_TIMEOUT, connecting).await;
-        if !matches!(connected, Ok(Ok(_))) {
-            record_crash(&state, &context, &upstream, progress, broken_at);
-        }
-    });
-}
-
-/// Records a crash of an upstream at which a request was in flight. The request may have caused it unless the
-/// response had come too far.
-fn record_crash(
-    state: &State,
-    context: &Context,
-    upstream: &Upstream,
-    progress: Progress,
-    broken_at: Duration,
-) {
-    let parts = &context.prompt_parts;
-    let ids: Vec<String> = parts.iter().map(|it| format!("{it:x}")).collect();
-    let kind = Kind::HostCrashed {
-        address: upstream.address.clone(),
-        fingerprint: context.fingerprint,
-        parts: ids.join(","),
-        events: progress.events,
-        after_ms: broken_at.saturating_sub(progress.started).as_millis() as u64,
-    };
-    state.events.emit_for(context.id(), kind);
-    if progress.events < quarantine::HARMLESS_EVENTS {
-        state.record_crash(broken_at, &context.subjects, upstream.key);
-    }
-}
--- a/cuminward-gateway/src/forward/report.rs
+++ b/cuminward-gateway/src/forward/report.rs
@@ -10,7 +10,7 @@
 use cuminward_upstream::body;
 use http::StatusCode;
 
-use super::{context::Context, exchange::Fault, reply::Rejection};
+use super::{context::Context, exchange::Fault, reply::Rejection, slot::Slot};
 use crate::state::{State, routing::Upstream};
 
 /// Requests, by how they ended.
@@ -70,6 +70,22 @@
     state.events.emit_for(context.id(), kind);
 }
 
+/// Records that a connection to the upstream of a slot was stale after it had been idle for a time.
+pub(super) fn record_stale_connection(
+    state: &State,
+    context: &Context,
+    slot: &Slot,
+    idle: Duration,
+    is_resent: bool,
+) {
+    let kind = Kind::ConnectionStale {
+        upstream: slot.upstream.name.clone(),
+        idle_ms: idle.as_millis() as u64,
+        next: if is_resent { "again" } else { "fail" }.to_owned(),
+    };
+    state.events.emit_for(context.id(), kind);
+}
+
 /// Records a failed attempt and what follows it.
 pub(super) fn record_failed_attempt(
     state: &State,
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -16,6 +16,7 @@
 
 use super::{
     context::Context,
+    crash,
     exchange::{self, Fault},
     report,
     slot::{self, Slot},
@@ -357,9 +358,9 @@
 
     /// Ends an attempt whose stream was broken off, which may indicate a crash of the host.
     fn break_off(&self, current: &Attempt, cause: String) -> UpstreamItem {
-        let progress = exchange::Progress { started: current.started, events: current.events };
+        let progress = crash::Progress { started: current.started, events: current.events };
         let upstream = &current.slot.upstream;
-        exchange::detect_crash(&self.state, &self.context, upstream, progress);
+        crash::detect(&self.state, &self.context, upstream, progress);
         unknown_failure(cause)
     }
 
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -313,14 +313,16 @@
     let snapshot = state.routing.load();
     let now = state.now();
     let upstream = choice::Options::find(state, &snapshot, criteria, now).choose()?;
-    if let Some(rate) = choice::reduced_rate(upstream, now)
-        && !upstream.stats.acquire_cold_permit(now, rate)
-    {
-        return None;
-    }
-    if !upstream.notices.try_take_permit(now) {
+    if !take_permits(upstream, now) {
         return None;
     }
     let in_flight = upstream.stats.begin_request(now);
     Some(Grant { upstream: Arc::clone(upstream), in_flight })
 }
+
+/// Takes what a request needs that is sent to an upstream whose rate is limited. Returns whether there was enough.
+pub(super) fn take_permits(upstream: &Upstream, now: Duration) -> bool {
+    let is_warm = choice::reduced_rate(upstream, now)
+        .is_none_or(|rate| upstream.stats.acquire_cold_permit(now, rate));
+    is_warm && upstream.notices.try_take_permit(now)
+}
--- a/cuminward-gateway/src/forward/stream.rs
+++ b/cuminward-gateway/src/forward/stream.rs
@@ -9,7 +9,7 @@
 use super::{
     backlog::{self, Stopped},
     context::Context,
-    exchange,
+    crash, exchange,
     reply::{self, Body, Part, Rejection},
     report::{self, Completion},
     resumable::{self, FirstResponse, Item},
@@ -106,11 +106,11 @@
     slot: Slot,
     attempts: u32,
 ) -> Response<Body> {
-    let progress = exchange::Progress { started: state.now(), events: 0 };
+    let progress = crash::Progress { started: state.now(), events: 0 };
     let body = response.body.read(MAX_RESPONSE_BYTES).await;
     if body.is_err() {
         slot.upstream.stats.record_failure(state.now());
-        exchange::detect_crash(state, context, &slot.upstream, progress);
+        crash::detect(state, context, &slot.upstream, progress);
     }
     drop(slot);
     match body {
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -14,6 +14,7 @@
 
 use super::{
     context::Context,
+    crash,
     exchange::{self, Fault},
     reply::{self, Body, Rejection},
     report::{self, Completion},
@@ -171,11 +172,11 @@
     slot: &Slot,
     timeout: Duration,
 ) -> Result<BufferedResponse, Fault> {
-    let progress = exchange::Progress { started: state.now(), events: 0 };
+    let progress = crash::Progress { started: state.now(), events: 0 };
     let response = exchange::send(state, context, slot, None, timeout).await?;
     let body = response.body.read(MAX_RESPONSE_BYTES).await;
     let body = body.map_err(|error| {
-        exchange::detect_crash(state, context, &slot.upstream, progress);
+        crash::detect(state, context, &slot.upstream, progress);
         Fault { failure: Failure::Unknown, cause: error.to_string() }
     })?;
     Ok(BufferedResponse { head: exchange::response_head(response.head), body })
--- a/cuminward-gateway/tests/all/main.rs
+++ b/cuminward-gateway/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod restored;
 mod silence;
 mod site;
+mod stale_connections;
 mod stranded;
 mod streams;
 mod template;
--- a/cuminward-upstream/src/connection.rs
+++ b/cuminward-upstream/src/connection.rs
@@ -186,6 +186,12 @@
         }
     }
 
+    /// Returns whether bytes have arrived since the last request was sent, or since the last part of its response.
+    /// Always false if requests share the connection.
+    pub(crate) fn has_received(&self) -> bool {
+        !self.unused.is_empty()
+    }
+
     /// Records that a head or a part of a body arrived, after which more bytes may follow.
     pub(crate) fn record_part(&self) {
         self.unused.reset();
--- a/cuminward-upstream/src/count.rs
+++ b/cuminward-upstream/src/count.rs
@@ -42,6 +42,14 @@
     bytes: AtomicU64,
 }
 
+/// Access
+impl Unused {
+    /// Returns whether no byte was received.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bytes.load(Ordering::Relaxed) == 0
+    }
+}
+
 /// Mutation
 impl Unused {
     /// Records that a request is sent, or that a head or a part of a body arrived.
--- a/cuminward-upstream/src/discard.rs
+++ b/cuminward-upstream/src/discard.rs
@@ -14,12 +14,14 @@
     Unread,
     /// The upstream sent nothing in time.
     Timeout,
+    /// The upstream had dropped the connection while it was idle, which showed when a request was sent on it.
+    Stale,
 }
 
 /// Access
 impl Cause {
     /// All causes.
-    pub const ALL: [Cause; 3] = [Cause::Refusal, Cause::Unread, Cause::Timeout];
+    pub const ALL: [Cause; 4] = [Cause::Refusal, Cause::Unread, Cause::Timeout, Cause::Stale];
 }
 
 impl fmt::Display for Cause {
@@ -28,6 +30,7 @@
             Cause::Refusal => "refusal",
             Cause::Unread => "unread",
             Cause::Timeout => "timeout",
+            Cause::Stale => "stale",
         })
     }
 }
@@ -38,6 +41,7 @@
     refusals: AtomicU64,
     unread: AtomicU64,
     timeouts: AtomicU64,
+    stale: AtomicU64,
 }
 
 /// Access
@@ -52,6 +56,7 @@
             Cause::Refusal => &self.refusals,
             Cause::Unread => &self.unread,
             Cause::Timeout => &self.timeouts,
+            Cause::Stale => &self.stale,
         }
     }
 }
--- a/cuminward-upstream/src/lib.rs
+++ b/cuminward-upstream/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine;
 pub mod error;
 pub mod generate;
+mod idle;
 mod line;
 pub mod plain;
 pub mod poll;
--- a/cuminward-upstream/src/plain.rs
+++ b/cuminward-upstream/src/plain.rs
@@ -78,7 +78,8 @@
         strip_hop_headers(request.headers_mut());
         let mut response = self.pool.send(address, request, idle_timeout, timeout).await?;
         if let Some(answer) = parse_refusal(&response) {
-            return Err(pool::Failure { error: Error::Refused(answer), request: None });
+            let error = Error::Refused(answer);
+            return Err(pool::Failure { error, request: None, stale_after: None });
         }
         strip_hop_headers(response.headers_mut());
         Ok(response)
--- a/cuminward-upstream/src/pool.rs
+++ b/cuminward-upstream/src/pool.rs
@@ -6,9 +6,13 @@
 //! trust a response drops it unread. A refusal may come twice, with the id of its request. Its copy
 //! would be taken for the response to the next request on the connection, or to the same request
 //! if that is sent again.
+//!
+//! An upstream may drop an idle connection without notice, which shows only when the next request on it
+//! fails. Such a stale connection tells that others which were idle for as long are stale too, so these are
+//! closed, and for a while connections to the address are used only if they were idle for a shorter time.
 
 use std::{
-    collections::{HashMap, hash_map},
+    collections::HashMap,
     hash::{BuildHasher, RandomState},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -28,6 +32,7 @@
     count::Counter,
     discard,
     error::Error,
+    idle,
 };
 
 /// Number of shards, each with its own lock.
@@ -94,7 +99,20 @@
     counter: Arc<Counter>,
 }
 
-type Shard<B> = HashMap<String, Vec<Connection<B>>>;
+type Shard<B> = HashMap<String, Peer<B>>;
+
+/// What the pool holds for one address.
+struct Peer<B> {
+    /// Idle connections, the most recently used one last.
+    connections: Vec<Connection<B>>,
+    idle_limit: idle::Limit,
+}
+
+impl<B> Default for Peer<B> {
+    fn default() -> Peer<B> {
+        Peer { connections: Vec::new(), idle_limit: idle::Limit::default() }
+    }
+}
 
 /// Whether a request is sent now that a connection is open.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -112,6 +130,10 @@
     pub error: Error,
     /// The request, which can be sent to another upstream.
     pub request: Option<Request<B>>,
+    /// For how long the connection had been idle, if it was stale: kept from an earlier request, and closed before
+    /// any byte of the response arrived. Most probably the upstream had dropped it before the request reached it, but
+    /// the request may have run.
+    pub stale_after: Option<Duration>,
 }
 
 /// A connection in use for one request; returns to the pool when it is released.
@@ -157,15 +179,15 @@
 
     /// Closes the idle connections to an address.
     pub fn discard_idle(&self, address: &str) {
-        if let Some(connections) = self.inner.shard(address).get_mut(address) {
-            abort_idle(connections);
+        if let Some(peer) = self.inner.shard(address).get_mut(address) {
+            abort_idle(&mut peer.connections);
         }
     }
 
     /// Closes the idle connections to all addresses.
     pub fn discard_all_idle(&self) {
         for shard in &self.inner.shards {
-            lock(shard).values_mut().for_each(abort_idle);
+            lock(shard).values_mut().for_each(|it| abort_idle(&mut it.connections));
         }
     }
 
@@ -180,11 +202,13 @@
     }
 
     /// Returns whether the pool holds an open connection to an address that was idle for at most
-    /// `idle_timeout`.
+    /// `idle_timeout`, and not for as long as one that turned out stale lately.
     pub fn has_idle(&self, address: &str, idle_timeout: Duration) -> bool {
+        let now = Instant::now();
         let shard = self.inner.shard(address);
-        let newest = shard.get(address).and_then(|it| it.last());
-        newest.is_some_and(|it| !it.is_closed() && it.last_used.elapsed() <= idle_timeout)
+        let Some(peer) = shard.get(address) else { return false };
+        let newest = peer.connections.last();
+        newest.is_some_and(|it| !it.is_closed() && peer.is_fresh(it, idle_timeout, now))
     }
 
     /// Returns the counter of bytes sent and received on all connections.
@@ -204,9 +228,10 @@
 
     /// Sends a request and waits for the response head.
     ///
-    /// Connections that were idle for longer than `idle_timeout` are not reused. `header_timeout`
-    /// is the maximum time to the response head. If a reused connection turns out to be closed
-    /// before any byte of the request was written, the request is sent on another one.
+    /// Connections that were idle for longer than `idle_timeout`, or for as long as one to the same address that
+    /// turned out stale lately, are not reused. `header_timeout` is the maximum time to the response head. If a reused
+    /// connection turns out to be closed before any byte of the request was written, the request is sent on another
+    /// one.
     ///
     /// # Errors
     ///
@@ -239,14 +264,15 @@
         loop {
             let mut lease = match self.checkout(address, idle_timeout).await {
                 Ok(it) => it,
-                Err(error) => return Err(Failure { error, request: Some(request) }),
+                Err(error) => return Err(Failure::unsent(error, request)),
             };
             if prepare(&mut request) == Ready::Expired {
                 lease.release();
                 let error = Error::Timeout { tokens: 0, limit: header_timeout };
-                return Err(Failure { error, request: Some(request) });
+                return Err(Failure::unsent(error, request));
             }
             let reused = lease.connection().reused;
+            let idle = lease.connection().last_used.elapsed();
             let sending = lease.connection().send(address, request);
             let Ok(sent) = time::timeout(header_timeout, sending).await else {
                 lease.discard_timed_out();
@@ -268,11 +294,15 @@
                 Err(it) => it,
             };
             let Some(unsent) = error.take_message() else {
-                return Err(Failure::disconnected(&error.into_error()));
+                let stale_after = lease.is_stale().then_some(idle);
+                if stale_after.is_some() {
+                    lease.discard_stale(idle);
+                }
+                return Err(Failure::disconnected(&error.into_error(), stale_after));
             };
             if !reused {
                 let cause = Cause::from(error.into_error());
-                return Err(Failure { error: cause.into_error(address), request: Some(unsent) });
+                return Err(Failure::unsent(cause.into_error(address), unsent));
             }
             request = unsent;
         }
@@ -313,31 +343,49 @@
         }
     }
 
-    /// Takes the most recently used connection, unless it was idle for longer than `idle_timeout`.
-    /// A connection that can be shared stays in the pool.
+    /// Takes the most recently used connection, unless it was idle for longer than `idle_timeout`, or for as long as
+    /// one that turned out stale. A connection that can be shared stays in the pool.
     fn take(&self, address: &str, idle_timeout: Duration) -> Option<Connection<B>> {
+        let now = Instant::now();
         let mut shard = self.shard(address);
-        let connections = shard.get_mut(address)?;
-        connections.retain(|it| !it.is_closed());
-        let newest = connections.last_mut()?;
-        if let Some(shared) = newest.share() {
+        let peer = shard.get_mut(address)?;
+        peer.connections.retain(|it| !it.is_closed());
+        if let Some(shared) = peer.connections.last()?.share() {
             return Some(shared);
         }
-        if newest.last_used.elapsed() > idle_timeout {
-            connections.retain(|it| it.last_used.elapsed() <= self.options.idle_timeout);
+        if !peer.is_fresh(peer.connections.last()?, idle_timeout, now) {
+            peer.remove_idle(self.options.idle_timeout, now);
             return None;
         }
-        connections.pop()
+        peer.connections.pop()
+    }
+}
+
+/// Access
+impl<B> Peer<B> {
+    /// Returns whether a connection was idle for at most `idle_timeout`, and for a shorter time than those that turned
+    /// out stale.
+    fn is_fresh(&self, connection: &Connection<B>, idle_timeout: Duration, now: Instant) -> bool {
+        let idle = now.saturating_duration_since(connection.last_used);
+        idle <= idle_timeout && self.idle_limit.allows(idle, now)
+    }
+}
+
+/// Mutation
+impl<B> Peer<B> {
+    /// Removes the connections that were idle for longer than `idle_timeout`, or for as long as those that turned out
+    /// stale.
+    fn remove_idle(&mut self, idle_timeout: Duration, now: Instant) {
+        let mut connections = std::mem::take(&mut self.connections);
+        connections.retain(|it| self.is_fresh(it, idle_timeout, now));
+        self.connections = connections;
     }
 }
 
 impl<B> Inner<B> {
     fn put(&self, address: &str, connection: Connection<B>) {
         let mut shard = self.shard(address);
-        let connections = match shard.entry(address.to_owned()) {
-            hash_map::Entry::Occupied(it) => it.into_mut(),
-            hash_map::Entry::Vacant(it) => it.insert(Vec::new()),
-        };
+        let connections = &mut shard.entry(address.to_owned()).or_default().connections;
         connections.push(connection);
         if connections.len() > MAX_IDLE {
             connections.remove(0);
@@ -345,8 +393,19 @@
     }
 
     fn remove(&self, address: &str, number: u64) {
-        if let Some(connections) = self.shard(address).get_mut(address) {
-            connections.retain(|it| it.number != number);
+        if let Some(peer) = self.shard(address).get_mut(address) {
+            peer.connections.retain(|it| it.number != number);
+        }
+    }
+
+    /// Records that a connection to an address was stale after it had been idle for a time, and removes the others that
+    /// were idle for as long.
+    fn record_stale(&self, address: &str, idle: Duration) {
+        self.discards.record(discard::Cause::Stale);
+        let now = Instant::now();
+        if let Some(peer) = self.shard(address).get_mut(address) {
+            peer.idle_limit.record_stale(idle, now);
+            peer.remove_idle(self.options.idle_timeout, now);
         }
     }
 
@@ -416,6 +475,13 @@
         self.connection.as_ref().is_some_and(|it| it.reused)
     }
 
+    /// Returns whether the connection was kept from an earlier request and has received no byte of the response to this
+    /// one. On a shared connection, that isn't known.
+    fn is_stale(&self) -> bool {
+        let is_unanswered = |it: &Connection<B>| it.reused && !it.is_shared() && !it.has_received();
+        self.connection.as_ref().is_some_and(is_unanswered)
+    }
+
     /// Records that a part of the response arrived.
     pub(crate) fn record_part(&self) {
         if let Some(connection) = &self.connection {
@@ -439,6 +505,13 @@
             connection.abort();
         }
     }
+
+    /// Discards the connection, which was stale after it had been idle for a time.
+    fn discard_stale(&mut self, idle: Duration) {
+        let Some(connection) = self.connection.take() else { return };
+        connection.abort();
+        self.pool.record_stale(&self.address, idle);
+    }
 }
 
 impl<B: Payload> Lease<B> {
@@ -464,16 +537,23 @@
 
 /// Life cycle
 impl<B> Failure<B> {
+    fn unsent(error: Error, request: Request<B>) -> Failure<B> {
+        Failure { error, request: Some(request), stale_after: None }
+    }
+
     fn timed_out(limit: Duration) -> Failure<B> {
-        Failure { error: Error::Timeout { tokens: 0, limit }, request: None }
+        let error = Error::Timeout { tokens: 0, limit };
+        Failure { error, request: None, stale_after: None }
     }
 
     fn false_status(status: StatusCode) -> Failure<B> {
         let message = format!("{} isn't the status of a response", status.as_str());
-        Failure { error: Error::Malformed { tokens: 0, message }, request: None }
+        let error = Error::Malformed { tokens: 0, message };
+        Failure { error, request: None, stale_after: None }
     }
 
-    fn disconnected(error: &hyper::Error) -> Failure<B> {
-        Failure { error: Error::Disconnected { message: error.to_string() }, request: None }
+    fn disconnected(error: &hyper::Error, stale_after: Option<Duration>) -> Failure<B> {
+        let error = Error::Disconnected { message: error.to_string() };
+        Failure { error, request: None, stale_after }
     }
 }
--- a/cuminward-upstream/tests/all/raw.rs
+++ b/cuminward-upstream/tests/all/raw.rs
@@ -31,6 +31,8 @@
     Flood(&'static str),
     /// Same as `Flood`, with a pause after each time.
     Trickle(&'static str, Duration),
+    /// Closes the connection.
+    Close,
 }
 
 /// A running upstream.
@@ -135,6 +137,7 @@
                 write(writer, text.as_bytes(), log).await?;
                 time::sleep(*pause).await;
             },
+            Step::Close => return None,
         }
     }
     Some(())
