fix: return to a silent host if the attempt for which it was left fails

A stream leaves a host that is silent for 0.4 s, the next host crashes or refuses, and the stream is cut, though the first host is sound, goes on half a second later and seconds are left. Idempotent requests got 502, or the 500 of the second host, in the same way.

Cause: the attempt at the silent host is dropped before the next one has shown that it works, and the host then counts as tried: with `maxAttempts` 2 nothing is left, and where there are two hosts, nothing is with 3 either.

Change: an attempt that is replaced during a silence leaves its host, and the request may return to it: at once if no other host may get the request (`attempt::Next::Return`), otherwise if none has capacity. A replica isn't routable while a member is silent, so a return waits for as long as a sound host may be silent (1.5 s) and for no longer than until the deadline. `Criteria` has the hosts that are eligible, `attempts::Attempts` what the attempts leave eligible.

Why it works: the host has had the request before, so that it runs on no further one and `maxAttempts` holds, which counts hosts; each return is counted in the retry budget; a host that was returned to isn't left again once the attempts are used up, so that it ends.

To keep both attempts until one shows an event was weighed: it takes two slots in each silence, on all of its streams at once, when capacity is shortest; a return takes one, and only after a failure.

Tests that failed on the former code and pass now: silence::a_stream_returns_to_a_host_that_was_silent_if_the_next_one_fails (four cases: cut streams, 502), silence::a_stream_returns_to_a_host_that_was_silent_if_there_is_no_other, unary::a_request_returns_to_a_slow_host_if_the_next_one_fails (500, 502, 502 for 200). Tests of the crates gateway and serving pass but for the known local_views.

--- a/cuminward-event/src/kind.rs
+++ b/cuminward-event/src/kind.rs
@@ -844,7 +844,7 @@
         cause: String,
         /// Id of the last event sent to the caller; 0 if there was none.
         last_event: u64,
-        /// Next step: `again` (retry), `refuse` or `fail`.
+        /// Next step: `again` (retry), `return` (to a host that was left while it was silent), `refuse` or `fail`.
         next: String,
     }
     /// A request was answered; written if it was slow, needed several attempts or is sampled.
--- a/cuminward-gateway/src/forward/choice.rs
+++ b/cuminward-gateway/src/forward/choice.rs
@@ -30,7 +30,7 @@
     Closed,
     /// Its host said that it isn't the intended one.
     Misdirected,
-    /// Its host had the request before.
+    /// Its host had the request before, or isn't the one to which the request returns.
     Tried,
     /// It names a limit, of which this node has used its part, or hasn't told yet whether it has one.
     Limited,
@@ -78,7 +78,7 @@
         let all = snapshot.upstreams(&criteria.target.service, criteria.target.model.as_deref());
         let outlook = foresee(state, all);
         // A request that was sent before holds a part of the slots already.
-        let has_room = outlook.is_none() || !criteria.tried.is_empty() || has_room(state, all);
+        let has_room = outlook.is_none() || !criteria.hosts.are_all() || has_room(state, all);
         let usable =
             |it: &&Arc<Upstream>| has_room && obstacle(state, it, criteria, outlook, now).is_none();
         let upstreams: Vec<&Arc<Upstream>> = all.iter().filter(usable).collect();
@@ -127,7 +127,7 @@
         (!has_free_slot(upstream, fill, outlook), Obstacle::Full),
         (!upstream.notices.is_open(now), Obstacle::Closed),
         (upstream.stats.is_excluded(now), Obstacle::Misdirected),
-        (criteria.tried.contains(&upstream.host), Obstacle::Tried),
+        (!criteria.hosts.allow(&upstream.host), Obstacle::Tried),
         (is_limited, Obstacle::Limited),
         (!has_cold_permit, Obstacle::Cold),
     ];
--- a/cuminward-gateway/src/forward/mod.rs
+++ b/cuminward-gateway/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Request path: admits a request, forwards it to an upstream and returns the response.
 
 mod admit;
+mod attempts;
 mod backlog;
 pub(crate) mod choice;
 mod context;
--- a/cuminward-gateway/src/forward/preview.rs
+++ b/cuminward-gateway/src/forward/preview.rs
@@ -9,7 +9,7 @@
 };
 use crate::state::{
     State,
-    admission::{Criteria, Target},
+    admission::{Criteria, Hosts, Target},
     routing::{Snapshot, Upstream},
 };
 
@@ -85,8 +85,11 @@
     let now = state.now();
     let target = Target { service: service.clone(), model: question.model.clone() };
     let all = snapshot.upstreams(&target.service, target.model.as_deref());
-    let criteria =
-        Criteria { target, tried: Vec::new(), max_idle: exchange::max_idle(route.retry) };
+    let criteria = Criteria {
+        target,
+        hosts: Hosts::Except(Vec::new()),
+        max_idle: exchange::max_idle(route.retry),
+    };
     let options = Options::find(state, snapshot, &criteria, now);
     let chances = options.probabilities();
     let chance = |upstream: &Upstream| {
--- a/cuminward-gateway/src/forward/report.rs
+++ b/cuminward-gateway/src/forward/report.rs
@@ -102,6 +102,7 @@
     metrics::counter!(FAILED_ATTEMPTS, "failure" => failure).increment(1);
     let next = match next {
         Next::Retry => "again",
+        Next::Return => "return",
         Next::Refuse => "refuse",
         Next::Fail => "fail",
     };
--- a/cuminward-gateway/src/forward/resumable.rs
+++ b/cuminward-gateway/src/forward/resumable.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use cuminward_serving::{
-    attempt::{self, Failure, Next},
+    attempt::{Failure, Next},
     event::{self, Event, Remainder, Splitter},
-    id, quarantine,
+    quarantine,
     queue::Progress,
 };
 use cuminward_upstream::body;
@@ -15,11 +15,12 @@
 use http_body_util::{BodyExt, Full};
 
 use super::{
+    attempts::Attempts,
     context::Context,
     crash,
     exchange::{self, Fault},
     report,
-    slot::{self, Slot},
+    slot::Slot,
     stall::{self, Replacement},
 };
 use crate::{peer::loan::Grant, state::State};
@@ -31,9 +32,7 @@
 pub(crate) struct Stream {
     state: Arc<State>,
     context: Arc<Context>,
-    attempts: attempt::Counts,
-    /// Hosts to which the request was sent.
-    tried: Vec<id::Host>,
+    attempts: Attempts,
     /// Name of the last upstream that was tried.
     upstream: String,
     /// The attempt whose events are being read.
@@ -116,8 +115,7 @@
             last_event: context.meta.last_event,
             state,
             context,
-            attempts: attempt::Counts::default(),
-            tried: Vec::new(),
+            attempts: Attempts::default(),
             upstream: String::new(),
             current: None,
             reserved: None,
@@ -132,7 +130,7 @@
 impl Stream {
     /// Returns the number of attempts so far, including the current one.
     pub(crate) fn attempts(&self) -> u32 {
-        self.tried.len() as u32
+        self.attempts.number()
     }
 
     /// Returns the last event that was yielded, or that the caller named.
@@ -215,8 +213,7 @@
         let candidate = stall::Candidate {
             state: &self.state,
             context: &self.context,
-            tried: &self.tried,
-            failed: self.attempts,
+            attempts: &self.attempts,
             progress: self.progress(),
         };
         stall::Watch { candidate, slot, started, progressed, has_events, is_direct }
@@ -378,8 +375,8 @@
         let slot = match self.reserved.take() {
             Some(it) => it,
             None => {
-                let acquired =
-                    slot::acquire(&self.state, &self.context, &self.tried, self.progress()).await;
+                let progress = self.progress();
+                let acquired = self.attempts.reserve(&self.state, &self.context, progress).await;
                 acquired.map_err(|it| self.error(it.to_string(), it.retry_after()))?
             }
         };
@@ -389,7 +386,7 @@
             let cause = String::from("the loan of a retry ran out before a host was free");
             return Err(self.error(cause, RETRY_AFTER));
         }
-        self.tried.push(slot.upstream.host.clone());
+        self.attempts.begin(&slot.upstream);
         self.upstream.clone_from(&slot.upstream.name);
         Ok(slot)
     }
@@ -400,10 +397,9 @@
     ///
     /// Fails if no further attempt is allowed or the retry budget is used up.
     async fn handle_failure(&mut self, fault: Fault) -> Result<(), Error> {
-        self.attempts.record_failure(fault.failure);
-        let next = attempt::decide(self.attempts, fault.failure, &self.context.bounds());
+        let next = self.attempts.record_failure(fault.failure, &self.context.bounds());
         self.report_failure(&fault, next);
-        if next == Next::Retry {
+        if matches!(next, Next::Retry | Next::Return) {
             self.grant = self.state.try_retry(&self.context.service).await;
         }
         match self.grant {
@@ -415,7 +411,7 @@
     /// Counts and reports a stalled attempt, and keeps the upstream that is reserved for the next one.
     fn replace(&mut self, replacement: Replacement) {
         let fault = replacement.stall.fault();
-        self.attempts.record_failure(fault.failure);
+        self.attempts.leave();
         self.report_failure(&fault, Next::Retry);
         self.reserved = Some(replacement.slot);
     }
@@ -430,7 +426,7 @@
     /// Returns the error that ends the stream: [`Error::Failed`] if any attempt may have been executed,
     /// otherwise [`Error::Refused`].
     fn error(&self, cause: String, retry_after: Duration) -> Error {
-        if self.attempts.maybe_ran == 0 {
+        if self.attempts.counts().maybe_ran == 0 {
             Error::Refused(cause, retry_after)
         } else {
             Error::Failed(cause)
--- a/cuminward-gateway/src/forward/slot.rs
+++ b/cuminward-gateway/src/forward/slot.rs
@@ -3,16 +3,15 @@
 use std::{ops::RangeInclusive, sync::Arc, time::Duration};
 
 use cuminward_serving::{
-    id,
     queue::{self, Progress},
     returns,
 };
 use tokio::time::{self, Instant};
 
-use super::{choice, context::Context, exchange, report};
+use super::{choice, context::Context, exchange, report, stall};
 use crate::state::{
     State,
-    admission::{Criteria, Grant, Target},
+    admission::{Criteria, Grant, Hosts, Target},
     routing::Upstream,
     stats::InFlight,
 };
@@ -122,9 +121,10 @@
     }
 }
 
-/// Reserves an upstream on a host that isn't among `tried`. A new request waits in the admission queue
+/// Reserves an upstream on one of the hosts that the request may be sent to. A new request waits in the admission queue
 /// for at most the time that the settings allow, and not at all if there is no upstream; one whose
-/// caller already has a part of the response waits until the deadline.
+/// caller already has a part of the response waits until the deadline, and one that returns to a host for as long as
+/// that may be silent.
 ///
 /// # Errors
 ///
@@ -132,17 +132,15 @@
 pub(crate) async fn acquire(
     state: &Arc<State>,
     context: &Context,
-    tried: &[id::Host],
+    hosts: Hosts,
     progress: Progress,
 ) -> Result<Slot, Unavailable> {
     let started = Instant::now();
-    let until = longest_wait(state, context, progress);
-    let criteria = criteria(context, tried);
+    let until = longest_wait(state, context, &hosts, progress);
+    let criteria = criteria(context, hosts);
     check_quarantine(state, context)?;
-    if progress == Progress::New && is_absent(state, &criteria.target) {
-        return Err(Unavailable::Absent);
-    }
-    if progress == Progress::New {
+    if progress == Progress::New && !criteria.hosts.is_return() {
+        check_presence(state, &criteria.target)?;
         check_limits(state, &criteria.target, until.saturating_duration_since(started))?;
     }
     let grant = if state.admission.has_waiting(&criteria.target) {
@@ -173,25 +171,29 @@
     Ok(())
 }
 
-/// Returns whether an upstream on a host that isn't among `tried` could be reserved at once.
-pub(crate) fn has_capacity(state: &State, context: &Context, tried: &[id::Host]) -> bool {
+/// Returns whether an upstream on one of the hosts could be reserved at once.
+pub(crate) fn has_capacity(state: &State, context: &Context, hosts: Hosts) -> bool {
     let snapshot = state.routing.load();
-    let criteria = criteria(context, tried);
+    let criteria = criteria(context, hosts);
     !state.admission.has_waiting(&criteria.target)
         && !choice::Options::find(state, &snapshot, &criteria, state.now()).upstreams.is_empty()
 }
 
 /// Returns the conditions that an upstream for a request must meet.
-fn criteria(context: &Context, tried: &[id::Host]) -> Criteria {
+fn criteria(context: &Context, hosts: Hosts) -> Criteria {
     Criteria {
         target: Target { service: context.service.clone(), model: context.meta.model.clone() },
-        tried: tried.to_vec(),
+        hosts,
         max_idle: exchange::max_idle(context.route.retry),
     }
 }
 
 /// Returns until when a request may wait for an upstream.
-fn longest_wait(state: &State, context: &Context, progress: Progress) -> Instant {
+fn longest_wait(state: &State, context: &Context, hosts: &Hosts, progress: Progress) -> Instant {
+    if hosts.is_return() {
+        // A replica isn't routable while a member is silent.
+        return (Instant::now() + stall::SOUND_SILENCE).min(context.deadline);
+    }
     if progress == Progress::Started {
         return context.deadline;
     }
@@ -202,6 +204,19 @@
     (Instant::now() + queue::longest_wait(objective, service_time)).min(context.deadline)
 }
 
+/// Checks that there is an upstream for a target.
+///
+/// # Errors
+///
+/// [`Unavailable::Absent`].
+fn check_presence(state: &State, target: &Target) -> Result<(), Unavailable> {
+    let snapshot = state.routing.load();
+    if snapshot.upstreams(&target.service, target.model.as_deref()).is_empty() {
+        return Err(Unavailable::Absent);
+    }
+    Ok(())
+}
+
 /// Checks that this node has room for a request within `wait` if all upstreams of its target name limits or asked for
 /// pauses.
 ///
@@ -256,11 +271,6 @@
     grant.ok().and_then(Result::ok).ok_or_else(|| assess_capacity(state, context, &target))
 }
 
-/// Returns whether there is no upstream for a target.
-fn is_absent(state: &State, target: &Target) -> bool {
-    state.routing.load().upstreams(&target.service, target.model.as_deref()).is_empty()
-}
-
 /// Returns what this node knows about the upstreams of a target, none of which had capacity.
 fn assess_capacity(state: &State, context: &Context, target: &Target) -> Unavailable {
     let snapshot = state.routing.load();
--- a/cuminward-gateway/src/forward/stall.rs
+++ b/cuminward-gateway/src/forward/stall.rs
@@ -8,12 +8,13 @@
 
 use cuminward_serving::{
     attempt::{self, Failure, Next},
-    id, progress,
+    progress,
     queue::Progress,
 };
 use tokio::time;
 
 use super::{
+    attempts::Attempts,
     context::Context,
     exchange::Fault,
     slot::{self, Slot},
@@ -24,7 +25,7 @@
 const PATH_SILENCE: Duration = Duration::from_millis(250);
 
 /// Longest silence of a sound upstream.
-const SOUND_SILENCE: Duration = Duration::from_millis(1500);
+pub(super) const SOUND_SILENCE: Duration = Duration::from_millis(1500);
 
 /// Time between two tries to replace an attempt.
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -93,10 +94,8 @@
 pub(super) struct Candidate<'a> {
     pub(super) state: &'a Arc<State>,
     pub(super) context: &'a Context,
-    /// Hosts to which the request was sent.
-    pub(super) tried: &'a [id::Host],
-    /// Failed attempts before the current one.
-    pub(super) failed: attempt::Counts,
+    /// Attempts, including the current one, which hasn't failed yet.
+    pub(super) attempts: &'a Attempts,
     pub(super) progress: Progress,
 }
 
@@ -104,7 +103,7 @@
 impl Candidate<'_> {
     /// Returns whether another attempt may follow if the current one is ended.
     fn may_retry(&self) -> bool {
-        let mut failed = self.failed;
+        let mut failed = self.attempts.counts();
         failed.record_failure(Failure::Unknown);
         attempt::decide(failed, Failure::Unknown, &self.context.bounds()) == Next::Retry
             && self.state.has_retry(&self.context.service)
@@ -112,20 +111,21 @@
 
     /// Returns whether earlier attempts have failed and the next one would be the last.
     fn has_one_attempt_left(&self) -> bool {
-        let failed = self.failed.maybe_ran;
+        let failed = self.attempts.counts().maybe_ran;
         failed > 0 && failed + 2 >= self.context.route.max_attempts
     }
 
     /// Returns whether another attempt may follow, and another upstream has capacity for it now.
     fn can_move(&self) -> bool {
-        self.may_retry() && slot::has_capacity(self.state, self.context, self.tried)
+        self.may_retry() && slot::has_capacity(self.state, self.context, self.attempts.untried())
     }
 
     /// Waits until a slot of another upstream is reserved, and counts the retry.
     pub(super) async fn reserve(&self) -> Slot {
         loop {
             if self.may_retry() {
-                let slot = slot::acquire(self.state, self.context, self.tried, self.progress).await;
+                let untried = self.attempts.untried();
+                let slot = slot::acquire(self.state, self.context, untried, self.progress).await;
                 if let Ok(slot) = slot
                     && self.state.try_retry(&self.context.service).await.is_some()
                 {
--- a/cuminward-gateway/src/forward/unary.rs
+++ b/cuminward-gateway/src/forward/unary.rs
@@ -6,19 +6,19 @@
 use cuminward_serving::{
     attempt::{self, Failure, Next},
     catalog::Retry,
-    id,
     queue::Progress,
 };
 use http::{Response, StatusCode, response::Parts};
 use tokio::time;
 
 use super::{
+    attempts::Attempts,
     context::Context,
     crash,
     exchange::{self, Fault},
     reply::{self, Body, Rejection},
     report::{self, Completion},
-    slot::{self, Slot},
+    slot::Slot,
     stall::{Candidate, Reason, Replacement, Stall},
 };
 use crate::{peer::loan::Grant, state::State};
@@ -49,8 +49,7 @@
 
 /// Handles a request with a single response, with retries as its route and the retry budget allow.
 pub(crate) async fn run(state: &Arc<State>, context: &Arc<Context>) -> Response<Body> {
-    let mut attempts = attempt::Counts::default();
-    let mut tried: Vec<id::Host> = Vec::new();
+    let mut attempts = Attempts::default();
     let mut last_failure: Option<BufferedResponse> = None;
     let mut reserved: Option<Slot> = None;
     // What allowed the next attempt, if it is a retry that may have to wait.
@@ -59,36 +58,38 @@
     loop {
         let acquired = match reserved.take() {
             Some(it) => Ok(it),
-            None => slot::acquire(state, context, &tried, Progress::New).await,
+            None => attempts.reserve(state, context, Progress::New).await,
         };
         let slot = match acquired {
             Ok(it) => it,
             Err(error) => {
                 let (retry_after, cause) = (error.retry_after(), error.to_string());
-                return give_up(state, context, last_failure, attempts, retry_after, &cause);
+                let counts = attempts.counts();
+                return give_up(state, context, last_failure, counts, retry_after, &cause);
             }
         };
         if let Some(grant) = grant.take()
             && !state.record_retry_sent(&context.service, grant).await
         {
             let cause = "the loan of a retry ran out before a host was free";
-            return give_up(state, context, last_failure, attempts, RETRY_AFTER, cause);
+            return give_up(state, context, last_failure, attempts.counts(), RETRY_AFTER, cause);
         }
-        tried.push(slot.upstream.host.clone());
+        attempts.begin(&slot.upstream);
         let upstream = slot.upstream.name.clone();
-        let is_last = attempts.maybe_ran + 1 >= context.route.max_attempts;
-        let progress = Progress::New;
-        let candidate = Candidate { state, context, tried: &tried, failed: attempts, progress };
-        let fault = match send_attempt(&candidate, context, &slot, is_last).await {
+        let counts = attempts.counts();
+        let may_move = counts.maybe_ran + 1 < context.route.max_attempts;
+        let is_last = !may_move && counts.left == 0;
+        let candidate = Candidate { state, context, attempts: &attempts, progress: Progress::New };
+        let fault = match send_attempt(&candidate, context, &slot, may_move).await {
             Outcome::Stall(replacement) => {
                 let fault = replacement.stall.fault();
-                attempts.record_failure(fault.failure);
+                attempts.leave();
                 report::record_failed_attempt(state, context, &upstream, &fault, None, Next::Retry);
                 reserved = Some(replacement.slot);
                 continue;
             }
             Outcome::Response(response) if is_final(context, &response, is_last) => {
-                let (status, attempts) = (response.head.status, tried.len() as u32);
+                let (status, attempts) = (response.head.status, attempts.number());
                 let completion = Completion { status, attempts, first_ms: context.age_ms() };
                 report::record_completion(state, context, &completion);
                 return into_response(response);
@@ -101,14 +102,14 @@
             Outcome::Fault(fault) => fault,
         };
         drop(slot);
-        attempts.record_failure(fault.failure);
-        let next = attempt::decide(attempts, fault.failure, &context.bounds());
+        let next = attempts.record_failure(fault.failure, &context.bounds());
         report::record_failed_attempt(state, context, &upstream, &fault, None, next);
-        if next == Next::Retry {
+        if matches!(next, Next::Retry | Next::Return) {
             grant = state.try_retry(&context.service).await;
         }
         if grant.is_none() {
-            return give_up(state, context, last_failure, attempts, RETRY_AFTER, &fault.cause);
+            let counts = attempts.counts();
+            return give_up(state, context, last_failure, counts, RETRY_AFTER, &fault.cause);
         }
     }
 }
@@ -126,11 +127,11 @@
     candidate: &Candidate<'_>,
     context: &Arc<Context>,
     slot: &Slot,
-    is_last: bool,
+    may_move: bool,
 ) -> Outcome {
     let (state, started) = (candidate.state, candidate.state.now());
     let left = context.remaining();
-    let may_move = context.route.retry == Retry::Idempotent && !is_last;
+    let may_move = may_move && context.route.retry == Retry::Idempotent;
     let usual = context.route.latency_objective.mul_f64(ATTEMPT_TIMEOUT_OBJECTIVES);
     let reservation = async {
         if !may_move {
--- a/cuminward-gateway/src/state/admission.rs
+++ b/cuminward-gateway/src/state/admission.rs
@@ -22,12 +22,20 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Criteria {
     pub(crate) target: Target,
-    /// Hosts of earlier attempts, which must not get the request again.
-    pub(crate) tried: Vec<id::Host>,
+    pub(crate) hosts: Hosts,
     /// Longest time for which a connection that the request uses may have been idle.
     pub(crate) max_idle: Duration,
 }
 
+/// Hosts to which a request may be sent, as its earlier attempts allow.
+#[derive(Debug, Clone)]
+pub(crate) enum Hosts {
+    /// All but these, which had the request before.
+    Except(Vec<id::Host>),
+    /// Only these, which had the request before and may go on with it.
+    Only(Vec<id::Host>),
+}
+
 /// Service and model that a request is for.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Target {
@@ -76,6 +84,27 @@
     }
 }
 
+/// Access
+impl Hosts {
+    /// Returns whether the request may be sent to a host.
+    pub(crate) fn allow(&self, host: &id::Host) -> bool {
+        match self {
+            Hosts::Except(it) => !it.contains(host),
+            Hosts::Only(it) => it.contains(host),
+        }
+    }
+
+    /// Returns whether the request returns to hosts that had it before.
+    pub(crate) fn is_return(&self) -> bool {
+        matches!(self, Hosts::Only(_))
+    }
+
+    /// Returns whether the request may be sent to all hosts, as it was sent to none before.
+    pub(crate) fn are_all(&self) -> bool {
+        matches!(self, Hosts::Except(it) if it.is_empty())
+    }
+}
+
 /// Access
 impl Queues {
     /// Returns whether requests wait for a target.
@@ -137,7 +166,7 @@
         for queue in self.lock().values_mut() {
             let served = queue.serve(|it| match assign(&it.criteria) {
                 Some(grant) => Outcome::Served(grant),
-                None if it.criteria.tried.is_empty() => Outcome::Full,
+                None if it.criteria.hosts.are_all() => Outcome::Full,
                 None => Outcome::Skipped,
             });
             for (waiter, grant) in served {
--- a/cuminward-gateway/tests/all/silence.rs
+++ b/cuminward-gateway/tests/all/silence.rs
@@ -121,6 +121,67 @@
     Ok(())
 }
 
+/// Guards against streams that were cut, or refused, since they had left a silent sound host for one that then failed: no
+/// host was left to try, though the first one went on a moment later.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_returns_to_a_host_that_was_silent_if_the_next_one_fails() -> Result<()> {
+    let silent_after = |event| Behaviour::StreamFallingSilent(event, SILENCE);
+    let refused = [const { Behaviour::Refuse }; 4];
+    let cases = [
+        Case {
+            name: "cut off elsewhere",
+            replicas: 3,
+            script: vec![silent_after(3), Behaviour::StreamUntil(5)],
+        },
+        Case {
+            name: "cut off elsewhere before the first event",
+            replicas: 3,
+            script: vec![silent_after(0), Behaviour::StreamUntil(0)],
+        },
+        Case {
+            name: "refused elsewhere",
+            replicas: 5,
+            script: [silent_after(3)].into_iter().chain(refused).collect(),
+        },
+        Case {
+            name: "refused by the only other host before the first event",
+            replicas: 2,
+            script: vec![silent_after(0), Behaviour::Refuse],
+        },
+    ];
+    for case in cases {
+        let site = Site::with_engine_hosts(case.replicas * SIZE).await;
+        site.join_replicas(1, SIZE, Some(patient_route()));
+        let node = site.node("return").await;
+        host::share_script(&site.replicas, case.script);
+        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
+        let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(200), "{}", case.name);
+        expect_that!(answer.is_complete, eq(true), "{}", case.name);
+        expect_that!(answer.body, eq(&site::events(1..=EVENTS)), "{}", case.name);
+        let received = site.replicas.iter().map(|it| it.received().len());
+        expect_that!(received.max(), some(eq(2)), "{}: requests at the first host", case.name);
+    }
+    Ok(())
+}
+
+/// Guards against streams that wait in vain for a third host where there are two, although attempts are left.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_returns_to_a_host_that_was_silent_if_there_is_no_other() -> Result<()> {
+    let site = Site::with_engine_hosts(2 * SIZE).await;
+    site.join_replicas(1, SIZE, Some(Route { max_attempts: 3, ..patient_route() }));
+    let node = site.node("return-of-two").await;
+    let script = [Behaviour::StreamFallingSilent(3, SILENCE), Behaviour::StreamUntil(5)];
+    host::share_script(&site.replicas, script);
+    let headers = [MODEL, (header::DEADLINE_MS, "6000")];
+    let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+    expect_that!(answer.is_complete, eq(true));
+    expect_that!(answer.body, eq(&site::events(1..=EVENTS)));
+    Ok(())
+}
+
 struct Dissolution {
     name: &'static str,
     silence: Duration,
--- a/cuminward-gateway/tests/all/unary.rs
+++ b/cuminward-gateway/tests/all/unary.rs
@@ -95,6 +95,40 @@
     Ok(())
 }
 
+/// Guards against idempotent requests that fail since they had left a slow sound host for one that then failed, and
+/// against a run at a third host.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_returns_to_a_slow_host_if_the_next_one_fails() -> Result<()> {
+    /// Longer than the usual time of an attempt.
+    const DELAY: Duration = Duration::from_secs(1);
+    struct Case {
+        name: &'static str,
+        /// Behaviours for the requests after the first one, which is answered late.
+        script: Vec<Behaviour>,
+        /// Number of hosts that receive the request.
+        hosts: usize,
+    }
+    let cases = [
+        Case { name: "failed elsewhere", script: vec![Behaviour::Fail(500)], hosts: 2 },
+        Case { name: "cut off elsewhere", script: vec![Behaviour::Truncate], hosts: 2 },
+        Case { name: "refused elsewhere", script: vec![const { Behaviour::Refuse }; 2], hosts: 3 },
+    ];
+    for case in cases {
+        let site = Site::with_hosts(3, 2).await;
+        site.configure(1, None);
+        let node = site.node("return-call").await;
+        let before = site.plain.iter().map(|it| it.received().len()).collect::<Vec<_>>();
+        let late = Behaviour::RespondAfter(DELAY, String::from("late"));
+        host::share_script(&site.plain, [late].into_iter().chain(case.script));
+        let answer = node.send("POST", "/desk/1", &[], "body").await.or_fail()?;
+        expect_that!(answer.status.as_u16(), eq(200), "{}", case.name);
+        let runs = site.plain.iter().zip(before).map(|(it, before)| it.received().len() - before);
+        expect_that!(runs.filter(|it| *it > 0).count(), eq(case.hosts), "{}", case.name);
+    }
+    Ok(())
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn method_path_query_body_and_headers_are_forwarded_unchanged() -> Result<()> {
--- a/cuminward-serving/src/attempt.rs
+++ b/cuminward-serving/src/attempt.rs
@@ -21,6 +21,8 @@
     pub maybe_ran: u32,
     /// Attempts in which the request did not run.
     pub not_run: u32,
+    /// Servers that were left while they were silent, and to which the request hasn't returned.
+    pub left: u32,
 }
 
 /// Limits on the retries of a request.
@@ -39,6 +41,8 @@
 pub enum Next {
     /// Send the request to another upstream.
     Retry,
+    /// Send the request to an upstream once more that was left while it was silent.
+    Return,
     /// Tell the caller that the request didn't run.
     Refuse,
     /// Tell the caller that it isn't known whether the request ran.
@@ -54,14 +58,18 @@
 /// Decides how to proceed after a failed attempt, which `counts` already includes.
 pub fn decide(counts: Counts, failure: Failure, bounds: &Bounds) -> Next {
     let give_up = if counts.maybe_ran == 0 { Next::Refuse } else { Next::Fail };
-    if bounds.time_left < MIN_TIME_LEFT || counts.not_run > MAX_NOT_RUN {
-        return give_up;
-    }
-    let may_retry = match failure {
+    let may_run_again = match failure {
         Failure::NotRun => counts.maybe_ran == 0 || bounds.retry.is_retryable(),
         Failure::Unknown => bounds.retry.is_retryable(),
     };
-    if may_retry && counts.maybe_ran < bounds.max_attempts { Next::Retry } else { give_up }
+    if bounds.time_left < MIN_TIME_LEFT || !may_run_again {
+        return give_up;
+    }
+    if counts.maybe_ran < bounds.max_attempts && counts.not_run <= MAX_NOT_RUN {
+        return Next::Retry;
+    }
+    // The request has reached that server before, so that it runs on no further one.
+    if counts.left > 0 { Next::Return } else { give_up }
 }
 
 /// Mutation
--- a/cuminward-serving/tests/all/attempt.rs
+++ b/cuminward-serving/tests/all/attempt.rs
@@ -19,8 +19,9 @@
 
 #[gtest]
 fn only_retryable_requests_are_sent_again() {
-    let ran = |ran| Counts { maybe_ran: ran, not_run: 0 };
-    let refused = |refused| Counts { maybe_ran: 0, not_run: refused };
+    let ran = |ran| Counts { maybe_ran: ran, ..Counts::default() };
+    let refused = |refused| Counts { not_run: refused, ..Counts::default() };
+    let left = |it| Counts { left: 1, ..it };
     let case = |name, retry, state, failure, expected| Case {
         name,
         retry,
@@ -37,10 +38,20 @@
         case("read lost twice", Retry::Idempotent, ran(2), Failure::Unknown, Next::Fail),
         case("lost stream", Retry::Resumable, ran(1), Failure::Unknown, Next::Retry),
         case("lost plain stream", Retry::Stream, ran(1), Failure::Unknown, Next::Fail),
+        case("moved, then lost", Retry::Resumable, left(ran(2)), Failure::Unknown, Next::Return),
+        case("moved, attempts left", Retry::Resumable, left(ran(1)), Failure::Unknown, Next::Retry),
+        case("moved, may not run again", Retry::Never, left(ran(2)), Failure::Unknown, Next::Fail),
+        case(
+            "moved, then often refused",
+            Retry::Resumable,
+            Counts { maybe_ran: 1, not_run: 4, left: 1 },
+            Failure::NotRun,
+            Next::Return,
+        ),
         case(
             "call refused after one that may have run",
             Retry::Never,
-            Counts { maybe_ran: 1, not_run: 1 },
+            Counts { maybe_ran: 1, not_run: 1, left: 0 },
             Failure::NotRun,
             Next::Fail,
         ),
