--- a/cuminward-gateway/tests/all/silence.rs
+++ b/cuminward-gateway/tests/all/silence.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cuminward_adapter_fake::{
+    caller::Response,
     catalog::{Retry, Route},
     entry::Entry,
     header,
@@ -38,6 +39,19 @@
     }
 }
 
+/// Sends a request for a stream to the replicas of a case, and returns the response and how many requests each host
+/// received.
+async fn play(case: &Case, route: Route, node: &str) -> Result<(Response, Vec<usize>)> {
+    let site = Site::with_engine_hosts(case.replicas * SIZE).await;
+    site.join_replicas(1, SIZE, Some(route));
+    let node = site.node(node).await;
+    host::share_script(&site.replicas, case.script.clone());
+    let headers = [MODEL, (header::DEADLINE_MS, "6000")];
+    let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+    let received = site.replicas.iter().map(|it| it.received().len()).collect();
+    Ok((answer, received))
+}
+
 /// Guards against streams that were broken off during a silence of the last upstream that they could use.
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
@@ -77,12 +91,7 @@
         },
     ];
     for case in cases {
-        let site = Site::with_engine_hosts(case.replicas * SIZE).await;
-        site.join_replicas(1, SIZE, Some(patient_route()));
-        let node = site.node("silence").await;
-        host::share_script(&site.replicas, case.script);
-        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
-        let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+        let (answer, _) = play(&case, patient_route(), "silence").await?;
         expect_that!(answer.status.as_u16(), eq(200), "{}", case.name);
         expect_that!(answer.is_complete, eq(true), "{}", case.name);
         expect_that!(answer.body, eq(&site::events(1..=EVENTS)), "{}", case.name);
@@ -109,12 +118,8 @@
         },
     ];
     for case in cases {
-        let site = Site::with_engine_hosts(case.replicas * SIZE).await;
-        site.join_replicas(1, SIZE, Some(Route { max_attempts: 3, ..patient_route() }));
-        let node = site.node("last-attempt").await;
-        host::share_script(&site.replicas, case.script);
-        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
-        let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+        let route = Route { max_attempts: 3, ..patient_route() };
+        let (answer, _) = play(&case, route, "last-attempt").await?;
         expect_that!(answer.is_complete, eq(true), "{}", case.name);
         expect_that!(answer.body, eq(&site::events(1..=EVENTS)), "{}", case.name);
     }
@@ -151,17 +156,12 @@
         },
     ];
     for case in cases {
-        let site = Site::with_engine_hosts(case.replicas * SIZE).await;
-        site.join_replicas(1, SIZE, Some(patient_route()));
-        let node = site.node("return").await;
-        host::share_script(&site.replicas, case.script);
-        let headers = [MODEL, (header::DEADLINE_MS, "6000")];
-        let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+        let (answer, received) = play(&case, patient_route(), "return").await?;
         expect_that!(answer.status.as_u16(), eq(200), "{}", case.name);
         expect_that!(answer.is_complete, eq(true), "{}", case.name);
         expect_that!(answer.body, eq(&site::events(1..=EVENTS)), "{}", case.name);
-        let received = site.replicas.iter().map(|it| it.received().len());
-        expect_that!(received.max(), some(eq(2)), "{}: requests at the first host", case.name);
+        let most = received.into_iter().max();
+        expect_that!(most, some(eq(2)), "{}: requests at the first host", case.name);
     }
     Ok(())
 }
@@ -170,13 +170,13 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_returns_to_a_host_that_was_silent_if_there_is_no_other() -> Result<()> {
-    let site = Site::with_engine_hosts(2 * SIZE).await;
-    site.join_replicas(1, SIZE, Some(Route { max_attempts: 3, ..patient_route() }));
-    let node = site.node("return-of-two").await;
-    let script = [Behaviour::StreamFallingSilent(3, SILENCE), Behaviour::StreamUntil(5)];
-    host::share_script(&site.replicas, script);
-    let headers = [MODEL, (header::DEADLINE_MS, "6000")];
-    let answer = node.send("POST", "/long-chat/1", &headers, "prompt").await.or_fail()?;
+    let case = Case {
+        name: "two replicas",
+        replicas: 2,
+        script: vec![Behaviour::StreamFallingSilent(3, SILENCE), Behaviour::StreamUntil(5)],
+    };
+    let route = Route { max_attempts: 3, ..patient_route() };
+    let (answer, _) = play(&case, route, "return-of-two").await?;
     expect_that!(answer.is_complete, eq(true));
     expect_that!(answer.body, eq(&site::events(1..=EVENTS)));
     Ok(())
