--- a/review/standin-3/caller.rs
+++ b/review/standin-3/caller.rs
@@ -8,16 +8,13 @@
 
 use crate::http;
 
-/// API key of the consumers.
-pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
-
 /// A request of a consumer.
 pub struct Request<'a> {
     pub path: &'a str,
     pub id: &'a str,
     /// Time for which the consumer waits.
     pub limit: Duration,
-    /// Further header lines, each with its line end.
+    /// Further header lines, with the key, each with its line end.
     pub headers: &'a str,
     pub body: &'a [u8],
 }
@@ -43,7 +40,7 @@
         let (limit_ms, length) = (request.limit.as_millis(), body.len());
         let head = format!(
             "POST {path} HTTP/1.1\r\nHost: ficu95.example\r\nX-Cuminward-Request-Id: {id}\r\n\
-             X-Cuminward-Deadline-Ms: {limit_ms}\r\nAuthorization: Bearer {KEY}\r\n{headers}\
+             X-Cuminward-Deadline-Ms: {limit_ms}\r\n{headers}\
              Content-Length: {length}\r\n\r\n"
         );
         self.stream.write_all(&[head.as_bytes(), body].concat())
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -8,6 +8,7 @@
 mod host;
 mod http;
 mod json;
+mod long_chats;
 mod record;
 mod store;
 mod wide_prompts;
@@ -25,6 +26,8 @@
     let directory = Path::new(directory);
     let result = match case.as_str() {
         "wide-prompts" => wide_prompts::run(directory, &record, has_trouble),
+        "revoked-key" => long_chats::run_revoked(directory, &record, has_trouble),
+        "poison" => long_chats::run_poison(directory, &record, has_trouble),
         _ => Err(std::io::Error::other("there is no such case")),
     };
     if let Err(error) = record.write(Path::new(file)) {
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -4,7 +4,10 @@
     collections::{BTreeMap, HashMap},
     io::{self, BufReader},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -38,14 +41,26 @@
     pub fn start() -> io::Result<Store> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let store = Store { address: listener.local_addr()?, inner: Arc::default() };
-        let shared = store.clone();
+        store.listen(listener, Arc::default());
+        Ok(store)
+    }
+
+    /// Opens a further address, at which the store turns machines away while the returned flag is set.
+    pub fn open_door(&self) -> io::Result<(SocketAddr, Arc<AtomicBool>)> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let (address, is_closed) = (listener.local_addr()?, Arc::new(AtomicBool::new(false)));
+        self.listen(listener, Arc::clone(&is_closed));
+        Ok((address, is_closed))
+    }
+
+    fn listen(&self, listener: TcpListener, is_closed: Arc<AtomicBool>) {
+        let shared = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = shared.clone();
-                thread::spawn(move || store.serve(stream));
+                let (store, is_closed) = (shared.clone(), Arc::clone(&is_closed));
+                thread::spawn(move || store.serve(stream, &is_closed));
             }
         });
-        Ok(store)
     }
 
     /// Writes a record; an empty value deletes its key.
@@ -56,12 +71,16 @@
         self.inner.1.notify_all();
     }
 
-    fn serve(&self, mut stream: TcpStream) -> Option<()> {
+    fn serve(&self, mut stream: TcpStream, is_closed: &AtomicBool) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         loop {
             let request = http::read(&mut reader).ok()??;
-            let (status, body) = self.handle(&request);
+            let is_refused = is_closed.load(Ordering::SeqCst);
+            let answer = if is_refused { (503, Vec::new()) } else { self.handle(&request) };
+            // A read that waited is turned away as well.
+            let is_refused = is_closed.load(Ordering::SeqCst);
+            let (status, body) = if is_refused { (503, Vec::new()) } else { answer };
             http::respond(&mut stream, status, "", &body).ok()?;
         }
     }
--- a/review/standin-3/wide_prompts.rs
+++ b/review/standin-3/wide_prompts.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    caller::{self, Channel, Request},
+    caller::{Channel, Request},
     gateway::{self, Gateway, Machine},
     host::{Connection, Host},
     http,
@@ -20,6 +20,8 @@
     store::Store,
 };
 
+/// API key of the consumers.
+const KEY: &str = "n2ctnfzs989anu6wsjnb";
 /// Servers of the assistant; one of them crashes, within the share of 0.17 of the site file.
 const SERVERS: usize = 6;
 /// Requests that such a server runs at once, as on the sheet.
@@ -88,14 +90,13 @@
         DESK_TIMEOUT,
         "\"targetLatencyMs\":100,\"priority\":2,\"service\":\"mostrador\",\"maxAttempts\":1",
     );
-    let key = caller::KEY;
     format!(
         "{{\"version\":7,\"routes\":[{patron},{reserva}],\"services\":[\
          {{\"name\":\"asistente\",\"healthPath\":\"/healthz\",\"connLimit\":438}},\
          {{\"name\":\"mostrador\",\"healthPath\":\"/healthz\",\"connLimit\":110}}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
          \"idleTimeoutMs\":15000}},\
-         \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"{key}\"],\"priority\":1}}]}}"
+         \"tenants\":[{{\"name\":\"hule930\",\"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}"
     )
 }
 
@@ -149,7 +150,10 @@
     } else {
         ("patron", "/patron/2f", STREAM_LIMIT, STREAM_LIMIT)
     };
-    let headers = if is_clerk { String::new() } else { prompt(index) };
+    let mut headers = format!("Authorization: Bearer {KEY}\r\n");
+    if !is_clerk {
+        headers += &prompt(index);
+    }
     let mut channel = None;
     for number in 0.. {
         if shared.is_over.load(Ordering::SeqCst) {
