--- a/review/standin-3/long_chats.rs
+++ b/review/standin-3/long_chats.rs
@@ -55,6 +55,8 @@
     is_over: AtomicBool,
     /// When servers began to run each request.
     runs: Mutex<Vec<(Duration, String)>>,
+    /// Chats and questions without a whole answer: time and id.
+    lost: Mutex<Vec<(Duration, String)>>,
     /// Requests with the key that is taken away: gateway, time of sending and id.
     revoked: Mutex<Vec<(usize, Duration, String)>>,
 }
@@ -195,9 +197,14 @@
         let head = open.send(&request).and_then(|()| open.read_head(limit));
         let status = head.as_ref().map(http::Message::status).map_err(io::Error::kind);
         shared.record.add(format!("answer  {id} {status:?}"));
+        let is_refused = matches!(status, Ok(401 | 503));
         if head.is_ok_and(|it| open.read_body(&it, limit).is_ok()) {
             channel = Some(open);
         }
+        if channel.is_none() || !is_refused && !matches!(status, Ok(200)) {
+            shared.record.add(format!("lost    {id}"));
+            shared.lost.lock().unwrap().push((shared.record.now(), id));
+        }
         thread::sleep(pause);
     }
 }
@@ -219,6 +226,7 @@
             store: store.clone(),
             is_over: AtomicBool::new(false),
             runs: Mutex::default(),
+            lost: Mutex::default(),
             revoked: Mutex::default(),
         });
         for index in 0..READERS {
@@ -358,6 +366,12 @@
     const COMINGS: usize = 8;
     const PAUSE: Duration = Duration::from_millis(4000);
     let mut site = Site::start(directory, record)?;
+    for (gateway, front) in site.gateways.iter().map(|it| it.front).enumerate() {
+        for session in 0..8 {
+            let shared = Arc::clone(&site.shared);
+            thread::spawn(move || chat(&shared, 20 * gateway + session, gateway, front));
+        }
+    }
     for coming in 0..COMINGS {
         send_poison(&site, coming, coming % ZONES.len(), has_trouble);
         thread::sleep(PAUSE);
@@ -367,11 +381,15 @@
     let runs: Vec<Duration> =
         runs.iter().filter(|it| it.1.starts_with("poison")).map(|it| it.0).collect();
     let third = runs.get(2).filter(|_| has_trouble);
-    let late = third.map_or(0, |third| {
-        let bound = *third + FIRST_EVENT + STABLE_WINDOW;
-        runs.iter().filter(|it| **it > bound).count()
-    });
-    let text =
-        format!("{} runs in all, {late} of them later than 3 s after the third crash", runs.len());
+    let bound = third.map(|it| *it + FIRST_EVENT + STABLE_WINDOW);
+    let late = runs.iter().filter(|it| bound.is_some_and(|bound| **it > bound)).count();
+    let lost = site.shared.lost.lock().unwrap();
+    let lost_late = lost.iter().filter(|it| bound.is_some_and(|bound| it.0 > bound)).count();
+    let text = format!(
+        "{} runs in all, {late} of them later than 3 s after the third crash; {} chats of others without a whole \
+         answer, {lost_late} of them later than that",
+        runs.len(),
+        lost.len()
+    );
     Ok(site.conclude("BUDGET", late > MAX_POISON_RETRIES, &text))
 }
