--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 11 to 15, after the build of the deploy file. Needs only the compiler.
+# Builds the stand-ins of the case 11, after the build of the deploy file. Needs only the compiler.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standin-3/gateway.rs
+++ b/review/standin-3/gateway.rs
@@ -25,6 +25,7 @@
 pub struct Gateway {
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    pub metrics: SocketAddr,
     pub machine: Machine,
     process: Child,
 }
@@ -52,7 +53,7 @@
         );
         fs::write(&settings, text)?;
         let process = spawn(&settings)?;
-        Ok(Gateway { front, ready, machine, process })
+        Ok(Gateway { front, ready, metrics, machine, process })
     }
 
     /// Waits until the gateway says that it is ready.
@@ -72,6 +73,14 @@
         get(self.ready, "/readyz").is_ok_and(|it| it.status() == 200)
     }
 
+    /// Returns the resident memory of the process, in KiB.
+    pub fn memory_kb(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()))?;
+        let line = status.lines().find(|it| it.starts_with("VmRSS"));
+        let value = line.and_then(|it| it.split_whitespace().nth(1)?.parse().ok());
+        value.ok_or_else(|| io::Error::other("the memory of the process can't be read"))
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.process.try_wait(), Ok(Some(_)))
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,4 +1,4 @@
-//! Stand-ins of the platform, its servers and its consumers, and the cases that use them.
+//! Stand-ins of the platform, its servers and its consumers, and what uses them: case 11, and a finding that is no case.
 //!
 //! Arguments: the case, a temporary folder, and the file of the record. Exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case couldn't run.
@@ -8,10 +8,10 @@
 mod host;
 mod http;
 mod json;
-mod long_chats;
 mod record;
+mod revoked_key;
 mod store;
-mod wide_prompts;
+mod unread_metrics;
 
 use std::{path::Path, process};
 
@@ -25,9 +25,8 @@
     let record = record::Record::start();
     let directory = Path::new(directory);
     let result = match case.as_str() {
-        "wide-prompts" => wide_prompts::run(directory, &record, has_trouble),
-        "revoked-key" => long_chats::run_revoked(directory, &record, has_trouble),
-        "poison" => long_chats::run_poison(directory, &record, has_trouble),
+        "revoked-key" => revoked_key::run(directory, &record, has_trouble),
+        "unread-metrics" => unread_metrics::run(directory, &record),
         _ => Err(std::io::Error::other("there is no such case")),
     };
     if let Err(error) = record.write(Path::new(file)) {
--- a/review/standin-3/long_chats.rs
+++ b/review/standin-3/revoked_key.rs
@@ -1,4 +1,5 @@
-//! Cases 12 and 13: after a request of a long chat has crashed servers, its gateway tells the others nothing for a minute.
+//! Case 11: after a request with many prompt parts has crashed servers, its gateway tells the others nothing for a minute, and
+//! one that the store turns away doesn't hear that a key was taken away.
 
 use std::{
     io,
@@ -35,8 +36,6 @@
 /// Bounds of the site.
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
 const OUTER_BOUND: Duration = Duration::from_millis(5000);
-const STABLE_WINDOW: Duration = Duration::from_millis(3000);
-const MAX_POISON_RETRIES: usize = 3;
 /// Time limits of the consumers.
 const DESK_LIMIT: Duration = Duration::from_millis(1500);
 const STREAM_LIMIT: Duration = Duration::from_millis(8000);
@@ -46,7 +45,7 @@
 /// Time after which a crashed server is back, and its check-in interval.
 const DOWN: Duration = Duration::from_millis(3000);
 /// Keys of the team; the second one is taken away.
-const KEYS: [&str; 2] = ["n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"];
+pub const KEYS: [&str; 2] = ["n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"];
 
 /// What the stand-ins of a case share.
 struct Shared {
@@ -55,13 +54,12 @@
     is_over: AtomicBool,
     /// When servers began to run each request.
     runs: Mutex<Vec<(Duration, String)>>,
-    /// Chats and questions without a whole answer: time and id.
-    lost: Mutex<Vec<(Duration, String)>>,
     /// Requests with the key that is taken away: gateway, time of sending and id.
     revoked: Mutex<Vec<(usize, Duration, String)>>,
 }
 
-fn config(version: u32, keys: &[&str]) -> String {
+/// Returns a configuration with some keys of the team.
+pub fn config(version: u32, keys: &[&str]) -> String {
     let keys: Vec<String> = keys.iter().map(|it| format!("\"{it}\"")).collect();
     let keys = keys.join(",");
     format!(
@@ -197,14 +195,9 @@
         let head = open.send(&request).and_then(|()| open.read_head(limit));
         let status = head.as_ref().map(http::Message::status).map_err(io::Error::kind);
         shared.record.add(format!("answer  {id} {status:?}"));
-        let is_refused = matches!(status, Ok(401 | 503));
         if head.is_ok_and(|it| open.read_body(&it, limit).is_ok()) {
             channel = Some(open);
         }
-        if channel.is_none() || !is_refused && !matches!(status, Ok(200)) {
-            shared.record.add(format!("lost    {id}"));
-            shared.lost.lock().unwrap().push((shared.record.now(), id));
-        }
         thread::sleep(pause);
     }
 }
@@ -226,7 +219,6 @@
             store: store.clone(),
             is_over: AtomicBool::new(false),
             runs: Mutex::default(),
-            lost: Mutex::default(),
             revoked: Mutex::default(),
         });
         for index in 0..READERS {
@@ -291,9 +283,9 @@
     }
 }
 
-/// Case 12: a key is taken away while the store turns one gateway away, after a request that crashes each server that runs it
+/// A key is taken away while the store turns one gateway away, after a request that crashes each server that runs it
 /// has come to both of the others.
-pub fn run_revoked(directory: &Path, record: &Record, has_trouble: bool) -> io::Result<bool> {
+pub fn run(directory: &Path, record: &Record, has_trouble: bool) -> io::Result<bool> {
     let mut site = Site::start(directory, record)?;
     let last = ZONES.len() - 1;
     for (gateway, front) in site.gateways.iter().map(|it| it.front).enumerate() {
@@ -360,36 +352,3 @@
     let status = answered.map(|it| it.status()).map_err(|it| it.kind());
     record.add(format!("answer  {id} {status:?}"));
 }
-
-/// Case 13: a request that crashes each server that runs it comes again and again, at one gateway after the other.
-pub fn run_poison(directory: &Path, record: &Record, has_trouble: bool) -> io::Result<bool> {
-    const COMINGS: usize = 8;
-    const PAUSE: Duration = Duration::from_millis(4000);
-    let mut site = Site::start(directory, record)?;
-    for (gateway, front) in site.gateways.iter().map(|it| it.front).enumerate() {
-        for session in 0..8 {
-            let shared = Arc::clone(&site.shared);
-            thread::spawn(move || chat(&shared, 20 * gateway + session, gateway, front));
-        }
-    }
-    for coming in 0..COMINGS {
-        send_poison(&site, coming, coming % ZONES.len(), has_trouble);
-        thread::sleep(PAUSE);
-    }
-    site.end();
-    let runs = site.shared.runs.lock().unwrap();
-    let runs: Vec<Duration> =
-        runs.iter().filter(|it| it.1.starts_with("poison")).map(|it| it.0).collect();
-    let third = runs.get(2).filter(|_| has_trouble);
-    let bound = third.map(|it| *it + FIRST_EVENT + STABLE_WINDOW);
-    let late = runs.iter().filter(|it| bound.is_some_and(|bound| **it > bound)).count();
-    let lost = site.shared.lost.lock().unwrap();
-    let lost_late = lost.iter().filter(|it| bound.is_some_and(|bound| it.0 > bound)).count();
-    let text = format!(
-        "{} runs in all, {late} of them later than 3 s after the third crash; {} chats of others without a whole \
-         answer, {lost_late} of them later than that",
-        runs.len(),
-        lost.len()
-    );
-    Ok(site.conclude("BUDGET", late > MAX_POISON_RETRIES, &text))
-}
